Workspace, shared types and platform stand-ins

Cause: the packages need one set of types and one set of interfaces before they can grow apart. Conclusion: the packages common and standins are the base for the thin path.

--- /dev/null
+++ b/packages/common/src/model/Request.ts
@@ -0,0 +1,118 @@
+import type { QueueKind } from "./OperatorsText.js";
+import type { Resources } from "./Resources.js";
+
+/** What a caller is told about a request. */
+export enum OutcomeState {
+    Accepted = "accepted",
+    Running = "running",
+    Done = "done",
+    NotRun = "not-run",
+    Unknown = "unknown"
+}
+
+/** Reason why a request did not run, or why its outcome is not known. */
+export enum OutcomeReason {
+    BadRequest = "bad-request",
+    TooLarge = "too-large",
+    KeyMissing = "key-missing",
+    KeyInvalid = "key-invalid",
+    KeyKnowledgeStale = "key-knowledge-stale",
+    QueueUnknown = "queue-unknown",
+    RequestUnknown = "request-unknown",
+    IdempotencyConflict = "idempotency-conflict",
+    StoreUnavailable = "store-unavailable",
+    Overloaded = "overloaded",
+    DeadlinePassed = "deadline-passed",
+    LimitReached = "limit-reached",
+    Infeasible = "infeasible",
+    NeverSucceeds = "never-succeeds",
+    Cancelled = "cancelled",
+    NoTarget = "no-target",
+    NoOwner = "no-owner",
+    OwnerLost = "owner-lost",
+    AnswerIncomplete = "answer-incomplete",
+    TargetFailed = "target-failed",
+    Stopping = "stopping"
+}
+
+/** Size of the tasks of a batch or gang job. */
+export interface TaskSizing {
+    readonly count: number;
+    readonly resources: Resources;
+    /** Run time that the caller declares; steers order only. */
+    readonly declaredDurationMs: number;
+    readonly checkpointable: boolean;
+}
+
+/** Request of a caller after validation. */
+export interface RequestSpec {
+    readonly queue: string;
+    readonly kind: QueueKind;
+    readonly team: string;
+    readonly idempotent: boolean;
+    readonly urgent: boolean;
+    readonly payload: string;
+    /** Wall-clock time by which the request must have finished. */
+    readonly deadlineAtMs: number;
+    /** Absent for look-ups. */
+    readonly tasks?: TaskSizing;
+}
+
+/** Outcome of a request as callers are told. */
+export interface RequestOutcome {
+    readonly state: OutcomeState;
+    readonly reason?: OutcomeReason;
+    readonly detail?: string;
+    /** Whole answers, one a task; a look-up has one. */
+    readonly answers?: readonly string[];
+    /** Hint for trying again, for a request that did not run. */
+    readonly retryAfterMs?: number;
+}
+
+/** Dispatch of a non-idempotent request; committed before it is sent. */
+export interface StartRecord {
+    readonly attemptId: string;
+    readonly targetId: string;
+}
+
+/** Durable record of an accepted request. */
+export interface RequestRecord {
+    readonly requestId: string;
+    readonly sliceId: string;
+    readonly spec: RequestSpec;
+    /** Object that holds the payload when it is large; `spec.payload` is then empty. */
+    readonly payloadObject?: string;
+    readonly acceptedAtMs: number;
+    readonly outcome: RequestOutcome;
+    readonly start?: StartRecord;
+    /** Answers of finished tasks by index, as far as they are committed. */
+    readonly finishedTasks?: Readonly<Record<string, string>>;
+    /** Object that holds the answers when they are large. */
+    readonly answersObject?: string;
+}
+
+/** Row that finds a request again by its team and idempotency key. */
+export interface IdempotencyRecord {
+    readonly requestId: string;
+    readonly bodyHash: string;
+}
+
+/** Tells whether the outcome is final. */
+export function isFinal(outcome: RequestOutcome): boolean {
+    return outcome.state === OutcomeState.Done
+        || outcome.state === OutcomeState.NotRun
+        || outcome.state === OutcomeState.Unknown;
+}
+
+const SLICE_SEPARATOR = ".";
+
+/** Composes a request id that names the slice which holds the request. */
+export function composeRequestId(sliceId: string, unique: string): string {
+    return `${sliceId}${SLICE_SEPARATOR}${unique}`;
+}
+
+/** Returns the slice that a request id names, or undefined for a malformed id. */
+export function sliceOfRequestId(requestId: string): string | undefined {
+    const end = requestId.lastIndexOf(SLICE_SEPARATOR);
+    return end > 0 ? requestId.slice(0, end) : undefined;
+}
--- /dev/null
+++ b/packages/common/src/random/RandomSource.ts
@@ -0,0 +1,19 @@
+import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+
+/** Source of random numbers; seeded, so that runs repeat. */
+export interface RandomSource {
+    /** Returns a number in [0, 1). */
+    next(): number;
+}
+
+/** Creates a repeatable random source from a seed. */
+export function createSeededRandom(seed: number): RandomSource {
+    const generator = xoroshiro128plus(seed);
+    return { next: () => uniformFloat64(generator) };
+}
+
+/** Returns a whole number in [0, bound). */
+export function nextInteger(random: RandomSource, bound: number): number {
+    return Math.floor(random.next() * bound);
+}
--- /dev/null
+++ b/packages/standins/src/memory/MemoryLiveList.ts
@@ -0,0 +1,44 @@
+import type { LiveList, LiveMachine } from "@skylarkpath/common/platform/LiveList";
+import type { StoreError } from "@skylarkpath/common/platform/StoreError";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { ok, type Result } from "neverthrow";
+import { FaultGate, type FaultPlan } from "./FaultGate.js";
+import { unwrap } from "./MemoryTableService.js";
+
+/** Live list in memory; changes show after a lag. */
+export class MemoryLiveList implements LiveList {
+    private readonly machines = new Map<string, LiveMachine>();
+    private readonly gate: FaultGate;
+
+    constructor(private readonly timer: TimerService, private readonly lagMs: number) {
+        this.gate = new FaultGate(timer);
+    }
+
+    /** Sets the faults of calls from now on. */
+    public setFaultPlan(plan: FaultPlan): void {
+        this.gate.setPlan(plan);
+    }
+
+    /** Adds or changes a machine at once. */
+    public putNow(machine: LiveMachine): void {
+        this.machines.set(machine.machineId, machine);
+    }
+
+    /** Adds or changes a machine after the lag. */
+    public put(machine: LiveMachine): void {
+        this.timer.after(this.lagMs, () => this.machines.set(machine.machineId, machine));
+    }
+
+    /** Removes a machine after the lag, unless it was replaced by another incarnation. */
+    public remove(machine: LiveMachine): void {
+        this.timer.after(this.lagMs, () => {
+            if (this.machines.get(machine.machineId)?.incarnation === machine.incarnation) {
+                this.machines.delete(machine.machineId);
+            }
+        });
+    }
+
+    public async read(): Promise<Result<readonly LiveMachine[], StoreError>> {
+        return unwrap(await this.gate.run("live-list", () => ok([...this.machines.values()])));
+    }
+}
--- /dev/null
+++ b/packages/standins/src/memory/MemoryNetwork.ts
@@ -0,0 +1,179 @@
+import {
+    type PeerError,
+    PeerErrorKind,
+    type PeerHandler,
+    type PeerMethods,
+    type PeerTransport
+} from "@skylarkpath/common/peer/PeerTransport";
+import type { JsonValue } from "@skylarkpath/common/platform/TableService";
+import {
+    type AttemptReport,
+    type TargetAnswer,
+    type TargetError,
+    TargetErrorKind,
+    type TargetInventory,
+    type TargetRequest,
+    type TargetService
+} from "@skylarkpath/common/platform/TargetService";
+import type {
+    WorkerError,
+    WorkerExchange,
+    WorkerReply,
+    WorkerService
+} from "@skylarkpath/common/platform/WorkerService";
+import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
+import { err, ok, type Result } from "neverthrow";
+import type { MemoryTarget } from "./MemoryTarget.js";
+import type { MemoryWorker } from "./MemoryWorker.js";
+
+/** State of the link from one address to another. */
+export interface Link {
+    readonly cut: boolean;
+    readonly delayMs: number;
+}
+
+/** Chooses the state of a link when a message is sent. */
+export type LinkPlan = (from: string, to: string) => Link;
+
+interface Delivered<T> {
+    readonly sent: boolean;
+    readonly value?: T;
+}
+
+/** Network in memory: delivers calls between addresses over links that can be cut one way. */
+export class MemoryNetwork {
+    private readonly peers = new Map<string, Map<string, PeerHandler>>();
+    private readonly workers = new Map<string, MemoryWorker>();
+    private readonly targets = new Map<string, MemoryTarget>();
+    private linkPlan: LinkPlan = () => ({ cut: false, delayMs: 0 });
+
+    constructor(private readonly timer: TimerService) {}
+
+    /** Sets the state of links from now on. */
+    public setLinkPlan(plan: LinkPlan): void {
+        this.linkPlan = plan;
+    }
+
+    /** Attaches a process and returns the registry of its methods. */
+    public attachPeer(address: string): PeerMethods {
+        const methods = new Map<string, PeerHandler>();
+        this.peers.set(address, methods);
+        return { register: (method, handler) => methods.set(method, handler) };
+    }
+
+    /** Attaches a worker. */
+    public attachWorker(address: string, worker: MemoryWorker): void {
+        this.workers.set(address, worker);
+    }
+
+    /** Attaches a target. */
+    public attachTarget(address: string, target: MemoryTarget): void {
+        this.targets.set(address, target);
+    }
+
+    /** Detaches whatever has the address, as when its VM dies. */
+    public detach(address: string): void {
+        this.peers.delete(address);
+        this.workers.delete(address);
+        this.targets.delete(address);
+    }
+
+    /** Transport of the process at an address. */
+    public peerTransportOf(from: string): PeerTransport {
+        return { call: (to, method, parameters, timeoutMs) => this.callPeer(from, to, method, parameters, timeoutMs) };
+    }
+
+    /** Worker client of the process at an address. */
+    public workerServiceOf(from: string): WorkerService {
+        return { exchange: (to, exchange) => this.exchange(from, to, exchange) };
+    }
+
+    /** Target client of the process at an address. */
+    public targetServiceOf(from: string): TargetService {
+        return {
+            dispatch: (to, request) => this.dispatch(from, to, request),
+            attempt: (to, attemptId) => this.ask<AttemptReport>(from, to, target => target.attempt(attemptId)),
+            inventory: to => this.ask<TargetInventory>(from, to, target => target.inventory())
+        };
+    }
+
+    private async callPeer(
+        from: string,
+        to: string,
+        method: string,
+        parameters: JsonValue,
+        timeoutMs: number
+    ): Promise<Result<JsonValue, PeerError>> {
+        const handler = this.peers.get(to)?.get(method);
+        const copy: JsonValue = JSON.parse(JSON.stringify(parameters));
+        const call = this.deliver(from, to, handler, found => found(copy, from));
+        const delivered = await Promise.race([call, this.expire<Result<JsonValue, string>>(timeoutMs)]);
+        if (!delivered.sent) {
+            return err({ kind: PeerErrorKind.Unreachable, message: `${to} cannot be reached.` });
+        }
+        if (delivered.value === undefined) {
+            return err({ kind: PeerErrorKind.ReplyLost, message: `${to} did not reply.` });
+        }
+        return delivered.value
+            .map(value => JSON.parse(JSON.stringify(value)) as JsonValue)
+            .mapErr(message => ({ kind: PeerErrorKind.Refused, message }));
+    }
+
+    private async exchange(
+        from: string,
+        to: string,
+        exchange: WorkerExchange
+    ): Promise<Result<WorkerReply, WorkerError>> {
+        const copy: WorkerExchange = JSON.parse(JSON.stringify(exchange));
+        const delivered = await this.deliver(from, to, this.workers.get(to), async worker => worker.exchange(copy));
+        return delivered.value
+            ?? err({ replyLost: delivered.sent, message: `No reply of worker ${to}.` });
+    }
+
+    private async dispatch(
+        from: string,
+        to: string,
+        request: TargetRequest
+    ): Promise<Result<TargetAnswer, TargetError>> {
+        const call = this.deliver(from, to, this.targets.get(to), target => target.dispatch(request));
+        const delivered = await Promise.race([call, this.expire<Result<TargetAnswer, TargetError>>(request.timeoutMs)]);
+        return delivered.value ?? err(lostAtTarget(to, delivered.sent));
+    }
+
+    private async ask<T>(
+        from: string,
+        to: string,
+        question: (target: MemoryTarget) => T
+    ): Promise<Result<T, TargetError>> {
+        const delivered = await this.deliver(from, to, this.targets.get(to), async target => question(target));
+        return delivered.value === undefined ? err(lostAtTarget(to, delivered.sent)) : ok(delivered.value);
+    }
+
+    private async expire<T>(timeoutMs: number): Promise<Delivered<T>> {
+        await sleep(this.timer, timeoutMs);
+        return { sent: true };
+    }
+
+    private async deliver<S, T>(
+        from: string,
+        to: string,
+        station: S | undefined,
+        call: (station: S) => Promise<T>
+    ): Promise<Delivered<T>> {
+        const there = this.linkPlan(from, to);
+        await sleep(this.timer, there.delayMs);
+        if (there.cut || station === undefined) {
+            return { sent: false };
+        }
+        const value = await call(station);
+        const back = this.linkPlan(to, from);
+        await sleep(this.timer, back.delayMs);
+        return back.cut ? { sent: true } : { sent: true, value };
+    }
+}
+
+function lostAtTarget(address: string, sent: boolean): TargetError {
+    return sent
+        ? { kind: TargetErrorKind.ReplyLost, message: `Target ${address} did not reply.` }
+        : { kind: TargetErrorKind.Unreachable, message: `Target ${address} cannot be reached.` };
+}
--- /dev/null
+++ b/packages/standins/src/memory/MemoryWorker.ts
@@ -0,0 +1,270 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import {
+    addResources,
+    fitsInto,
+    NO_RESOURCES,
+    type Resources,
+    subtractResources
+} from "@skylarkpath/common/model/Resources";
+import {
+    type WorkerCommand,
+    WorkerCommandKind,
+    type WorkerError,
+    type WorkerExchange,
+    WorkerRefusal,
+    type WorkerReply,
+    type WorkerTask,
+    type WorkerTaskReport,
+    WorkerTaskState
+} from "@skylarkpath/common/platform/WorkerService";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { err, ok, type Result } from "neverthrow";
+
+interface HeldTask {
+    readonly task: WorkerTask;
+    readonly epoch: number;
+    state: WorkerTaskState;
+    answer?: string;
+    checkpoint?: string;
+    leaseEndMs: number;
+    completion?: Disposable;
+}
+
+/** How a task behaves when a worker runs it. */
+export interface TaskBehavior {
+    /** Undefined runs until stopped. */
+    readonly durationMs?: number;
+    readonly fails: boolean;
+    readonly answer: string;
+}
+
+/** What happened to a task on a worker, for histories. */
+export interface WorkerTaskEvent {
+    readonly workerId: string;
+    readonly task: WorkerTask;
+    readonly epoch: number;
+    readonly state: WorkerTaskState;
+    readonly atMs: number;
+}
+
+/** Options of a worker in memory. */
+export interface MemoryWorkerOptions {
+    readonly workerId: string;
+    readonly capacity: Resources;
+    /** Chooses how a task behaves. */
+    readonly behaviorOf: (task: WorkerTask) => TaskBehavior;
+}
+
+const LEASE_CHECK_INTERVAL_MS = 50;
+
+/** Worker of the platform in memory: arbitrates epochs, capacity and leases. */
+export class MemoryWorker {
+    private readonly tasks = new Map<string, HeldTask>();
+    private readonly taskEventEmitter = new Emitter<WorkerTaskEvent>();
+    private epoch = 0;
+    private restarts = 0;
+    private leaving = false;
+
+    /** Tells every start and end of a task. */
+    public readonly onTaskEvent = this.taskEventEmitter.event;
+
+    constructor(private readonly timer: TimerService, private readonly options: MemoryWorkerOptions) {
+        timer.every(LEASE_CHECK_INTERVAL_MS, () => this.stopLapsedTasks());
+    }
+
+    /** Changes with every restart. */
+    public get incarnation(): string {
+        return `${this.options.workerId}-${this.restarts}`;
+    }
+
+    /** Refuses new tasks from now on. */
+    public leave(): void {
+        this.leaving = true;
+    }
+
+    /** Restarts the worker: all tasks end and its epoch is forgotten. */
+    public restart(): void {
+        for (const held of this.tasks.values()) {
+            this.end(held, WorkerTaskState.Stopped);
+        }
+        this.tasks.clear();
+        this.epoch = 0;
+        this.restarts++;
+    }
+
+    /** Serves one exchange. */
+    public exchange(exchange: WorkerExchange): Result<WorkerReply, WorkerError> {
+        this.stopLapsedTasks();
+        if (exchange.epoch < this.epoch) {
+            return err(this.refuse(WorkerRefusal.StaleEpoch));
+        }
+        if (exchange.incarnation !== undefined && exchange.incarnation !== this.incarnation) {
+            return err(this.refuse(WorkerRefusal.WrongIncarnation));
+        }
+        if (exchange.incarnation === undefined && exchange.commands.length > 0) {
+            return err(this.refuse(WorkerRefusal.WrongIncarnation));
+        }
+        if (exchange.incarnation !== undefined) {
+            this.epoch = exchange.epoch;
+        }
+        const results = exchange.commands.map(command => this.execute(command));
+        return ok({
+            incarnation: this.incarnation,
+            epoch: this.epoch,
+            capacity: this.options.capacity,
+            leaving: this.leaving,
+            results,
+            reports: [...this.tasks.values()].map(reportOf)
+        });
+    }
+
+    private refuse(refusal: WorkerRefusal): WorkerError {
+        return {
+            refusal,
+            epoch: this.epoch,
+            incarnation: this.incarnation,
+            replyLost: false,
+            message: `Refused: ${refusal}.`
+        };
+    }
+
+    private execute(command: WorkerCommand): WorkerRefusal | "ok" {
+        switch (command.kind) {
+            case WorkerCommandKind.Start:
+                return this.start(command.task, command.leaseMs);
+            case WorkerCommandKind.Renew:
+                return this.renew(command.taskIds, command.leaseMs);
+            case WorkerCommandKind.Stop:
+                return this.onRunning(command.taskId, held => this.end(held, WorkerTaskState.Stopped));
+            case WorkerCommandKind.Throttle:
+                return this.onRunning(command.taskId, held => {
+                    held.state = WorkerTaskState.Throttled;
+                });
+            case WorkerCommandKind.Checkpoint:
+                return this.onRunning(command.taskId, held => {
+                    held.checkpoint = `checkpoint-of-${held.task.taskId}`;
+                });
+            case WorkerCommandKind.Acknowledge:
+                return this.acknowledge(command.taskIds);
+        }
+    }
+
+    private start(task: WorkerTask, leaseMs: number): WorkerRefusal | "ok" {
+        if (this.leaving) {
+            return WorkerRefusal.Leaving;
+        }
+        if (this.tasks.has(task.taskId)) {
+            return WorkerRefusal.DuplicateTask;
+        }
+        if (!fitsInto(task.resources, subtractResources(this.options.capacity, this.committed()))) {
+            return WorkerRefusal.OverCapacity;
+        }
+        const behavior = this.options.behaviorOf(task);
+        const held: HeldTask = {
+            task,
+            epoch: this.epoch,
+            state: WorkerTaskState.Running,
+            leaseEndMs: this.timer.nowMs() + leaseMs
+        };
+        this.tasks.set(task.taskId, held);
+        this.tell(held);
+        if (behavior.durationMs !== undefined) {
+            held.completion = this.timer.after(behavior.durationMs, () => this.complete(held, behavior));
+        }
+        return "ok";
+    }
+
+    private complete(held: HeldTask, behavior: TaskBehavior): void {
+        if (!isRunning(held) || this.tasks.get(held.task.taskId) !== held) {
+            return;
+        }
+        if (this.timer.nowMs() >= held.leaseEndMs) {
+            this.end(held, WorkerTaskState.LeaseLapsed);
+            return;
+        }
+        held.answer = behavior.fails ? undefined : behavior.answer;
+        this.end(held, behavior.fails ? WorkerTaskState.Failed : WorkerTaskState.Succeeded);
+    }
+
+    private renew(taskIds: readonly string[], leaseMs: number): "ok" {
+        for (const taskId of taskIds) {
+            const held = this.tasks.get(taskId);
+            if (held && isRunning(held)) {
+                held.leaseEndMs = this.timer.nowMs() + leaseMs;
+            }
+        }
+        return "ok";
+    }
+
+    private acknowledge(taskIds: readonly string[]): "ok" {
+        for (const taskId of taskIds) {
+            const held = this.tasks.get(taskId);
+            if (held && !isRunning(held)) {
+                this.tasks.delete(taskId);
+            }
+        }
+        return "ok";
+    }
+
+    private onRunning(taskId: string, change: (held: HeldTask) => void): WorkerRefusal | "ok" {
+        const held = this.tasks.get(taskId);
+        if (!held || !isRunning(held)) {
+            return WorkerRefusal.UnknownTask;
+        }
+        change(held);
+        return "ok";
+    }
+
+    private stopLapsedTasks(): void {
+        for (const held of this.tasks.values()) {
+            if (isRunning(held) && held.leaseEndMs <= this.timer.nowMs()) {
+                this.end(held, WorkerTaskState.LeaseLapsed);
+            }
+        }
+    }
+
+    private end(held: HeldTask, state: WorkerTaskState): void {
+        if (!isRunning(held)) {
+            return;
+        }
+        held.state = state;
+        held.completion?.dispose();
+        this.tell(held);
+    }
+
+    private committed(): Resources {
+        let total = NO_RESOURCES;
+        for (const held of this.tasks.values()) {
+            if (isRunning(held)) {
+                total = addResources(total, held.task.resources);
+            }
+        }
+        return total;
+    }
+
+    private tell(held: HeldTask): void {
+        this.taskEventEmitter.fire({
+            workerId: this.options.workerId,
+            task: held.task,
+            epoch: held.epoch,
+            state: held.state,
+            atMs: this.timer.nowMs()
+        });
+    }
+}
+
+function isRunning(held: HeldTask): boolean {
+    return held.state === WorkerTaskState.Running || held.state === WorkerTaskState.Throttled;
+}
+
+function reportOf(held: HeldTask): WorkerTaskReport {
+    return {
+        task: held.task,
+        state: held.state,
+        answer: held.answer,
+        checkpoint: held.checkpoint,
+        usage: isRunning(held) ? held.task.resources : undefined,
+        epoch: held.epoch
+    };
+}
