--- /dev/null
+++ b/packages/adapters/src/HttpListener.ts
@@ -0,0 +1,31 @@
+import { serve, type ServerType } from "@hono/node-server";
+import type { Hono } from "hono";
+import type { AddressInfo } from "node:net";
+
+/** HTTP application that listens on an address until closed. */
+export class HttpListener {
+    private constructor(private readonly server: ServerType, public readonly address: string) {}
+
+    /** Starts to listen on `IP:PORT`; port zero takes any free port. */
+    public static async listen(application: Hono, address: string): Promise<HttpListener> {
+        const separator = address.lastIndexOf(":");
+        const hostname = address.slice(0, separator);
+        const port = Number(address.slice(separator + 1));
+        return new Promise((resolve, reject) => {
+            const server = serve({ fetch: application.fetch, hostname, port }, (information: AddressInfo) => {
+                resolve(new HttpListener(server, `${information.address}:${information.port}`));
+            });
+            server.on("error", reject);
+        });
+    }
+
+    /** Stops listening and waits until requests in progress have ended. */
+    public close(): Promise<void> {
+        return new Promise(resolve => {
+            this.server.close(() => resolve());
+            if ("closeIdleConnections" in this.server) {
+                this.server.closeIdleConnections();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/packages/adapters/src/JsonRpcClient.ts
@@ -0,0 +1,102 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import type { JsonValue } from "@skylarkpath/common/platform/TableService";
+import { createJSONRPCRequest, isJSONRPCResponse } from "json-rpc-2.0";
+import { err, ok, type Result } from "neverthrow";
+import { Pool } from "undici";
+import { type RpcFailure, RpcFailureKind } from "./RpcFailure.js";
+
+/** Options of a JSON-RPC client. */
+export interface JsonRpcClientOptions {
+    /** Connections kept to one address. */
+    readonly connectionsPerAddress: number;
+    readonly connectTimeoutMs: number;
+    /** Longest reply that is read. */
+    readonly maxReplyBytes: number;
+    /** Returns headers that authenticate a body. */
+    readonly sign?: (body: string) => Readonly<Record<string, string>>;
+}
+
+/** Default options of a JSON-RPC client. */
+export const DEFAULT_JSON_RPC_CLIENT_OPTIONS: JsonRpcClientOptions = {
+    connectionsPerAddress: 64,
+    connectTimeoutMs: 1000,
+    maxReplyBytes: 64 * 1024 * 1024
+};
+
+const UNSENT_ERROR_CODES = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+
+/** Calls JSON-RPC 2.0 methods over HTTP connections that are kept alive. */
+export class JsonRpcClient implements Disposable {
+    private readonly pools = new Map<string, Pool>();
+    private nextId = 1;
+
+    constructor(private readonly options: JsonRpcClientOptions = DEFAULT_JSON_RPC_CLIENT_OPTIONS) {}
+
+    /** Calls a method at `IP:PORT`. */
+    public async call(
+        address: string,
+        path: string,
+        method: string,
+        parameters: unknown,
+        timeoutMs: number
+    ): Promise<Result<JsonValue, RpcFailure>> {
+        const body = JSON.stringify(createJSONRPCRequest(this.nextId++, method, parameters));
+        try {
+            const response = await this.poolOf(address).request({
+                path,
+                method: "POST",
+                headers: { "content-type": "application/json", ...this.options.sign?.(body) },
+                body,
+                headersTimeout: timeoutMs,
+                bodyTimeout: timeoutMs,
+                signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)))
+            });
+            return readReply(response.statusCode, await response.body.text());
+        }
+        catch (error) {
+            return err(toFailure(address, error));
+        }
+    }
+
+    public dispose(): void {
+        for (const pool of this.pools.values()) {
+            void pool.destroy();
+        }
+        this.pools.clear();
+    }
+
+    private poolOf(address: string): Pool {
+        let pool = this.pools.get(address);
+        if (!pool) {
+            pool = new Pool(`http://${address}`, {
+                connections: this.options.connectionsPerAddress,
+                connect: { timeout: this.options.connectTimeoutMs },
+                maxResponseSize: this.options.maxReplyBytes
+            });
+            this.pools.set(address, pool);
+        }
+        return pool;
+    }
+}
+
+function readReply(status: number, text: string): Result<JsonValue, RpcFailure> {
+    if (status !== 200) {
+        return err({ kind: RpcFailureKind.Refused, message: `HTTP status ${status}.` });
+    }
+    const reply: unknown = JSON.parse(text);
+    if (!isJSONRPCResponse(reply)) {
+        return err({ kind: RpcFailureKind.ReplyLost, message: "The reply is not JSON-RPC." });
+    }
+    return reply.error
+        ? err({ kind: RpcFailureKind.Refused, message: reply.error.message })
+        : ok(reply.result as JsonValue);
+}
+
+function toFailure(address: string, error: unknown): RpcFailure {
+    const code = (error as { code?: unknown; }).code;
+    const message = error instanceof Error ? error.message : String(error);
+    const kind = typeof code === "string" && UNSENT_ERROR_CODES.has(code)
+        ? RpcFailureKind.Unreachable
+        : RpcFailureKind.ReplyLost;
+    return { kind, message: `${address}: ${message}` };
+}
--- /dev/null
+++ b/packages/adapters/src/JsonRpcEndpoint.ts
@@ -0,0 +1,41 @@
+import { Hono } from "hono";
+import { bodyLimit } from "hono/body-limit";
+import { JSONRPCServer } from "json-rpc-2.0";
+
+/** Serves one method: takes its parameters and returns what is sent back. */
+export type RpcHandler = (parameters: unknown) => Promise<unknown>;
+
+/** Options of a JSON-RPC endpoint. */
+export interface JsonRpcEndpointOptions {
+    readonly maxBodyBytes: number;
+    /** Tells whether a body comes from somebody who may call. */
+    readonly verify?: (body: string, header: (name: string) => string | undefined) => boolean;
+}
+
+/** Default options of a JSON-RPC endpoint. */
+export const DEFAULT_JSON_RPC_ENDPOINT_OPTIONS: JsonRpcEndpointOptions = { maxBodyBytes: 16 * 1024 * 1024 };
+
+/** Offers JSON-RPC 2.0 methods as an HTTP application. */
+export class JsonRpcEndpoint {
+    private readonly server = new JSONRPCServer({ errorListener: () => undefined });
+
+    constructor(private readonly options: JsonRpcEndpointOptions = DEFAULT_JSON_RPC_ENDPOINT_OPTIONS) {}
+
+    /** Adds a method. */
+    public register(method: string, handler: RpcHandler): void {
+        this.server.addMethod(method, handler);
+    }
+
+    /** Adds the endpoint to an HTTP application under a path. */
+    public mount(application: Hono, path: string): void {
+        application.use(path, bodyLimit({ maxSize: this.options.maxBodyBytes }));
+        application.post(path, async context => {
+            const body = await context.req.text();
+            if (this.options.verify && !this.options.verify(body, name => context.req.header(name))) {
+                return context.text("The message is not authenticated.", 401);
+            }
+            const reply = await this.server.receiveJSON(body);
+            return context.json(reply ?? {});
+        });
+    }
+}
--- /dev/null
+++ b/packages/adapters/src/RpcFailure.ts
@@ -0,0 +1,15 @@
+/** Why a remote call gave no result. */
+export enum RpcFailureKind {
+    /** The connection was never made; the call did not take effect. */
+    Unreachable = "unreachable",
+    /** No whole reply came; the call may have taken effect. */
+    ReplyLost = "reply-lost",
+    /** The other side refused the call. */
+    Refused = "refused"
+}
+
+/** Failure of a remote call. */
+export interface RpcFailure {
+    readonly kind: RpcFailureKind;
+    readonly message: string;
+}
--- a/packages/common/src/model/Request.ts
+++ b/packages/common/src/model/Request.ts
@@ -82,11 +82,13 @@
     readonly spec: RequestSpec;
     /** Object that holds the payload when it is large; `spec.payload` is then empty. */
     readonly payloadObject?: string;
+    /** Epoch of the slice under which the request was claimed. */
+    readonly claimEpoch: number;
+    /** Process that accepted the request. */
+    readonly entry: string;
     readonly acceptedAtMs: number;
     readonly outcome: RequestOutcome;
     readonly start?: StartRecord;
-    /** Answers of finished tasks by index, as far as they are committed. */
-    readonly finishedTasks?: Readonly<Record<string, string>>;
     /** Object that holds the answers when they are large. */
     readonly answersObject?: string;
 }
--- a/packages/common/src/platform/TableService.ts
+++ b/packages/common/src/platform/TableService.ts
@@ -60,6 +60,8 @@
     Requests = "requests",
     /** Requests with their final outcome. */
     Outcomes = "outcomes",
+    /** Answers of finished tasks of requests that are not final. */
+    Progress = "progress",
     Idempotency = "idempotency",
     Slices = "slices",
     Allotments = "allotments",
--- a/packages/common/src/platform/WorkerService.ts
+++ b/packages/common/src/platform/WorkerService.ts
@@ -47,7 +47,7 @@
     Acknowledge = "acknowledge"
 }
 
-/** Command to a worker; the lease starts when the worker takes it, so owners count from the send time. */
+/** Command to a worker; a lease counts from the ticket of its exchange. */
 export type WorkerCommand =
     | { readonly kind: WorkerCommandKind.Start; readonly task: WorkerTask; readonly leaseMs: number; }
     | { readonly kind: WorkerCommandKind.Renew; readonly taskIds: readonly string[]; readonly leaseMs: number; }
@@ -61,12 +61,20 @@
     readonly epoch: number;
     /** Undefined only to learn the incarnation; commands are then refused. */
     readonly incarnation?: string;
+    /** Rises with each exchange of an epoch; a worker refuses an exchange that a later one has overtaken. */
+    readonly sequence: number;
+    /** Ticket of the last reply: time of the worker's own clock; leases end `leaseMs` after it. */
+    readonly ticketMs?: number;
     readonly commands: readonly WorkerCommand[];
 }
 
 /** Why a worker refused a command or a batch. */
 export enum WorkerRefusal {
     StaleEpoch = "stale-epoch",
+    /** A later exchange of the same epoch was served before. */
+    StaleSequence = "stale-sequence",
+    /** The lease would have ended before the command arrived. */
+    StaleTicket = "stale-ticket",
     WrongIncarnation = "wrong-incarnation",
     OverCapacity = "over-capacity",
     UnknownTask = "unknown-task",
@@ -79,6 +87,8 @@
     readonly incarnation: string;
     /** Highest epoch that the worker has seen. */
     readonly epoch: number;
+    /** Time of the worker's own monotonic clock. */
+    readonly ticketMs: number;
     readonly capacity: Resources;
     readonly leaving: boolean;
     /** Refusal of each command; undefined entries are not allowed on the wire, so accepted ones read `ok`. */
--- /dev/null
+++ b/packages/control/src/entry/EntryFilters.ts
@@ -0,0 +1,120 @@
+import { type OperatorsText, QueueKind } from "@skylarkpath/common/model/OperatorsText";
+import { OutcomeReason, type RequestSpec, type TaskSizing } from "@skylarkpath/common/model/Request";
+import { fitsInto, type Resources } from "@skylarkpath/common/model/Resources";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import type { ConfigController } from "../config/ConfigController.js";
+import type { KeyController } from "../keys/KeyController.js";
+import type { RequestContext, RequestFilter } from "./RequestContext.js";
+import { notRun } from "./RequestReply.js";
+
+interface SpecFault {
+    readonly reason: OutcomeReason;
+    readonly detail: string;
+}
+
+const STOPPING_RETRY_MS = 100;
+
+/** Refuses new requests while the process stops or is not ready. */
+export function createAdmissionFilter(isAdmitting: () => boolean): RequestFilter {
+    return async (context, next) =>
+        isAdmitting()
+            ? next(context)
+            : notRun(OutcomeReason.Stopping, "This process admits no requests; try another.", STOPPING_RETRY_MS);
+}
+
+/** Finds the queue of a request in the operators' text. */
+export function createQueueFilter(config: ConfigController): RequestFilter {
+    return async (context, next) => {
+        const name = context.body!.queue;
+        const queue = config.current?.parsed.queues.find(candidate => candidate.name === name);
+        return queue
+            ? next({ ...context, queue })
+            : notRun(OutcomeReason.QueueUnknown, `There is no queue "${name}".`);
+    };
+}
+
+/** Takes work only for the team whose key came with it; open queues take work of anybody. */
+export function createKeyFilter(keys: KeyController): RequestFilter {
+    return async (context, next) => {
+        const queue = context.queue!;
+        if (queue.open) {
+            return next({ ...context, team: queue.team });
+        }
+        if (context.key === undefined) {
+            return notRun(OutcomeReason.KeyMissing, "The queue takes work with a team key only.");
+        }
+        const team = keys.verify(context.key, queue.cutOffGraceMs);
+        return team.isOk() ? next({ ...context, team: team.value }) : notRun(team.error);
+    };
+}
+
+/** Composes the request and checks that some worker can hold its tasks. */
+export function createSpecFilter(config: ConfigController, timer: TimerService): RequestFilter {
+    return async (context, next) => {
+        const text = config.current!.parsed;
+        const fault = findFault(context, text);
+        if (fault) {
+            return notRun(fault.reason, fault.detail);
+        }
+        return next({ ...context, spec: composeSpec(context, timer.wallClockMs()) });
+    };
+}
+
+function findFault(context: RequestContext, text: OperatorsText): SpecFault | undefined {
+    const queue = context.queue!;
+    const sizing = sizingOf(context);
+    if (!text.teams.some(team => team.name === context.team)) {
+        return { reason: OutcomeReason.KeyInvalid, detail: "The team of the key is not in the operators' text." };
+    }
+    if (queue.kind === QueueKind.Lookup) {
+        return sizing && { reason: OutcomeReason.BadRequest, detail: "tasks: a look-up has none" };
+    }
+    if (!sizing) {
+        return { reason: OutcomeReason.BadRequest, detail: "tasks: required for batch and gang jobs" };
+    }
+    if (text.workerClasses.some(workerClass => fitsInto(sizing.resources, workerClass.capacity))) {
+        return undefined;
+    }
+    return { reason: OutcomeReason.Infeasible, detail: describeInfeasible(sizing.resources, text) };
+}
+
+function describeInfeasible(size: Resources, text: OperatorsText): string {
+    const largest = [...text.workerClasses].sort((left, right) =>
+        right.capacity.processorMillicores - left.capacity.processorMillicores
+        || right.capacity.memoryBytes - left.capacity.memoryBytes
+    )[0];
+    const largestText = largest ? `${largest.name} with ${describeResources(largest.capacity)}` : "none";
+    return `No worker holds ${describeResources(size)}; the largest worker class is ${largestText}.`;
+}
+
+function describeResources(size: Resources): string {
+    return `${size.processorMillicores} millicores, ${size.memoryBytes} bytes, ${size.accelerators} accelerators`;
+}
+
+function sizingOf(context: RequestContext): TaskSizing | undefined {
+    const tasks = context.body!.tasks;
+    return tasks && {
+        count: tasks.count,
+        resources: {
+            processorMillicores: tasks.processorMillicores,
+            memoryBytes: tasks.memoryBytes,
+            accelerators: tasks.accelerators ?? 0
+        },
+        declaredDurationMs: tasks.declaredDurationMs ?? 0,
+        checkpointable: tasks.checkpointable ?? false
+    };
+}
+
+function composeSpec(context: RequestContext, nowMs: number): RequestSpec {
+    const { body, queue, team } = context;
+    return {
+        queue: queue!.name,
+        kind: queue!.kind,
+        team: team!,
+        idempotent: queue!.idempotent,
+        urgent: queue!.urgent,
+        payload: body!.payload,
+        deadlineAtMs: nowMs + (body!.deadlineMs ?? queue!.defaultDeadlineMs),
+        tasks: sizingOf(context)
+    };
+}
--- /dev/null
+++ b/packages/control/src/entry/RequestController.ts
@@ -0,0 +1,230 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import { QueueKind } from "@skylarkpath/common/model/OperatorsText";
+import {
+    isFinal,
+    OutcomeReason,
+    type RequestOutcome,
+    OutcomeState,
+    sliceOfRequestId
+} from "@skylarkpath/common/model/Request";
+import { sleep } from "@skylarkpath/common/time/TimerService";
+import type { ConfigController } from "../config/ConfigController.js";
+import type { KeyController } from "../keys/KeyController.js";
+import type { PeerClient } from "../peer/PeerClient.js";
+import { PeerMethod } from "../peer/PeerMessages.js";
+import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
+import type { ProcessOptions } from "../process/ProcessOptions.js";
+import type { JobDescription } from "../slice/JobController.js";
+import type { SliceDirectory } from "../slice/SliceDirectory.js";
+import type { RequestStore } from "../store/RequestStore.js";
+import { bodyFilter } from "./BodyFilter.js";
+import { createAdmissionFilter, createKeyFilter, createQueueFilter, createSpecFilter } from "./EntryFilters.js";
+import { JobHandler } from "./JobHandler.js";
+import { LookupHandler } from "./LookupHandler.js";
+import { OrderHandler } from "./OrderHandler.js";
+import { chainFilters, type RequestContext, type RequestHandler } from "./RequestContext.js";
+import { notRun, type RequestReply, requestUnknown } from "./RequestReply.js";
+import { SlotClient } from "./SlotClient.js";
+
+interface RememberedLookup {
+    readonly team: string;
+    outcome: RequestOutcome;
+    cancelled: boolean;
+}
+
+/** Question of a caller about a request. */
+export interface RequestQuestion {
+    readonly requestId: string;
+    readonly key?: string;
+    /** Longest wait for a final outcome. */
+    readonly waitMs: number;
+}
+
+/** Reply of an owner that is asked about a request. */
+export interface DescribeReply {
+    readonly description?: JobDescription;
+}
+
+const POLL_INTERVAL_MS = 100;
+
+/** Serves callers: submits, describes and cancels requests. */
+export class RequestController implements Disposable {
+    private readonly store = new DisposableStore();
+    private readonly lookupsById = new Map<string, RememberedLookup>();
+    private readonly lookups: LookupHandler;
+    private readonly orders: OrderHandler;
+    private readonly jobs: JobHandler;
+    private readonly chain: RequestHandler;
+    private inProgress = 0;
+
+    constructor(
+        private readonly environment: ProcessEnvironment,
+        private readonly options: ProcessOptions,
+        private readonly peerClient: PeerClient,
+        private readonly directory: SliceDirectory,
+        private readonly requests: RequestStore,
+        config: ConfigController,
+        private readonly keys: KeyController,
+        isAdmitting: () => boolean
+    ) {
+        const slots = new SlotClient(environment, peerClient, directory);
+        this.lookups = new LookupHandler(environment, directory, slots);
+        this.jobs = new JobHandler(environment, options, peerClient, directory, requests);
+        this.orders = new OrderHandler(environment, directory, requests, slots, this.lookups, this.jobs);
+        this.chain = chainFilters(
+            [
+                createAdmissionFilter(isAdmitting),
+                bodyFilter,
+                createQueueFilter(config),
+                createKeyFilter(keys),
+                createSpecFilter(config, environment.timer)
+            ],
+            context => this.handle(context)
+        );
+    }
+
+    /** Requests of callers that are being served. */
+    public get inProgressCount(): number {
+        return this.inProgress;
+    }
+
+    /** Submits a request; resolves with its final outcome for look-ups, with its acceptance for jobs. */
+    public async submit(context: RequestContext): Promise<RequestReply> {
+        this.inProgress++;
+        try {
+            const reply = await this.chain(context);
+            if (reply.outcome.state === OutcomeState.NotRun) {
+                this.environment.log.write(EVENTS.requestRefused, { reason: reply.outcome.reason });
+            }
+            return reply;
+        }
+        finally {
+            this.inProgress--;
+        }
+    }
+
+    /** Describes a request of the caller's team, waiting for its final outcome at most `waitMs`. */
+    public async describe(question: RequestQuestion): Promise<RequestReply> {
+        const endMs = this.environment.timer.nowMs() + question.waitMs;
+        for (;;) {
+            const reply = await this.describeNow(question);
+            const isOver = isFinal(reply.outcome) || this.environment.timer.nowMs() >= endMs;
+            if (isOver) {
+                return reply;
+            }
+            await sleep(this.environment.timer, POLL_INTERVAL_MS);
+        }
+    }
+
+    /** Cancels a request of the caller's team; tells its true state afterwards. */
+    public async cancel(question: RequestQuestion): Promise<RequestReply> {
+        const lookup = this.lookupsById.get(question.requestId);
+        if (lookup) {
+            lookup.cancelled = true;
+            return this.describe(question);
+        }
+        const before = await this.describeNow(question);
+        if (isFinal(before.outcome)) {
+            return before;
+        }
+        const location = this.locate(question.requestId);
+        const reply = location && await this.peerClient.call(
+            location.address,
+            PeerMethod.CancelRequest,
+            { requestId: question.requestId },
+            this.options.peerTimeoutMs
+        );
+        if (!reply?.isOk()) {
+            const detail = "The owner of the request is not reached; it was not cancelled.";
+            return { ...before, outcome: { ...before.outcome, reason: OutcomeReason.NoOwner, detail } };
+        }
+        return this.describe(question);
+    }
+
+    public dispose(): void {
+        this.store.dispose();
+    }
+
+    private async handle(context: RequestContext): Promise<RequestReply> {
+        const spec = context.spec!;
+        if (spec.kind !== QueueKind.Lookup) {
+            return this.jobs.accept(context);
+        }
+        return spec.idempotent ? this.serveLookup(context) : this.orders.serve(context);
+    }
+
+    private async serveLookup(context: RequestContext): Promise<RequestReply> {
+        const spec = context.spec!;
+        const requestId = this.lookups.composeId();
+        const remembered: RememberedLookup = {
+            team: spec.team,
+            outcome: { state: OutcomeState.Running },
+            cancelled: false
+        };
+        this.lookupsById.set(requestId, remembered);
+        remembered.outcome = await this.lookups.serve(requestId, spec, () => remembered.cancelled);
+        this.store.add(
+            this.environment.timer.after(this.options.lookupMemoryMs, () => this.lookupsById.delete(requestId))
+        );
+        return { requestId, outcome: remembered.outcome };
+    }
+
+    private async describeNow(question: RequestQuestion): Promise<RequestReply> {
+        const { requestId } = question;
+        const team = this.teamOf(question);
+        if (typeof team !== "string") {
+            return team;
+        }
+        const lookup = this.lookupsById.get(requestId);
+        if (lookup) {
+            return lookup.team === team ? { requestId, outcome: lookup.outcome } : requestUnknown();
+        }
+        return (await this.askOwner(requestId, team)) ?? this.readStore(requestId, team);
+    }
+
+    /** Team of the key, or the refusal; without a key only requests of open queues are seen. */
+    private teamOf(question: RequestQuestion): string | RequestReply {
+        if (question.key === undefined) {
+            return notRun(OutcomeReason.KeyMissing, "A team key is needed to see a request.");
+        }
+        const team = this.keys.verify(question.key, 0);
+        return team.isOk() ? team.value : notRun(team.error);
+    }
+
+    private async askOwner(requestId: string, team: string): Promise<RequestReply | undefined> {
+        const location = this.locate(requestId);
+        if (!location) {
+            return undefined;
+        }
+        const reply = await this.peerClient.call<DescribeReply>(
+            location.address,
+            PeerMethod.DescribeRequest,
+            { requestId, waitMs: 0 },
+            this.options.peerTimeoutMs
+        );
+        const description = reply.isOk() ? reply.value.description : undefined;
+        if (!description) {
+            return undefined;
+        }
+        const { outcome, waiting } = description;
+        return description.team === team ? { requestId, outcome, waiting } : requestUnknown();
+    }
+
+    private async readStore(requestId: string, team: string): Promise<RequestReply> {
+        const stored = await this.requests.find(requestId);
+        if (stored.isErr()) {
+            const detail = "The store cannot be read; ask again later.";
+            const reason = OutcomeReason.StoreUnavailable;
+            return { requestId, outcome: { state: OutcomeState.Accepted, reason, detail } };
+        }
+        return stored.value?.record.spec.team === team
+            ? { requestId, outcome: stored.value.record.outcome }
+            : requestUnknown();
+    }
+
+    private locate(requestId: string): ReturnType<SliceDirectory["locate"]> {
+        const sliceId = sliceOfRequestId(requestId);
+        return sliceId === undefined ? undefined : this.directory.locate(sliceId);
+    }
+}
--- /dev/null
+++ b/packages/control/src/entry/RequestReply.ts
@@ -0,0 +1,20 @@
+import { OutcomeReason, type RequestOutcome, OutcomeState } from "@skylarkpath/common/model/Request";
+import type { WaitExplanation } from "@skylarkpath/common/scheduling/TaskScheduler";
+
+/** What an entry tells a caller about a request. */
+export interface RequestReply {
+    /** Absent when nothing was kept of the request. */
+    readonly requestId?: string;
+    readonly outcome: RequestOutcome;
+    readonly waiting?: WaitExplanation;
+}
+
+/** Composes the reply to a request that did not run. */
+export function notRun(reason: OutcomeReason, detail?: string, retryAfterMs?: number): RequestReply {
+    return { outcome: { state: OutcomeState.NotRun, reason, detail, retryAfterMs } };
+}
+
+/** Composes the reply to a question about a request that is not known. */
+export function requestUnknown(): RequestReply {
+    return { outcome: { state: OutcomeState.Unknown, reason: OutcomeReason.RequestUnknown } };
+}
--- /dev/null
+++ b/packages/control/src/entry/SlotClient.ts
@@ -0,0 +1,81 @@
+import { ShedReason } from "@skylarkpath/common/scheduling/LookupScheduler";
+import type { PeerClient } from "../peer/PeerClient.js";
+import { type AcquireMessage, PeerMethod, type ReleaseMessage } from "../peer/PeerMessages.js";
+import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
+import type { SlotGrant } from "../slice/LookupController.js";
+import type { SliceDirectory, SliceLocation } from "../slice/SliceDirectory.js";
+
+/** Slot of a target that an owner has given. */
+export interface AcquiredSlot {
+    readonly sliceId: string;
+    readonly lookupId: string;
+    readonly targetId: string;
+    readonly address: string;
+}
+
+/** Slot, or why none was given. */
+export type SlotReply = { readonly slot: AcquiredSlot; } | { readonly shed: ShedReason; };
+
+/** How an attempt with a slot ended. */
+export interface SlotUse {
+    readonly latencyMs: number;
+    readonly succeeded: boolean;
+    /** The target may still work on the attempt. */
+    readonly unfinished: boolean;
+}
+
+const RELEASE_ATTEMPTS = 5;
+const RELEASE_TIMEOUT_MS = 1000;
+const RELEASE_RETRY_MS = 100;
+
+/** Asks owners of slices for executor slots and gives them back. */
+export class SlotClient {
+    constructor(
+        private readonly environment: ProcessEnvironment,
+        private readonly peerClient: PeerClient,
+        private readonly directory: SliceDirectory
+    ) {}
+
+    /** Asks one owner for a slot. */
+    public async acquire(
+        location: SliceLocation,
+        request: Pick<AcquireMessage, "team" | "queue" | "remainingMs">
+    ): Promise<SlotReply> {
+        const lookupId = this.environment.hasher.randomToken();
+        const { sliceId } = location;
+        const message: AcquireMessage = { ...request, lookupId, sliceId };
+        const reply = await this.peerClient.call<SlotGrant>(
+            location.address,
+            PeerMethod.AcquireSlot,
+            message,
+            request.remainingMs
+        );
+        if (reply.isErr()) {
+            this.release({ sliceId, lookupId }, { latencyMs: 0, succeeded: false, unfinished: false });
+            return { shed: ShedReason.NoTarget };
+        }
+        const grant = reply.value;
+        return "shed" in grant ? grant : { slot: { ...grant, sliceId, lookupId } };
+    }
+
+    /** Gives a slot back; the owner frees it by itself when this is not heard. */
+    public release(slot: Pick<AcquiredSlot, "sliceId" | "lookupId">, use: SlotUse): void {
+        void this.sendRelease({ sliceId: slot.sliceId, lookupId: slot.lookupId, ...use });
+    }
+
+    private async sendRelease(message: ReleaseMessage): Promise<void> {
+        for (let attempt = 0; attempt < RELEASE_ATTEMPTS; attempt++) {
+            const location = this.directory.locate(message.sliceId);
+            const reply = location && await this.peerClient.call(
+                location.address,
+                PeerMethod.ReleaseSlot,
+                message,
+                RELEASE_TIMEOUT_MS
+            );
+            if (reply?.isOk()) {
+                return;
+            }
+            await new Promise<void>(resolve => this.environment.timer.after(RELEASE_RETRY_MS, resolve));
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/peer/PeerClient.ts
@@ -0,0 +1,78 @@
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventLog } from "@skylarkpath/common/log/EventLog";
+import {
+    type PeerError,
+    PeerErrorKind,
+    type PeerMethods,
+    type PeerTransport
+} from "@skylarkpath/common/peer/PeerTransport";
+import type { JsonValue } from "@skylarkpath/common/platform/TableService";
+import type { HybridClock } from "@skylarkpath/common/time/HybridClock";
+import { err, ok, type Result } from "neverthrow";
+import type { z } from "zod";
+import { envelopeSchema, type PeerMethod } from "./PeerMessages.js";
+
+/** Serves a typed message of another process; an error text is passed on as a refusal. */
+export type MessageHandler<T> = (message: T, from: string) => Promise<Result<object, string>>;
+
+/** Sends and serves typed messages between processes; each carries the hybrid time. */
+export class PeerClient {
+    constructor(
+        private readonly processId: string,
+        private readonly transport: PeerTransport,
+        private readonly methods: PeerMethods,
+        private readonly clock: HybridClock,
+        private readonly log: EventLog
+    ) {}
+
+    /** Calls a method of another process. */
+    public async call<T>(
+        address: string,
+        method: PeerMethod,
+        message: object,
+        timeoutMs: number
+    ): Promise<Result<T, PeerError>> {
+        const reply = await this.transport.call(address, method, this.wrap(message), timeoutMs);
+        if (reply.isErr()) {
+            return err(reply.error);
+        }
+        const body = this.open(reply.value);
+        return body.isOk()
+            ? ok(body.value.body as T)
+            : err({ kind: PeerErrorKind.ReplyLost, message: body.error });
+    }
+
+    /** Serves a method; malformed messages are refused with the reason. */
+    public serve<S extends z.ZodType>(method: PeerMethod, schema: S, handler: MessageHandler<z.infer<S>>): void {
+        this.methods.register(method, async parameters => {
+            const envelope = this.open(parameters);
+            if (envelope.isErr()) {
+                return this.refuse(method, envelope.error);
+            }
+            const message = schema.safeParse(envelope.value.body);
+            if (!message.success) {
+                return this.refuse(method, message.error.issues.map(issue => issue.message).join("; "));
+            }
+            const reply = await handler(message.data, envelope.value.from);
+            return reply.map(body => this.wrap(body));
+        });
+    }
+
+    private wrap(body: object): JsonValue {
+        return { time: { ...this.clock.tick() }, from: this.processId, body: body as JsonValue };
+    }
+
+    private open(value: JsonValue): Result<{ readonly from: string; readonly body: unknown; }, string> {
+        const envelope = envelopeSchema.safeParse(value);
+        if (!envelope.success) {
+            return err("The message has no valid frame.");
+        }
+        this.clock.observe(envelope.data.time);
+        return ok({ from: envelope.data.from, body: envelope.data.body });
+    }
+
+    private refuse(method: PeerMethod, reason: string): Result<JsonValue, string> {
+        this.log.write(EVENTS.messageRefused, { method, reason });
+        return err(reason);
+    }
+}
--- /dev/null
+++ b/packages/control/src/process/ProcessOptions.ts
@@ -0,0 +1,66 @@
+/** Timing and bounds of a process. */
+export interface ProcessOptions {
+    /** Interval between heartbeats to each peer. */
+    readonly heartbeatIntervalMs: number;
+    /** Silence after which a peer is suspected. */
+    readonly suspectAfterMs: number;
+    /** Silence after which a peer is taken as dead. */
+    readonly deadAfterMs: number;
+    readonly liveListIntervalMs: number;
+    /** Longest lag of the live list. */
+    readonly liveListLagMs: number;
+    readonly configIntervalMs: number;
+    readonly keyIntervalMs: number;
+    /** Age of key knowledge past which keyed work is refused. */
+    readonly keyAgeLimitMs: number;
+    readonly peerTimeoutMs: number;
+    readonly taskLeaseMs: number;
+    readonly workerExchangeIntervalMs: number;
+    /** Part of a duration by which clock rates may differ. */
+    readonly clockDriftFactor: number;
+    readonly ownershipIntervalMs: number;
+    /** Longest wait of a write before it is first sent. */
+    readonly writeQueueLimitMs: number;
+    readonly writeQueueLength: number;
+    readonly writeBatchLength: number;
+    readonly retryDelayMs: number;
+    readonly retryDelayLimitMs: number;
+    /** Longest wait of a caller for the acceptance of a durable request. */
+    readonly acceptTimeoutMs: number;
+    /** Payloads and answers above this size go to the object store. */
+    readonly inlineLimitBytes: number;
+    readonly reloadIntervalMs: number;
+    /** Time for which an entry remembers the outcome of a look-up. */
+    readonly lookupMemoryMs: number;
+    readonly timelineLength: number;
+    /** Longest wait for work in progress at a graceful stop. */
+    readonly stopLimitMs: number;
+}
+
+/** Default timing and bounds. */
+export const DEFAULT_PROCESS_OPTIONS: ProcessOptions = {
+    heartbeatIntervalMs: 250,
+    suspectAfterMs: 1000,
+    deadAfterMs: 2000,
+    liveListIntervalMs: 1000,
+    liveListLagMs: 3000,
+    configIntervalMs: 1000,
+    keyIntervalMs: 1000,
+    keyAgeLimitMs: 4000,
+    peerTimeoutMs: 1500,
+    taskLeaseMs: 10_000,
+    workerExchangeIntervalMs: 500,
+    clockDriftFactor: 0.1,
+    ownershipIntervalMs: 250,
+    writeQueueLimitMs: 2000,
+    writeQueueLength: 20_000,
+    writeBatchLength: 500,
+    retryDelayMs: 50,
+    retryDelayLimitMs: 2000,
+    acceptTimeoutMs: 5000,
+    inlineLimitBytes: 16_384,
+    reloadIntervalMs: 5000,
+    lookupMemoryMs: 60_000,
+    timelineLength: 20_000,
+    stopLimitMs: 60_000
+};
--- /dev/null
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -0,0 +1,253 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
+import { sleep } from "@skylarkpath/common/time/TimerService";
+import { err, ok } from "neverthrow";
+import { ConfigController } from "../config/ConfigController.js";
+import { type DescribeReply, RequestController } from "../entry/RequestController.js";
+import { KeyController } from "../keys/KeyController.js";
+import { AllotmentController } from "../limits/AllotmentController.js";
+import { MembershipController } from "../membership/MembershipController.js";
+import { PeerClient } from "../peer/PeerClient.js";
+import {
+    acquireSchema,
+    describeSchema,
+    type Heartbeat,
+    PeerMethod,
+    releaseSchema,
+    submitSchema
+} from "../peer/PeerMessages.js";
+import { OwnershipController } from "../slice/OwnershipController.js";
+import { type OwnedSlice, SliceController } from "../slice/SliceController.js";
+import { SliceDirectory } from "../slice/SliceDirectory.js";
+import { GroupCommitWriter } from "../store/GroupCommitWriter.js";
+import { RequestStore } from "../store/RequestStore.js";
+import { ownerNameOf, type ProcessEnvironment } from "./ProcessEnvironment.js";
+import type { ProcessOptions } from "./ProcessOptions.js";
+
+const STOP_CHECK_INTERVAL_MS = 50;
+
+/** One skylarkd process without its wires: all controllers, joined. */
+export class SkylarkProcess implements Disposable {
+    private readonly store = new DisposableStore();
+    private readonly slices = new Map<string, SliceController>();
+    private readonly writer: GroupCommitWriter;
+    private readonly requestStore: RequestStore;
+    private readonly allotments: AllotmentController;
+    private readonly ownership: OwnershipController;
+    private stopping = false;
+
+    /** Calls to other processes. */
+    public readonly peerClient: PeerClient;
+    /** Live list and other processes. */
+    public readonly membership: MembershipController;
+    /** Operators' text in force. */
+    public readonly config: ConfigController;
+    /** Team keys. */
+    public readonly keys: KeyController;
+    /** Owners of slices. */
+    public readonly directory: SliceDirectory;
+    /** Requests of callers. */
+    public readonly requests: RequestController;
+
+    constructor(
+        public readonly environment: ProcessEnvironment,
+        private readonly options: ProcessOptions,
+        sliceIds: readonly string[]
+    ) {
+        const { identity, log, table, timer } = environment;
+        this.peerClient = new PeerClient(
+            identity.processId,
+            environment.transport,
+            environment.methods,
+            environment.clock,
+            log
+        );
+        this.writer = new GroupCommitWriter(table, timer, ownerNameOf(identity), options, log);
+        this.requestStore = new RequestStore(table, environment.objects, this.writer, options.inlineLimitBytes);
+        this.membership = this.store.add(new MembershipController(environment, options, this.peerClient));
+        this.config = this.store.add(
+            new ConfigController(environment, options, this.peerClient, this.writer, this.membership)
+        );
+        this.keys = this.store.add(new KeyController(environment, options, this.writer));
+        this.allotments = this.store.add(new AllotmentController(this.config));
+        this.directory = this.store.add(new SliceDirectory(this.membership));
+        this.ownership = this.store.add(
+            new OwnershipController(sliceIds, environment, options, this.membership, this.writer)
+        );
+        this.requests = this.store.add(
+            new RequestController(
+                environment,
+                options,
+                this.peerClient,
+                this.directory,
+                this.requestStore,
+                this.config,
+                this.keys,
+                () => this.isReady
+            )
+        );
+        this.subscribe();
+        this.serveSlices();
+    }
+
+    /** Tells whether the process admits requests. */
+    public get isReady(): boolean {
+        return !this.stopping && this.config.current !== undefined && this.membership.hasLiveList;
+    }
+
+    /** Tells whether the last write reached the table service. */
+    public get isStoreReachable(): boolean {
+        return this.writer.isReachable;
+    }
+
+    /** Slices that this process owns. */
+    public get ownedSlices(): readonly SliceController[] {
+        return [...this.slices.values()];
+    }
+
+    /** Begins to serve. */
+    public start(): void {
+        this.environment.log.write(EVENTS.processStarted);
+        this.membership.start(() => this.composeHeartbeat());
+        this.config.start();
+        this.keys.start();
+        this.ownership.start();
+    }
+
+    /** Stops gracefully: admits nothing more and finishes what is in progress. */
+    public async stop(): Promise<void> {
+        this.environment.log.write(EVENTS.processStopping);
+        this.stopping = true;
+        this.ownership.pause();
+        this.membership.beat();
+        const endMs = this.environment.timer.nowMs() + this.options.stopLimitMs;
+        while (this.requests.inProgressCount > 0 && this.environment.timer.nowMs() < endMs) {
+            await sleep(this.environment.timer, STOP_CHECK_INTERVAL_MS);
+        }
+        this.environment.log.write(EVENTS.processStopped);
+        this.dispose();
+    }
+
+    public dispose(): void {
+        for (const slice of this.slices.values()) {
+            slice.dispose();
+        }
+        this.slices.clear();
+        this.writer.stop();
+        this.store.dispose();
+    }
+
+    private subscribe(): void {
+        this.store.add(this.ownership.onAcquired(slice => this.acquire(slice)));
+        this.store.add(this.ownership.onLost(sliceId => this.lose(sliceId)));
+        this.store.add(this.membership.onLiveList(machines => this.updateMachines(machines)));
+        this.store.add(this.config.onChange(change => {
+            for (const slice of this.slices.values()) {
+                slice.updateText(change.parsed);
+            }
+        }));
+        this.store.add(this.allotments.onChange(() => {
+            for (const slice of this.slices.values()) {
+                slice.updatePolicies(this.allotments.policiesOf(slice.slice.sliceId));
+            }
+        }));
+    }
+
+    private acquire(slice: OwnedSlice): void {
+        const controller = new SliceController(
+            slice,
+            this.environment,
+            this.options,
+            this.requestStore,
+            () => this.countServices()
+        );
+        this.slices.set(slice.sliceId, controller);
+        controller.onStale(() => this.ownership.resign(slice.sliceId));
+        if (this.config.current) {
+            controller.updateText(this.config.current.parsed);
+        }
+        controller.updatePolicies(this.allotments.policiesOf(slice.sliceId));
+        controller.start();
+        controller.updateMachines(this.machinesOf(this.membership.machines));
+        this.membership.beat();
+        this.directory.takeIn(this.composeHeartbeat());
+    }
+
+    private lose(sliceId: string): void {
+        this.slices.get(sliceId)?.dispose();
+        this.slices.delete(sliceId);
+    }
+
+    private updateMachines(machines: readonly LiveMachine[]): void {
+        for (const slice of this.slices.values()) {
+            slice.updateMachines(this.machinesOf(machines));
+        }
+    }
+
+    private machinesOf(machines: readonly LiveMachine[]): readonly LiveMachine[] {
+        const { failureDomain } = this.environment.identity;
+        return machines.filter(machine => machine.failureDomain === failureDomain);
+    }
+
+    private countServices(): Readonly<Record<string, number>> {
+        const counts: Record<string, number> = {};
+        const own = this.ownedSlices.map(slice => slice.runningServices);
+        const others = this.directory.all
+            .filter(location => !this.slices.has(location.sliceId))
+            .map(location => location.services);
+        for (const services of [...own, ...others]) {
+            for (const [name, count] of Object.entries(services)) {
+                counts[name] = (counts[name] ?? 0) + count;
+            }
+        }
+        return counts;
+    }
+
+    private composeHeartbeat(): Heartbeat {
+        const { identity } = this.environment;
+        return {
+            processId: identity.processId,
+            incarnation: identity.incarnation,
+            failureDomain: identity.failureDomain,
+            region: identity.region,
+            address: identity.address,
+            configVersion: this.config.version,
+            stopping: this.stopping,
+            slices: this.ownedSlices.map(controller => ({
+                sliceId: controller.slice.sliceId,
+                epoch: controller.slice.epoch,
+                services: controller.runningServices
+            }))
+        };
+    }
+
+    private serveSlices(): void {
+        this.peerClient.serve(PeerMethod.SubmitRequest, submitSchema, async message => {
+            const slice = this.sliceOf(message.requestId);
+            const taken = slice !== undefined && await slice.submit(message.requestId);
+            return taken ? ok({}) : err("The slice is not owned here or the request is not found.");
+        });
+        this.peerClient.serve(PeerMethod.DescribeRequest, describeSchema, async message => {
+            const description = this.sliceOf(message.requestId)?.describe(message.requestId);
+            const reply: DescribeReply = { description };
+            return ok(reply);
+        });
+        this.peerClient.serve(PeerMethod.CancelRequest, submitSchema, async message => {
+            const slice = this.sliceOf(message.requestId);
+            return slice?.cancel(message.requestId) ? ok({}) : err("The request is not open here.");
+        });
+        this.peerClient.serve(PeerMethod.AcquireSlot, acquireSchema, async message => {
+            const slice = this.slices.get(message.sliceId);
+            return slice ? ok(await slice.lookups.acquire(message)) : err("The slice is not owned here.");
+        });
+        this.peerClient.serve(PeerMethod.ReleaseSlot, releaseSchema, async message => {
+            this.slices.get(message.sliceId)?.lookups.release(message);
+            return ok({});
+        });
+    }
+
+    private sliceOf(requestId: string): SliceController | undefined {
+        return this.ownedSlices.find(controller => requestId.startsWith(`${controller.slice.sliceId}.`));
+    }
+}
--- /dev/null
+++ b/packages/control/src/slice/Job.ts
@@ -0,0 +1,169 @@
+import { NO_RESOURCES } from "@skylarkpath/common/model/Resources";
+import { OutcomeReason, type RequestOutcome, OutcomeState, type TaskSizing } from "@skylarkpath/common/model/Request";
+import { QueueKind } from "@skylarkpath/common/model/OperatorsText";
+import { GroupKind, type TaskGroup } from "@skylarkpath/common/scheduling/TaskScheduler";
+import type { StoredRequest } from "../store/RequestStore.js";
+
+const NO_TASKS: TaskSizing = { count: 0, resources: NO_RESOURCES, declaredDurationMs: 0, checkpointable: false };
+
+/** Accepted batch or gang job with the progress of its tasks. */
+export class Job {
+    private readonly answers = new Map<number, string>();
+    private readonly running = new Set<string>();
+    private startedOnce = false;
+    private cancelRequested = false;
+    private closed = false;
+    private finalOutcome: RequestOutcome | undefined;
+
+    constructor(
+        public readonly stored: StoredRequest,
+        /** Payload of the request, loaded from the object store when it is large. */
+        public readonly payload: string,
+        /** Tasks may run already under a former epoch. */
+        public readonly claimedEarlier: boolean
+    ) {}
+
+    /** Id of the request. */
+    public get requestId(): string {
+        return this.stored.record.requestId;
+    }
+
+    /** Sizes of the tasks. */
+    public get sizing(): TaskSizing {
+        return this.stored.record.spec.tasks ?? NO_TASKS;
+    }
+
+    /** Tells whether a caller has cancelled the job. */
+    public get isCancelled(): boolean {
+        return this.cancelRequested;
+    }
+
+    /** Tells whether the final outcome is being committed. */
+    public get isClosed(): boolean {
+        return this.closed;
+    }
+
+    /** Tells whether some task was handed to a worker, as far as is known. */
+    public get hasStarted(): boolean {
+        return this.startedOnce || this.answers.size > 0;
+    }
+
+    /** Tells whether all tasks have finished. */
+    public get isComplete(): boolean {
+        return this.answers.size === this.sizing.count;
+    }
+
+    /** Tasks that run now. */
+    public get runningTasks(): ReadonlySet<string> {
+        return this.running;
+    }
+
+    /** Indexes of finished tasks. */
+    public get finishedIndexes(): readonly number[] {
+        return [...this.answers.keys()];
+    }
+
+    /** Ids of the tasks that have not finished. */
+    public get openTaskIds(): readonly string[] {
+        return Array.from({ length: this.sizing.count }, (_, index) => index)
+            .filter(index => !this.answers.has(index))
+            .map(index => composeTaskId(this.requestId, index));
+    }
+
+    /** Describes the job for the scheduler. */
+    public toGroup(taskIds: readonly string[], nowMs: number, wallClockMs: number): TaskGroup {
+        const { spec, acceptedAtMs } = this.stored.record;
+        return {
+            groupId: this.requestId,
+            team: spec.team,
+            kind: spec.kind === QueueKind.Gang ? GroupKind.Gang : GroupKind.Batch,
+            urgent: spec.urgent,
+            resources: this.sizing.resources,
+            taskIds,
+            profile: spec.queue,
+            declaredDurationMs: this.sizing.declaredDurationMs,
+            checkpointable: this.sizing.checkpointable,
+            deadlineAtMs: nowMs + (spec.deadlineAtMs - wallClockMs),
+            submittedAtMs: nowMs - Math.max(0, wallClockMs - acceptedAtMs)
+        };
+    }
+
+    /** Notes that a task was handed to a worker. */
+    public noteStarted(taskId: string): void {
+        this.startedOnce = true;
+        this.running.add(taskId);
+    }
+
+    /** Notes that a task no longer runs. */
+    public noteStopped(taskId: string): void {
+        this.running.delete(taskId);
+    }
+
+    /** Notes the answer of a finished task. */
+    public noteFinished(taskIndex: number, answer: string): void {
+        this.running.delete(composeTaskId(this.requestId, taskIndex));
+        this.answers.set(taskIndex, answer);
+    }
+
+    /** Notes that a caller cancels the job. */
+    public cancel(): void {
+        this.cancelRequested = true;
+    }
+
+    /** Final outcome whose commit has failed or is under way. */
+    public get pendingOutcome(): RequestOutcome | undefined {
+        return this.finalOutcome;
+    }
+
+    /** Notes that the final outcome is being committed. */
+    public close(outcome: RequestOutcome): void {
+        this.closed = true;
+        this.finalOutcome = outcome;
+    }
+
+    /** Notes that committing the final outcome has failed. */
+    public reopen(): void {
+        this.closed = false;
+    }
+
+    /** Outcome of the job when all tasks have finished. */
+    public completeOutcome(): RequestOutcome {
+        const answers = Array.from({ length: this.sizing.count }, (_, index) => this.answers.get(index)!);
+        return { state: OutcomeState.Done, answers };
+    }
+
+    /** Outcome of the job when it was cancelled and nothing of it runs. */
+    public cancelledOutcome(): RequestOutcome {
+        if (!this.hasStarted) {
+            return { state: OutcomeState.NotRun, reason: OutcomeReason.Cancelled };
+        }
+        const detail = `Cancelled after a start; ${this.answers.size} of ${this.sizing.count} tasks had finished.`;
+        return { state: OutcomeState.Unknown, reason: OutcomeReason.Cancelled, detail };
+    }
+
+    /** Outcome of the job when the scheduler gives it up. */
+    public rejectedOutcome(detail: string): RequestOutcome {
+        return this.hasStarted
+            ? { state: OutcomeState.Done, reason: OutcomeReason.NeverSucceeds, detail }
+            : { state: OutcomeState.NotRun, reason: OutcomeReason.Infeasible, detail };
+    }
+
+    /** Outcome as it stands now. */
+    public currentOutcome(): RequestOutcome {
+        const state = this.running.size > 0 ? OutcomeState.Running : OutcomeState.Accepted;
+        const detail = `${this.answers.size} of ${this.sizing.count} tasks finished`;
+        return { state, detail };
+    }
+}
+
+const INDEX_SEPARATOR = "/";
+
+/** Composes the id of a task. */
+export function composeTaskId(requestId: string, taskIndex: number): string {
+    return `${requestId}${INDEX_SEPARATOR}${taskIndex}`;
+}
+
+/** Returns the index of a task, from its id. */
+export function taskIndexOf(taskId: string): number {
+    return Number(taskId.slice(taskId.lastIndexOf(INDEX_SEPARATOR) + 1));
+}
--- /dev/null
+++ b/packages/control/src/slice/SliceController.ts
@@ -0,0 +1,423 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import type { SliceStatus } from "@skylarkpath/common/api/OperatorsApi";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { OperatorsText } from "@skylarkpath/common/model/OperatorsText";
+import { subtractResources } from "@skylarkpath/common/model/Resources";
+import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
+import {
+    WorkerCommandKind,
+    WorkerRefusal,
+    type WorkerTask,
+    type WorkerTaskReport,
+    WorkerTaskState
+} from "@skylarkpath/common/platform/WorkerService";
+import {
+    type Decision,
+    DecisionKind,
+    TaskEnd,
+    type TaskScheduler,
+    type TeamPolicy
+} from "@skylarkpath/common/scheduling/TaskScheduler";
+import type { SlicePolicies } from "../limits/AllotmentController.js";
+import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
+import { ownerNameOf } from "../process/ProcessEnvironment.js";
+import type { ProcessOptions } from "../process/ProcessOptions.js";
+import type { RequestStore, SliceGuard } from "../store/RequestStore.js";
+import { Adoption, JobController, type JobDescription } from "./JobController.js";
+import { LookupController } from "./LookupController.js";
+import { isServiceGroup, ServiceController, type ServiceCounts } from "./ServiceController.js";
+import { type PoolReply, WorkerPool } from "./WorkerPool.js";
+import type { OwnershipConfirmation, RefusedStart, WorkerSession } from "./WorkerSession.js";
+
+/** Slice that this process owns. */
+export interface OwnedSlice {
+    readonly sliceId: string;
+    readonly failureDomain: string;
+    readonly epoch: number;
+    readonly guard: SliceGuard;
+    readonly confirmOwnership: OwnershipConfirmation;
+}
+
+const DECISION_INTERVAL_MS = 100;
+const LOAD_RETRY_MS = 500;
+
+/** Owner of one slice: takes every decision about its workers, targets, jobs and services. */
+export class SliceController implements Disposable {
+    private readonly store = new DisposableStore();
+    private readonly staleEmitter = this.store.add(new Emitter<void>());
+    private readonly finishedEmitter = this.store.add(new Emitter<string>());
+    private readonly scheduler: TaskScheduler;
+    private readonly pool: WorkerPool;
+    private readonly jobs: JobController;
+    private readonly services: ServiceController;
+    /** Workers by the task that runs or may run there. */
+    private readonly placements = new Map<string, { readonly workerId: string; readonly groupId: string; }>();
+    /** Reports that are being handled or wait for their acknowledgement. */
+    private readonly handledReports = new Map<string, Set<string>>();
+    private policies: SlicePolicies = new Map();
+    private decisionPending = false;
+    private disposed = false;
+
+    /** Gives executor slots to look-ups. */
+    public readonly lookups: LookupController;
+    /** Tells that another owner has a higher epoch. */
+    public readonly onStale = this.staleEmitter.event;
+    /** Tells the id of each request whose outcome is committed. */
+    public readonly onRequestFinished = this.finishedEmitter.event;
+
+    constructor(
+        public readonly slice: OwnedSlice,
+        private readonly environment: ProcessEnvironment,
+        private readonly options: ProcessOptions,
+        requests: RequestStore,
+        runningServices: ServiceCounts
+    ) {
+        this.scheduler = environment.schedulers.createTaskScheduler(environment.random);
+        this.pool = this.store.add(new WorkerPool(environment, options, slice.epoch, slice.confirmOwnership));
+        this.jobs = this.store.add(
+            new JobController(
+                slice.sliceId,
+                slice.epoch,
+                environment,
+                options,
+                requests,
+                this.scheduler,
+                slice.guard,
+                taskId => this.stopTask(taskId)
+            )
+        );
+        this.services = new ServiceController(slice.failureDomain, this.scheduler, runningServices);
+        const lookupScheduler = environment.schedulers.createLookupScheduler(environment.random);
+        this.lookups = this.store.add(new LookupController(environment, options, lookupScheduler));
+        this.subscribe();
+    }
+
+    /** Running replicas by service. */
+    public get runningServices(): Readonly<Record<string, number>> {
+        return this.services.runningCounts;
+    }
+
+    /** Begins to own the slice: loads its requests and fences its workers. */
+    public start(): void {
+        this.store.add(this.environment.timer.every(DECISION_INTERVAL_MS, () => this.decide()));
+        this.store.add(this.environment.timer.every(this.options.reloadIntervalMs, () => this.reload()));
+        void this.load();
+    }
+
+    /** Takes in the machines of the slice. */
+    public updateMachines(machines: readonly LiveMachine[]): void {
+        this.pool.update(machines);
+        this.lookups.update(machines);
+    }
+
+    /** Takes in the operators' text. */
+    public updateText(text: OperatorsText): void {
+        for (const taskId of this.services.update(text)) {
+            this.stopTask(taskId);
+        }
+        this.decideSoon();
+    }
+
+    /** Takes in the shares and allotments of the teams. */
+    public updatePolicies(policies: SlicePolicies): void {
+        this.policies = policies;
+        this.lookups.setPolicies(policies);
+        this.applyPolicies();
+    }
+
+    /** Takes in a committed request. */
+    public submit(requestId: string): Promise<boolean> {
+        return this.jobs.submit(requestId);
+    }
+
+    /** Describes a request that is open here or ended lately. */
+    public describe(requestId: string): JobDescription | undefined {
+        return this.jobs.describe(requestId);
+    }
+
+    /** Cancels a request; returns false when it is not open here. */
+    public cancel(requestId: string): boolean {
+        return this.jobs.cancel(requestId);
+    }
+
+    /** Tells whether all open requests of the slice were loaded. */
+    public get isLoaded(): boolean {
+        return this.jobs.isLoaded;
+    }
+
+    /** State of the slice for operators. */
+    public status(): SliceStatus {
+        const sessions = this.pool.all;
+        return {
+            sliceId: this.slice.sliceId,
+            owner: ownerNameOf(this.environment.identity),
+            epoch: this.slice.epoch,
+            workers: sessions.length,
+            fencedWorkers: sessions.filter(session => session.isFenced).length,
+            runningTasks: this.placements.size,
+            waitingGroups: this.jobs.openCount,
+            heldRequests: this.jobs.heldCount,
+            teams: [...this.policies.keys()].map(team => ({
+                team,
+                running: this.scheduler.usage(team),
+                slotsInUse: this.lookups.slotsInUse(team),
+                waitingGroups: 0
+            })),
+            services: this.services.runningCounts
+        };
+    }
+
+    public dispose(): void {
+        this.disposed = true;
+        this.store.dispose();
+    }
+
+    private subscribe(): void {
+        this.store.add(this.pool.onReply(reply => this.handleReply(reply)));
+        this.store.add(this.pool.onChange(session => this.updateWorker(session)));
+        this.store.add(this.pool.onRemoved(workerId => this.scheduler.removeWorker(workerId)));
+        this.store.add(this.pool.onRefusedStart(refused => this.handleRefusedStart(refused)));
+        this.store.add(this.pool.onLapsed(taskIds => taskIds.forEach(taskId => this.endTask(taskId, TaskEnd.Requeued))));
+        this.store.add(this.pool.onStale(() => this.staleEmitter.fire()));
+        this.store.add(this.pool.onHoldReleased(() => this.releaseHold()));
+        this.store.add(this.jobs.onChange(() => this.decideSoon()));
+        this.store.add(this.jobs.onFinished(requestId => this.finishedEmitter.fire(requestId)));
+    }
+
+    private async load(): Promise<void> {
+        while (!this.disposed && !(await this.jobs.load())) {
+            await new Promise<void>(resolve => this.environment.timer.after(LOAD_RETRY_MS, resolve));
+        }
+        this.releaseHold();
+    }
+
+    private reload(): void {
+        this.jobs.retryFinishes();
+        void this.jobs.load();
+    }
+
+    /** Work of former epochs may start again once all requests are known and all workers are fenced. */
+    private releaseHold(): void {
+        if (!this.disposed && this.pool.isHoldReleased && this.jobs.isLoaded) {
+            this.jobs.releaseHold();
+            this.services.releaseHold();
+            this.decideSoon();
+        }
+    }
+
+    private updateWorker(session: WorkerSession): void {
+        if (session.capacity) {
+            this.scheduler.upsertWorker({
+                workerId: session.workerId,
+                rack: session.rack,
+                capacity: session.capacity,
+                schedulable: session.isSchedulable
+            });
+        }
+        this.applyPolicies();
+        this.decideSoon();
+    }
+
+    /** A worker that is not yet fenced counts, for every team, as full of that team's work. */
+    private applyPolicies(): void {
+        const unfenced = this.pool.unfencedCapacity;
+        const teams = [...this.policies].map(([team, policy]): readonly [string, TeamPolicy] => {
+            const resources = subtractResources(policy.allotment.resources, unfenced);
+            return [team, { ...policy, allotment: { ...policy.allotment, resources } }];
+        });
+        this.scheduler.setTeams(new Map(teams));
+    }
+
+    private decideSoon(): void {
+        if (!this.decisionPending && !this.disposed) {
+            this.decisionPending = true;
+            void Promise.resolve().then(() => {
+                this.decisionPending = false;
+                this.decide();
+            });
+        }
+    }
+
+    private decide(): void {
+        if (this.disposed) {
+            return;
+        }
+        const nowMs = this.environment.timer.nowMs();
+        this.services.submitReady(nowMs);
+        for (const decision of this.scheduler.decide(nowMs)) {
+            this.carryOut(decision);
+        }
+    }
+
+    private carryOut(decision: Decision): void {
+        switch (decision.kind) {
+            case DecisionKind.Start:
+                this.startTask(decision.taskId, decision.groupId, decision.workerId);
+                break;
+            case DecisionKind.Stop:
+                this.stopTask(decision.taskId);
+                break;
+            case DecisionKind.Throttle:
+                this.pool.find(decision.workerId)?.send({
+                    kind: WorkerCommandKind.Throttle,
+                    taskId: decision.taskId
+                });
+                break;
+            case DecisionKind.Checkpoint:
+                this.pool.find(decision.workerId)?.send({
+                    kind: WorkerCommandKind.Checkpoint,
+                    taskId: decision.taskId
+                });
+                break;
+            case DecisionKind.Reject:
+                this.jobs.reject(decision.groupId, decision.reason);
+                break;
+        }
+    }
+
+    private startTask(taskId: string, groupId: string, workerId: string): void {
+        const session = this.pool.find(workerId);
+        const task = this.composeTask(taskId, groupId);
+        if (!session || !task) {
+            this.scheduler.taskEnded(taskId, TaskEnd.Requeued, this.environment.timer.nowMs());
+            return;
+        }
+        this.placements.set(taskId, { workerId, groupId });
+        this.handledReports.get(workerId)?.delete(taskId);
+        if (isServiceGroup(groupId)) {
+            this.services.noteRunning(taskId, groupId);
+        }
+        else {
+            this.jobs.noteStarted(taskId, groupId);
+        }
+        this.environment.log.write(EVENTS.taskStarted, { requestId: groupId, taskId, worker: workerId });
+        session.start(task);
+    }
+
+    private composeTask(taskId: string, groupId: string): WorkerTask | undefined {
+        const service = this.services.definitionOf(groupId);
+        if (isServiceGroup(groupId) && service) {
+            return {
+                taskId,
+                requestId: groupId,
+                team: service.team,
+                resources: service.resources,
+                payload: service.command,
+                service: true
+            };
+        }
+        const job = this.jobs.find(groupId);
+        return job && {
+            taskId,
+            requestId: groupId,
+            team: job.stored.record.spec.team,
+            resources: job.sizing.resources,
+            payload: job.payload,
+            service: false
+        };
+    }
+
+    private stopTask(taskId: string): void {
+        const placement = this.placements.get(taskId);
+        if (placement) {
+            this.pool.find(placement.workerId)?.send({ kind: WorkerCommandKind.Stop, taskId });
+        }
+    }
+
+    private handleRefusedStart(refused: RefusedStart): void {
+        if (refused.refusal !== WorkerRefusal.DuplicateTask) {
+            this.endTask(refused.taskId, TaskEnd.Requeued);
+        }
+    }
+
+    private handleReply(poolReply: PoolReply): void {
+        const { session, reply } = poolReply;
+        const handled = this.handledReports.get(session.workerId) ?? new Set<string>();
+        const stillHandled = new Set<string>();
+        this.handledReports.set(session.workerId, stillHandled);
+        for (const report of reply.reports) {
+            const { taskId } = report.task;
+            if (isRunningState(report.state)) {
+                this.handleRunning(session, report);
+            }
+            else if (handled.has(taskId)) {
+                stillHandled.add(taskId);
+            }
+            else {
+                stillHandled.add(taskId);
+                void this.handleEnded(session, report);
+            }
+        }
+    }
+
+    private handleRunning(session: WorkerSession, report: WorkerTaskReport): void {
+        const { taskId, requestId } = report.task;
+        const placement = this.placements.get(taskId);
+        if (placement?.workerId === session.workerId) {
+            return;
+        }
+        const adoption = placement ? Adoption.Stop : this.adopt(taskId, requestId, session.workerId);
+        if (adoption === Adoption.Stop) {
+            session.send({ kind: WorkerCommandKind.Stop, taskId });
+            return;
+        }
+        session.hold(taskId);
+        if (adoption === Adoption.Adopted) {
+            this.placements.set(taskId, { workerId: session.workerId, groupId: requestId });
+        }
+    }
+
+    private adopt(taskId: string, groupId: string, workerId: string): Adoption {
+        return isServiceGroup(groupId)
+            ? this.services.adopt(taskId, groupId, workerId, this.environment.timer.nowMs())
+            : this.jobs.adopt(taskId, groupId, workerId);
+    }
+
+    private async handleEnded(session: WorkerSession, report: WorkerTaskReport): Promise<void> {
+        const { taskId, requestId } = report.task;
+        const placement = this.placements.get(taskId);
+        const isHere = placement === undefined || placement.workerId === session.workerId;
+        if (isHere && !(await this.noteEnd(report))) {
+            this.handledReports.get(session.workerId)?.delete(taskId);
+            return;
+        }
+        session.release(taskId);
+        session.send({ kind: WorkerCommandKind.Acknowledge, taskIds: [taskId] });
+        this.environment.log.write(EVENTS.taskEnded, { requestId, taskId, state: report.state });
+    }
+
+    /** Takes in the end of a task; resolves with true once the worker may forget it. */
+    private async noteEnd(report: WorkerTaskReport): Promise<boolean> {
+        const { taskId, requestId } = report.task;
+        if (report.state === WorkerTaskState.Succeeded && !isServiceGroup(requestId)) {
+            const committed = await this.jobs.taskSucceeded(taskId, requestId, report.answer ?? "");
+            if (committed) {
+                this.placements.delete(taskId);
+            }
+            return committed;
+        }
+        this.endTask(taskId, report.state === WorkerTaskState.Failed ? TaskEnd.Failed : TaskEnd.Requeued);
+        return true;
+    }
+
+    private endTask(taskId: string, end: TaskEnd): void {
+        const placement = this.placements.get(taskId);
+        this.placements.delete(taskId);
+        if (!placement) {
+            return;
+        }
+        if (isServiceGroup(placement.groupId)) {
+            this.services.noteEnded(taskId, placement.groupId);
+            this.scheduler.taskEnded(taskId, end, this.environment.timer.nowMs());
+            this.decideSoon();
+        }
+        else {
+            this.jobs.taskEnded(taskId, placement.groupId, end);
+        }
+    }
+}
+
+function isRunningState(state: WorkerTaskState): boolean {
+    return state === WorkerTaskState.Running || state === WorkerTaskState.Throttled;
+}
--- /dev/null
+++ b/packages/control/src/slice/WorkerSession.ts
@@ -0,0 +1,323 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import type { Resources } from "@skylarkpath/common/model/Resources";
+import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
+import {
+    type WorkerCommand,
+    WorkerCommandKind,
+    type WorkerError,
+    WorkerRefusal,
+    type WorkerReply,
+    type WorkerService,
+    type WorkerTask
+} from "@skylarkpath/common/platform/WorkerService";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import type { Result } from "neverthrow";
+
+/** Timing of a worker session. */
+export interface WorkerSessionOptions {
+    readonly taskLeaseMs: number;
+    readonly workerExchangeIntervalMs: number;
+    readonly clockDriftFactor: number;
+}
+
+/** Start that a worker did not carry out. */
+export interface RefusedStart {
+    readonly taskId: string;
+    /** Undefined when the worker was lost or replaced. */
+    readonly refusal?: WorkerRefusal;
+}
+
+/** Asks whether this process still owns the slice; resolves with the truth known after the call. */
+export type OwnershipConfirmation = () => Promise<boolean>;
+
+interface Ticket {
+    readonly workerTimeMs: number;
+    readonly receivedMs: number;
+}
+
+/** Conversation with one worker under one epoch: fences, sends commands, renews leases, reads the inventory. */
+export class WorkerSession implements Disposable {
+    private readonly store = new DisposableStore();
+    private readonly replyEmitter = this.store.add(new Emitter<WorkerReply>());
+    private readonly fencedEmitter = this.store.add(new Emitter<void>());
+    private readonly refusedEmitter = this.store.add(new Emitter<RefusedStart>());
+    private readonly lapsedEmitter = this.store.add(new Emitter<readonly string[]>());
+    private readonly staleEmitter = this.store.add(new Emitter<void>());
+    /** Tasks that run here or may run here. */
+    private readonly tasks = new Set<string>();
+    /** Starts whose reply was lost. */
+    private readonly uncertainStarts = new Set<string>();
+    private queue: WorkerCommand[] = [];
+    private incarnation: string | undefined;
+    private ticket: Ticket | undefined;
+    private leasesEndMs: number;
+    private inFlight = false;
+    private fenced = false;
+    private disposed = false;
+    private isSilent = false;
+
+    /** Tells each reply with the worker's inventory. */
+    public readonly onReply = this.replyEmitter.event;
+    /** Tells that the worker takes commands of this epoch only. */
+    public readonly onFenced = this.fencedEmitter.event;
+    /** Tells each start that did not take effect. */
+    public readonly onRefusedStart = this.refusedEmitter.event;
+    /** Tells the tasks whose leases have certainly lapsed at a silent or restarted worker. */
+    public readonly onLapsed = this.lapsedEmitter.event;
+    /** Tells that the worker has seen a higher epoch. */
+    public readonly onStale = this.staleEmitter.event;
+
+    constructor(
+        private machine: LiveMachine,
+        private readonly epoch: number,
+        private readonly workers: WorkerService,
+        private readonly timer: TimerService,
+        private readonly options: WorkerSessionOptions,
+        private readonly confirmOwnership: OwnershipConfirmation,
+        private readonly takeSequence: () => number
+    ) {
+        this.leasesEndMs = timer.nowMs() + this.leaseBoundMs;
+        this.store.add(timer.every(options.workerExchangeIntervalMs, () => this.kick()));
+    }
+
+    /** Id of the worker. */
+    public get workerId(): string {
+        return this.machine.machineId;
+    }
+
+    /** Rack of the worker. */
+    public get rack(): string {
+        return this.machine.rack;
+    }
+
+    /** Tells whether the worker takes commands of this epoch only. */
+    public get isFenced(): boolean {
+        return this.fenced;
+    }
+
+    /** Tells whether new tasks may start here. */
+    public get isSchedulable(): boolean {
+        return this.fenced && !this.isSilent && !this.machine.leaving;
+    }
+
+    /** What the worker holds. */
+    public get capacity(): Resources | undefined {
+        return this.machine.capacity;
+    }
+
+    /** Time by which all leases given by former epochs or by this session have lapsed, if nothing is renewed. */
+    public get leasesLapseAtMs(): number {
+        return this.leasesEndMs;
+    }
+
+    /** Takes in what the live list says of the worker. */
+    public update(machine: LiveMachine): void {
+        this.machine = machine;
+    }
+
+    /** Counts a task as running here and renews its lease. */
+    public hold(taskId: string): void {
+        this.tasks.add(taskId);
+    }
+
+    /** Tells whether the task is counted as running here. */
+    public holds(taskId: string): boolean {
+        return this.tasks.has(taskId);
+    }
+
+    /** No longer renews the lease of a task. */
+    public release(taskId: string): void {
+        this.tasks.delete(taskId);
+        this.uncertainStarts.delete(taskId);
+    }
+
+    /** Starts a task. */
+    public start(task: WorkerTask): void {
+        this.tasks.add(task.taskId);
+        this.queue.push({ kind: WorkerCommandKind.Start, task, leaseMs: this.options.taskLeaseMs });
+        this.kickSoon();
+    }
+
+    /** Sends a command other than a start. */
+    public send(command: WorkerCommand): void {
+        this.queue.push(command);
+        this.kickSoon();
+    }
+
+    public dispose(): void {
+        this.disposed = true;
+        this.store.dispose();
+    }
+
+    private get leaseBoundMs(): number {
+        return this.options.taskLeaseMs * (1 + this.options.clockDriftFactor);
+    }
+
+    private kickSoon(): void {
+        if (!this.inFlight) {
+            void Promise.resolve().then(() => this.kick());
+        }
+    }
+
+    private kick(): void {
+        if (!this.inFlight && !this.disposed) {
+            this.inFlight = true;
+            void this.exchange().finally(() => {
+                this.inFlight = false;
+                if (this.queue.length > 0 && this.fenced && !this.isSilent) {
+                    this.kickSoon();
+                }
+            });
+        }
+    }
+
+    private async exchange(): Promise<void> {
+        this.checkLapsed();
+        if (this.incarnation === undefined && !(await this.learnIncarnation())) {
+            return;
+        }
+        const commands = this.takeCommands();
+        const ticket = this.ticket!;
+        const result = await this.workers.exchange(this.machine.address, {
+            epoch: this.epoch,
+            incarnation: this.incarnation,
+            sequence: this.takeSequence(),
+            ticketMs: ticket.workerTimeMs,
+            commands
+        });
+        if (this.disposed) {
+            return;
+        }
+        if (result.isErr()) {
+            this.handleFailure(result.error, commands);
+        }
+        else {
+            this.handleReply(result.value, commands);
+        }
+    }
+
+    private async learnIncarnation(): Promise<boolean> {
+        const result: Result<WorkerReply, WorkerError> = await this.workers.exchange(this.machine.address, {
+            epoch: this.epoch,
+            sequence: 0,
+            commands: []
+        });
+        if (this.disposed) {
+            return false;
+        }
+        if (result.isErr()) {
+            this.handleFailure(result.error, []);
+            return false;
+        }
+        if (!(await this.confirmOwnership()) || this.disposed) {
+            return false;
+        }
+        this.incarnation = result.value.incarnation;
+        this.takeTicket(result.value);
+        return true;
+    }
+
+    private takeCommands(): readonly WorkerCommand[] {
+        const renewal: WorkerCommand = {
+            kind: WorkerCommandKind.Renew,
+            taskIds: [...this.tasks],
+            leaseMs: this.options.taskLeaseMs
+        };
+        const commands = this.tasks.size > 0 ? [renewal, ...this.queue] : this.queue;
+        this.queue = [];
+        return commands;
+    }
+
+    private takeTicket(reply: WorkerReply): void {
+        this.ticket = { workerTimeMs: reply.ticketMs, receivedMs: this.timer.nowMs() };
+        this.leasesEndMs = Math.max(this.leasesEndMs, this.ticket.receivedMs + this.leaseBoundMs);
+        this.isSilent = false;
+    }
+
+    private handleReply(reply: WorkerReply, commands: readonly WorkerCommand[]): void {
+        this.takeTicket(reply);
+        const wasFenced = this.fenced;
+        this.fenced = true;
+        if (reply.leaving) {
+            this.machine = { ...this.machine, leaving: true };
+        }
+        this.resolveUncertain(reply);
+        commands.forEach((command, place) => this.handleResult(command, reply.results[place]));
+        if (!wasFenced) {
+            this.fencedEmitter.fire();
+        }
+        this.replyEmitter.fire(reply);
+    }
+
+    private handleResult(command: WorkerCommand, result: WorkerRefusal | "ok" | undefined): void {
+        if (command.kind === WorkerCommandKind.Start && result !== "ok" && result !== undefined) {
+            this.release(command.task.taskId);
+            this.refusedEmitter.fire({ taskId: command.task.taskId, refusal: result });
+        }
+    }
+
+    private resolveUncertain(reply: WorkerReply): void {
+        const reported = new Set(reply.reports.map(report => report.task.taskId));
+        for (const taskId of [...this.uncertainStarts]) {
+            this.uncertainStarts.delete(taskId);
+            if (!reported.has(taskId)) {
+                this.tasks.delete(taskId);
+                this.refusedEmitter.fire({ taskId });
+            }
+        }
+    }
+
+    private handleFailure(error: WorkerError, commands: readonly WorkerCommand[]): void {
+        if (error.refusal === WorkerRefusal.StaleEpoch) {
+            this.staleEmitter.fire();
+            return;
+        }
+        if (error.refusal === WorkerRefusal.WrongIncarnation) {
+            this.forgetIncarnation();
+            return;
+        }
+        this.isSilent = true;
+        for (const command of commands) {
+            this.keepUnanswered(command, error.replyLost);
+        }
+    }
+
+    private keepUnanswered(command: WorkerCommand, replyLost: boolean): void {
+        if (command.kind === WorkerCommandKind.Start) {
+            if (replyLost) {
+                this.uncertainStarts.add(command.task.taskId);
+                return;
+            }
+            this.release(command.task.taskId);
+            this.refusedEmitter.fire({ taskId: command.task.taskId });
+        }
+        else if (command.kind !== WorkerCommandKind.Renew) {
+            this.queue.push(command);
+        }
+    }
+
+    /** The worker restarted: every task that it held has ended. */
+    private forgetIncarnation(): void {
+        this.incarnation = undefined;
+        this.fenced = false;
+        this.queue = [];
+        this.tellLapsed();
+    }
+
+    private checkLapsed(): void {
+        if (this.isSilent && this.timer.nowMs() >= this.leasesEndMs) {
+            this.tellLapsed();
+        }
+    }
+
+    private tellLapsed(): void {
+        const taskIds = [...this.tasks];
+        this.tasks.clear();
+        this.uncertainStarts.clear();
+        this.queue = this.queue.filter(command => command.kind !== WorkerCommandKind.Start);
+        if (taskIds.length > 0) {
+            this.lapsedEmitter.fire(taskIds);
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/store/RequestStore.ts
@@ -0,0 +1,210 @@
+import type { IdempotencyRecord, RequestRecord } from "@skylarkpath/common/model/Request";
+import type { ObjectStore } from "@skylarkpath/common/platform/ObjectStore";
+import type { StoreError } from "@skylarkpath/common/platform/StoreError";
+import {
+    type CommitReceipt,
+    type JsonValue,
+    type TableCondition,
+    type TableMutation,
+    TableName,
+    type TableRow,
+    type TableService
+} from "@skylarkpath/common/platform/TableService";
+import { err, ok, type Result } from "neverthrow";
+import type { GroupCommitWriter, WriteError } from "./GroupCommitWriter.js";
+
+/** Record with the version of its row. */
+export interface StoredRequest {
+    readonly record: RequestRecord;
+    readonly version: number;
+}
+
+/** Answer of one finished task of a request that is not final. */
+export interface TaskProgress {
+    readonly requestId: string;
+    readonly taskIndex: number;
+    readonly answer: string;
+}
+
+/** Acceptance of a request, with the row that finds it by its idempotency key. */
+export interface Acceptance {
+    readonly record: RequestRecord;
+    readonly idempotencyKey?: string;
+    readonly bodyHash: string;
+}
+
+/** Returns the condition that fences writes of a former owner, or none. */
+export type SliceGuard = () => readonly TableCondition[];
+
+const SCAN_PAGE_LENGTH = 500;
+
+/** Keeps requests and their outcomes in the table service and large contents in the object store. */
+export class RequestStore {
+    constructor(
+        private readonly table: TableService,
+        private readonly objects: ObjectStore,
+        private readonly writer: GroupCommitWriter,
+        private readonly inlineLimitBytes: number
+    ) {}
+
+    /** Commits an accepted request; a conflict means that its idempotency key is taken. */
+    public async accept(acceptance: Acceptance): Promise<Result<CommitReceipt, WriteError | StoreError>> {
+        const record = await this.moveLargePayload(acceptance.record);
+        if (record.isErr()) {
+            return err(record.error);
+        }
+        const rows = acceptanceRows(acceptance, record.value);
+        return this.writer.submit({ conditions: () => rows.conditions, mutations: () => rows.mutations });
+    }
+
+    /** Commits the final outcome of a request and removes it from the open ones. */
+    public async finish(
+        stored: StoredRequest,
+        finishedTaskIndexes: readonly number[],
+        guard: SliceGuard
+    ): Promise<Result<CommitReceipt, WriteError | StoreError>> {
+        const record = await this.moveLargeAnswers(stored.record);
+        if (record.isErr()) {
+            return err(record.error);
+        }
+        const requestId = record.value.requestId;
+        const mutations: TableMutation[] = [
+            { table: TableName.Requests, key: requestId },
+            { table: TableName.Outcomes, key: requestId, value: toJson(record.value) },
+            ...finishedTaskIndexes.map(index => ({ table: TableName.Progress, key: progressKey(requestId, index) }))
+        ];
+        return this.writer.submit({
+            conditions: () => [{ table: TableName.Requests, key: requestId, version: stored.version }, ...guard()],
+            mutations: () => mutations
+        });
+    }
+
+    /** Commits the answer of one task. */
+    public recordProgress(progress: TaskProgress, guard: SliceGuard): Promise<Result<CommitReceipt, WriteError>> {
+        const key = progressKey(progress.requestId, progress.taskIndex);
+        return this.writer.submit({
+            conditions: guard,
+            mutations: () => [{ table: TableName.Progress, key, value: toJson(progress) }]
+        });
+    }
+
+    /** Finds a request, open or final. */
+    public async find(requestId: string): Promise<Result<StoredRequest | undefined, StoreError>> {
+        const open = await this.table.read(TableName.Requests, requestId);
+        if (open.isErr() || open.value) {
+            return open.map(row => row && toStored(row));
+        }
+        const final = await this.table.read(TableName.Outcomes, requestId);
+        if (final.isErr() || !final.value) {
+            return final.map(() => undefined);
+        }
+        return this.withAnswers(toStored(final.value));
+    }
+
+    /** Finds the request that took an idempotency key. */
+    public async findByKey(team: string, key: string): Promise<Result<IdempotencyRecord | undefined, StoreError>> {
+        const row = await this.table.read(TableName.Idempotency, idempotencyRowKey(team, key));
+        return row.map(found => found?.value as IdempotencyRecord | undefined);
+    }
+
+    /** Loads the payload of a record that keeps it in the object store. */
+    public async payloadOf(record: RequestRecord): Promise<Result<string, StoreError>> {
+        if (record.payloadObject === undefined) {
+            return ok(record.spec.payload);
+        }
+        const content = await this.objects.get(record.payloadObject);
+        return content.map(payload => payload ?? "");
+    }
+
+    /** Loads all open requests of a slice. */
+    public async loadOpen(sliceId: string): Promise<Result<readonly StoredRequest[], StoreError>> {
+        const rows = await this.scanAll(TableName.Requests, `${sliceId}.`);
+        return rows.map(found => found.map(toStored));
+    }
+
+    /** Loads the committed answers of all open requests of a slice. */
+    public async loadProgress(sliceId: string): Promise<Result<readonly TaskProgress[], StoreError>> {
+        const rows = await this.scanAll(TableName.Progress, `${sliceId}.`);
+        return rows.map(found => found.map(row => row.value as unknown as TaskProgress));
+    }
+
+    private async scanAll(table: string, prefix: string): Promise<Result<readonly TableRow[], StoreError>> {
+        const rows: TableRow[] = [];
+        let afterKey: string | undefined;
+        for (;;) {
+            const page = await this.table.scan({ table, prefix, afterKey, limit: SCAN_PAGE_LENGTH });
+            if (page.isErr()) {
+                return err(page.error);
+            }
+            rows.push(...page.value);
+            if (page.value.length < SCAN_PAGE_LENGTH) {
+                return ok(rows);
+            }
+            afterKey = page.value.at(-1)!.key;
+        }
+    }
+
+    private async moveLargePayload(record: RequestRecord): Promise<Result<RequestRecord, StoreError>> {
+        if (record.spec.payload.length <= this.inlineLimitBytes) {
+            return ok(record);
+        }
+        const payloadObject = `payload/${record.requestId}`;
+        const written = await this.objects.put(payloadObject, record.spec.payload);
+        return written.map(() => ({ ...record, payloadObject, spec: { ...record.spec, payload: "" } }));
+    }
+
+    private async moveLargeAnswers(record: RequestRecord): Promise<Result<RequestRecord, StoreError>> {
+        const answers = record.outcome.answers ?? [];
+        const sizeBytes = answers.reduce((total, answer) => total + answer.length, 0);
+        if (sizeBytes <= this.inlineLimitBytes) {
+            return ok(record);
+        }
+        const answersObject = `answers/${record.requestId}`;
+        const written = await this.objects.put(answersObject, JSON.stringify(answers));
+        return written.map(() => ({ ...record, answersObject, outcome: { ...record.outcome, answers: undefined } }));
+    }
+
+    private async withAnswers(stored: StoredRequest): Promise<Result<StoredRequest, StoreError>> {
+        const { record } = stored;
+        if (record.answersObject === undefined) {
+            return ok(stored);
+        }
+        const content = await this.objects.get(record.answersObject);
+        return content.map(text => {
+            const answers: readonly string[] = JSON.parse(text ?? "[]");
+            return { ...stored, record: { ...record, outcome: { ...record.outcome, answers } } };
+        });
+    }
+}
+
+function acceptanceRows(
+    acceptance: Acceptance,
+    record: RequestRecord
+): { readonly conditions: readonly TableCondition[]; readonly mutations: readonly TableMutation[]; } {
+    const { requestId } = record;
+    const conditions: TableCondition[] = [{ table: TableName.Requests, key: requestId, version: 0 }];
+    const mutations: TableMutation[] = [{ table: TableName.Requests, key: requestId, value: toJson(record) }];
+    if (acceptance.idempotencyKey !== undefined) {
+        const key = idempotencyRowKey(record.spec.team, acceptance.idempotencyKey);
+        conditions.push({ table: TableName.Idempotency, key, version: 0 });
+        const value: IdempotencyRecord = { requestId, bodyHash: acceptance.bodyHash };
+        mutations.push({ table: TableName.Idempotency, key, value: toJson(value) });
+    }
+    return { conditions, mutations };
+}
+
+function idempotencyRowKey(team: string, key: string): string {
+    return `${team}/${key}`;
+}
+
+function progressKey(requestId: string, taskIndex: number): string {
+    return `${requestId}/${taskIndex}`;
+}
+
+function toStored(row: TableRow): StoredRequest {
+    return { record: row.value as unknown as RequestRecord, version: row.version };
+}
+
+function toJson(value: object): JsonValue {
+    return value as JsonValue;
+}
--- /dev/null
+++ b/packages/control/src/timeline/Timeline.ts
@@ -0,0 +1,60 @@
+import type { EventDefinition, EventFields, EventLog, TimelineEvent } from "@skylarkpath/common/log/EventLog";
+import { compareHybridTime, type HybridClock } from "@skylarkpath/common/time/HybridClock";
+
+/** Passes an event on, as to the log of the process. */
+export type EventSink = (event: TimelineEvent, definition: EventDefinition) => void;
+
+/** Question for a part of the time line. */
+export interface TimelineQuestion {
+    readonly requestId?: string;
+    /** Events of this many milliseconds up to now. */
+    readonly sinceMs?: number;
+}
+
+/** Bounded ring of the events of one process, in causal order. */
+export class Timeline implements EventLog {
+    private readonly ring: (TimelineEvent | undefined)[];
+    private nextPlace = 0;
+
+    constructor(
+        private readonly processId: string,
+        private readonly clock: HybridClock,
+        length: number,
+        private readonly sink: EventSink
+    ) {
+        this.ring = new Array<TimelineEvent | undefined>(length).fill(undefined);
+    }
+
+    public write(definition: EventDefinition, fields: EventFields = {}): void {
+        const requestId = typeof fields.requestId === "string" ? fields.requestId : undefined;
+        const event: TimelineEvent = {
+            number: definition.number,
+            name: definition.name,
+            time: this.clock.tick(),
+            processId: this.processId,
+            requestId,
+            fields
+        };
+        this.ring[this.nextPlace] = event;
+        this.nextPlace = (this.nextPlace + 1) % this.ring.length;
+        this.sink(event, definition);
+    }
+
+    /** Reads the kept events that match a question. */
+    public read(question: TimelineQuestion): readonly TimelineEvent[] {
+        const sinceWallClockMs = question.sinceMs === undefined
+            ? -Infinity
+            : this.clock.tick().wallClockMs - question.sinceMs;
+        return [...this.ring.slice(this.nextPlace), ...this.ring.slice(0, this.nextPlace)]
+            .filter(event => event !== undefined)
+            .filter(event => event.time.wallClockMs >= sinceWallClockMs)
+            .filter(event => question.requestId === undefined || event.requestId === question.requestId);
+    }
+}
+
+/** Merges events of several processes in causal order. */
+export function mergeEvents(parts: readonly (readonly TimelineEvent[])[]): readonly TimelineEvent[] {
+    return parts.flat().sort((left, right) =>
+        compareHybridTime(left.time, right.time) || left.processId.localeCompare(right.processId)
+    );
+}
--- a/packages/standins/src/memory/MemoryWorker.ts
+++ b/packages/standins/src/memory/MemoryWorker.ts
@@ -63,6 +63,7 @@
     private readonly tasks = new Map<string, HeldTask>();
     private readonly taskEventEmitter = new Emitter<WorkerTaskEvent>();
     private epoch = 0;
+    private sequence = 0;
     private restarts = 0;
     private leaving = false;
 
@@ -90,6 +91,7 @@
         }
         this.tasks.clear();
         this.epoch = 0;
+        this.sequence = 0;
         this.restarts++;
     }
 
@@ -106,12 +108,18 @@
             return err(this.refuse(WorkerRefusal.WrongIncarnation));
         }
         if (exchange.incarnation !== undefined) {
+            if (exchange.epoch === this.epoch && exchange.sequence <= this.sequence) {
+                return err(this.refuse(WorkerRefusal.StaleSequence));
+            }
             this.epoch = exchange.epoch;
+            this.sequence = exchange.sequence;
         }
-        const results = exchange.commands.map(command => this.execute(command));
+        const ticketMs = exchange.ticketMs ?? 0;
+        const results = exchange.commands.map(command => this.execute(command, ticketMs));
         return ok({
             incarnation: this.incarnation,
             epoch: this.epoch,
+            ticketMs: this.timer.nowMs(),
             capacity: this.options.capacity,
             leaving: this.leaving,
             results,
@@ -129,12 +137,12 @@
         };
     }
 
-    private execute(command: WorkerCommand): WorkerRefusal | "ok" {
+    private execute(command: WorkerCommand, ticketMs: number): WorkerRefusal | "ok" {
         switch (command.kind) {
             case WorkerCommandKind.Start:
-                return this.start(command.task, command.leaseMs);
+                return this.start(command.task, ticketMs + command.leaseMs);
             case WorkerCommandKind.Renew:
-                return this.renew(command.taskIds, command.leaseMs);
+                return this.renew(command.taskIds, ticketMs + command.leaseMs);
             case WorkerCommandKind.Stop:
                 return this.onRunning(command.taskId, held => this.end(held, WorkerTaskState.Stopped));
             case WorkerCommandKind.Throttle:
@@ -150,10 +158,13 @@
         }
     }
 
-    private start(task: WorkerTask, leaseMs: number): WorkerRefusal | "ok" {
+    private start(task: WorkerTask, leaseEndMs: number): WorkerRefusal | "ok" {
         if (this.leaving) {
             return WorkerRefusal.Leaving;
         }
+        if (leaseEndMs <= this.timer.nowMs()) {
+            return WorkerRefusal.StaleTicket;
+        }
         if (this.tasks.has(task.taskId)) {
             return WorkerRefusal.DuplicateTask;
         }
@@ -165,7 +176,7 @@
             task,
             epoch: this.epoch,
             state: WorkerTaskState.Running,
-            leaseEndMs: this.timer.nowMs() + leaseMs
+            leaseEndMs
         };
         this.tasks.set(task.taskId, held);
         this.tell(held);
@@ -187,11 +198,11 @@
         this.end(held, behavior.fails ? WorkerTaskState.Failed : WorkerTaskState.Succeeded);
     }
 
-    private renew(taskIds: readonly string[], leaseMs: number): "ok" {
+    private renew(taskIds: readonly string[], leaseEndMs: number): "ok" {
         for (const taskId of taskIds) {
             const held = this.tasks.get(taskId);
             if (held && isRunning(held)) {
-                held.leaseEndMs = this.timer.nowMs() + leaseMs;
+                held.leaseEndMs = Math.max(held.leaseEndMs, leaseEndMs);
             }
         }
         return "ok";
