Read and check the operators' text and the settings

Cause: skylarkd and skylark need the operators' text and the settings with findings at their places.

--- /dev/null
+++ b/packages/text/src/SettingsValueReaders.ts
@@ -0,0 +1,57 @@
+import type { Finding } from "@skylarkpath/common/base/Finding";
+import { err, ok, type Result } from "neverthrow";
+import type { SocketAddress } from "./Settings.js";
+import type { TomlNode } from "./TomlNode.js";
+import { quote } from "./Units.js";
+import { convert, readString } from "./ValueReaders.js";
+
+/** Address that stands in for one that can't be read. */
+export const NO_ADDRESS: SocketAddress = { host: "", port: 0 };
+
+const IPV4_ADDRESS = /^(\d{1,3}\.\d{1,3}\.\d{1,3}\.\d{1,3}):(\d{1,5})$/;
+const IPV6_ADDRESS = /^\[([0-9A-Fa-f:.]{2,45})\]:(\d{1,5})$/;
+const HTTP_URL = /^https?:\/\/[^\s/?#]+[^\s?#]*$/;
+const KEY_HASH = /^[0-9a-f]{64}$/;
+const MAXIMUM_PORT = 65_535;
+const MAXIMUM_IPV4_PART = 255;
+const MINIMUM_CLUSTER_KEY_CHARACTERS = 32;
+
+/** Reads an address written as `IP:PORT`. */
+export function readSocketAddress(node: TomlNode): Result<SocketAddress, readonly Finding[]> {
+    return convert(node, readString, parseSocketAddress);
+}
+
+/** Reads a URL of a platform service. */
+export function readHttpUrl(node: TomlNode): Result<string, readonly Finding[]> {
+    return convert(node, readString, text =>
+        HTTP_URL.test(text)
+            ? ok(text.replace(/\/+$/, ""))
+            : err(`expected a URL such as "http://10.0.0.1:8080", found ${quote(text)}`));
+}
+
+/** Reads the hash of an operator key. */
+export function readKeyHash(node: TomlNode): Result<string, readonly Finding[]> {
+    return convert(
+        node,
+        readString,
+        text => KEY_HASH.test(text) ? ok(text) : err("expected a SHA-256 hash of 64 lower-case hexadecimal digits")
+    );
+}
+
+/** Reads the key that processes authenticate their messages with. */
+export function readClusterKey(node: TomlNode): Result<string, readonly Finding[]> {
+    return convert(node, readString, text =>
+        text.length >= MINIMUM_CLUSTER_KEY_CHARACTERS
+            ? ok(text)
+            : err(`must have at least ${MINIMUM_CLUSTER_KEY_CHARACTERS} characters`));
+}
+
+function parseSocketAddress(text: string): Result<SocketAddress, string> {
+    const match = IPV4_ADDRESS.exec(text) ?? IPV6_ADDRESS.exec(text);
+    const isBadIpv4 = match?.[1].includes(".") && match[1].split(".").some(part => Number(part) > MAXIMUM_IPV4_PART);
+    if (!match || isBadIpv4) {
+        return err(`expected an address such as "10.0.0.1:8080" or "[::1]:8080", found ${quote(text)}`);
+    }
+    const port = Number(match[2]);
+    return port <= MAXIMUM_PORT ? ok({ host: match[1], port }) : err(`the port must be at most ${MAXIMUM_PORT}`);
+}
--- /dev/null
+++ b/packages/text/src/TableReader.ts
@@ -0,0 +1,153 @@
+import type { Finding, TextPosition } from "@skylarkpath/common/base/Finding";
+import type { Result } from "neverthrow";
+import type { FindingCollector } from "./FindingCollector.js";
+import { findNearestName } from "./NearestName.js";
+import { type TomlEntry, TomlKind, type TomlTable } from "./TomlNode.js";
+import { quote } from "./Units.js";
+import { findNameFault, type ValueReader } from "./ValueReaders.js";
+
+/** Reads the keys of one table and reports those that are missing, wrong or unknown. */
+export class TableReader {
+    private readonly knownKeys = new Set<string>();
+
+    constructor(
+        private readonly table: TomlTable,
+        private readonly path: string,
+        private readonly findings: FindingCollector
+    ) {}
+
+    public has(key: string): boolean {
+        return this.table.entries.has(key);
+    }
+
+    /** Returns the place of a key's value, or of the table when the key is absent. */
+    public positionOf(key: string): TextPosition {
+        return this.table.entries.get(key)?.value.position ?? this.table.position;
+    }
+
+    /** Reads a key that must exist; the neutral value stands in when it can't be read. */
+    public required<T>(key: string, reader: ValueReader<T>, neutral: T): T {
+        const entry = this.take(key);
+        if (entry === undefined) {
+            this.reportMissing(key);
+            return neutral;
+        }
+        return this.unwrap(key, reader(entry.value), neutral);
+    }
+
+    /** Reads a key that may be left out. */
+    public optional<T>(key: string, reader: ValueReader<T>, fallback: T): T {
+        const entry = this.take(key);
+        return entry === undefined ? fallback : this.unwrap(key, reader(entry.value), fallback);
+    }
+
+    /** Reads a table that must exist. */
+    public requiredTable<T>(key: string, read: (reader: TableReader) => T): T {
+        if (!this.has(key)) {
+            this.reportMissing(key);
+        }
+        return this.optionalTable(key, read);
+    }
+
+    /** Reads a table that may be left out; an empty one stands in for it. */
+    public optionalTable<T>(key: string, read: (reader: TableReader) => T): T {
+        const entry = this.take(key);
+        if (entry?.value.kind === TomlKind.Table) {
+            return this.readTable(entry.value, key, read);
+        }
+        if (entry !== undefined) {
+            this.report(entry.value.position, key, `expected a table, found a ${entry.value.kind}`);
+        }
+        return this.readTable(absentTable(this.table.position), key, read);
+    }
+
+    /** Reads a table of named tables, such as the teams. */
+    public namedTables<T>(key: string, read: (name: string, reader: TableReader) => T): readonly T[] {
+        const entry = this.take(key);
+        if (entry === undefined) {
+            return [];
+        }
+        if (entry.value.kind !== TomlKind.Table) {
+            this.report(entry.value.position, key, `expected a table, found a ${entry.value.kind}`);
+            return [];
+        }
+        const results: T[] = [];
+        for (const [name, child] of entry.value.entries) {
+            this.checkName(key, name, child);
+            if (child.value.kind === TomlKind.Table) {
+                results.push(this.readTable(child.value, `${key}.${name}`, reader => read(name, reader)));
+            }
+            else {
+                this.report(child.keyPosition, `${key}.${name}`, `expected a table, found a ${child.value.kind}`);
+            }
+        }
+        return results;
+    }
+
+    /** Reports a fault of a key. */
+    public report(position: TextPosition, key: string, message: string): void {
+        this.findings.report(position, this.pathOf(key), message);
+    }
+
+    private readTable<T>(table: TomlTable, key: string, read: (reader: TableReader) => T): T {
+        const reader = new TableReader(table, this.pathOf(key), this.findings);
+        const value = read(reader);
+        reader.reportUnknownKeys();
+        return value;
+    }
+
+    /** Reports the keys that have not been asked for. */
+    public reportUnknownKeys(): void {
+        for (const [key, entry] of this.table.entries) {
+            if (!this.knownKeys.has(key)) {
+                const nearest = findNearestName(key, this.knownKeys);
+                const hint = nearest === undefined ? "" : `; the nearest known key is ${quote(nearest)}`;
+                this.report(entry.keyPosition, key, `unknown key ${quote(key)}${hint}`);
+            }
+        }
+    }
+
+    private take(key: string): TomlEntry | undefined {
+        this.knownKeys.add(key);
+        return this.table.entries.get(key);
+    }
+
+    private checkName(key: string, name: string, entry: TomlEntry): void {
+        const fault = findNameFault(name);
+        if (fault !== undefined) {
+            this.report(entry.keyPosition, key, fault);
+        }
+    }
+
+    private unwrap<T>(key: string, result: Result<T, readonly Finding[]>, neutral: T): T {
+        if (result.isOk()) {
+            return result.value;
+        }
+        for (const finding of result.error) {
+            this.report(finding.position, key, finding.message);
+        }
+        return neutral;
+    }
+
+    /** Reports a required key that is absent. */
+    public reportMissing(key: string, alternative = ""): void {
+        if (this.table.damaged) {
+            this.findings.markFaulty(this.pathOf(key));
+            return;
+        }
+        this.report(
+            this.table.position,
+            key,
+            `the required key ${quote(key)} ${alternative === "" ? "" : `${alternative} `}is missing`
+        );
+    }
+
+    private pathOf(key: string): string {
+        return this.path === "" ? key : `${this.path}.${key}`;
+    }
+}
+
+/** Returns a table in which no key is reported as missing. */
+function absentTable(position: TextPosition): TomlTable {
+    return { kind: TomlKind.Table, position, entries: new Map(), damaged: true };
+}
--- /dev/null
+++ b/packages/text/src/TomlReader.ts
@@ -0,0 +1,156 @@
+import type { Finding, TextPosition } from "@skylarkpath/common/base/Finding";
+import { err, ok, type Result } from "neverthrow";
+import { ParseError, parseTOML } from "toml-eslint-parser";
+import { TomlKind, type TomlTable } from "./TomlNode.js";
+import { TomlTreeBuilder } from "./TomlTreeBuilder.js";
+import { quote } from "./Units.js";
+
+/** What could be read of a TOML text. */
+export interface TomlDocument {
+    readonly root: TomlTable;
+    /** Faults of syntax and names defined twice. */
+    readonly findings: readonly Finding[];
+    /** A table could not be read, so that names may be missing. */
+    readonly incomplete: boolean;
+}
+
+interface SyntaxFault {
+    readonly finding: Finding;
+    readonly kind: FaultKind;
+}
+
+interface ParseState {
+    readonly lines: string[];
+    readonly findings: Finding[];
+    readonly removedLines: Set<number>;
+    incomplete: boolean;
+}
+
+enum FaultKind {
+    Syntax,
+    Duplicate,
+    Unrecoverable
+}
+
+/** Largest text that is read. */
+export const MAXIMUM_TEXT_BYTES = 1_048_576;
+
+const REPEATED_PARSE_CHARACTERS = 2_097_152;
+const MAXIMUM_PARSES = 50;
+const TABLE_HEADER = /^\s*\[/;
+const TOML_VERSION = "1.0";
+const EMPTY_ROOT: TomlTable = {
+    kind: TomlKind.Table,
+    position: { line: 1, column: 1 },
+    entries: new Map(),
+    damaged: true
+};
+
+/** Reads a TOML text and goes on after faults of syntax, so that all of them are found. */
+export function readToml(text: string): TomlDocument {
+    if (countUtf8Bytes(text) > MAXIMUM_TEXT_BYTES) {
+        const message = `the text is larger than ${MAXIMUM_TEXT_BYTES} bytes`;
+        return unreadable([{ position: { line: 1, column: 1 }, message }]);
+    }
+    const state: ParseState = { lines: text.split("\n"), findings: [], removedLines: new Set(), incomplete: false };
+    const parseLimit = Math.min(MAXIMUM_PARSES, Math.ceil(REPEATED_PARSE_CHARACTERS / (text.length + 1)));
+    for (let parses = 0; parses < parseLimit; parses++) {
+        const attempt = tryRead(state);
+        if (attempt.isOk()) {
+            return { root: attempt.value, findings: state.findings, incomplete: state.incomplete };
+        }
+        const fault = attempt.error;
+        state.findings.push(fault.finding);
+        if (fault.kind === FaultKind.Unrecoverable || !removeFault(state, fault)) {
+            break;
+        }
+    }
+    return unreadable(state.findings);
+}
+
+function countUtf8Bytes(text: string): number {
+    let bytes = 0;
+    for (let index = 0; index < text.length; index++) {
+        bytes += bytesOfUnit(text.charCodeAt(index));
+    }
+    return bytes;
+}
+
+/** Returns the UTF-8 bytes of a UTF-16 code unit; each half of a surrogate pair counts as two. */
+function bytesOfUnit(codeUnit: number): number {
+    if (codeUnit < 0x80) {
+        return 1;
+    }
+    const isSurrogate = codeUnit >= 0xd800 && codeUnit <= 0xdfff;
+    return codeUnit < 0x800 || isSurrogate ? 2 : 3;
+}
+
+function unreadable(findings: readonly Finding[]): TomlDocument {
+    return { root: EMPTY_ROOT, findings, incomplete: true };
+}
+
+function tryRead(state: ParseState): Result<TomlTable, SyntaxFault> {
+    try {
+        const program = parseTOML(state.lines.join("\n"), { tomlVersion: TOML_VERSION });
+        return ok(new TomlTreeBuilder().build(program, state.removedLines));
+    }
+    catch (error) {
+        return err(describeFault(error, state.lines));
+    }
+}
+
+function describeFault(error: unknown, lines: readonly string[]): SyntaxFault {
+    if (!(error instanceof ParseError)) {
+        const message = "the text can't be read; it may be nested too deeply";
+        return { finding: { position: { line: 1, column: 1 }, message }, kind: FaultKind.Unrecoverable };
+    }
+    const position = locateFault(error, lines);
+    if (error.message.startsWith("Defining a key multiple times")) {
+        const message = `the name ${definedName(lines[position.line - 1])} is used twice`;
+        return { finding: { position, message }, kind: FaultKind.Duplicate };
+    }
+    const detail = error.message.charAt(0).toLowerCase() + error.message.slice(1);
+    const kind = error.message.startsWith("Unterminated") ? FaultKind.Unrecoverable : FaultKind.Syntax;
+    return { finding: { position, message: `TOML syntax: ${detail}` }, kind };
+}
+
+function locateFault(error: ParseError, lines: readonly string[]): TextPosition {
+    let line = Math.min(Math.max(error.lineNumber, 1), lines.length);
+    let column = Math.max(error.column, 0);
+    const isUnfinishedLine = column === 0 && error.message.includes("must be on the same line");
+    if (isUnfinishedLine) {
+        while (line > 1 && (column === 0 || lines[line - 1].trim() === "")) {
+            line--;
+            column = lines[line - 1].trimEnd().length;
+        }
+    }
+    return { line, column: Math.min(column, lines[line - 1].length) + 1 };
+}
+
+function definedName(line: string): string {
+    const trimmed = line.trim();
+    const name = trimmed.startsWith("[") ? trimmed.replace(/^\[+|\].*$/g, "") : trimmed.split("=")[0];
+    return quote(name.trim());
+}
+
+/** Blanks the faulty line, or the whole table when its header is at fault. */
+function removeFault(state: ParseState, fault: SyntaxFault): boolean {
+    const first = fault.finding.position.line;
+    if (state.lines[first - 1].trim() === "") {
+        return false;
+    }
+    let last = first;
+    if (TABLE_HEADER.test(state.lines[first - 1])) {
+        state.incomplete ||= fault.kind === FaultKind.Syntax;
+        while (last < state.lines.length && !TABLE_HEADER.test(state.lines[last])) {
+            last++;
+        }
+    }
+    else {
+        state.removedLines.add(first);
+    }
+    for (let line = first; line <= last; line++) {
+        state.lines[line - 1] = "";
+    }
+    return true;
+}
--- /dev/null
+++ b/packages/text/src/ValueReaders.ts
@@ -0,0 +1,155 @@
+import type { Finding, TextPosition } from "@skylarkpath/common/base/Finding";
+import { err, ok, type Result } from "neverthrow";
+import { TomlKind, type TomlNode } from "./TomlNode.js";
+import { parseDurationMs, parseMemoryBytes, quote } from "./Units.js";
+
+/** Converts a TOML value or tells what is wrong with it. */
+export type ValueReader<T> = (node: TomlNode) => Result<T, readonly Finding[]>;
+
+/** Inclusive bounds of a number. */
+export interface NumberBounds {
+    readonly minimum: number;
+    readonly maximum?: number;
+}
+
+const NAME = /^[A-Za-z0-9]([A-Za-z0-9-]*[A-Za-z0-9])?$/;
+const MAXIMUM_NAME_CHARACTERS = 63;
+const MILLICORES_PER_PROCESSOR = 1_000;
+const MAXIMUM_PROCESSORS = 1_000_000_000;
+
+/** Tells what is wrong with a name, if anything is. */
+export function findNameFault(name: string): string | undefined {
+    if (name.length > MAXIMUM_NAME_CHARACTERS) {
+        return `the name ${quote(name)} is longer than ${MAXIMUM_NAME_CHARACTERS} characters`;
+    }
+    if (!NAME.test(name)) {
+        return `the name ${quote(name)} must consist of letters, digits and inner hyphens`;
+    }
+    return undefined;
+}
+
+/** Reads any string. */
+export function readString(node: TomlNode): Result<string, readonly Finding[]> {
+    return node.kind === TomlKind.String ? ok(String(node.value)) : wrongKind(node, "a string");
+}
+
+/** Reads a string of at least one character. */
+export function readText(node: TomlNode): Result<string, readonly Finding[]> {
+    return convert(node, readString, text => text.trim() === "" ? err("must not be empty") : ok(text));
+}
+
+/** Reads a name of letters, digits and hyphens. */
+export function readName(node: TomlNode): Result<string, readonly Finding[]> {
+    return convert(node, readString, name => {
+        const fault = findNameFault(name);
+        return fault === undefined ? ok(name) : err(fault);
+    });
+}
+
+/** Reads a boolean. */
+export function readBoolean(node: TomlNode): Result<boolean, readonly Finding[]> {
+    return node.kind === TomlKind.Boolean ? ok(node.value === true) : wrongKind(node, "true or false");
+}
+
+/** Returns a reader of whole numbers within the bounds. */
+export function wholeNumber(bounds: NumberBounds): ValueReader<number> {
+    return node => {
+        if (node.kind !== TomlKind.Integer) {
+            return wrongKind(node, "a whole number");
+        }
+        const value = Number(node.value);
+        const fault = Number.isSafeInteger(value) ? findBoundsFault(value, bounds) : "is too large";
+        return fault === undefined ? ok(value) : fail(node.position, fault);
+    };
+}
+
+/** Returns a reader that also refuses zero and negative numbers. */
+export function aboveZero(reader: ValueReader<number>): ValueReader<number> {
+    return node => convert(node, reader, value => value > 0 ? ok(value) : err(`must be above zero, found ${value}`));
+}
+
+/** Reads a number of processors as millicores. */
+export function readMillicores(node: TomlNode): Result<number, readonly Finding[]> {
+    return convert(node, readNumber, value => {
+        const fault = findBoundsFault(value, { minimum: 0, maximum: MAXIMUM_PROCESSORS });
+        if (fault !== undefined) {
+            return err(fault);
+        }
+        const millicores = Math.round(value * MILLICORES_PER_PROCESSOR);
+        if (millicores === 0 && value > 0) {
+            return err("must be zero or at least 0.001");
+        }
+        return ok(millicores);
+    });
+}
+
+/** Reads a duration as milliseconds. */
+export function readDurationMs(node: TomlNode): Result<number, readonly Finding[]> {
+    return convert(node, unitString("a duration such as \"30s\""), parseDurationMs);
+}
+
+/** Reads a memory size as bytes. */
+export function readMemoryBytes(node: TomlNode): Result<number, readonly Finding[]> {
+    return convert(node, unitString("a size such as \"512MiB\""), parseMemoryBytes);
+}
+
+/** Returns a reader of one of the given words. */
+export function oneOf<T extends string>(words: readonly T[]): ValueReader<T> {
+    return node =>
+        convert(node, readString, text => {
+            const word = words.find(candidate => candidate === text);
+            return word === undefined ? err(`expected one of ${words.join(", ")}, found ${quote(text)}`) : ok(word);
+        });
+}
+
+/** Returns a reader of arrays whose elements the given reader takes. */
+export function listOf<T>(reader: ValueReader<T>): ValueReader<readonly T[]> {
+    return node => {
+        if (node.kind !== TomlKind.Array) {
+            return wrongKind(node, "an array");
+        }
+        const results = node.elements.map(element => reader(element));
+        const findings = results.flatMap(result => result.isErr() ? result.error : []);
+        return findings.length > 0 ? err(findings) : ok(results.flatMap(result => result.isOk() ? [result.value] : []));
+    };
+}
+
+/** Applies a conversion to what another reader has read. */
+export function convert<T, U>(
+    node: TomlNode,
+    reader: ValueReader<T>,
+    conversion: (value: T) => Result<U, string>
+): Result<U, readonly Finding[]> {
+    return reader(node).andThen(value => conversion(value).mapErr(message => [{ position: node.position, message }]));
+}
+
+/** Reads a whole or decimal number. */
+export function readNumber(node: TomlNode): Result<number, readonly Finding[]> {
+    if (node.kind !== TomlKind.Integer && node.kind !== TomlKind.Float) {
+        return wrongKind(node, "a number");
+    }
+    const value = Number(node.value);
+    return Number.isFinite(value) ? ok(value) : fail(node.position, "must be a finite number");
+}
+
+function unitString(expected: string): ValueReader<string> {
+    return node => node.kind === TomlKind.String ? ok(String(node.value)) : wrongKind(node, expected);
+}
+
+function findBoundsFault(value: number, bounds: NumberBounds): string | undefined {
+    if (value < bounds.minimum) {
+        return `must be at least ${bounds.minimum}, found ${value}`;
+    }
+    if (bounds.maximum !== undefined && value > bounds.maximum) {
+        return `must be at most ${bounds.maximum}, found ${value}`;
+    }
+    return undefined;
+}
+
+function wrongKind<T>(node: TomlNode, expected: string): Result<T, readonly Finding[]> {
+    return fail(node.position, `expected ${expected}, found a ${node.kind}`.replace("a array", "an array"));
+}
+
+function fail<T>(position: TextPosition, message: string): Result<T, readonly Finding[]> {
+    return err([{ position, message }]);
+}
