First schedulers of a slice

Tasks: worker index by free capacity, weighted dominant-resource shares, allotments, gangs as a whole or not at all. Look-ups: earliest deadline first within weighted shares, team slots, adaptive concurrency, shedding. Open: reservations, preemption, health, learnt run times.

--- /dev/null
+++ b/packages/decisions/src/SliceLookupScheduler.ts
@@ -0,0 +1,322 @@
+import type { RandomSource } from "@skylarkpath/common/random/RandomSource";
+import { nextInteger } from "@skylarkpath/common/random/RandomSource";
+import {
+    type LookupDecision,
+    type LookupScheduler,
+    type LookupTeamPolicy,
+    type PendingLookup,
+    ShedReason,
+    type TargetView
+} from "@skylarkpath/common/scheduling/LookupScheduler";
+import { WaitCause, type WaitExplanation } from "@skylarkpath/common/scheduling/TaskScheduler";
+import { DEFAULT_LOOKUP_OPTIONS, type LookupOptions } from "./lookups/LookupOptions.js";
+import { isServedBefore, LookupQueue } from "./lookups/LookupQueue.js";
+import { LookupTeam } from "./lookups/LookupTeam.js";
+import { TargetRegistry } from "./lookups/TargetRegistry.js";
+import type { TargetState } from "./lookups/TargetState.js";
+import { TeamQueue } from "./lookups/TeamQueue.js";
+import { WaitingLookup } from "./lookups/WaitingLookup.js";
+
+interface SlotInUse {
+    readonly team: LookupTeam;
+    readonly target: TargetState;
+    /** Absent for an adopted slot, whose queue is not known. */
+    readonly queue?: LookupQueue;
+}
+
+const AHEAD_SAMPLES = 16;
+
+/** Decides about the executor slots of one slice. */
+export class SliceLookupScheduler implements LookupScheduler {
+    private readonly teams = new Map<string, LookupTeam>();
+    private readonly queues = new Map<string, LookupQueue>();
+    private readonly targets: TargetRegistry;
+    private readonly waiting = new Map<string, WaitingLookup>();
+    private readonly inUse = new Map<string, SlotInUse>();
+    private readonly options: LookupOptions;
+    private decisions: LookupDecision[] = [];
+    private nextShedAtMs = Number.NEGATIVE_INFINITY;
+
+    constructor(private readonly random: RandomSource, options: Partial<LookupOptions> = {}) {
+        this.options = { ...DEFAULT_LOOKUP_OPTIONS, ...options };
+        this.targets = new TargetRegistry(this.options.slowLatencyRatio);
+    }
+
+    public setTeams(teams: ReadonlyMap<string, LookupTeamPolicy>): void {
+        for (const name of teams.keys()) {
+            this.obtainTeam(name);
+        }
+        for (const team of this.teams.values()) {
+            team.setPolicy(teams.get(team.name));
+            this.refreshTeam(team);
+        }
+    }
+
+    public upsertTarget(target: TargetView): void {
+        this.targets.upsert(target);
+    }
+
+    public removeTarget(targetId: string): void {
+        this.targets.remove(targetId);
+    }
+
+    public submit(lookup: PendingLookup): void {
+        if (this.waiting.has(lookup.lookupId) || this.inUse.has(lookup.lookupId)) {
+            return;
+        }
+        const team = this.obtainTeam(lookup.team);
+        const teamQueue = this.obtainTeamQueue(team, lookup.queue);
+        const refusal = this.findRefusal(lookup, teamQueue);
+        if (refusal !== undefined) {
+            this.decisions.push({ lookupId: lookup.lookupId, shed: refusal });
+            return;
+        }
+        const entry = new WaitingLookup(lookup, teamQueue);
+        this.waiting.set(lookup.lookupId, entry);
+        team.waitingCount++;
+        teamQueue.push(entry);
+        teamQueue.queue.refresh(teamQueue);
+        this.keepBound();
+    }
+
+    public adopt(lookupId: string, teamName: string, targetId: string): void {
+        if (this.inUse.has(lookupId)) {
+            return;
+        }
+        this.withdraw(lookupId);
+        this.occupy(lookupId, { team: this.obtainTeam(teamName), target: this.targets.obtain(targetId) });
+    }
+
+    public withdraw(lookupId: string): boolean {
+        const entry = this.waiting.get(lookupId);
+        if (entry === undefined) {
+            return false;
+        }
+        this.removeWaiting(entry);
+        return true;
+    }
+
+    public finished(lookupId: string, latencyMs: number, succeeded: boolean): void {
+        const slot = this.inUse.get(lookupId);
+        if (slot === undefined) {
+            return;
+        }
+        this.inUse.delete(lookupId);
+        this.learn(slot, latencyMs, succeeded);
+        slot.team.inUse--;
+        this.targets.give(slot.target);
+        this.refreshTeam(slot.team);
+    }
+
+    public decide(nowMs: number): readonly LookupDecision[] {
+        if (nowMs >= this.nextShedAtMs) {
+            this.nextShedAtMs = nowMs + this.options.shedIntervalMs;
+            this.shedLate(nowMs);
+        }
+        for (let next = this.findNext(); next !== undefined; next = this.findNext()) {
+            this.serve(next, nowMs);
+        }
+        const decided = this.decisions;
+        this.decisions = [];
+        return decided;
+    }
+
+    public explain(lookupId: string): WaitExplanation | undefined {
+        const entry = this.waiting.get(lookupId);
+        if (entry === undefined) {
+            return undefined;
+        }
+        const team = entry.queue.team;
+        if (team.isAtLimit) {
+            const detail = `team ${team.name} has ${team.inUse} of ${team.slots} slots in use here`;
+            return { cause: WaitCause.Limit, detail };
+        }
+        if (!this.targets.isAnswered(entry.lookup.queue)) {
+            return { cause: WaitCause.NoWorker, detail: `no target here answers queue ${entry.lookup.queue}` };
+        }
+        const detail = `all usable slots for queue ${entry.lookup.queue} are in use; `
+            + `${team.waitingCount} look-ups of team ${team.name} wait`;
+        return { cause: WaitCause.Share, detail };
+    }
+
+    public slotsInUse(team: string): number {
+        return this.teams.get(team)?.inUse ?? 0;
+    }
+
+    /** Returns the least served team's queue for which a target has a free slot. */
+    private findNext(): TeamQueue | undefined {
+        let best: TeamQueue | undefined;
+        for (const queue of this.queues.values()) {
+            const candidate = queue.peek();
+            if (
+                candidate !== undefined
+                && (best === undefined || isServedBefore(candidate, best))
+                && this.targets.findFree(queue.name) !== undefined
+            ) {
+                best = candidate;
+            }
+        }
+        return best;
+    }
+
+    private serve(teamQueue: TeamQueue, nowMs: number): void {
+        const entry = teamQueue.peek()!;
+        const reason = this.findShedReason(entry, nowMs);
+        this.removeWaiting(entry);
+        if (reason !== undefined) {
+            this.decisions.push({ lookupId: entry.lookup.lookupId, shed: reason });
+            return;
+        }
+        const target = this.targets.findFree(teamQueue.queue.name)!;
+        this.occupy(entry.lookup.lookupId, { team: teamQueue.team, target, queue: teamQueue.queue });
+        this.decisions.push({ lookupId: entry.lookup.lookupId, targetId: target.view.targetId });
+    }
+
+    private occupy(lookupId: string, slot: SlotInUse): void {
+        this.inUse.set(lookupId, slot);
+        slot.team.inUse++;
+        this.targets.take(slot.target);
+        this.refreshTeam(slot.team);
+    }
+
+    private learn(slot: SlotInUse, latencyMs: number, succeeded: boolean): void {
+        if (slot.queue === undefined) {
+            return;
+        }
+        const meanMs = slot.queue.meanServiceMs ?? latencyMs;
+        slot.target.observe(meanMs > 0 ? latencyMs / meanMs : 1, succeeded);
+        if (succeeded) {
+            slot.queue.observe(latencyMs);
+        }
+    }
+
+    private findRefusal(lookup: PendingLookup, teamQueue: TeamQueue): ShedReason | undefined {
+        if (teamQueue.team.slots === 0) {
+            return ShedReason.LimitReached;
+        }
+        const leftMs = lookup.deadlineAtMs - lookup.submittedAtMs;
+        if (leftMs <= 0) {
+            return ShedReason.DeadlinePassed;
+        }
+        const predictedMs = this.predictWaitMs(lookup, teamQueue);
+        return predictedMs > leftMs * this.options.predictedWaitMargin ? ShedReason.Overloaded : undefined;
+    }
+
+    private predictWaitMs(lookup: PendingLookup, teamQueue: TeamQueue): number {
+        const meanMs = teamQueue.queue.meanServiceMs;
+        if (meanMs === undefined || teamQueue.size < AHEAD_SAMPLES) {
+            return 0;
+        }
+        const ahead = teamQueue.estimateAhead(
+            lookup.deadlineAtMs,
+            AHEAD_SAMPLES,
+            bound => nextInteger(this.random, bound)
+        );
+        return ahead * meanMs / Math.max(1, Math.min(teamQueue.team.slots, teamQueue.team.inUse));
+    }
+
+    /** Sheds what can no longer meet its deadline, with the reason for which it waited. */
+    private shedLate(nowMs: number): void {
+        for (const team of this.teams.values()) {
+            if (team.waitingCount === 0) {
+                continue;
+            }
+            for (const teamQueue of team.queues.values()) {
+                this.shedLateOf(teamQueue, nowMs);
+            }
+        }
+    }
+
+    private shedLateOf(teamQueue: TeamQueue, nowMs: number): void {
+        for (let entry = teamQueue.peek(); entry !== undefined; entry = teamQueue.peek()) {
+            const reason = this.findShedReason(entry, nowMs);
+            if (reason === undefined) {
+                return;
+            }
+            this.removeWaiting(entry);
+            this.decisions.push({ lookupId: entry.lookup.lookupId, shed: reason });
+        }
+    }
+
+    private findShedReason(entry: WaitingLookup, nowMs: number): ShedReason | undefined {
+        const { lookup, queue } = entry;
+        if (nowMs >= lookup.deadlineAtMs) {
+            return ShedReason.DeadlinePassed;
+        }
+        if (nowMs - lookup.submittedAtMs >= this.options.noTargetGraceMs && !this.targets.isAnswered(lookup.queue)) {
+            return ShedReason.NoTarget;
+        }
+        if (nowMs + queue.queue.serviceMs(this.options.shedQuantile) <= lookup.deadlineAtMs) {
+            return undefined;
+        }
+        return queue.team.isAtLimit ? ShedReason.LimitReached : ShedReason.Overloaded;
+    }
+
+    /** Sheds from the team that waits most by its share when too many wait. */
+    private keepBound(): void {
+        if (this.waiting.size <= this.options.maxWaiting) {
+            return;
+        }
+        let longest: LookupTeam | undefined;
+        for (const team of this.teams.values()) {
+            if (longest === undefined || team.waitingCount / team.share > longest.waitingCount / longest.share) {
+                longest = team;
+            }
+        }
+        const entry = findLate(longest);
+        if (entry !== undefined) {
+            this.removeWaiting(entry);
+            this.decisions.push({ lookupId: entry.lookup.lookupId, shed: ShedReason.Overloaded });
+        }
+    }
+
+    private removeWaiting(entry: WaitingLookup): void {
+        this.waiting.delete(entry.lookup.lookupId);
+        entry.queue.remove(entry);
+        entry.queue.team.waitingCount--;
+        entry.queue.queue.refresh(entry.queue);
+    }
+
+    private refreshTeam(team: LookupTeam): void {
+        for (const teamQueue of team.queues.values()) {
+            teamQueue.queue.refresh(teamQueue);
+        }
+    }
+
+    private obtainTeam(name: string): LookupTeam {
+        let team = this.teams.get(name);
+        if (team === undefined) {
+            team = new LookupTeam(name);
+            this.teams.set(name, team);
+        }
+        return team;
+    }
+
+    private obtainTeamQueue(team: LookupTeam, name: string): TeamQueue {
+        let teamQueue = team.queues.get(name);
+        if (teamQueue === undefined) {
+            teamQueue = new TeamQueue(team, this.obtainQueue(name));
+            team.queues.set(name, teamQueue);
+        }
+        return teamQueue;
+    }
+
+    private obtainQueue(name: string): LookupQueue {
+        let queue = this.queues.get(name);
+        if (queue === undefined) {
+            queue = new LookupQueue(name);
+            this.queues.set(name, queue);
+        }
+        return queue;
+    }
+}
+
+function findLate(team: LookupTeam | undefined): WaitingLookup | undefined {
+    for (const teamQueue of team?.queues.values() ?? []) {
+        const entry = teamQueue.peekLate();
+        if (entry !== undefined) {
+            return entry;
+        }
+    }
+    return undefined;
+}
--- /dev/null
+++ b/packages/decisions/src/StandardSchedulerFactory.ts
@@ -0,0 +1,17 @@
+import type { RandomSource } from "@skylarkpath/common/random/RandomSource";
+import type { LookupScheduler } from "@skylarkpath/common/scheduling/LookupScheduler";
+import type { SchedulerFactory } from "@skylarkpath/common/scheduling/SchedulerFactory";
+import type { TaskScheduler } from "@skylarkpath/common/scheduling/TaskScheduler";
+import { SliceLookupScheduler } from "./SliceLookupScheduler.js";
+import { SliceTaskScheduler } from "./SliceTaskScheduler.js";
+
+/** Creates the standard schedulers of a slice. */
+export class StandardSchedulerFactory implements SchedulerFactory {
+    public createTaskScheduler(): TaskScheduler {
+        return new SliceTaskScheduler();
+    }
+
+    public createLookupScheduler(random: RandomSource): LookupScheduler {
+        return new SliceLookupScheduler(random);
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/base/IndexedHeap.ts
@@ -0,0 +1,118 @@
+/** Element of an indexed heap; the heap keeps its position here. */
+export interface HeapElement {
+    heapIndex: number;
+}
+
+/** Position of an element that is in no heap. */
+export const NOT_IN_HEAP = -1;
+
+/** Binary heap whose elements know their position, so that they can be moved and removed. */
+export class IndexedHeap<T extends HeapElement> {
+    private readonly elements: T[] = [];
+
+    constructor(private readonly isBefore: (left: T, right: T) => boolean) {}
+
+    public get size(): number {
+        return this.elements.length;
+    }
+
+    /** Returns the first element. */
+    public peek(): T | undefined {
+        return this.elements[0];
+    }
+
+    /** Returns all elements in no particular order. */
+    public values(): readonly T[] {
+        return this.elements;
+    }
+
+    /** Adds an element that is in no heap. */
+    public push(element: T): void {
+        this.elements.push(element);
+        this.rise(element, this.elements.length - 1);
+    }
+
+    /** Removes and returns the first element. */
+    public pop(): T | undefined {
+        const first = this.elements[0];
+        if (first !== undefined) {
+            this.remove(first);
+        }
+        return first;
+    }
+
+    /** Removes an element; does nothing when it is in no heap. */
+    public remove(element: T): void {
+        const position = element.heapIndex;
+        if (position === NOT_IN_HEAP) {
+            return;
+        }
+        const last = this.elements.pop()!;
+        element.heapIndex = NOT_IN_HEAP;
+        if (last !== element) {
+            last.heapIndex = position;
+            this.elements[position] = last;
+            this.update(last);
+        }
+    }
+
+    /** Restores the order after the key of an element changed. */
+    public update(element: T): void {
+        if (element.heapIndex === NOT_IN_HEAP) {
+            return;
+        }
+        const before = element.heapIndex;
+        this.rise(element, before);
+        if (element.heapIndex === before) {
+            this.sink(element, before);
+        }
+    }
+
+    /** Restores the order after the keys of many elements changed. */
+    public updateAll(): void {
+        for (let position = (this.elements.length >> 1) - 1; position >= 0; position--) {
+            this.sink(this.elements[position]!, position);
+        }
+    }
+
+    private rise(element: T, start: number): void {
+        let position = start;
+        while (position > 0) {
+            const parentPosition = (position - 1) >> 1;
+            const parent = this.elements[parentPosition]!;
+            if (!this.isBefore(element, parent)) {
+                break;
+            }
+            this.place(parent, position);
+            position = parentPosition;
+        }
+        this.place(element, position);
+    }
+
+    private sink(element: T, start: number): void {
+        const size = this.elements.length;
+        let position = start;
+        for (;;) {
+            let childPosition = 2 * position + 1;
+            if (childPosition >= size) {
+                break;
+            }
+            const right = childPosition + 1;
+            if (right < size && this.isBefore(this.elements[right]!, this.elements[childPosition]!)) {
+                childPosition = right;
+            }
+            const child = this.elements[childPosition]!;
+            if (!this.isBefore(child, element)) {
+                break;
+            }
+            this.place(child, position);
+            position = childPosition;
+        }
+        this.place(element, position);
+    }
+
+    private place(element: T, position: number): void {
+        this.elements[position] = element;
+        element.heapIndex = position;
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/fleet/WorkerNode.ts
@@ -0,0 +1,83 @@
+import type { Resources } from "@skylarkpath/common/model/Resources";
+import { NO_RESOURCES } from "@skylarkpath/common/model/Resources";
+import type { WorkerView } from "@skylarkpath/common/scheduling/TaskScheduler";
+import type { RunningTask } from "../groups/RunningTask.js";
+
+/** Position of a worker that is in no cell of an index. */
+export const NOT_INDEXED = -1;
+
+/** Worker with what runs on it and what is free. */
+export class WorkerNode {
+    public readonly running = new Set<RunningTask>();
+    /** Cell and position in the index that holds the worker; owned by that index. */
+    public cell = NOT_INDEXED;
+    public cellPosition = NOT_INDEXED;
+    public freeProcessorMillicores = 0;
+    public freeMemoryBytes = 0;
+    public freeAccelerators = 0;
+    private currentCapacity = NO_RESOURCES;
+    private currentRack = "";
+    private currentSchedulable = false;
+    private gone = false;
+
+    constructor(public readonly workerId: string) {}
+
+    public get capacity(): Resources {
+        return this.currentCapacity;
+    }
+
+    public get rack(): string {
+        return this.currentRack;
+    }
+
+    public get schedulable(): boolean {
+        return this.currentSchedulable;
+    }
+
+    /** New tasks may start here. */
+    public get takesTasks(): boolean {
+        return this.currentSchedulable;
+    }
+
+    public get isGone(): boolean {
+        return this.gone;
+    }
+
+    /** Takes over what the worker holds; what runs on it stays counted. */
+    public setView(view: WorkerView): void {
+        this.freeProcessorMillicores += view.capacity.processorMillicores - this.currentCapacity.processorMillicores;
+        this.freeMemoryBytes += view.capacity.memoryBytes - this.currentCapacity.memoryBytes;
+        this.freeAccelerators += view.capacity.accelerators - this.currentCapacity.accelerators;
+        this.currentCapacity = view.capacity;
+        this.currentRack = view.rack;
+        this.currentSchedulable = view.schedulable;
+        this.gone = false;
+    }
+
+    /** Marks the worker as gone; it holds nothing from now on. */
+    public setGone(): void {
+        this.setView({ workerId: this.workerId, rack: this.currentRack, capacity: NO_RESOURCES, schedulable: false });
+        this.gone = true;
+    }
+
+    /** Tells whether the demand fits into what is free. */
+    public fits(demand: Resources): boolean {
+        return demand.processorMillicores <= this.freeProcessorMillicores
+            && demand.memoryBytes <= this.freeMemoryBytes
+            && demand.accelerators <= this.freeAccelerators;
+    }
+
+    /** Takes an amount from what is free; may go below zero for tasks found running. */
+    public take(amount: Resources): void {
+        this.freeProcessorMillicores -= amount.processorMillicores;
+        this.freeMemoryBytes -= amount.memoryBytes;
+        this.freeAccelerators -= amount.accelerators;
+    }
+
+    /** Gives an amount back. */
+    public give(amount: Resources): void {
+        this.freeProcessorMillicores += amount.processorMillicores;
+        this.freeMemoryBytes += amount.memoryBytes;
+        this.freeAccelerators += amount.accelerators;
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/groups/ShapeQueue.ts
@@ -0,0 +1,39 @@
+import { type HeapElement, IndexedHeap, NOT_IN_HEAP } from "../base/IndexedHeap.js";
+import type { TeamLine } from "../teams/TeamLine.js";
+import type { GroupState } from "./GroupState.js";
+import type { Shape } from "./Shape.js";
+
+/** Groups of one team, priority class and task size, ordered by latest start. */
+export class ShapeQueue implements HeapElement {
+    public heapIndex = NOT_IN_HEAP;
+    /** Waits for room, for the team's allotment or for the next decision, outside of its line. */
+    public parked = false;
+    private readonly groups = new IndexedHeap<GroupState>((left, right) => left.orderKeyMs < right.orderKeyMs);
+
+    constructor(public readonly line: TeamLine, public readonly shape: Shape) {}
+
+    public get headKeyMs(): number {
+        return this.groups.peek()?.orderKeyMs ?? Number.POSITIVE_INFINITY;
+    }
+
+    public get isEmpty(): boolean {
+        return this.groups.size === 0;
+    }
+
+    /** Returns the first group. */
+    public peek(): GroupState | undefined {
+        return this.groups.peek();
+    }
+
+    /** Adds a group unless it is here. */
+    public add(group: GroupState): void {
+        if (group.heapIndex === NOT_IN_HEAP) {
+            this.groups.push(group);
+        }
+    }
+
+    /** Removes a group. */
+    public remove(group: GroupState): void {
+        this.groups.remove(group);
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/lookups/LookupTeam.ts
@@ -0,0 +1,38 @@
+import type { LookupTeamPolicy } from "@skylarkpath/common/scheduling/LookupScheduler";
+import type { TeamQueue } from "./TeamQueue.js";
+
+const DEFAULT_SHARE = 1;
+
+/** Slots of a team in use, against its share and its limit. */
+export class LookupTeam {
+    public inUse = 0;
+    public waitingCount = 0;
+    public readonly queues = new Map<string, TeamQueue>();
+    private currentShare = DEFAULT_SHARE;
+    private currentSlots = 0;
+
+    constructor(public readonly name: string) {}
+
+    public get share(): number {
+        return this.currentShare;
+    }
+
+    public get slots(): number {
+        return this.currentSlots;
+    }
+
+    /** Slots in use by weight of the team. */
+    public get weightedUse(): number {
+        return this.inUse / this.currentShare;
+    }
+
+    public get isAtLimit(): boolean {
+        return this.inUse >= this.currentSlots;
+    }
+
+    /** Takes over the policy; a team without one gets no slots. */
+    public setPolicy(policy: LookupTeamPolicy | undefined): void {
+        this.currentShare = policy !== undefined && policy.share > 0 ? policy.share : DEFAULT_SHARE;
+        this.currentSlots = policy?.slots ?? 0;
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/lookups/TeamQueue.ts
@@ -0,0 +1,48 @@
+import { type HeapElement, IndexedHeap, NOT_IN_HEAP } from "../base/IndexedHeap.js";
+import type { LookupQueue } from "./LookupQueue.js";
+import type { LookupTeam } from "./LookupTeam.js";
+import type { WaitingLookup } from "./WaitingLookup.js";
+
+/** Waiting look-ups of one team in one queue, earliest deadline first. */
+export class TeamQueue implements HeapElement {
+    public heapIndex = NOT_IN_HEAP;
+    private readonly waiting = new IndexedHeap<WaitingLookup>((left, right) =>
+        left.lookup.deadlineAtMs < right.lookup.deadlineAtMs
+    );
+
+    constructor(public readonly team: LookupTeam, public readonly queue: LookupQueue) {}
+
+    public get size(): number {
+        return this.waiting.size;
+    }
+
+    public peek(): WaitingLookup | undefined {
+        return this.waiting.peek();
+    }
+
+    /** Returns a waiting look-up with a late deadline. */
+    public peekLate(): WaitingLookup | undefined {
+        return this.waiting.values().at(-1);
+    }
+
+    /** Estimates how many wait with an earlier deadline, from a few of them. */
+    public estimateAhead(deadlineAtMs: number, samples: number, nextInteger: (bound: number) => number): number {
+        const all = this.waiting.values();
+        if (all.length === 0) {
+            return 0;
+        }
+        let earlier = 0;
+        for (let sample = 0; sample < samples; sample++) {
+            earlier += all[nextInteger(all.length)]!.lookup.deadlineAtMs <= deadlineAtMs ? 1 : 0;
+        }
+        return all.length * earlier / samples;
+    }
+
+    public push(entry: WaitingLookup): void {
+        this.waiting.push(entry);
+    }
+
+    public remove(entry: WaitingLookup): void {
+        this.waiting.remove(entry);
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/lookups/WaitingLookup.ts
@@ -0,0 +1,10 @@
+import type { PendingLookup } from "@skylarkpath/common/scheduling/LookupScheduler";
+import { type HeapElement, NOT_IN_HEAP } from "../base/IndexedHeap.js";
+import type { TeamQueue } from "./TeamQueue.js";
+
+/** Look-up that waits in a queue of its team. */
+export class WaitingLookup implements HeapElement {
+    public heapIndex = NOT_IN_HEAP;
+
+    constructor(public readonly lookup: PendingLookup, public readonly queue: TeamQueue) {}
+}
--- /dev/null
+++ b/packages/decisions/src/teams/TeamAccount.ts
@@ -0,0 +1,77 @@
+import type { Resources } from "@skylarkpath/common/model/Resources";
+import { NO_RESOURCES } from "@skylarkpath/common/model/Resources";
+import type { TeamPolicy } from "@skylarkpath/common/scheduling/TaskScheduler";
+import type { ShapeQueue } from "../groups/ShapeQueue.js";
+
+const DEFAULT_SHARE = 1;
+
+/** What a team has running, against its share and its allotment. */
+export class TeamAccount {
+    /** Dominant share divided by the team's weight. */
+    public weightedShare = 0;
+    /** Queues that wait until the team has room under its allotment. */
+    public readonly parkedQueues: ShapeQueue[] = [];
+    private usedProcessorMillicores = 0;
+    private usedMemoryBytes = 0;
+    private usedAccelerators = 0;
+    private share = DEFAULT_SHARE;
+    private currentAllotment = NO_RESOURCES;
+
+    constructor(public readonly name: string) {}
+
+    public get allotment(): Resources {
+        return this.currentAllotment;
+    }
+
+    public get usage(): Resources {
+        return {
+            processorMillicores: this.usedProcessorMillicores,
+            memoryBytes: this.usedMemoryBytes,
+            accelerators: this.usedAccelerators
+        };
+    }
+
+    /** Takes over the policy; a team without one may run nothing. */
+    public setPolicy(policy: TeamPolicy | undefined): void {
+        this.share = policy !== undefined && policy.share > 0 ? policy.share : DEFAULT_SHARE;
+        this.currentAllotment = policy?.allotment.resources ?? NO_RESOURCES;
+    }
+
+    /** Tells whether the allotment has room for so many tasks of the size. */
+    public hasRoom(demand: Resources, count: number): boolean {
+        const allotment = this.currentAllotment;
+        return this.usedProcessorMillicores + count * demand.processorMillicores <= allotment.processorMillicores
+            && this.usedMemoryBytes + count * demand.memoryBytes <= allotment.memoryBytes
+            && this.usedAccelerators + count * demand.accelerators <= allotment.accelerators;
+    }
+
+    /** Counts a task as running. */
+    public take(amount: Resources, fleetCapacity: Resources): void {
+        this.usedProcessorMillicores += amount.processorMillicores;
+        this.usedMemoryBytes += amount.memoryBytes;
+        this.usedAccelerators += amount.accelerators;
+        this.updateShare(fleetCapacity);
+    }
+
+    /** Counts a task as ended. */
+    public give(amount: Resources, fleetCapacity: Resources): void {
+        this.usedProcessorMillicores -= amount.processorMillicores;
+        this.usedMemoryBytes -= amount.memoryBytes;
+        this.usedAccelerators -= amount.accelerators;
+        this.updateShare(fleetCapacity);
+    }
+
+    /** Computes the weighted dominant share anew. */
+    public updateShare(fleetCapacity: Resources): void {
+        const dominantShare = Math.max(
+            fractionOf(this.usedProcessorMillicores, fleetCapacity.processorMillicores),
+            fractionOf(this.usedMemoryBytes, fleetCapacity.memoryBytes),
+            fractionOf(this.usedAccelerators, fleetCapacity.accelerators)
+        );
+        this.weightedShare = dominantShare / this.share;
+    }
+}
+
+function fractionOf(used: number, capacity: number): number {
+    return capacity > 0 ? used / capacity : 0;
+}
--- /dev/null
+++ b/packages/decisions/src/teams/TeamRegistry.ts
@@ -0,0 +1,65 @@
+import type { Resources } from "@skylarkpath/common/model/Resources";
+import type { TeamPolicy } from "@skylarkpath/common/scheduling/TaskScheduler";
+import type { GroupState } from "../groups/GroupState.js";
+import { unparkAll } from "../groups/ShapeRegistry.js";
+import { PriorityLine } from "./PriorityLine.js";
+import { TeamAccount } from "./TeamAccount.js";
+
+/** Accounts of all teams and the lines of their waiting work. */
+export class TeamRegistry {
+    public readonly urgentLine = new PriorityLine();
+    public readonly serviceLine = new PriorityLine();
+    public readonly ordinaryLine = new PriorityLine();
+    private readonly accounts = new Map<string, TeamAccount>();
+
+    /** Returns the account of a team; one without policy may run nothing. */
+    public obtain(name: string): TeamAccount {
+        let account = this.accounts.get(name);
+        if (account === undefined) {
+            account = new TeamAccount(name);
+            this.accounts.set(name, account);
+        }
+        return account;
+    }
+
+    public find(name: string): TeamAccount | undefined {
+        return this.accounts.get(name);
+    }
+
+    /** Takes over the policies of all teams; those left out may start nothing more. */
+    public setPolicies(policies: ReadonlyMap<string, TeamPolicy>, fleetCapacity: Resources): void {
+        for (const name of policies.keys()) {
+            this.obtain(name);
+        }
+        for (const account of this.accounts.values()) {
+            account.setPolicy(policies.get(account.name));
+            unparkAll(account.parkedQueues);
+        }
+        this.updateShares(fleetCapacity);
+    }
+
+    /** Computes all shares anew, after policies or the fleet changed. */
+    public updateShares(fleetCapacity: Resources): void {
+        for (const account of this.accounts.values()) {
+            account.updateShare(fleetCapacity);
+        }
+        this.urgentLine.allTeamsChanged();
+        this.serviceLine.allTeamsChanged();
+        this.ordinaryLine.allTeamsChanged();
+    }
+
+    /** Restores the order of the lines after the usage of a team changed. */
+    public teamChanged(team: TeamAccount): void {
+        this.urgentLine.teamChanged(team);
+        this.serviceLine.teamChanged(team);
+        this.ordinaryLine.teamChanged(team);
+    }
+
+    /** Returns the line in which a group waits. */
+    public lineOf(group: GroupState): PriorityLine {
+        if (group.group.urgent) {
+            return this.urgentLine;
+        }
+        return group.isService ? this.serviceLine : this.ordinaryLine;
+    }
+}
