--- a/packages/decisions/src/SliceTaskScheduler.test.ts
+++ b/packages/decisions/src/SliceTaskScheduler.test.ts
@@ -4,6 +4,7 @@
     GroupKind,
     TaskEnd,
     type TaskGroup,
+    type TaskScheduler,
     WaitCause
 } from "@skylarkpath/common/scheduling/TaskScheduler";
 import test from "ava";
@@ -20,7 +21,7 @@
         kind: GroupKind.Batch,
         urgent: false,
         resources: ONE_CORE,
-        taskIds: Array.from({ length: count }, (unused, task) => `${groupId}-${task}`),
+        taskIds: [...Array(count).keys()].map(task => `${groupId}-${task}`),
         profile: "profile",
         declaredDurationMs: 1000,
         checkpointable: false,
@@ -30,7 +31,7 @@
     };
 }
 
-function createScheduler(workerCount: number, allowedCores = 1000): SliceTaskScheduler {
+function createScheduler(workerCount: number, allowedCores = 1000): TaskScheduler {
     const scheduler = new SliceTaskScheduler();
     for (let worker = 0; worker < workerCount; worker++) {
         scheduler.upsertWorker({ workerId: `w${worker}`, rack: "r0", capacity: WORKER, schedulable: true });
