Thin path in one process: look-up, order, batch, gang and services end to end

Cause: requests must go from a caller through an entry to a target, and jobs to workers, before parts grow. Conclusion: the way of a request stands; recovery, membership and limits are still simple.

--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -14,7 +14,12 @@
     peerSuspected: define(1102, "peer-suspected", EventLevel.Warning, "Another process has been silent for too long."),
     peerDead: define(1103, "peer-dead", EventLevel.Warning, "Another process is taken as dead."),
     liveListRead: define(1104, "live-list-changed", EventLevel.Info, "The live list of the platform changed."),
-    configAdopted: define(1201, "config-adopted", EventLevel.Info, "A higher version of the operators' text is in force here."),
+    configAdopted: define(
+        1201,
+        "config-adopted",
+        EventLevel.Info,
+        "A higher version of the operators' text is in force here."
+    ),
     configApplied: define(1202, "config-applied", EventLevel.Info, "An operator's text was committed."),
     configConflict: define(1203, "config-conflict", EventLevel.Warning, "An operator's edit lost a race."),
     configInvalid: define(1204, "config-invalid", EventLevel.Error, "A stored text has findings and was not adopted."),
@@ -24,17 +29,32 @@
     sliceLost: define(1402, "slice-lost", EventLevel.Warning, "This process no longer owns a slice."),
     sliceHandedOver: define(1403, "slice-handed-over", EventLevel.Info, "A slice was handed to its successor."),
     workerFenced: define(1411, "worker-fenced", EventLevel.Info, "A worker takes commands of this epoch only."),
-    workerLost: define(1412, "worker-lost", EventLevel.Warning, "The leases of a worker that is not reached have lapsed."),
+    workerLost: define(
+        1412,
+        "worker-lost",
+        EventLevel.Warning,
+        "The leases of a worker that is not reached have lapsed."
+    ),
     holdReleased: define(1413, "hold-released", EventLevel.Info, "Tasks claimed under earlier epochs may start again."),
     requestAccepted: define(1501, "request-accepted", EventLevel.Info, "A request was accepted durably."),
     requestRefused: define(1502, "request-refused", EventLevel.Info, "A request was answered with not-run."),
     requestEnded: define(1503, "request-ended", EventLevel.Info, "The outcome of a request is final."),
     lookupDispatched: define(1504, "lookup-dispatched", EventLevel.Debug, "A look-up was sent to a target."),
-    answerDropped: define(1505, "answer-dropped", EventLevel.Warning, "An answer that belongs to no attempt was dropped."),
+    answerDropped: define(
+        1505,
+        "answer-dropped",
+        EventLevel.Warning,
+        "An answer that belongs to no attempt was dropped."
+    ),
     taskStarted: define(1511, "task-started", EventLevel.Debug, "A worker was told to start a task."),
     taskEnded: define(1512, "task-ended", EventLevel.Debug, "A task ended."),
     storeUnavailable: define(1601, "store-unavailable", EventLevel.Warning, "The table service cannot be reached."),
     storeAvailable: define(1602, "store-available", EventLevel.Info, "The table service is reached again."),
     storeReadBack: define(1603, "store-read-back", EventLevel.Info, "A write whose reply was lost was read back."),
-    messageRefused: define(1701, "message-refused", EventLevel.Warning, "A malformed message of another process was refused.")
+    messageRefused: define(
+        1701,
+        "message-refused",
+        EventLevel.Warning,
+        "A malformed message of another process was refused."
+    )
 } as const satisfies Readonly<Record<string, EventDefinition>>;
--- a/packages/control/src/entry/AttemptResolver.ts
+++ b/packages/control/src/entry/AttemptResolver.ts
@@ -1,4 +1,4 @@
-import { OutcomeReason, type RequestOutcome, OutcomeState } from "@skylarkpath/common/model/Request";
+import { OutcomeReason, OutcomeState, type RequestOutcome } from "@skylarkpath/common/model/Request";
 import { type AttemptReport, AttemptState } from "@skylarkpath/common/platform/TargetService";
 import { sleep } from "@skylarkpath/common/time/TimerService";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
--- a/packages/control/src/entry/EntryFilters.ts
+++ b/packages/control/src/entry/EntryFilters.ts
@@ -79,10 +79,11 @@
 }
 
 function describeInfeasible(size: Resources, text: OperatorsText): string {
-    const largest = [...text.workerClasses].sort((left, right) =>
-        right.capacity.processorMillicores - left.capacity.processorMillicores
-        || right.capacity.memoryBytes - left.capacity.memoryBytes
-    )[0];
+    const largest =
+        [...text.workerClasses].sort((left, right) =>
+            right.capacity.processorMillicores - left.capacity.processorMillicores
+            || right.capacity.memoryBytes - left.capacity.memoryBytes
+        )[0];
     const largestText = largest ? `${largest.name} with ${describeResources(largest.capacity)}` : "none";
     return `No worker holds ${describeResources(size)}; the largest worker class is ${largestText}.`;
 }
--- a/packages/control/src/entry/LookupHandler.ts
+++ b/packages/control/src/entry/LookupHandler.ts
@@ -2,8 +2,8 @@
 import {
     composeRequestId,
     OutcomeReason,
-    type RequestOutcome,
     OutcomeState,
+    type RequestOutcome,
     type RequestSpec
 } from "@skylarkpath/common/model/Request";
 import { type TargetAnswer, type TargetError, TargetErrorKind } from "@skylarkpath/common/platform/TargetService";
--- a/packages/control/src/entry/OrderHandler.ts
+++ b/packages/control/src/entry/OrderHandler.ts
@@ -2,8 +2,8 @@
 import {
     composeRequestId,
     OutcomeReason,
-    type RequestOutcome,
     OutcomeState,
+    type RequestOutcome,
     type RequestRecord,
     type RequestSpec
 } from "@skylarkpath/common/model/Request";
--- a/packages/control/src/entry/RequestController.ts
+++ b/packages/control/src/entry/RequestController.ts
@@ -4,8 +4,8 @@
 import {
     isFinal,
     OutcomeReason,
-    type RequestOutcome,
     OutcomeState,
+    type RequestOutcome,
     sliceOfRequestId
 } from "@skylarkpath/common/model/Request";
 import { sleep } from "@skylarkpath/common/time/TimerService";
@@ -46,6 +46,8 @@
     readonly description?: JobDescription;
 }
 
+type TeamCheck = (team: string) => boolean;
+
 const POLL_INTERVAL_MS = 100;
 
 /** Serves callers: submits, describes and cancels requests. */
@@ -117,6 +119,11 @@
         }
     }
 
+    /** Describes a request for operators, whatever its team. */
+    public explain(requestId: string): Promise<RequestReply> {
+        return this.lookUp(requestId, () => true);
+    }
+
     /** Cancels a request of the caller's team; tells its true state afterwards. */
     public async cancel(question: RequestQuestion): Promise<RequestReply> {
         const lookup = this.lookupsById.get(question.requestId);
@@ -171,16 +178,18 @@
     }
 
     private async describeNow(question: RequestQuestion): Promise<RequestReply> {
-        const { requestId } = question;
         const team = this.teamOf(question);
-        if (typeof team !== "string") {
-            return team;
-        }
+        return typeof team === "string"
+            ? this.lookUp(question.requestId, owner => owner === team)
+            : team;
+    }
+
+    private async lookUp(requestId: string, maySee: TeamCheck): Promise<RequestReply> {
         const lookup = this.lookupsById.get(requestId);
         if (lookup) {
-            return lookup.team === team ? { requestId, outcome: lookup.outcome } : requestUnknown();
+            return maySee(lookup.team) ? { requestId, outcome: lookup.outcome } : requestUnknown();
         }
-        return (await this.askOwner(requestId, team)) ?? this.readStore(requestId, team);
+        return (await this.askOwner(requestId, maySee)) ?? this.readStore(requestId, maySee);
     }
 
     /** Team of the key, or the refusal; without a key only requests of open queues are seen. */
@@ -192,7 +201,7 @@
         return team.isOk() ? team.value : notRun(team.error);
     }
 
-    private async askOwner(requestId: string, team: string): Promise<RequestReply | undefined> {
+    private async askOwner(requestId: string, maySee: TeamCheck): Promise<RequestReply | undefined> {
         const location = this.locate(requestId);
         if (!location) {
             return undefined;
@@ -208,17 +217,17 @@
             return undefined;
         }
         const { outcome, waiting } = description;
-        return description.team === team ? { requestId, outcome, waiting } : requestUnknown();
+        return maySee(description.team) ? { requestId, outcome, waiting } : requestUnknown();
     }
 
-    private async readStore(requestId: string, team: string): Promise<RequestReply> {
+    private async readStore(requestId: string, maySee: TeamCheck): Promise<RequestReply> {
         const stored = await this.requests.find(requestId);
         if (stored.isErr()) {
             const detail = "The store cannot be read; ask again later.";
             const reason = OutcomeReason.StoreUnavailable;
             return { requestId, outcome: { state: OutcomeState.Accepted, reason, detail } };
         }
-        return stored.value?.record.spec.team === team
+        return stored.value && maySee(stored.value.record.spec.team)
             ? { requestId, outcome: stored.value.record.outcome }
             : requestUnknown();
     }
--- a/packages/control/src/entry/RequestReply.ts
+++ b/packages/control/src/entry/RequestReply.ts
@@ -1,4 +1,4 @@
-import { OutcomeReason, type RequestOutcome, OutcomeState } from "@skylarkpath/common/model/Request";
+import { OutcomeReason, OutcomeState, type RequestOutcome } from "@skylarkpath/common/model/Request";
 import type { WaitExplanation } from "@skylarkpath/common/scheduling/TaskScheduler";
 
 /** What an entry tells a caller about a request. */
--- a/packages/control/src/limits/AllotmentController.ts
+++ b/packages/control/src/limits/AllotmentController.ts
@@ -23,7 +23,10 @@
     /** Returns the share and the allotment of each team in a slice. */
     public policiesOf(sliceId: string): SlicePolicies {
         const text = this.config.current?.parsed;
-        return new Map(text?.teams.map(team => [team.name, policyOf(team, text)]));
+        if (!text?.failureDomains.some(domain => domain.name === sliceId)) {
+            return new Map();
+        }
+        return new Map(text.teams.map(team => [team.name, policyOf(team, text)]));
     }
 
     public dispose(): void {
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -20,7 +20,7 @@
 import { OwnershipController } from "../slice/OwnershipController.js";
 import { type OwnedSlice, SliceController } from "../slice/SliceController.js";
 import { SliceDirectory } from "../slice/SliceDirectory.js";
-import { GroupCommitWriter } from "../store/GroupCommitWriter.js";
+import { type GroupCommitCounts, GroupCommitWriter } from "../store/GroupCommitWriter.js";
 import { RequestStore } from "../store/RequestStore.js";
 import { ownerNameOf, type ProcessEnvironment } from "./ProcessEnvironment.js";
 import type { ProcessOptions } from "./ProcessOptions.js";
@@ -101,6 +101,11 @@
         return this.writer.isReachable;
     }
 
+    /** Writes so far. */
+    public get writeCounts(): GroupCommitCounts {
+        return this.writer.writeCounts;
+    }
+
     /** Slices that this process owns. */
     public get ownedSlices(): readonly SliceController[] {
         return [...this.slices.values()];
--- a/packages/control/src/slice/Job.ts
+++ b/packages/control/src/slice/Job.ts
@@ -1,6 +1,7 @@
-import { NO_RESOURCES } from "@skylarkpath/common/model/Resources";
-import { OutcomeReason, type RequestOutcome, OutcomeState, type TaskSizing } from "@skylarkpath/common/model/Request";
+import { rangeOf } from "@skylarkpath/common/base/Ranges";
 import { QueueKind } from "@skylarkpath/common/model/OperatorsText";
+import { OutcomeReason, OutcomeState, type RequestOutcome, type TaskSizing } from "@skylarkpath/common/model/Request";
+import { NO_RESOURCES } from "@skylarkpath/common/model/Resources";
 import { GroupKind, type TaskGroup } from "@skylarkpath/common/scheduling/TaskScheduler";
 import type { StoredRequest } from "../store/RequestStore.js";
 
@@ -65,7 +66,7 @@
 
     /** Ids of the tasks that have not finished. */
     public get openTaskIds(): readonly string[] {
-        return Array.from({ length: this.sizing.count }, (_, index) => index)
+        return rangeOf(this.sizing.count)
             .filter(index => !this.answers.has(index))
             .map(index => composeTaskId(this.requestId, index));
     }
@@ -128,7 +129,7 @@
 
     /** Outcome of the job when all tasks have finished. */
     public completeOutcome(): RequestOutcome {
-        const answers = Array.from({ length: this.sizing.count }, (_, index) => this.answers.get(index)!);
+        const answers = rangeOf(this.sizing.count).map(index => this.answers.get(index)!);
         return { state: OutcomeState.Done, answers };
     }
 
--- a/packages/control/src/slice/JobController.ts
+++ b/packages/control/src/slice/JobController.ts
@@ -1,9 +1,14 @@
 import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
-import { OutcomeState, type RequestOutcome } from "@skylarkpath/common/model/Request";
 import { QueueKind } from "@skylarkpath/common/model/OperatorsText";
-import { type TaskScheduler, TaskEnd, type WaitExplanation, WaitCause } from "@skylarkpath/common/scheduling/TaskScheduler";
+import { OutcomeState, type RequestOutcome } from "@skylarkpath/common/model/Request";
+import {
+    TaskEnd,
+    type TaskScheduler,
+    WaitCause,
+    type WaitExplanation
+} from "@skylarkpath/common/scheduling/TaskScheduler";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import type { RequestStore, SliceGuard, StoredRequest } from "../store/RequestStore.js";
--- a/packages/control/src/slice/LookupController.ts
+++ b/packages/control/src/slice/LookupController.ts
@@ -39,7 +39,7 @@
 
     constructor(
         private readonly environment: ProcessEnvironment,
-        private readonly options: ProcessOptions,
+        options: ProcessOptions,
         private readonly scheduler: LookupScheduler
     ) {
         this.store.add(environment.timer.every(options.heartbeatIntervalMs, () => this.decide()));
--- a/packages/control/src/slice/OwnershipController.ts
+++ b/packages/control/src/slice/OwnershipController.ts
@@ -91,7 +91,7 @@
         };
         const written = await this.writer.submit({
             conditions: () => [{ table: TableName.Slices, key: sliceId, version: row.value?.version ?? 0 }],
-            mutations: () => [{ table: TableName.Slices, key: sliceId, value: { ...next } as JsonValue }]
+            mutations: () => [{ table: TableName.Slices, key: sliceId, value: next as unknown as JsonValue }]
         });
         if (written.isOk()) {
             this.take(next, written.value.version);
--- a/packages/control/src/slice/ServiceController.ts
+++ b/packages/control/src/slice/ServiceController.ts
@@ -1,3 +1,4 @@
+import { rangeOf } from "@skylarkpath/common/base/Ranges";
 import type { OperatorsText, ServiceDefinition } from "@skylarkpath/common/model/OperatorsText";
 import { GroupKind, type TaskGroup, type TaskScheduler } from "@skylarkpath/common/scheduling/TaskScheduler";
 import { Adoption } from "./JobController.js";
@@ -113,7 +114,7 @@
 
 function taskIdsOf(state: ServiceState): readonly string[] {
     const groupId = groupIdOf(state.definition.name);
-    return Array.from({ length: state.count }, (_, ordinal) => `${groupId}/${ordinal}`);
+    return rangeOf(state.count).map(ordinal => `${groupId}/${ordinal}`);
 }
 
 function groupOf(state: ServiceState, taskIds: readonly string[], nowMs: number): TaskGroup {
--- a/packages/control/src/slice/SliceController.ts
+++ b/packages/control/src/slice/SliceController.ts
@@ -1,6 +1,6 @@
+import type { SliceStatus } from "@skylarkpath/common/api/OperatorsApi";
 import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
-import type { SliceStatus } from "@skylarkpath/common/api/OperatorsApi";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import type { OperatorsText } from "@skylarkpath/common/model/OperatorsText";
 import { subtractResources } from "@skylarkpath/common/model/Resources";
@@ -8,7 +8,6 @@
 import {
     WorkerCommandKind,
     WorkerRefusal,
-    type WorkerTask,
     type WorkerTaskReport,
     WorkerTaskState
 } from "@skylarkpath/common/platform/WorkerService";
@@ -29,6 +28,7 @@
 import { isServiceGroup, ServiceController, type ServiceCounts } from "./ServiceController.js";
 import { type PoolReply, WorkerPool } from "./WorkerPool.js";
 import type { OwnershipConfirmation, RefusedStart, WorkerSession } from "./WorkerSession.js";
+import { composeWorkerTask } from "./WorkerTaskComposer.js";
 
 /** Slice that this process owns. */
 export interface OwnedSlice {
@@ -39,6 +39,10 @@
     readonly confirmOwnership: OwnershipConfirmation;
 }
 
+const COMMAND_KINDS = {
+    [DecisionKind.Throttle]: WorkerCommandKind.Throttle,
+    [DecisionKind.Checkpoint]: WorkerCommandKind.Checkpoint
+} as const;
 const DECISION_INTERVAL_MS = 100;
 const LOAD_RETRY_MS = 500;
 
@@ -178,7 +182,9 @@
         this.store.add(this.pool.onChange(session => this.updateWorker(session)));
         this.store.add(this.pool.onRemoved(workerId => this.scheduler.removeWorker(workerId)));
         this.store.add(this.pool.onRefusedStart(refused => this.handleRefusedStart(refused)));
-        this.store.add(this.pool.onLapsed(taskIds => taskIds.forEach(taskId => this.endTask(taskId, TaskEnd.Requeued))));
+        this.store.add(
+            this.pool.onLapsed(taskIds => taskIds.forEach(taskId => this.endTask(taskId, TaskEnd.Requeued)))
+        );
         this.store.add(this.pool.onStale(() => this.staleEmitter.fire()));
         this.store.add(this.pool.onHoldReleased(() => this.releaseHold()));
         this.store.add(this.jobs.onChange(() => this.decideSoon()));
@@ -259,17 +265,11 @@
                 this.stopTask(decision.taskId);
                 break;
             case DecisionKind.Throttle:
-                this.pool.find(decision.workerId)?.send({
-                    kind: WorkerCommandKind.Throttle,
-                    taskId: decision.taskId
-                });
-                break;
-            case DecisionKind.Checkpoint:
-                this.pool.find(decision.workerId)?.send({
-                    kind: WorkerCommandKind.Checkpoint,
-                    taskId: decision.taskId
-                });
+            case DecisionKind.Checkpoint: {
+                const kind = COMMAND_KINDS[decision.kind];
+                this.pool.find(decision.workerId)?.send({ kind, taskId: decision.taskId });
                 break;
+            }
             case DecisionKind.Reject:
                 this.jobs.reject(decision.groupId, decision.reason);
                 break;
@@ -278,7 +278,7 @@
 
     private startTask(taskId: string, groupId: string, workerId: string): void {
         const session = this.pool.find(workerId);
-        const task = this.composeTask(taskId, groupId);
+        const task = composeWorkerTask(taskId, groupId, this.services, this.jobs);
         if (!session || !task) {
             this.scheduler.taskEnded(taskId, TaskEnd.Requeued, this.environment.timer.nowMs());
             return;
@@ -295,29 +295,6 @@
         session.start(task);
     }
 
-    private composeTask(taskId: string, groupId: string): WorkerTask | undefined {
-        const service = this.services.definitionOf(groupId);
-        if (isServiceGroup(groupId) && service) {
-            return {
-                taskId,
-                requestId: groupId,
-                team: service.team,
-                resources: service.resources,
-                payload: service.command,
-                service: true
-            };
-        }
-        const job = this.jobs.find(groupId);
-        return job && {
-            taskId,
-            requestId: groupId,
-            team: job.stored.record.spec.team,
-            resources: job.sizing.resources,
-            payload: job.payload,
-            service: false
-        };
-    }
-
     private stopTask(taskId: string): void {
         const placement = this.placements.get(taskId);
         if (placement) {
--- /dev/null
+++ b/packages/control/src/slice/WorkerTaskComposer.ts
@@ -0,0 +1,39 @@
+import type { WorkerTask } from "@skylarkpath/common/platform/WorkerService";
+import type { JobController } from "./JobController.js";
+import { isServiceGroup, type ServiceController } from "./ServiceController.js";
+
+/** Composes what a worker is told to run; undefined when the task has no right to run any more. */
+export function composeWorkerTask(
+    taskId: string,
+    groupId: string,
+    services: ServiceController,
+    jobs: JobController
+): WorkerTask | undefined {
+    return isServiceGroup(groupId)
+        ? composeReplica(taskId, groupId, services)
+        : composeJobTask(taskId, groupId, jobs);
+}
+
+function composeReplica(taskId: string, groupId: string, services: ServiceController): WorkerTask | undefined {
+    const service = services.definitionOf(groupId);
+    return service && {
+        taskId,
+        requestId: groupId,
+        team: service.team,
+        resources: service.resources,
+        payload: service.command,
+        service: true
+    };
+}
+
+function composeJobTask(taskId: string, groupId: string, jobs: JobController): WorkerTask | undefined {
+    const job = jobs.find(groupId);
+    return job && {
+        taskId,
+        requestId: groupId,
+        team: job.stored.record.spec.team,
+        resources: job.sizing.resources,
+        payload: job.payload,
+        service: false
+    };
+}
--- a/packages/control/src/store/GroupCommitWriter.ts
+++ b/packages/control/src/store/GroupCommitWriter.ts
@@ -152,15 +152,26 @@
             const outcome = await this.send(composed.transaction, remaining, rejected.length > 0);
             if (outcome.kind === "committed") {
                 this.finish(remaining, outcome.receipt);
-                rejectAll(rejected, { kind: WriteErrorKind.Conflict, message: "A condition of the write did not hold." });
+                rejectAll(rejected, {
+                    kind: WriteErrorKind.Conflict,
+                    message: "A condition of the write did not hold."
+                });
                 return;
             }
             if (outcome.kind === "unavailable") {
                 rejectAll(remaining, { kind: WriteErrorKind.Unavailable, message: NOT_REACHED });
-                rejectAll(rejected, { kind: WriteErrorKind.Conflict, message: "A condition of the write did not hold." });
+                rejectAll(rejected, {
+                    kind: WriteErrorKind.Conflict,
+                    message: "A condition of the write did not hold."
+                });
                 return;
             }
-            const failed = remaining.filter((_, place) => composed.isHit(place, outcome.failedConditions));
+            const failed: PendingWrite[] = [];
+            remaining.forEach((pending, place) => {
+                if (composed.isHit(place, outcome.failedConditions)) {
+                    failed.push(pending);
+                }
+            });
             if (failed.length === 0) {
                 await sleep(this.timer, this.backoff.next());
             }
@@ -284,7 +295,9 @@
     }
 }
 
-function rowsOf(operation: WriteOperation): { readonly touched: readonly string[]; readonly written: readonly string[]; } {
+function rowsOf(
+    operation: WriteOperation
+): { readonly touched: readonly string[]; readonly written: readonly string[]; } {
     const written = operation.mutations().map(rowNameOf);
     return { touched: [...written, ...operation.conditions().map(rowNameOf)], written };
 }
--- /dev/null
+++ b/packages/proof/src/VirtualDeployment.ts
@@ -0,0 +1,259 @@
+import { NodeSecretHasher } from "@skylarkpath/adapters/NodeSecretHasher";
+import type { SecretHasher } from "@skylarkpath/common/base/SecretHasher";
+import { type LiveMachine, MachineRole } from "@skylarkpath/common/platform/LiveList";
+import type { TargetRequest } from "@skylarkpath/common/platform/TargetService";
+import type { WorkerTask } from "@skylarkpath/common/platform/WorkerService";
+import { createSeededRandom, nextInteger, type RandomSource } from "@skylarkpath/common/random/RandomSource";
+import type { SchedulerFactory } from "@skylarkpath/common/scheduling/SchedulerFactory";
+import { HybridClock } from "@skylarkpath/common/time/HybridClock";
+import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
+import { OperatorController } from "@skylarkpath/control/operators/OperatorController";
+import { DEFAULT_PROCESS_OPTIONS, type ProcessOptions } from "@skylarkpath/control/process/ProcessOptions";
+import { SkylarkProcess } from "@skylarkpath/control/process/SkylarkProcess";
+import { Timeline } from "@skylarkpath/control/timeline/Timeline";
+import { StandardSchedulerFactory } from "@skylarkpath/decisions/StandardSchedulerFactory";
+import { MemoryLiveList } from "@skylarkpath/standins/memory/MemoryLiveList";
+import { MemoryNetwork } from "@skylarkpath/standins/memory/MemoryNetwork";
+import { MemoryObjectStore } from "@skylarkpath/standins/memory/MemoryObjectStore";
+import { MemoryTableService } from "@skylarkpath/standins/memory/MemoryTableService";
+import { MemoryTarget, type ServingBehavior } from "@skylarkpath/standins/memory/MemoryTarget";
+import { MemoryWorker, type TaskBehavior } from "@skylarkpath/standins/memory/MemoryWorker";
+import type { DomainTopology, Topology } from "./Topology.js";
+
+/** Options of a virtual deployment. */
+export interface VirtualDeploymentOptions {
+    readonly topology: Topology;
+    readonly seed: number;
+    readonly processOptions: ProcessOptions;
+    readonly schedulers: SchedulerFactory;
+    readonly taskBehaviorOf: (task: WorkerTask) => TaskBehavior;
+    readonly servingBehaviorOf: (request: TargetRequest) => ServingBehavior;
+    /** Delay of a message one way inside a region and between regions. */
+    readonly regionDelayMs: number;
+    readonly remoteDelayMs: number;
+    readonly storeDelayMs: number;
+}
+
+/** Process of a virtual deployment. */
+export interface VirtualProcess {
+    readonly machine: LiveMachine;
+    readonly process: SkylarkProcess;
+    readonly operators: OperatorController;
+    readonly timeline: Timeline;
+}
+
+const TASK_DURATION_MS = 500;
+const SERVING_DURATION_MS = 20;
+const LIVE_LIST_LAG_MS = 1000;
+
+/** Default options: answers echo what was asked. */
+export const DEFAULT_DEPLOYMENT_OPTIONS: Omit<VirtualDeploymentOptions, "topology"> = {
+    seed: 1,
+    processOptions: DEFAULT_PROCESS_OPTIONS,
+    schedulers: new StandardSchedulerFactory(),
+    taskBehaviorOf: task => ({
+        durationMs: task.service ? undefined : TASK_DURATION_MS,
+        fails: false,
+        answer: `answer to ${task.payload} by ${task.taskId}`
+    }),
+    servingBehaviorOf: request => ({
+        durationMs: SERVING_DURATION_MS,
+        fails: false,
+        answer: `answer to ${request.payload}`
+    }),
+    regionDelayMs: 1,
+    remoteDelayMs: 20,
+    storeDelayMs: 2
+};
+
+/** Whole deployment in one process on a virtual timer: platform stand-ins and skylarkd processes. */
+export class VirtualDeployment {
+    private readonly processesById = new Map<string, VirtualProcess>();
+    private readonly machinesById = new Map<string, LiveMachine>();
+    private readonly random: RandomSource;
+    private readonly hasher: SecretHasher;
+    private nextPort = 1;
+    private nextIncarnation = 1;
+
+    public readonly timer = new VirtualTimer();
+    public readonly table = new MemoryTableService(this.timer);
+    public readonly objects = new MemoryObjectStore(this.timer);
+    public readonly liveList = new MemoryLiveList(this.timer, LIVE_LIST_LAG_MS);
+    public readonly network = new MemoryNetwork(this.timer);
+    public readonly workers = new Map<string, MemoryWorker>();
+    public readonly targets = new Map<string, MemoryTarget>();
+
+    constructor(private readonly options: VirtualDeploymentOptions) {
+        this.random = createSeededRandom(options.seed);
+        this.hasher = new SeededHasher(this.random);
+        this.network.setLinkPlan((from, to) => ({ cut: false, delayMs: this.delayBetween(from, to) }));
+        for (const domain of options.topology.domains) {
+            this.addDomain(domain);
+        }
+        for (const domain of options.topology.domains) {
+            for (let place = 0; place < domain.entries; place++) {
+                this.startProcess(domain, `${domain.failureDomain}-entry-${place}`);
+            }
+        }
+    }
+
+    /** All running processes. */
+    public get processes(): readonly VirtualProcess[] {
+        return [...this.processesById.values()];
+    }
+
+    /** Finds a running process. */
+    public process(processId: string): VirtualProcess {
+        const found = this.processesById.get(processId);
+        if (!found) {
+            throw new Error(`There is no process "${processId}".`);
+        }
+        return found;
+    }
+
+    /** Finds a machine by its id. */
+    public machine(machineId: string): LiveMachine {
+        return this.machinesById.get(machineId)!;
+    }
+
+    /** Failure domain of an address. */
+    public domainOf(address: string): LiveMachine | undefined {
+        return [...this.machinesById.values()].find(machine => machine.address === address);
+    }
+
+    /** Delay of a message one way. */
+    public delayBetween(from: string, to: string): number {
+        return this.domainOf(from)?.region === this.domainOf(to)?.region
+            ? this.options.regionDelayMs
+            : this.options.remoteDelayMs;
+    }
+
+    /** Kills a process at once. */
+    public kill(processId: string): void {
+        const { machine, process } = this.process(processId);
+        this.network.detach(machine.address);
+        process.dispose();
+        this.processesById.delete(processId);
+        this.liveList.remove(machine);
+    }
+
+    /** Starts a process on a new VM. */
+    public startProcess(domain: Pick<DomainTopology, "failureDomain" | "region">, processId: string): VirtualProcess {
+        const machine: LiveMachine = {
+            machineId: processId,
+            role: MachineRole.Entry,
+            address: this.nextAddress(),
+            failureDomain: domain.failureDomain,
+            region: domain.region,
+            rack: `${domain.failureDomain}-entries`,
+            incarnation: `incarnation-${this.nextIncarnation++}`,
+            leaving: false
+        };
+        this.machinesById.set(processId, machine);
+        this.liveList.putNow(machine);
+        const started = this.createProcess(machine);
+        this.processesById.set(processId, started);
+        started.process.start();
+        return started;
+    }
+
+    private createProcess(machine: LiveMachine): VirtualProcess {
+        const { address } = machine;
+        const clock = new HybridClock(this.timer);
+        const { processOptions } = this.options;
+        const timeline = new Timeline(machine.machineId, clock, processOptions.timelineLength, () => undefined);
+        const process = new SkylarkProcess(
+            {
+                identity: { ...machine, processId: machine.machineId },
+                timer: this.timer,
+                clock,
+                random: createSeededRandom(nextInteger(this.random, 2 ** 31)),
+                hasher: this.hasher,
+                table: this.table,
+                objects: this.objects,
+                liveList: this.liveList,
+                workers: this.network.workerServiceOf(address),
+                targets: this.network.targetServiceOf(address),
+                transport: this.network.peerTransportOf(address),
+                methods: this.network.attachPeer(address),
+                log: timeline,
+                schedulers: this.options.schedulers
+            },
+            processOptions,
+            [machine.failureDomain]
+        );
+        return { machine, process, operators: new OperatorController(process, timeline, processOptions), timeline };
+    }
+
+    private addDomain(domain: DomainTopology): void {
+        for (let place = 0; place < domain.workers; place++) {
+            this.addWorker(domain, place);
+        }
+        for (let place = 0; place < domain.targets; place++) {
+            this.addTarget(domain, place);
+        }
+    }
+
+    private addWorker(domain: DomainTopology, place: number): void {
+        const { workerCapacity, workersPerRack } = this.options.topology;
+        const workerId = `${domain.failureDomain}-worker-${place}`;
+        const worker = new MemoryWorker(this.timer, {
+            workerId,
+            capacity: workerCapacity,
+            behaviorOf: this.options.taskBehaviorOf
+        });
+        const machine = this.addMachine(domain, workerId, MachineRole.Worker, Math.floor(place / workersPerRack), {
+            capacity: workerCapacity,
+            workerClass: "standard"
+        });
+        this.workers.set(workerId, worker);
+        this.network.attachWorker(machine.address, worker);
+    }
+
+    private addTarget(domain: DomainTopology, place: number): void {
+        const slots = this.options.topology.slotsPerTarget;
+        const targetId = `${domain.failureDomain}-target-${place}`;
+        const target = new MemoryTarget(this.timer, { targetId, slots, behaviorOf: this.options.servingBehaviorOf });
+        const machine = this.addMachine(domain, targetId, MachineRole.Target, 0, { slots });
+        this.targets.set(targetId, target);
+        this.network.attachTarget(machine.address, target);
+    }
+
+    private addMachine(
+        domain: DomainTopology,
+        machineId: string,
+        role: MachineRole,
+        rack: number,
+        more: Partial<LiveMachine>
+    ): LiveMachine {
+        const machine: LiveMachine = {
+            machineId,
+            role,
+            address: this.nextAddress(),
+            failureDomain: domain.failureDomain,
+            region: domain.region,
+            rack: `${domain.failureDomain}-rack-${rack}`,
+            incarnation: `incarnation-${this.nextIncarnation++}`,
+            leaving: false,
+            ...more
+        };
+        this.machinesById.set(machineId, machine);
+        this.liveList.putNow(machine);
+        return machine;
+    }
+
+    private nextAddress(): string {
+        return `127.0.0.1:${this.nextPort++}`;
+    }
+}
+
+class SeededHasher extends NodeSecretHasher {
+    constructor(private readonly random: RandomSource) {
+        super();
+    }
+
+    public override randomToken(): string {
+        const part = (): string => nextInteger(this.random, 2 ** 32).toString(16).padStart(8, "0");
+        return part() + part() + part() + part();
+    }
+}
