Run the whole path as separate processes on loopback

Cause: the replicas of a service had the same task id in each slice, so that workers of three failure domains seemed to run one task (4 double runs of 10 starts in the first run with real processes).

--- /dev/null
+++ b/packages/bench/src/cluster/ClusterClient.ts
@@ -0,0 +1,118 @@
+import type { RequestView, SubmitBody } from "@skylarkpath/common/api/CallersApi";
+import type { GrantKeyReply, StatusReply } from "@skylarkpath/common/api/OperatorsApi";
+import { Agent, request } from "undici";
+import type { ClusterPlan, PlannedEntry } from "./ClusterPlan.js";
+
+/** Reply to a caller with its HTTP status. */
+export interface CallerReply {
+    readonly status: number;
+    /** Absent when no whole reply came. */
+    readonly view?: RequestView;
+}
+
+/** How a caller sends a request. */
+export interface CallOptions {
+    readonly key?: string;
+    readonly idempotencyKey?: string;
+}
+
+type OperatorMethod = "GET" | "PUT" | "POST" | "DELETE";
+
+const CALL_TIMEOUT_MS = 60_000;
+
+/** Talks to entries as callers and operators do. */
+export class ClusterClient {
+    private readonly agent = new Agent({
+        connections: 512,
+        headersTimeout: CALL_TIMEOUT_MS,
+        bodyTimeout: CALL_TIMEOUT_MS
+    });
+
+    constructor(private readonly plan: ClusterPlan) {}
+
+    /** Submits a request at an entry. */
+    public submit(entry: PlannedEntry, body: SubmitBody, options: CallOptions): Promise<CallerReply> {
+        const headers = { ...keyHeader(options.key), ...idempotencyHeader(options.idempotencyKey) };
+        return this.call("POST", `http://${entry.callersAddress}/v1/requests`, headers, JSON.stringify(body));
+    }
+
+    /** Asks about a request at an entry. */
+    public describe(entry: PlannedEntry, requestId: string, key: string, waitMs: number): Promise<CallerReply> {
+        const url = `http://${entry.callersAddress}/v1/requests/${encodeURIComponent(requestId)}?waitMs=${waitMs}`;
+        return this.call("GET", url, keyHeader(key));
+    }
+
+    /** Cancels a request at an entry. */
+    public cancel(entry: PlannedEntry, requestId: string, key: string, waitMs: number): Promise<CallerReply> {
+        const url = `http://${entry.callersAddress}/v1/requests/${encodeURIComponent(requestId)}?waitMs=${waitMs}`;
+        return this.call("DELETE", url, keyHeader(key));
+    }
+
+    /** Applies an operators' text. */
+    public applyText(entry: PlannedEntry, text: string, baseVersion: number): Promise<{ readonly version: number; }> {
+        return this.operate(entry, "PUT", "/v1/config", { baseVersion, text });
+    }
+
+    /** Grants a key to a team. */
+    public grantKey(entry: PlannedEntry, team: string): Promise<GrantKeyReply> {
+        return this.operate(entry, "POST", "/v1/keys", { team });
+    }
+
+    /** Withdraws a key. */
+    public withdrawKey(entry: PlannedEntry, keyId: string): Promise<{ readonly complete: boolean; }> {
+        return this.operate(entry, "DELETE", `/v1/keys/${keyId}`);
+    }
+
+    /** Reads the state of the deployment. */
+    public status(entry: PlannedEntry): Promise<StatusReply> {
+        return this.operate(entry, "GET", "/v1/status");
+    }
+
+    /** Calls the operators' interface. */
+    public async operate<T>(entry: PlannedEntry, method: OperatorMethod, path: string, body?: object): Promise<T> {
+        const reply = await request(`http://${entry.operatorsAddress}${path}`, {
+            method,
+            headers: { ...keyHeader(this.plan.operatorKey), "content-type": "application/json" },
+            body: body && JSON.stringify(body),
+            dispatcher: this.agent
+        });
+        const value: unknown = await reply.body.json();
+        if (reply.statusCode >= 300) {
+            throw new Error(`${method} ${path}: ${reply.statusCode} ${JSON.stringify(value)}`);
+        }
+        return value as T;
+    }
+
+    /** Closes all connections. */
+    public async close(): Promise<void> {
+        await this.agent.destroy();
+    }
+
+    private async call(
+        method: "GET" | "POST" | "DELETE",
+        url: string,
+        headers: Readonly<Record<string, string>>,
+        body?: string
+    ): Promise<CallerReply> {
+        try {
+            const reply = await request(url, {
+                method,
+                headers: { ...headers, "content-type": "application/json" },
+                body,
+                dispatcher: this.agent
+            });
+            return { status: reply.statusCode, view: await reply.body.json() as RequestView };
+        }
+        catch {
+            return { status: 0 };
+        }
+    }
+}
+
+function keyHeader(key: string | undefined): Readonly<Record<string, string>> {
+    return key === undefined ? {} : { authorization: `Bearer ${key}` };
+}
+
+function idempotencyHeader(key: string | undefined): Readonly<Record<string, string>> {
+    return key === undefined ? {} : { "idempotency-key": key };
+}
--- /dev/null
+++ b/packages/bench/src/cluster/ClusterPlan.ts
@@ -0,0 +1,145 @@
+import { type LiveMachine, MachineRole } from "@skylarkpath/common/platform/LiveList";
+import type { DomainTopology, Topology } from "@skylarkpath/proof/Topology";
+import { createHash, randomBytes } from "node:crypto";
+import { findFreePorts } from "./FreePorts.js";
+
+/** Entry VM of a plan with the addresses of its process. */
+export interface PlannedEntry {
+    readonly machine: LiveMachine;
+    readonly callersAddress: string;
+    readonly operatorsAddress: string;
+}
+
+/** Modelled links of a cluster. */
+export interface PlannedLinks {
+    readonly failureDomainDelayMs: number;
+    readonly regionDelayMs: number;
+    readonly regionBitsPerSecond: number;
+}
+
+/** Processes, stand-ins and secrets of a cluster on loopback. */
+export interface ClusterPlan {
+    readonly platformAddress: string;
+    readonly controlAddress: string;
+    readonly entries: readonly PlannedEntry[];
+    /** Workers and targets. */
+    readonly machines: readonly LiveMachine[];
+    readonly clusterKey: string;
+    readonly operatorKey: string;
+    readonly operatorKeyHash: string;
+    readonly links?: PlannedLinks;
+}
+
+const FIXED_PORTS = 2;
+const PORTS_PER_ENTRY = 3;
+const HOST = "127.0.0.1";
+
+/** Plans a cluster of a topology with free ports. */
+export async function planCluster(topology: Topology, links?: PlannedLinks): Promise<ClusterPlan> {
+    const entryCount = sum(topology, domain => domain.entries);
+    const machineCount = sum(topology, domain => domain.workers + domain.targets);
+    const ports = [...await findFreePorts(FIXED_PORTS + PORTS_PER_ENTRY * entryCount + machineCount)];
+    const takeAddress = (): string => `${HOST}:${ports.pop()}`;
+    const operatorKey = randomBytes(16).toString("hex");
+    return {
+        platformAddress: takeAddress(),
+        controlAddress: takeAddress(),
+        entries: topology.domains.flatMap(domain => planEntries(domain, takeAddress)),
+        machines: topology.domains.flatMap(domain => planMachines(topology, domain, takeAddress)),
+        clusterKey: randomBytes(32).toString("hex"),
+        operatorKey,
+        operatorKeyHash: createHash("sha256").update(operatorKey, "utf8").digest("hex"),
+        links
+    };
+}
+
+/** Composes the settings file of one process. */
+export function composeSettings(plan: ClusterPlan, entry: PlannedEntry): string {
+    const lines = [
+        `process_id = "${entry.machine.machineId}"`,
+        `failure_domain = "${entry.machine.failureDomain}"`,
+        `region = "${entry.machine.region}"`,
+        "[listen]",
+        `callers = "${entry.callersAddress}"`,
+        `operators = "${entry.operatorsAddress}"`,
+        `peers = "${entry.machine.address}"`,
+        "[platform]",
+        `table_service = "http://${plan.platformAddress}"`,
+        `object_store = "http://${plan.platformAddress}"`,
+        `live_list = "http://${plan.platformAddress}"`,
+        "[operators]",
+        `key_hashes = ["${plan.operatorKeyHash}"]`,
+        "[cluster]",
+        `key = "${plan.clusterKey}"`,
+        ...composeLinks(plan.links)
+    ];
+    return `${lines.join("\n")}\n`;
+}
+
+function composeLinks(links: PlannedLinks | undefined): readonly string[] {
+    return links
+        ? [
+            "[links]",
+            `failure_domain_delay = "${links.failureDomainDelayMs}ms"`,
+            `region_delay = "${links.regionDelayMs}ms"`,
+            `region_bits_per_second = ${links.regionBitsPerSecond}`
+        ]
+        : [];
+}
+
+function planEntries(domain: DomainTopology, takeAddress: () => string): readonly PlannedEntry[] {
+    return numbers(domain.entries).map(place => ({
+        machine: {
+            ...placeOf(domain),
+            machineId: `${domain.failureDomain}-entry-${place}`,
+            role: MachineRole.Entry,
+            address: takeAddress(),
+            rack: `${domain.failureDomain}-entries`,
+            incarnation: "1",
+            leaving: false
+        },
+        callersAddress: takeAddress(),
+        operatorsAddress: takeAddress()
+    }));
+}
+
+function planMachines(
+    topology: Topology,
+    domain: DomainTopology,
+    takeAddress: () => string
+): readonly LiveMachine[] {
+    const workers = numbers(domain.workers).map((place): LiveMachine => ({
+        ...placeOf(domain),
+        machineId: `${domain.failureDomain}-worker-${place}`,
+        role: MachineRole.Worker,
+        address: takeAddress(),
+        rack: `${domain.failureDomain}-rack-${Math.floor(place / topology.workersPerRack)}`,
+        incarnation: "1",
+        leaving: false,
+        capacity: topology.workerCapacity,
+        workerClass: "standard"
+    }));
+    const targets = numbers(domain.targets).map((place): LiveMachine => ({
+        ...placeOf(domain),
+        machineId: `${domain.failureDomain}-target-${place}`,
+        role: MachineRole.Target,
+        address: takeAddress(),
+        rack: `${domain.failureDomain}-targets`,
+        incarnation: "1",
+        leaving: false,
+        slots: topology.slotsPerTarget
+    }));
+    return [...workers, ...targets];
+}
+
+function placeOf(domain: DomainTopology): Pick<LiveMachine, "failureDomain" | "region"> {
+    return { failureDomain: domain.failureDomain, region: domain.region };
+}
+
+function numbers(count: number): readonly number[] {
+    return [...new Array<undefined>(count).keys()];
+}
+
+function sum(topology: Topology, countOf: (domain: DomainTopology) => number): number {
+    return topology.domains.reduce((total, domain) => total + countOf(domain), 0);
+}
--- /dev/null
+++ b/packages/bench/src/cluster/LocalCluster.ts
@@ -0,0 +1,176 @@
+import { JsonRpcClient } from "@skylarkpath/adapters/JsonRpcClient";
+import type { Topology } from "@skylarkpath/proof/Topology";
+import { type ChildProcess, spawn } from "node:child_process";
+import { closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { type ClusterPlan, composeSettings, planCluster, type PlannedEntry, type PlannedLinks } from "./ClusterPlan.js";
+import { CONTROL_PATH, type StandInReport, type StoreFaultSetting } from "./StandInHost.js";
+
+interface RunningProcess {
+    readonly child: ChildProcess;
+    readonly exited: Promise<number>;
+}
+
+const READY_TIMEOUT_MS = 20_000;
+const POLL_INTERVAL_MS = 50;
+const CONTROL_TIMEOUT_MS = 10_000;
+const SKYLARKD_PATH = fileURLToPath(import.meta.resolve("@skylarkpath/skylarkd/main"));
+const STAND_IN_PATH = fileURLToPath(new URL("standInMain.js", import.meta.url));
+
+/** Cluster of real skylarkd processes and stand-ins on loopback. */
+export class LocalCluster {
+    private readonly folder = mkdtempSync(join(tmpdir(), "skylarkpath-bench-"));
+    private readonly processes = new Map<string, RunningProcess>();
+    private readonly control = new JsonRpcClient();
+    private standIns: RunningProcess | undefined;
+
+    private constructor(public readonly plan: ClusterPlan) {}
+
+    /** Starts a cluster and waits until its stand-ins serve. */
+    public static async start(topology: Topology, links?: PlannedLinks): Promise<LocalCluster> {
+        const cluster = new LocalCluster(await planCluster(topology, links));
+        await cluster.startStandIns();
+        for (const entry of cluster.plan.entries) {
+            cluster.startEntry(entry);
+        }
+        return cluster;
+    }
+
+    /** Finds an entry of the plan. */
+    public entry(processId: string): PlannedEntry {
+        const found = this.plan.entries.find(entry => entry.machine.machineId === processId);
+        if (!found) {
+            throw new Error(`There is no process "${processId}".`);
+        }
+        return found;
+    }
+
+    /** Starts the process of an entry VM. */
+    public startEntry(entry: PlannedEntry): void {
+        const { machineId } = entry.machine;
+        const settingsPath = join(this.folder, `${machineId}.toml`);
+        writeFileSync(settingsPath, composeSettings(this.plan, entry));
+        const child = this.spawnNode(
+            [SKYLARKD_PATH, "--settings", settingsPath],
+            join(this.folder, `${machineId}.log`)
+        );
+        this.processes.set(machineId, child);
+    }
+
+    /** Sends a signal to the process of an entry VM. */
+    public signal(processId: string, signal: NodeJS.Signals): void {
+        this.processes.get(processId)?.child.kill(signal);
+    }
+
+    /** Waits for the exit code of a process. */
+    public exitOf(processId: string): Promise<number> {
+        return this.processes.get(processId)?.exited ?? Promise.resolve(0);
+    }
+
+    /** Process id in the system, for measuring. */
+    public systemIdOf(processId: string): number | undefined {
+        return this.processes.get(processId)?.child.pid;
+    }
+
+    /** Waits until every entry listens. */
+    public async waitListening(): Promise<void> {
+        await Promise.all(this.plan.entries.map(entry => waitForStatus(`http://${entry.operatorsAddress}/healthz`)));
+    }
+
+    /** Waits until every entry is ready. */
+    public async waitReady(): Promise<void> {
+        await Promise.all(this.plan.entries.map(entry => waitForStatus(`http://${entry.callersAddress}/readyz`)));
+    }
+
+    /** Reads what the stand-ins have seen. */
+    public async report(): Promise<StandInReport> {
+        const reply = await this.callControl("report", {});
+        return reply as StandInReport;
+    }
+
+    /** Sets the faults of the store. */
+    public async setStoreFault(setting: StoreFaultSetting): Promise<void> {
+        await this.callControl("storeFault", setting);
+    }
+
+    /** Folder of settings and logs. */
+    public get logFolder(): string {
+        return this.folder;
+    }
+
+    /** Ends all processes by their ids. */
+    public async stop(): Promise<void> {
+        for (const running of [...this.processes.values(), this.standIns]) {
+            running?.child.kill("SIGKILL");
+            await running?.exited;
+        }
+        this.control.dispose();
+        rmSync(this.folder, { recursive: true, force: true });
+    }
+
+    private async startStandIns(): Promise<void> {
+        const planPath = join(this.folder, "plan.json");
+        writeFileSync(planPath, JSON.stringify(this.plan));
+        this.standIns = this.spawnNode([STAND_IN_PATH, planPath], join(this.folder, "stand-ins.log"));
+        const endMs = Date.now() + READY_TIMEOUT_MS;
+        while (Date.now() < endMs) {
+            const reply = await this.control.call(
+                this.plan.controlAddress,
+                CONTROL_PATH,
+                "report",
+                {},
+                CONTROL_TIMEOUT_MS
+            );
+            if (reply.isOk()) {
+                return;
+            }
+            await pause(POLL_INTERVAL_MS);
+        }
+        throw new Error("The stand-ins did not start.");
+    }
+
+    private async callControl(method: string, parameters: object): Promise<unknown> {
+        const { controlAddress } = this.plan;
+        const reply = await this.control.call(controlAddress, CONTROL_PATH, method, parameters, CONTROL_TIMEOUT_MS);
+        if (reply.isErr()) {
+            throw new Error(reply.error.message);
+        }
+        return reply.value;
+    }
+
+    private spawnNode(command: readonly string[], logPath: string): RunningProcess {
+        const log = openSync(logPath, "a");
+        const child = spawn(process.execPath, command, { stdio: ["ignore", log, log] });
+        closeSync(log);
+        const exited = new Promise<number>(resolve => child.once("exit", code => resolve(code ?? -1)));
+        return { child, exited };
+    }
+}
+
+/** Waits for a time. */
+export function pause(durationMs: number): Promise<void> {
+    return new Promise(resolve => {
+        setTimeout(resolve, durationMs);
+    });
+}
+
+async function waitForStatus(url: string): Promise<void> {
+    const endMs = Date.now() + READY_TIMEOUT_MS;
+    while (Date.now() < endMs) {
+        try {
+            const reply = await request(url);
+            await reply.body.dump();
+            if (reply.statusCode === 200) {
+                return;
+            }
+        }
+        catch {
+            // Not listening yet.
+        }
+        await pause(POLL_INTERVAL_MS);
+    }
+    throw new Error(`${url} did not become ready.`);
+}
--- a/packages/control/src/slice/ServiceController.ts
+++ b/packages/control/src/slice/ServiceController.ts
@@ -5,6 +5,8 @@
 
 interface ServiceState {
     readonly definition: ServiceDefinition;
+    /** Keeps the ids of replicas apart over slices. */
+    readonly failureDomain: string;
     /** Replicas that this slice keeps. */
     readonly count: number;
     readonly running: Set<string>;
@@ -47,6 +49,7 @@
             const known = this.services.get(definition.name);
             this.services.set(definition.name, {
                 definition,
+                failureDomain: this.failureDomain,
                 count: replicasOf(definition, this.failureDomain, text),
                 running: known?.running ?? new Set(),
                 submitted: false
@@ -113,8 +116,8 @@
 }
 
 function taskIdsOf(state: ServiceState): readonly string[] {
-    const groupId = groupIdOf(state.definition.name);
-    return rangeOf(state.count).map(ordinal => `${groupId}/${ordinal}`);
+    const prefix = `${groupIdOf(state.definition.name)}@${state.failureDomain}`;
+    return rangeOf(state.count).map(ordinal => `${prefix}/${ordinal}`);
 }
 
 function groupOf(state: ServiceState, taskIds: readonly string[], nowMs: number): TaskGroup {
--- a/packages/standins/src/memory/MemoryWorker.ts
+++ b/packages/standins/src/memory/MemoryWorker.ts
@@ -79,6 +79,11 @@
         return `${this.options.workerId}-${this.restarts}`;
     }
 
+    /** Tasks that run here or ended without acknowledgement. */
+    public get inventory(): readonly WorkerTask[] {
+        return [...this.tasks.values()].map(held => held.task);
+    }
+
     /** Refuses new tasks from now on. */
     public leave(): void {
         this.leaving = true;
