Add the operators' command line skylark

Conclusion: the commands work against the types of the operators' interface; a lost reply to a change is never sent again.

--- /dev/null
+++ b/packages/skylark/bin/skylark.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+await import("../out/main.js");
--- /dev/null
+++ b/packages/skylark/src/client/OperatorsError.ts
@@ -0,0 +1,22 @@
+import type { OperatorProblem } from "@skylarkpath/common/api/OperatorsApi";
+
+/** Failure of a call to the operators' interface. */
+export interface OperatorsError {
+    readonly kind: OperatorsErrorKind;
+    readonly message: string;
+    readonly problem?: OperatorProblem;
+}
+
+/** Why a call to the operators' interface failed. */
+export enum OperatorsErrorKind {
+    /** No server took the call. */
+    NotReachable = "not-reachable",
+    /** The call was sent, but no whole reply came. */
+    ReplyLost = "reply-lost",
+    /** The server can't serve the call now. */
+    Unavailable = "unavailable",
+    /** The server refused the call. */
+    Refused = "refused",
+    /** Another change won. */
+    Conflict = "conflict"
+}
--- /dev/null
+++ b/packages/skylark/src/commands/ConfigApplyCommand.ts
@@ -0,0 +1,85 @@
+import type { VersionedText } from "@skylarkpath/common/model/OperatorsText";
+import { renderLineDifference } from "@skylarkpath/text/LineDifference";
+import { parseOperatorsText } from "@skylarkpath/text/OperatorsTextParser";
+import { Command, Option } from "clipanion";
+import { err, ok, type Result } from "neverthrow";
+import type { OperatorsClient } from "../client/OperatorsClient.js";
+import { type OperatorsError, OperatorsErrorKind } from "../client/OperatorsError.js";
+import { ExitCode } from "../ExitCode.js";
+import { renderFindings } from "../output/FindingsText.js";
+import { ServerCommand } from "./ServerCommand.js";
+
+const VERSION = /^\d{1,15}$/;
+const STATUS_NOT_FOUND = 404;
+
+/** Puts a text into force in place of the version that it was edited from. */
+export class ConfigApplyCommand extends ServerCommand {
+    public static override readonly paths = [["config", "apply"]];
+    public static override readonly usage = Command.Usage({ description: "Put a text into force" });
+
+    public readonly file = Option.String({ name: "FILE" });
+    public readonly base = Option.String("--base", { required: true, description: "Version the text was edited from" });
+
+    protected async run(client: OperatorsClient): Promise<ExitCode> {
+        if (!VERSION.test(this.base)) {
+            this.printError(`--base must be a version number, found ${JSON.stringify(this.base)}`);
+            return ExitCode.WrongCall;
+        }
+        const text = await this.context.readTextFile(this.file);
+        if (text.isErr()) {
+            this.printError(text.error);
+            return ExitCode.WrongCall;
+        }
+        const checked = parseOperatorsText(text.value);
+        if (checked.isErr()) {
+            this.print(renderFindings(this.file, checked.error));
+            return ExitCode.Refused;
+        }
+        return this.apply(client, text.value);
+    }
+
+    private async apply(client: OperatorsClient, text: string): Promise<ExitCode> {
+        const current = await client.readConfig().orElse(treatAbsentAsEmpty);
+        if (current.isErr()) {
+            return this.fail(current.error);
+        }
+        const difference = renderLineDifference(current.value.text, text);
+        const applied = await client.applyConfig({ baseVersion: Number(this.base), text });
+        if (applied.isErr()) {
+            return this.explainFailure(applied.error, current.value.version, difference);
+        }
+        const { version } = applied.value;
+        this.printData(
+            { version, difference },
+            () => `${difference}${difference === "" ? "" : "\n"}version ${version}`
+        );
+        return ExitCode.Ok;
+    }
+
+    private explainFailure(error: OperatorsError, currentVersion: number, difference: string): ExitCode {
+        if (error.problem?.findings !== undefined) {
+            this.print(renderFindings(this.file, error.problem.findings));
+            return ExitCode.Refused;
+        }
+        if (error.kind === OperatorsErrorKind.Conflict) {
+            const winningVersion = error.problem?.winningVersion ?? currentVersion;
+            this.printConflict(winningVersion, currentVersion, difference);
+            return ExitCode.Conflict;
+        }
+        if (error.kind === OperatorsErrorKind.ReplyLost) {
+            this.printError("the text may have taken effect; see skylark config show");
+        }
+        return this.fail(error);
+    }
+
+    private printConflict(winningVersion: number, comparedVersion: number, difference: string): void {
+        const compared = `difference of version ${comparedVersion} to ${this.file}:`;
+        this.printData({ winningVersion, comparedVersion, difference }, () => `${compared}\n${difference}`);
+        this.printError(`conflict: version ${winningVersion} won; the text was edited from version ${this.base}`);
+    }
+}
+
+/** A deployment without any text is at version zero. */
+function treatAbsentAsEmpty(error: OperatorsError): Result<VersionedText, OperatorsError> {
+    return error.problem?.status === STATUS_NOT_FOUND ? ok({ version: 0, text: "" }) : err(error);
+}
--- /dev/null
+++ b/packages/skylark/src/commands/KeyGrantCommand.ts
@@ -0,0 +1,27 @@
+import { Command, Option } from "clipanion";
+import type { OperatorsClient } from "../client/OperatorsClient.js";
+import { OperatorsErrorKind } from "../client/OperatorsError.js";
+import { ExitCode } from "../ExitCode.js";
+import { renderTable } from "../output/Table.js";
+import { ServerCommand } from "./ServerCommand.js";
+
+/** Grants a key to a team and prints it, this once. */
+export class KeyGrantCommand extends ServerCommand {
+    public static override readonly paths = [["key", "grant"]];
+    public static override readonly usage = Command.Usage({ description: "Grant a key to a team and print it" });
+
+    public readonly team = Option.String({ name: "TEAM" });
+
+    protected async run(client: OperatorsClient): Promise<ExitCode> {
+        const granted = await client.grantKey(this.team);
+        if (granted.isErr()) {
+            if (granted.error.kind === OperatorsErrorKind.ReplyLost) {
+                this.printError("a key may have been granted; see skylark key list and withdraw it");
+            }
+            return this.fail(granted.error);
+        }
+        const { keyId, team, key } = granted.value;
+        this.printData(granted.value, () => renderTable(["key id", "team", "key"], [[keyId, team, key]]));
+        return ExitCode.Ok;
+    }
+}
--- /dev/null
+++ b/packages/skylark/src/output/Trace.ts
@@ -0,0 +1,109 @@
+import type { TimelineReply } from "@skylarkpath/common/api/OperatorsApi";
+import type { EventFields, TimelineEvent } from "@skylarkpath/common/log/EventLog";
+
+/** Event of the Chrome trace-event form; the names are given by that form. */
+export interface TraceEvent {
+    readonly name: string;
+    /** Phase: metadata, instant, or begin, step and end of a nested asynchronous span. */
+    readonly ph: "M" | "i" | "b" | "n" | "e";
+    /** Microseconds. */
+    readonly ts: number;
+    readonly pid: number;
+    readonly tid: number;
+    readonly cat?: string;
+    readonly id?: string;
+    readonly s?: "p";
+    readonly args: EventFields;
+}
+
+/** Document of the Chrome trace-event form. */
+export interface Trace {
+    readonly displayTimeUnit: "ms";
+    readonly traceEvents: readonly TraceEvent[];
+    readonly otherData: { readonly notReached: string; };
+}
+
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+const MAXIMUM_COUNTER_MICROSECONDS = 999;
+const REQUEST_CATEGORY = "request";
+
+/** Converts a time line to the trace-event form, with a span for each request. */
+export function createTrace(timeline: TimelineReply): Trace {
+    const processIds = [...new Set(timeline.events.map(({ processId }) => processId))];
+    const processNumbers = new Map(processIds.map((processId, index) => [processId, index + 1]));
+    const numberOf = (event: TimelineEvent) => processNumbers.get(event.processId) ?? 0;
+    return {
+        displayTimeUnit: "ms",
+        traceEvents: [
+            ...[...processNumbers].map(([processId, processNumber]) => createProcessName(processId, processNumber)),
+            ...timeline.events.map(event => createInstant(event, numberOf(event))),
+            ...createRequestSpans(timeline.events, numberOf)
+        ],
+        otherData: { notReached: timeline.notReached.join(", ") }
+    };
+}
+
+function createProcessName(processId: string, processNumber: number): TraceEvent {
+    return { name: "process_name", ph: "M", ts: 0, pid: processNumber, tid: 0, args: { name: processId } };
+}
+
+function createInstant(event: TimelineEvent, processNumber: number): TraceEvent {
+    return {
+        name: event.name,
+        ph: "i",
+        ts: microsecondsOf(event),
+        pid: processNumber,
+        tid: 0,
+        s: "p",
+        args: argumentsOf(event)
+    };
+}
+
+function createRequestSpans(
+    events: readonly TimelineEvent[],
+    numberOf: (event: TimelineEvent) => number
+): readonly TraceEvent[] {
+    const eventsByRequest = new Map<string, TimelineEvent[]>();
+    for (const event of events) {
+        if (event.requestId !== undefined) {
+            const known = eventsByRequest.get(event.requestId) ?? [];
+            known.push(event);
+            eventsByRequest.set(event.requestId, known);
+        }
+    }
+    return [...eventsByRequest].flatMap(([requestId, requestEvents]) =>
+        createRequestSpan(requestId, requestEvents, numberOf(requestEvents[0]))
+    );
+}
+
+/** Viewers join the parts of a span by category, id and process, so that one process carries it. */
+function createRequestSpan(
+    requestId: string,
+    events: readonly TimelineEvent[],
+    processNumber: number
+): readonly TraceEvent[] {
+    const shared = { pid: processNumber, tid: 0, cat: REQUEST_CATEGORY, id: requestId };
+    const first = events[0];
+    const last = events[events.length - 1];
+    return [
+        { ...shared, name: requestId, ph: "b", ts: microsecondsOf(first), args: {} },
+        ...events.map((event): TraceEvent => ({
+            ...shared,
+            name: event.name,
+            ph: "n",
+            ts: microsecondsOf(event),
+            args: argumentsOf(event)
+        })),
+        { ...shared, name: requestId, ph: "e", ts: microsecondsOf(last), args: {} }
+    ];
+}
+
+function argumentsOf(event: TimelineEvent): EventFields {
+    return { ...event.fields, eventNumber: event.number, requestId: event.requestId, processId: event.processId };
+}
+
+/** The counter orders events of one millisecond. */
+function microsecondsOf({ time }: TimelineEvent): number {
+    const counterMicroseconds = Math.min(time.counter, MAXIMUM_COUNTER_MICROSECONDS);
+    return time.wallClockMs * MICROSECONDS_PER_MILLISECOND + counterMicroseconds;
+}
--- a/packages/text/src/FindingCollector.ts
+++ b/packages/text/src/FindingCollector.ts
@@ -1,4 +1,5 @@
 import type { Finding, TextPosition } from "@skylarkpath/common/base/Finding";
+import { escapeControlCharacters } from "./ControlCharacters.js";
 
 /** Collects the findings of a text, remembers which paths are faulty and returns the findings in file order. */
 export class FindingCollector {
@@ -7,12 +8,12 @@
 
     /** Adds a finding that belongs to no path. */
     public add(position: TextPosition, message: string): void {
-        this.findings.push({ position, message });
+        this.findings.push({ position, message: escapeControlCharacters(message) });
     }
 
     /** Adds a finding about the value at a path such as `teams.dispatch.share`. */
     public report(position: TextPosition, path: string, message: string): void {
-        this.findings.push({ position, message: `${path}: ${message}` });
+        this.add(position, `${path}: ${message}`);
         this.markFaulty(path);
     }
 
