--- a/packages/decisions/src/SliceTaskScheduler.test.ts
+++ b/packages/decisions/src/SliceTaskScheduler.test.ts
@@ -1,4 +1,5 @@
 import type { Resources } from "@skylarkpath/common/model/Resources";
+import { createSeededRandom } from "@skylarkpath/common/random/RandomSource";
 import {
     DecisionKind,
     GroupKind,
@@ -10,6 +11,7 @@
 import test from "ava";
 import { SliceTaskScheduler } from "./SliceTaskScheduler.js";
 
+const SEED = 11;
 const GIB = 2 ** 30;
 const ONE_CORE: Resources = { processorMillicores: 1000, memoryBytes: GIB, accelerators: 0 };
 const WORKER: Resources = { processorMillicores: 4000, memoryBytes: 16 * GIB, accelerators: 0 };
@@ -32,7 +34,7 @@
 }
 
 function createScheduler(workerCount: number, allowedCores = 1000): TaskScheduler {
-    const scheduler = new SliceTaskScheduler();
+    const scheduler = new SliceTaskScheduler(createSeededRandom(SEED));
     for (let worker = 0; worker < workerCount; worker++) {
         scheduler.upsertWorker({ workerId: `w${worker}`, rack: "r0", capacity: WORKER, schedulable: true });
     }
--- a/packages/decisions/src/SliceTaskScheduler.ts
+++ b/packages/decisions/src/SliceTaskScheduler.ts
@@ -1,26 +1,65 @@
 import type { Resources } from "@skylarkpath/common/model/Resources";
 import { NO_RESOURCES } from "@skylarkpath/common/model/Resources";
+import type { RandomSource } from "@skylarkpath/common/random/RandomSource";
 import {
     type Decision,
     TaskEnd,
     type TaskGroup,
     type TaskScheduler,
     type TeamPolicy,
-    WaitCause,
     type WaitExplanation,
     type WorkerView
 } from "@skylarkpath/common/scheduling/TaskScheduler";
 import { GroupState } from "./groups/GroupState.js";
 import type { RunningTask } from "./groups/RunningTask.js";
+import { WorkerHealth } from "./health/WorkerHealth.js";
+import { RunTimeEstimator } from "./learning/RunTimeEstimator.js";
+import { Backfiller } from "./tasks/Backfiller.js";
+import { Explainer } from "./tasks/Explainer.js";
+import { FailureJudge } from "./tasks/FailureJudge.js";
+import { Feasibility } from "./tasks/Feasibility.js";
+import { GangPlanner } from "./tasks/GangPlanner.js";
 import { Placer } from "./tasks/Placer.js";
+import { Preemptor } from "./tasks/Preemptor.js";
+import { ReservationPlanner } from "./tasks/ReservationPlanner.js";
+import { RetryDelays } from "./tasks/RetryDelays.js";
 import { SliceState } from "./tasks/SliceState.js";
+import { DEFAULT_TASK_OPTIONS, type TaskOptions } from "./tasks/TaskOptions.js";
+import { VictimFinder } from "./tasks/VictimFinder.js";
+
+const PATIENCE_WITHOUT_DEADLINE_MS = 24 * 3_600_000;
 
 /** Decides about the workers of one slice. */
 export class SliceTaskScheduler implements TaskScheduler {
     private readonly state = new SliceState();
-    private readonly placer = new Placer(this.state);
+    private readonly estimator = new RunTimeEstimator();
+    private readonly health = new WorkerHealth(() => this.state.fleet.workerCount);
+    private readonly placer: Placer;
+    private readonly gangs: GangPlanner;
+    private readonly backfiller: Backfiller;
+    private readonly preemptor: Preemptor;
+    private readonly feasibility: Feasibility;
+    private readonly judge: FailureJudge;
+    private readonly delays: RetryDelays;
+    private readonly explainer: Explainer;
     private sharesStale = false;
 
+    constructor(random: RandomSource, changedOptions: Partial<TaskOptions> = {}) {
+        const options = { ...DEFAULT_TASK_OPTIONS, ...changedOptions };
+        const { state, estimator } = this;
+        const planner = new ReservationPlanner(state.fleet, estimator, random);
+        const finder = new VictimFinder(state.fleet, random, options.preemptionCandidates);
+        this.gangs = new GangPlanner(state, planner, estimator, options);
+        this.preemptor = new Preemptor(state, finder, options);
+        this.placer = new Placer(state, queue => this.preemptor.addBlocked(queue));
+        this.backfiller = new Backfiller(state, estimator, state.teams.ordinaryLine);
+        this.feasibility = new Feasibility(state, options);
+        this.judge = new FailureJudge(this.health, () => state.fleet.workerCount, options);
+        this.delays = new RetryDelays(options.retryDelayMs, options.maxRetryDelayMs);
+        this.explainer = new Explainer(state, this.feasibility);
+        this.health.onChanged(({ workerId }) => this.updateCondition(workerId));
+    }
+
     public setTeams(teams: ReadonlyMap<string, TeamPolicy>): void {
         this.state.teams.setPolicies(teams, this.state.fleet.capacity);
     }
@@ -28,29 +67,21 @@
     public upsertWorker(view: WorkerView): void {
         const worker = this.state.fleet.upsert(view);
         this.sharesStale = true;
-        if (worker.takesTasks) {
-            this.state.shapes.roomGained(worker);
-        }
+        this.updateCondition(worker.workerId);
     }
 
     public removeWorker(workerId: string): void {
         this.state.fleet.remove(workerId);
+        this.health.forget(workerId);
         this.sharesStale = true;
     }
 
     public submit(group: TaskGroup): void {
-        let state = this.state.groups.get(group.groupId);
-        if (state === undefined) {
-            state = new GroupState(
-                group,
-                this.state.teams.obtain(group.team),
-                this.state.shapes.obtain(group.resources)
-            );
-            state.orderKeyMs = (group.deadlineAtMs ?? group.submittedAtMs) - group.declaredDurationMs;
-            this.state.groups.set(group.groupId, state);
-        }
+        const known = this.state.groups.get(group.groupId);
+        const state = known ?? this.createGroup(group);
         state.withdrawn = false;
         state.addTasks(group.taskIds, taskId => this.state.running.has(taskId));
+        this.feasibility.add(state);
         this.enqueue(state);
     }
 
@@ -77,61 +108,112 @@
         return running;
     }
 
-    public taskEnded(taskId: string, end: TaskEnd): void {
+    public taskEnded(taskId: string, end: TaskEnd, nowMs: number): void {
         const task = this.state.running.get(taskId);
         if (task === undefined) {
             return;
         }
-        if (!task.group.withdrawn && (end === TaskEnd.Requeued || end === TaskEnd.Failed)) {
-            task.group.requeue(taskId, end === TaskEnd.Requeued);
+        const { group } = task;
+        this.learn(task, end, nowMs);
+        if (group.withdrawn || end === TaskEnd.Succeeded || end === TaskEnd.Cancelled) {
+            group.markFinished(taskId);
         }
-        else {
-            task.group.markFinished(taskId);
+        else if (end === TaskEnd.Requeued) {
+            group.requeue(taskId, true);
         }
         this.state.release(task);
-        this.enqueue(task.group);
+        this.enqueue(group);
     }
 
     public decide(nowMs: number): readonly Decision[] {
-        this.begin();
-        this.placer.placeAll(this.state.teams.urgentLine, nowMs);
-        this.placer.placeAll(this.state.teams.serviceLine, nowMs);
-        this.placer.placeAll(this.state.teams.ordinaryLine, nowMs);
+        const { teams } = this.state;
+        this.begin(nowMs);
+        this.placer.placeAll(teams.urgentLine, nowMs);
+        this.preemptor.run(nowMs);
+        this.placer.placeAll(teams.serviceLine, nowMs);
+        this.gangs.run(nowMs);
+        this.placer.placeAll(teams.ordinaryLine, nowMs);
+        this.backfiller.run(nowMs);
         return this.state.takeDecisions();
     }
 
-    public explain(groupId: string): WaitExplanation | undefined {
+    public explain(groupId: string, nowMs: number): WaitExplanation | undefined {
         const group = this.state.groups.get(groupId);
-        if (group === undefined || group.waitingCount === 0) {
-            return undefined;
-        }
-        const count = group.isGang ? group.waitingCount : 1;
-        if (!group.team.hasRoom(group.shape.resources, count)) {
-            return { cause: WaitCause.Limit, detail: `team ${group.team.name} has no room under its allotment here` };
-        }
-        if (this.state.fleet.openWorkerCount === 0) {
-            return { cause: WaitCause.NoWorker, detail: "no worker here takes new tasks" };
-        }
-        if (!this.state.fleet.couldFit(group.shape.resources)) {
-            return { cause: WaitCause.Size, detail: "no worker here is large enough for one task" };
-        }
-        return { cause: WaitCause.Share, detail: "waits until a worker has room" };
+        return group === undefined ? undefined : this.explainer.explain(group, nowMs);
     }
 
     public usage(team: string): Resources {
         return this.state.teams.find(team)?.usage ?? NO_RESOURCES;
     }
 
-    private begin(): void {
+    private begin(nowMs: number): void {
         if (this.sharesStale) {
             this.sharesStale = false;
             this.state.teams.updateShares(this.state.fleet.capacity);
         }
         this.state.fleet.updateScarcest();
+        this.health.advance(nowMs);
+        this.delays.advance(nowMs, group => this.enqueue(group));
+        this.feasibility.run(nowMs, group => this.enqueue(group));
         this.placer.begin();
     }
 
+    private learn(task: RunningTask, end: TaskEnd, nowMs: number): void {
+        if (end === TaskEnd.Succeeded) {
+            task.group.hasSucceeded = true;
+            this.estimator.observe(task.group.group.profile, nowMs - task.startedAtMs);
+            this.health.taskSucceeded(task.worker.workerId);
+        }
+        else if (end === TaskEnd.Failed) {
+            this.learnFailure(task, nowMs);
+        }
+    }
+
+    /** Delays the next attempt of a task that failed, or rejects a group that can never run. */
+    private learnFailure(task: RunningTask, nowMs: number): void {
+        const { group, taskId, worker } = task;
+        const failures = group.addFailure(taskId, worker.workerId, nowMs);
+        this.health.taskFailed(worker.workerId, taskId, group, nowMs);
+        if (group.withdrawn) {
+            return;
+        }
+        const reason = this.judge.judge(group, taskId, failures);
+        if (reason === undefined) {
+            this.delays.delay(taskId, group, failures.attempts, nowMs);
+        }
+        else {
+            this.health.sourceRejected(group);
+            this.state.reject(group, reason);
+        }
+    }
+
+    private createGroup(group: TaskGroup): GroupState {
+        const state = new GroupState(
+            group,
+            this.state.teams.obtain(group.team),
+            this.state.shapes.obtain(group.resources)
+        );
+        const deadlineAtMs = group.deadlineAtMs ?? group.submittedAtMs + PATIENCE_WITHOUT_DEADLINE_MS;
+        state.orderKeyMs = deadlineAtMs - this.estimator.typicalMs(group);
+        this.state.groups.set(group.groupId, state);
+        return state;
+    }
+
+    private updateCondition(workerId: string): void {
+        const worker = this.state.fleet.find(workerId);
+        if (worker === undefined) {
+            return;
+        }
+        worker.condition = this.health.conditionOf(workerId);
+        this.state.fleet.refresh(worker);
+        this.state.roomGained(worker);
+    }
+
     private enqueue(group: GroupState): void {
+        if (group.isGang) {
+            this.gangs.refresh(group);
+            return;
+        }
         const line = this.state.teams.lineOf(group);
         if (group.waitingCount > 0) {
             line.add(group);
--- a/packages/decisions/src/StandardSchedulerFactory.ts
+++ b/packages/decisions/src/StandardSchedulerFactory.ts
@@ -7,8 +7,8 @@
 
 /** Creates the standard schedulers of a slice. */
 export class StandardSchedulerFactory implements SchedulerFactory {
-    public createTaskScheduler(): TaskScheduler {
-        return new SliceTaskScheduler();
+    public createTaskScheduler(random: RandomSource): TaskScheduler {
+        return new SliceTaskScheduler(random);
     }
 
     public createLookupScheduler(random: RandomSource): LookupScheduler {
--- a/packages/decisions/src/fleet/Fleet.ts
+++ b/packages/decisions/src/fleet/Fleet.ts
@@ -1,15 +1,24 @@
 import type { Resources } from "@skylarkpath/common/model/Resources";
-import { addResources, fitsInto, NO_RESOURCES, subtractResources } from "@skylarkpath/common/model/Resources";
+import { addResources, NO_RESOURCES, subtractResources } from "@skylarkpath/common/model/Resources";
 import type { WorkerView } from "@skylarkpath/common/scheduling/TaskScheduler";
+import type { Reservation } from "../tasks/Reservation.js";
 import { OrderingResource, WorkerIndex } from "./WorkerIndex.js";
 import { WorkerNode } from "./WorkerNode.js";
 
+const MAX_DEPARTED_WORKERS = 1000;
+
 /** Workers of a slice, indexed by free capacity. */
 export class Fleet {
     private readonly workers = new Map<string, WorkerNode>();
-    private readonly index = new WorkerIndex();
+    private readonly openIndex = new WorkerIndex();
+    private readonly reservedIndex = new WorkerIndex();
+    /** Capacity of workers that left; they may come back. */
+    private readonly departed = new Map<string, Resources>();
+    private readonly racks = new Map<string, number>();
     private totalCapacity = NO_RESOURCES;
     private committed = NO_RESOURCES;
+    private taking: readonly WorkerNode[] | undefined;
+    private viewVersion = 0;
     private scarcest = OrderingResource.Processor;
 
     public get capacity(): Resources {
@@ -18,9 +27,28 @@
 
     /** Number of workers that take new tasks. */
     public get openWorkerCount(): number {
-        return this.index.size;
+        return this.openIndex.size + this.reservedIndex.size;
+    }
+
+    public get reservedWorkerCount(): number {
+        return this.reservedIndex.size;
     }
 
+    /** Number of workers known, whether they take tasks or not. */
+    public get workerCount(): number {
+        return this.workers.size;
+    }
+
+    public get rackCount(): number {
+        return this.racks.size;
+    }
+
+    /** Rises with every change of a worker's view. */
+    public get version(): number {
+        return this.viewVersion;
+    }
+
+    /** All known workers. */
     public get all(): Iterable<WorkerNode> {
         return this.workers.values();
     }
@@ -42,6 +70,10 @@
     /** Adds a worker or takes over its new view. */
     public upsert(view: WorkerView): WorkerNode {
         const worker = this.obtain(view.workerId);
+        this.departed.delete(view.workerId);
+        if (worker.hasView(view)) {
+            return worker;
+        }
         this.replaceView(worker, () => worker.setView(view));
         return worker;
     }
@@ -50,6 +82,7 @@
     public remove(workerId: string): WorkerNode | undefined {
         const worker = this.workers.get(workerId);
         if (worker !== undefined) {
+            this.rememberDeparted(worker);
             this.replaceView(worker, () => worker.setGone());
             this.forgetWhenEmpty(worker);
         }
@@ -73,17 +106,41 @@
 
     /** Puts a worker where its state belongs: into the index when it takes new tasks. */
     public refresh(worker: WorkerNode): void {
+        if (worker.takesTasks !== (worker.index !== undefined)) {
+            this.taking = undefined;
+        }
         if (worker.takesTasks) {
-            this.index.update(worker);
+            const index = worker.reservation === undefined ? this.openIndex : this.reservedIndex;
+            index.update(worker);
         }
         else {
-            this.index.remove(worker);
+            worker.index?.remove(worker);
         }
     }
 
-    /** Returns the worker that the demand fits best. */
+    /** All workers that take new tasks; computed anew only after one began or ceased to. */
+    public takingTasks(): readonly WorkerNode[] {
+        if (this.taking === undefined) {
+            this.taking = [...this.workers.values()].filter(worker => worker.takesTasks);
+        }
+        return this.taking;
+    }
+
+    /** Keeps a worker for a reservation, or opens it to all again. */
+    public setReservation(worker: WorkerNode, reservation: Reservation | undefined): void {
+        worker.reservation = reservation;
+        this.refresh(worker);
+        this.forgetWhenEmpty(worker);
+    }
+
+    /** Returns the worker open to all that the demand fits best. */
     public findBest(demand: Resources, accepts: (worker: WorkerNode) => boolean): WorkerNode | undefined {
-        return this.index.find(demand, this.scarcest, accepts);
+        return this.openIndex.findBest(demand, this.scarcest, accepts);
+    }
+
+    /** Returns the reserved worker that the demand fits best. */
+    public findReserved(demand: Resources, accepts: (worker: WorkerNode) => boolean): WorkerNode | undefined {
+        return this.reservedIndex.findBest(demand, this.scarcest, accepts);
     }
 
     /** Chooses the resource that orders workers from what is committed. */
@@ -93,26 +150,102 @@
         this.scarcest = memory > processors ? OrderingResource.Memory : OrderingResource.Processor;
     }
 
-    /** Tells whether some known worker could hold the demand when empty. */
-    public couldFit(demand: Resources): boolean {
+    /** Counts how many tasks of a size all known workers could hold when empty, up to a limit. */
+    public countPlaces(demand: Resources, limit: number): number {
+        let places = 0;
+        for (const worker of this.workers.values()) {
+            places += placesIn(worker.capacity, demand, limit);
+            if (places >= limit) {
+                return limit;
+            }
+        }
+        for (const capacity of this.departed.values()) {
+            places += placesIn(capacity, demand, limit);
+        }
+        return Math.min(limit, places);
+    }
+
+    /** Returns the largest worker by the fraction of the demand that it covers. */
+    public findLargest(demand: Resources): WorkerNode | undefined {
+        let largest: WorkerNode | undefined;
+        let largestCover = Number.NEGATIVE_INFINITY;
         for (const worker of this.workers.values()) {
-            if (fitsInto(demand, worker.capacity)) {
-                return true;
+            const cover = coverOf(worker.capacity, demand);
+            if (cover > largestCover) {
+                largest = worker;
+                largestCover = cover;
             }
         }
-        return false;
+        return largest;
+    }
+
+    private rememberDeparted(worker: WorkerNode): void {
+        if (worker.isGone) {
+            return;
+        }
+        this.departed.set(worker.workerId, worker.capacity);
+        if (this.departed.size > MAX_DEPARTED_WORKERS) {
+            const [oldest] = this.departed.keys();
+            this.departed.delete(oldest!);
+        }
     }
 
     private replaceView(worker: WorkerNode, replace: () => void): void {
         this.totalCapacity = subtractResources(this.totalCapacity, worker.capacity);
+        this.countRack(worker, -1);
         replace();
+        this.countRack(worker, 1);
         this.totalCapacity = addResources(this.totalCapacity, worker.capacity);
+        this.viewVersion++;
         this.refresh(worker);
     }
 
+    private countRack(worker: WorkerNode, difference: number): void {
+        if (worker.isGone) {
+            return;
+        }
+        const count = (this.racks.get(worker.rack) ?? 0) + difference;
+        if (count > 0) {
+            this.racks.set(worker.rack, count);
+        }
+        else {
+            this.racks.delete(worker.rack);
+        }
+    }
+
     private forgetWhenEmpty(worker: WorkerNode): void {
-        if (worker.isGone && worker.running.size === 0) {
+        if (worker.isGone && worker.running.size === 0 && worker.reservation === undefined) {
             this.workers.delete(worker.workerId);
         }
     }
 }
+
+/** Counts how many tasks of a size an amount holds, up to a limit. */
+export function placesIn(amount: Resources, demand: Resources, limit: number): number {
+    return Math.max(
+        0,
+        Math.min(
+            limit,
+            timesIn(amount.processorMillicores, demand.processorMillicores),
+            timesIn(amount.memoryBytes, demand.memoryBytes),
+            timesIn(amount.accelerators, demand.accelerators)
+        )
+    );
+}
+
+function timesIn(amount: number, demand: number): number {
+    return demand > 0 ? Math.floor(amount / demand) : Number.POSITIVE_INFINITY;
+}
+
+/** Smallest fraction of the demand that the capacity covers over all resources. */
+function coverOf(capacity: Resources, demand: Resources): number {
+    return Math.min(
+        fractionCovered(capacity.processorMillicores, demand.processorMillicores),
+        fractionCovered(capacity.memoryBytes, demand.memoryBytes),
+        fractionCovered(capacity.accelerators, demand.accelerators)
+    );
+}
+
+function fractionCovered(capacity: number, demand: number): number {
+    return demand > 0 ? capacity / demand : 1;
+}
--- a/packages/decisions/src/fleet/WorkerIndex.ts
+++ b/packages/decisions/src/fleet/WorkerIndex.ts
@@ -32,15 +32,15 @@
     /** Adds a worker, or moves it to where its free capacity belongs. */
     public update(worker: WorkerNode): void {
         const cell = cellOf(worker);
-        if (cell !== worker.cell) {
-            this.remove(worker);
+        if (cell !== worker.cell || worker.index !== this) {
+            worker.index?.remove(worker);
             this.insert(worker, cell);
         }
     }
 
     /** Removes a worker; does nothing when it is not here. */
     public remove(worker: WorkerNode): void {
-        if (worker.cell === NOT_INDEXED) {
+        if (worker.index !== this) {
             return;
         }
         const members = this.cells[worker.cell]!;
@@ -52,13 +52,14 @@
         if (members.length === 0) {
             this.setMasks(worker.cell, false);
         }
+        worker.index = undefined;
         worker.cell = NOT_INDEXED;
         worker.cellPosition = NOT_INDEXED;
         this.count--;
     }
 
-    /** Returns the worker that the demand fits best, leaving out the excluded one and those not accepted. */
-    public find(
+    /** Returns the accepted worker that the demand fits best. */
+    public findBest(
         demand: Resources,
         ordering: OrderingResource,
         accepts: (worker: WorkerNode) => boolean
@@ -111,6 +112,7 @@
         if (members.length === 0) {
             this.setMasks(cell, true);
         }
+        worker.index = this;
         worker.cell = cell;
         worker.cellPosition = members.length;
         members.push(worker);
--- a/packages/decisions/src/fleet/WorkerNode.ts
+++ b/packages/decisions/src/fleet/WorkerNode.ts
@@ -2,6 +2,9 @@
 import { NO_RESOURCES } from "@skylarkpath/common/model/Resources";
 import type { WorkerView } from "@skylarkpath/common/scheduling/TaskScheduler";
 import type { RunningTask } from "../groups/RunningTask.js";
+import { WorkerCondition } from "../health/WorkerCondition.js";
+import type { Reservation } from "../tasks/Reservation.js";
+import type { WorkerIndex } from "./WorkerIndex.js";
 
 /** Position of a worker that is in no cell of an index. */
 export const NOT_INDEXED = -1;
@@ -9,16 +12,20 @@
 /** Worker with what runs on it and what is free. */
 export class WorkerNode {
     public readonly running = new Set<RunningTask>();
-    /** Cell and position in the index that holds the worker; owned by that index. */
+    /** Index that holds the worker, its cell and position there; set by that index. */
+    public index: WorkerIndex | undefined;
     public cell = NOT_INDEXED;
     public cellPosition = NOT_INDEXED;
     public freeProcessorMillicores = 0;
     public freeMemoryBytes = 0;
     public freeAccelerators = 0;
+    public condition = WorkerCondition.Healthy;
+    /** Group for which the worker is kept. */
+    public reservation: Reservation | undefined;
     private currentCapacity = NO_RESOURCES;
     private currentRack = "";
     private currentSchedulable = false;
-    private gone = false;
+    private gone = true;
 
     constructor(public readonly workerId: string) {}
 
@@ -36,13 +43,27 @@
 
     /** New tasks may start here. */
     public get takesTasks(): boolean {
-        return this.currentSchedulable;
+        if (!this.currentSchedulable || this.condition === WorkerCondition.Quarantined) {
+            return false;
+        }
+        return this.condition === WorkerCondition.Healthy || this.running.size === 0;
     }
 
     public get isGone(): boolean {
         return this.gone;
     }
 
+    /** Tells whether a view brings nothing new. */
+    public hasView(view: WorkerView): boolean {
+        const { capacity } = this;
+        return !this.gone
+            && this.currentSchedulable === view.schedulable
+            && this.currentRack === view.rack
+            && capacity.processorMillicores === view.capacity.processorMillicores
+            && capacity.memoryBytes === view.capacity.memoryBytes
+            && capacity.accelerators === view.capacity.accelerators;
+    }
+
     /** Takes over what the worker holds; what runs on it stays counted. */
     public setView(view: WorkerView): void {
         this.freeProcessorMillicores += view.capacity.processorMillicores - this.currentCapacity.processorMillicores;
@@ -60,6 +81,15 @@
         this.gone = true;
     }
 
+    /** Returns what is free as a copy that may be changed. */
+    public copyFree(): { processorMillicores: number; memoryBytes: number; accelerators: number; } {
+        return {
+            processorMillicores: this.freeProcessorMillicores,
+            memoryBytes: this.freeMemoryBytes,
+            accelerators: this.freeAccelerators
+        };
+    }
+
     /** Tells whether the demand fits into what is free. */
     public fits(demand: Resources): boolean {
         return demand.processorMillicores <= this.freeProcessorMillicores
--- a/packages/decisions/src/groups/GroupState.ts
+++ b/packages/decisions/src/groups/GroupState.ts
@@ -1,17 +1,33 @@
 import { GroupKind, type TaskGroup } from "@skylarkpath/common/scheduling/TaskScheduler";
 import { type HeapElement, NOT_IN_HEAP } from "../base/IndexedHeap.js";
+import type { FailureSource } from "../health/WorkerHealth.js";
+import type { Reservation } from "../tasks/Reservation.js";
 import type { TeamAccount } from "../teams/TeamAccount.js";
+import { ReplicaSpread } from "./ReplicaSpread.js";
 import type { RunningTask } from "./RunningTask.js";
 import type { Shape } from "./Shape.js";
+import { TaskFailures } from "./TaskFailures.js";
 
 /** Group with its waiting and running tasks. */
-export class GroupState implements HeapElement {
+export class GroupState implements HeapElement, FailureSource {
     public heapIndex = NOT_IN_HEAP;
     public readonly running = new Map<string, RunningTask>();
     /** Withdrawn or rejected; kept while tasks run. */
     public withdrawn = false;
     /** Latest start that meets the deadline; orders the groups of a team. */
     public orderKeyMs = 0;
+    /** Some task of the group succeeded. */
+    public hasSucceeded = false;
+    /** Workers kept for the group. */
+    public reservation: Reservation | undefined;
+    /** Tasks that were stopped for urgent work. */
+    public preemptionCount = 0;
+    /** Where the replicas of a service run. */
+    public readonly spread: ReplicaSpread | undefined;
+    private readonly failures = new Map<string, TaskFailures>();
+    private readonly failedWorkers = new Set<string>();
+    /** Tasks that wait for a delay after a failure. */
+    private readonly delayedIds = new Set<string>();
     private readonly waitingIds = new Set<string>();
     private readonly finishedIds = new Set<string>();
     /** Waiting tasks, next one last; may hold ids that no longer wait. */
@@ -21,7 +37,9 @@
         public readonly group: TaskGroup,
         public readonly team: TeamAccount,
         public readonly shape: Shape
-    ) {}
+    ) {
+        this.spread = this.isService ? new ReplicaSpread() : undefined;
+    }
 
     public get isGang(): boolean {
         return this.group.kind === GroupKind.Gang;
@@ -31,15 +49,34 @@
         return this.group.kind === GroupKind.Service;
     }
 
+    /** Tasks that may start now. */
     public get waitingCount(): number {
         return this.waitingIds.size;
     }
 
+    public get delayedCount(): number {
+        return this.delayedIds.size;
+    }
+
+    /** Nothing waits and nothing runs. */
+    public get isDone(): boolean {
+        return this.waitingIds.size === 0 && this.delayedIds.size === 0 && this.running.size === 0;
+    }
+
+    /** Distinct workers on which tasks of the group failed. */
+    public get failedWorkerCount(): number {
+        return this.failedWorkers.size;
+    }
+
+    public get failedWorkerIds(): ReadonlySet<string> {
+        return this.failedWorkers;
+    }
+
     /** Makes the tasks wait that are neither waiting, running nor finished; returns how many. */
     public addTasks(taskIds: readonly string[], isRunning: (taskId: string) => boolean): number {
         const added: string[] = [];
         for (const taskId of taskIds) {
-            if (!this.waitingIds.has(taskId) && !this.finishedIds.has(taskId) && !isRunning(taskId)) {
+            if (!this.isKnown(taskId) && !isRunning(taskId)) {
                 this.waitingIds.add(taskId);
                 added.push(taskId);
             }
@@ -72,7 +109,39 @@
 
     /** Stops a task from waiting; returns whether it was. */
     public removeWaiting(taskId: string): boolean {
-        return this.waitingIds.delete(taskId);
+        const delayed = this.delayedIds.delete(taskId);
+        return this.waitingIds.delete(taskId) || delayed;
+    }
+
+    /** Keeps a task from starting until its delay is over. */
+    public delay(taskId: string): void {
+        this.delayedIds.add(taskId);
+    }
+
+    /** Makes a delayed task wait; returns false when it no longer is delayed. */
+    public endDelay(taskId: string): boolean {
+        const delayed = this.delayedIds.delete(taskId);
+        if (delayed) {
+            this.requeue(taskId, false);
+        }
+        return delayed;
+    }
+
+    /** Remembers that a task failed on a worker and returns all of its failures. */
+    public addFailure(taskId: string, workerId: string, nowMs: number): TaskFailures {
+        let failures = this.failures.get(taskId);
+        if (failures === undefined) {
+            failures = new TaskFailures();
+            this.failures.set(taskId, failures);
+        }
+        failures.add(workerId, nowMs);
+        this.failedWorkers.add(workerId);
+        return failures;
+    }
+
+    /** Failures of a task, if any. */
+    public failuresOf(taskId: string): TaskFailures | undefined {
+        return this.failures.size === 0 ? undefined : this.failures.get(taskId);
     }
 
     /** Makes a task wait again, ahead of the others or behind them. */
@@ -91,6 +160,7 @@
 
     /** Remembers a finished task, so that it does not wait again; replicas of services may. */
     public markFinished(taskId: string): void {
+        this.failures.delete(taskId);
         if (!this.isService) {
             this.finishedIds.add(taskId);
         }
@@ -99,6 +169,11 @@
     /** Drops all waiting tasks. */
     public clearWaiting(): void {
         this.waitingIds.clear();
+        this.delayedIds.clear();
         this.waitingOrder = [];
     }
+
+    private isKnown(taskId: string): boolean {
+        return this.waitingIds.has(taskId) || this.delayedIds.has(taskId) || this.finishedIds.has(taskId);
+    }
 }
--- a/packages/decisions/src/groups/ShapeQueue.ts
+++ b/packages/decisions/src/groups/ShapeQueue.ts
@@ -20,6 +20,15 @@
         return this.groups.size === 0;
     }
 
+    /** Tasks that wait in all groups. */
+    public get waitingCount(): number {
+        let count = 0;
+        for (const group of this.groups.values()) {
+            count += group.waitingCount;
+        }
+        return count;
+    }
+
     /** Returns the first group. */
     public peek(): GroupState | undefined {
         return this.groups.peek();
--- a/packages/decisions/src/groups/ShapeRegistry.ts
+++ b/packages/decisions/src/groups/ShapeRegistry.ts
@@ -8,17 +8,32 @@
     private readonly shapes = new Map<string, Shape>();
     private readonly blocked = new Set<Shape>();
 
-    /** Returns the shape of a size. */
+    /** Shapes that wait until a worker has room. */
+    public get blockedShapes(): ReadonlySet<Shape> {
+        return this.blocked;
+    }
+
+    /** Returns the shape of a size and counts a group that uses it. */
     public obtain(resources: Resources): Shape {
         const key = `${resources.processorMillicores}:${resources.memoryBytes}:${resources.accelerators}`;
         let shape = this.shapes.get(key);
         if (shape === undefined) {
-            shape = new Shape(resources);
+            shape = new Shape(key, resources);
             this.shapes.set(key, shape);
         }
+        shape.groupCount++;
         return shape;
     }
 
+    /** Counts a group no more and forgets the shape that none uses. */
+    public release(shape: Shape): void {
+        shape.groupCount--;
+        if (shape.groupCount === 0) {
+            this.shapes.delete(shape.key);
+            this.unblock(shape);
+        }
+    }
+
     /** Remembers that no worker has room for a shape. */
     public block(shape: Shape): void {
         shape.blocked = true;
@@ -40,16 +55,6 @@
         }
     }
 
-    /** Forgets shapes that nobody uses. */
-    public trim(isUsed: (shape: Shape) => boolean): void {
-        for (const [key, shape] of this.shapes) {
-            if (!isUsed(shape)) {
-                this.shapes.delete(key);
-                this.blocked.delete(shape);
-            }
-        }
-    }
-
     private unblock(shape: Shape): void {
         shape.blocked = false;
         this.blocked.delete(shape);
--- /dev/null
+++ b/packages/decisions/src/groups/TaskFailures.ts
@@ -0,0 +1,31 @@
+const AVOIDANCE_MS = 10_000;
+
+/** Failures of one task. */
+export class TaskFailures {
+    private readonly workers = new Set<string>();
+    private attemptCount = 0;
+    private last = "";
+    private lastAtMs = 0;
+
+    /** Attempts that failed. */
+    public get attempts(): number {
+        return this.attemptCount;
+    }
+
+    /** Distinct workers on which the task failed. */
+    public get workerIds(): ReadonlySet<string> {
+        return this.workers;
+    }
+
+    /** Tells whether a worker is avoided for the next attempt. */
+    public avoids(workerId: string, nowMs: number): boolean {
+        return workerId === this.last && nowMs < this.lastAtMs + AVOIDANCE_MS;
+    }
+
+    public add(workerId: string, nowMs: number): void {
+        this.attemptCount++;
+        this.workers.add(workerId);
+        this.last = workerId;
+        this.lastAtMs = nowMs;
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/tasks/FailureJudge.ts
@@ -0,0 +1,56 @@
+import type { GroupState } from "../groups/GroupState.js";
+import type { TaskFailures } from "../groups/TaskFailures.js";
+import { WorkerCondition } from "../health/WorkerCondition.js";
+import type { WorkerHealth } from "../health/WorkerHealth.js";
+import type { TaskOptions } from "./TaskOptions.js";
+
+const HOPELESS_FACTOR = 4;
+
+/** Tells from the failures of a task whether its group can never run. */
+export class FailureJudge {
+    constructor(
+        private readonly health: WorkerHealth,
+        private readonly workerCount: () => number,
+        private readonly options: TaskOptions
+    ) {}
+
+    /** Returns the reason to reject the group, or undefined when the task should be tried again. */
+    public judge(group: GroupState, taskId: string, failures: TaskFailures): string | undefined {
+        if (group.isService) {
+            return undefined;
+        }
+        const hopeless = failures.attempts >= this.options.maxAttempts * HOPELESS_FACTOR;
+        if (!hopeless && this.health.isFleetFailing(group)) {
+            return undefined;
+        }
+        return this.judgeTask(taskId, failures, hopeless) ?? this.judgeGroup(group);
+    }
+
+    private judgeTask(taskId: string, failures: TaskFailures, hopeless: boolean): string | undefined {
+        const workerIds = this.findSound(failures.workerIds);
+        const enoughWorkers = workerIds.length >= Math.min(this.options.maxFailedWorkers, this.workerCount());
+        if (!hopeless && (!enoughWorkers || failures.attempts < this.options.maxAttempts)) {
+            return undefined;
+        }
+        return `task ${taskId} failed in ${failures.attempts} attempts on workers ${
+            [...failures.workerIds].join(", ")
+        }`;
+    }
+
+    private judgeGroup(group: GroupState): string | undefined {
+        const limit = this.options.maxFailedWorkersOfGroup;
+        if (group.hasSucceeded || group.failedWorkerCount < limit) {
+            return undefined;
+        }
+        const workerIds = this.findSound(group.failedWorkerIds);
+        if (workerIds.length < limit) {
+            return undefined;
+        }
+        return `no task of the group succeeded; its tasks failed on ${workerIds.length} distinct workers: `
+            + workerIds.join(", ");
+    }
+
+    private findSound(workerIds: ReadonlySet<string>): readonly string[] {
+        return [...workerIds].filter(workerId => this.health.conditionOf(workerId) === WorkerCondition.Healthy);
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/tasks/Feasibility.ts
@@ -0,0 +1,107 @@
+import type { Resources } from "@skylarkpath/common/model/Resources";
+import type { WorkerNode } from "../fleet/WorkerNode.js";
+import type { GroupState } from "../groups/GroupState.js";
+import type { SliceState } from "./SliceState.js";
+import type { TaskOptions } from "./TaskOptions.js";
+
+interface Suspicion {
+    readonly group: GroupState;
+    readonly sinceMs: number;
+}
+
+const MEBIBYTE = 2 ** 20;
+
+/** Finds groups that no worker of the slice could ever hold, and rejects them once that lasted. */
+export class Feasibility {
+    private unchecked: GroupState[] = [];
+    private readonly infeasible = new Map<GroupState, Suspicion>();
+    private checkedVersion = 0;
+
+    constructor(private readonly state: SliceState, private readonly options: TaskOptions) {}
+
+    /** Has a new group checked at the next decision. */
+    public add(group: GroupState): void {
+        this.unchecked.push(group);
+    }
+
+    /** Tells whether a group exceeds the known workers. */
+    public isInfeasible(group: GroupState): boolean {
+        return this.infeasible.has(group);
+    }
+
+    /** Checks new groups, and the infeasible ones again when workers changed; rejects with the size as reason. */
+    public run(nowMs: number, onRejected: (group: GroupState) => void): void {
+        for (const group of this.unchecked) {
+            this.check(group, nowMs);
+        }
+        this.unchecked = [];
+        if (this.infeasible.size === 0) {
+            return;
+        }
+        this.checkAgain(nowMs);
+        for (const { group, sinceMs } of this.infeasible.values()) {
+            if (nowMs >= sinceMs + this.options.infeasibleGraceMs && group.running.size === 0) {
+                this.infeasible.delete(group);
+                this.state.reject(group, this.describe(group));
+                onRejected(group);
+            }
+        }
+    }
+
+    /** Says which size is asked for and what the largest worker holds. */
+    public describe(group: GroupState): string {
+        const demand = group.shape.resources;
+        const largest = this.state.fleet.findLargest(demand);
+        const largestText = largest === undefined ? "no worker is known" : describeWorker(largest);
+        if (!group.isGang) {
+            return `a task needs ${describeSize(demand)}, more than any worker holds; ${largestText}`;
+        }
+        const places = this.state.fleet.countPlaces(demand, group.waitingCount);
+        return `the gang needs ${group.waitingCount} tasks of ${describeSize(demand)} at once, `
+            + `the workers hold ${places} of them when empty; ${largestText}`;
+    }
+
+    private checkAgain(nowMs: number): void {
+        const { version } = this.state.fleet;
+        if (version === this.checkedVersion) {
+            return;
+        }
+        this.checkedVersion = version;
+        for (const { group } of this.infeasible.values()) {
+            this.check(group, nowMs);
+        }
+    }
+
+    private check(group: GroupState, nowMs: number): void {
+        if (this.fits(group)) {
+            this.infeasible.delete(group);
+        }
+        else if (!this.infeasible.has(group)) {
+            this.infeasible.set(group, { group, sinceMs: nowMs });
+        }
+    }
+
+    private fits(group: GroupState): boolean {
+        const { fleet } = this.state;
+        const { shape } = group;
+        const needed = group.isGang ? group.waitingCount : 1;
+        if (needed === 1 && shape.feasibleVersion === fleet.version) {
+            return true;
+        }
+        const fits = fleet.workerCount === 0 || fleet.countPlaces(shape.resources, needed) >= needed;
+        if (fits && needed >= 1) {
+            shape.feasibleVersion = fleet.version;
+        }
+        return fits;
+    }
+}
+
+/** Describes an amount in the units of the operators' text. */
+export function describeSize(amount: Resources): string {
+    const memoryMebibytes = Math.round(amount.memoryBytes / MEBIBYTE);
+    return `${amount.processorMillicores} millicores, ${memoryMebibytes} MiB, ${amount.accelerators} accelerators`;
+}
+
+function describeWorker(worker: WorkerNode): string {
+    return `the largest for it, ${worker.workerId}, holds ${describeSize(worker.capacity)}`;
+}
--- /dev/null
+++ b/packages/decisions/src/tasks/ReservationPlanner.ts
@@ -0,0 +1,116 @@
+import type { Resources } from "@skylarkpath/common/model/Resources";
+import type { RandomSource } from "@skylarkpath/common/random/RandomSource";
+import { nextInteger } from "@skylarkpath/common/random/RandomSource";
+import type { Fleet } from "../fleet/Fleet.js";
+import { placesIn } from "../fleet/Fleet.js";
+import type { WorkerNode } from "../fleet/WorkerNode.js";
+import type { GroupState } from "../groups/GroupState.js";
+import type { RunTimeEstimator } from "../learning/RunTimeEstimator.js";
+import type { Reservation } from "./Reservation.js";
+
+interface Place {
+    readonly worker: WorkerNode;
+    readonly freeAtMs: number;
+}
+
+interface Release {
+    readonly endsAtMs: number;
+    readonly amount: Resources;
+}
+
+const SURPLUS_FACTOR = 3;
+const MIN_SURPLUS_PLACES = 32;
+
+/** Plans which workers a group reserves: those expected to have room for all of its tasks first. */
+export class ReservationPlanner {
+    private offset = 0;
+
+    constructor(
+        private readonly fleet: Fleet,
+        private readonly estimator: RunTimeEstimator,
+        private readonly random: RandomSource
+    ) {}
+
+    /** Plans a reservation on workers that are open or reserved by the group, or undefined when too few are. */
+    public plan(group: GroupState, maxWorkers: number, nowMs: number): Reservation | undefined {
+        const needed = group.waitingCount;
+        const places = this.collectPlaces(group, needed, nowMs);
+        places.sort((left, right) => left.freeAtMs - right.freeAtMs);
+        const chosen = new Map<WorkerNode, number>();
+        let startAtMs = nowMs;
+        let count = 0;
+        for (const { worker, freeAtMs } of places) {
+            if (count === needed) {
+                break;
+            }
+            if (chosen.has(worker) || chosen.size < maxWorkers) {
+                chosen.set(worker, (chosen.get(worker) ?? 0) + 1);
+                startAtMs = Math.max(startAtMs, freeAtMs);
+                count++;
+            }
+        }
+        return count === needed ? { group, places: chosen, startAtMs } : undefined;
+    }
+
+    /** Collects places on more workers than needed, starting at a random one; never the whole of a large fleet. */
+    private collectPlaces(group: GroupState, needed: number, nowMs: number): Place[] {
+        const places: Place[] = [];
+        const wanted = needed * SURPLUS_FACTOR + MIN_SURPLUS_PLACES;
+        const workers = this.fleet.takingTasks();
+        this.offset = nextInteger(this.random, Math.max(1, workers.length));
+        for (const worker of group.reservation?.places.keys() ?? []) {
+            this.addPlaces(places, worker, group, nowMs);
+        }
+        for (let step = 0; step < workers.length && places.length < wanted; step++) {
+            const worker = workers[(this.offset + step) % workers.length]!;
+            if (worker.reservation === undefined) {
+                this.addPlaces(places, worker, group, nowMs);
+            }
+        }
+        return places;
+    }
+
+    /** Adds the places of one worker with the times when they are expected to be free. */
+    private addPlaces(places: Place[], worker: WorkerNode, group: GroupState, nowMs: number): void {
+        const demand = group.shape.resources;
+        const needed = group.waitingCount;
+        const capacityPlaces = placesIn(worker.capacity, demand, needed);
+        if (!worker.takesTasks || capacityPlaces === 0) {
+            return;
+        }
+        const free = worker.copyFree();
+        let found = placesIn(free, demand, needed);
+        pushPlaces(places, worker, nowMs, found);
+        if (found >= capacityPlaces) {
+            return;
+        }
+        for (const { endsAtMs, amount } of this.sortReleases(worker, nowMs)) {
+            free.processorMillicores += amount.processorMillicores;
+            free.memoryBytes += amount.memoryBytes;
+            free.accelerators += amount.accelerators;
+            const total = placesIn(free, demand, needed);
+            pushPlaces(places, worker, endsAtMs, total - found);
+            found = total;
+            if (found >= capacityPlaces) {
+                return;
+            }
+        }
+    }
+
+    private sortReleases(worker: WorkerNode, nowMs: number): Release[] {
+        const releases: Release[] = [];
+        for (const task of worker.running) {
+            const remainingMs = this.estimator.remainingMs(task.group.group, nowMs - task.startedAtMs);
+            if (Number.isFinite(remainingMs)) {
+                releases.push({ endsAtMs: nowMs + remainingMs, amount: task.group.shape.resources });
+            }
+        }
+        return releases.sort((left, right) => left.endsAtMs - right.endsAtMs);
+    }
+}
+
+function pushPlaces(places: Place[], worker: WorkerNode, freeAtMs: number, count: number): void {
+    for (let place = 0; place < count; place++) {
+        places.push({ worker, freeAtMs });
+    }
+}
--- a/packages/decisions/src/tasks/SliceState.ts
+++ b/packages/decisions/src/tasks/SliceState.ts
@@ -14,9 +14,23 @@
     public readonly shapes = new ShapeRegistry();
     public readonly groups = new Map<string, GroupState>();
     public readonly running = new Map<string, RunningTask>();
+    private roomVersion = 0;
     /** Decisions to hand out next. */
     private decisions: Decision[] = [];
 
+    /** Rises whenever a worker gains room. */
+    public get version(): number {
+        return this.roomVersion;
+    }
+
+    /** Lets waiting work be tried on a worker that gained room. */
+    public roomGained(worker: WorkerNode): void {
+        this.roomVersion++;
+        if (worker.takesTasks && worker.reservation === undefined) {
+            this.shapes.roomGained(worker);
+        }
+    }
+
     /** Counts a task as running on a worker. */
     public count(taskId: string, group: GroupState, worker: WorkerNode, startedAtMs: number): RunningTask {
         const task = new RunningTask(taskId, group, worker, startedAtMs);
@@ -24,14 +38,16 @@
         this.running.set(taskId, task);
         group.running.set(taskId, task);
         worker.running.add(task);
+        group.spread?.add(worker);
         this.fleet.take(worker, group.shape.resources);
         group.team.take(group.shape.resources, this.fleet.capacity);
         this.teams.teamChanged(group.team);
         return task;
     }
 
-    /** Takes a waiting task and decides its start. */
-    public start(taskId: string, group: GroupState, worker: WorkerNode, nowMs: number): void {
+    /** Takes the next waiting task of a group and decides its start. */
+    public startNext(group: GroupState, worker: WorkerNode, nowMs: number): void {
+        const taskId = group.takeWaiting()!;
         this.count(taskId, group, worker, nowMs);
         this.decisions.push({
             kind: DecisionKind.Start,
@@ -55,12 +71,21 @@
 
     /** Forgets a group that neither waits nor runs. */
     public forgetWhenDone(group: GroupState): void {
-        if (group.waitingCount === 0 && group.running.size === 0) {
+        if (group.isDone && this.groups.delete(group.group.groupId)) {
             this.teams.lineOf(group).remove(group);
-            this.groups.delete(group.group.groupId);
+            this.shapes.release(group.shape);
         }
     }
 
+    /** Gives a group up with the reason; what runs stays counted until ended. */
+    public reject(group: GroupState, reason: string): void {
+        group.withdrawn = true;
+        group.clearWaiting();
+        this.teams.lineOf(group).remove(group);
+        this.decisions.push({ kind: DecisionKind.Reject, groupId: group.group.groupId, reason });
+        this.forgetWhenDone(group);
+    }
+
     /** Adds a decision for the caller. */
     public decide(decision: Decision): void {
         this.decisions.push(decision);
@@ -75,10 +100,9 @@
 
     private releasePart(part: RunningTask): void {
         part.worker.running.delete(part);
+        part.group.spread?.remove(part.worker);
         this.fleet.give(part.worker, part.group.shape.resources);
         part.group.team.give(part.group.shape.resources, this.fleet.capacity);
-        if (part.worker.takesTasks) {
-            this.shapes.roomGained(part.worker);
-        }
+        this.roomGained(part.worker);
     }
 }
--- /dev/null
+++ b/packages/decisions/src/tasks/TaskOptions.ts
@@ -0,0 +1,52 @@
+/** Settings of a task scheduler. */
+export interface TaskOptions {
+    /** Distinct workers on which a task fails before its group is rejected. */
+    readonly maxFailedWorkers: number;
+    /** Attempts of a task that fails, when there are fewer workers than that. */
+    readonly maxAttempts: number;
+    /** Distinct workers on which a group without any success fails before it is rejected. */
+    readonly maxFailedWorkersOfGroup: number;
+    readonly retryDelayMs: number;
+    readonly maxRetryDelayMs: number;
+    /** Time for which a size has to exceed all workers before its groups are rejected. */
+    readonly infeasibleGraceMs: number;
+    /** Time between two tries to start a waiting gang. */
+    readonly gangAttemptIntervalMs: number;
+    /** Time that a gang waits for room before it reserves workers. */
+    readonly reservationPatienceMs: number;
+    /** Multiple of its run time before the latest start, from when on a gang reserves above its share. */
+    readonly gangWindowFactor: number;
+    readonly minGangWindowMs: number;
+    /** Fraction of the workers that reservations may hold together. */
+    readonly maxReservedFraction: number;
+    /** Time after the planned start when a reservation is planned anew. */
+    readonly reservationOverdueMs: number;
+    /** Time in which lost members of a running gang may be replaced before the rest is stopped. */
+    readonly gangRepairMs: number;
+    /** Workers compared for each preemption. */
+    readonly preemptionCandidates: number;
+    /** Time from throttling a victim to its checkpoint. */
+    readonly throttleMs: number;
+    /** Time that a victim gets for its checkpoint before it is stopped. */
+    readonly checkpointMs: number;
+}
+
+/** Settings in force unless others are given. */
+export const DEFAULT_TASK_OPTIONS: TaskOptions = {
+    maxFailedWorkers: 3,
+    maxAttempts: 3,
+    maxFailedWorkersOfGroup: 5,
+    retryDelayMs: 200,
+    maxRetryDelayMs: 60_000,
+    infeasibleGraceMs: 30_000,
+    gangAttemptIntervalMs: 50,
+    reservationPatienceMs: 1_000,
+    gangWindowFactor: 2,
+    minGangWindowMs: 60_000,
+    maxReservedFraction: 0.5,
+    reservationOverdueMs: 1_000,
+    gangRepairMs: 2_000,
+    preemptionCandidates: 32,
+    throttleMs: 100,
+    checkpointMs: 1_000
+};
--- a/packages/decisions/src/teams/TeamAccount.ts
+++ b/packages/decisions/src/teams/TeamAccount.ts
@@ -1,5 +1,5 @@
 import type { Resources } from "@skylarkpath/common/model/Resources";
-import { NO_RESOURCES } from "@skylarkpath/common/model/Resources";
+import { fitsInto, NO_RESOURCES } from "@skylarkpath/common/model/Resources";
 import type { TeamPolicy } from "@skylarkpath/common/scheduling/TaskScheduler";
 import type { ShapeQueue } from "../groups/ShapeQueue.js";
 
@@ -16,6 +16,7 @@
     private usedAccelerators = 0;
     private share = DEFAULT_SHARE;
     private currentAllotment = NO_RESOURCES;
+    private held = NO_RESOURCES;
 
     constructor(public readonly name: string) {}
 
@@ -23,6 +24,10 @@
         return this.currentAllotment;
     }
 
+    public get weight(): number {
+        return this.share;
+    }
+
     public get usage(): Resources {
         return {
             processorMillicores: this.usedProcessorMillicores,
@@ -37,6 +42,25 @@
         this.currentAllotment = policy?.allotment.resources ?? NO_RESOURCES;
     }
 
+    /** Keeps room under the allotment for a gang; tasks that start before it leave this room. */
+    public setHeld(amount: Resources): void {
+        this.held = amount;
+    }
+
+    /** Tells whether the whole allotment could hold an amount. */
+    public couldHold(amount: Resources): boolean {
+        return fitsInto(amount, this.currentAllotment);
+    }
+
+    /** Tells whether the allotment has room for a task beside what is kept for a gang. */
+    public hasRoomBesideHeld(demand: Resources): boolean {
+        const { allotment, held } = this;
+        return this.usedProcessorMillicores + held.processorMillicores + demand.processorMillicores
+                <= allotment.processorMillicores
+            && this.usedMemoryBytes + held.memoryBytes + demand.memoryBytes <= allotment.memoryBytes
+            && this.usedAccelerators + held.accelerators + demand.accelerators <= allotment.accelerators;
+    }
+
     /** Tells whether the allotment has room for so many tasks of the size. */
     public hasRoom(demand: Resources, count: number): boolean {
         const allotment = this.currentAllotment;
@@ -45,6 +69,19 @@
             && this.usedAccelerators + count * demand.accelerators <= allotment.accelerators;
     }
 
+    /** What the allotment lacks for so many tasks of the size. */
+    public shortageFor(demand: Resources, count: number): Resources {
+        const { allotment } = this;
+        const processors = this.usedProcessorMillicores + count * demand.processorMillicores;
+        const memory = this.usedMemoryBytes + count * demand.memoryBytes;
+        const accelerators = this.usedAccelerators + count * demand.accelerators;
+        return {
+            processorMillicores: Math.max(0, processors - allotment.processorMillicores),
+            memoryBytes: Math.max(0, memory - allotment.memoryBytes),
+            accelerators: Math.max(0, accelerators - allotment.accelerators)
+        };
+    }
+
     /** Counts a task as running. */
     public take(amount: Resources, fleetCapacity: Resources): void {
         this.usedProcessorMillicores += amount.processorMillicores;
@@ -63,12 +100,20 @@
 
     /** Computes the weighted dominant share anew. */
     public updateShare(fleetCapacity: Resources): void {
+        this.weightedShare = this.weightedShareWith(NO_RESOURCES, 0, fleetCapacity);
+    }
+
+    /** Weighted dominant share if so many tasks of a size ran besides. */
+    public weightedShareWith(demand: Resources, count: number, fleetCapacity: Resources): number {
+        const processors = this.usedProcessorMillicores + count * demand.processorMillicores;
+        const memory = this.usedMemoryBytes + count * demand.memoryBytes;
+        const accelerators = this.usedAccelerators + count * demand.accelerators;
         const dominantShare = Math.max(
-            fractionOf(this.usedProcessorMillicores, fleetCapacity.processorMillicores),
-            fractionOf(this.usedMemoryBytes, fleetCapacity.memoryBytes),
-            fractionOf(this.usedAccelerators, fleetCapacity.accelerators)
+            fractionOf(processors, fleetCapacity.processorMillicores),
+            fractionOf(memory, fleetCapacity.memoryBytes),
+            fractionOf(accelerators, fleetCapacity.accelerators)
         );
-        this.weightedShare = dominantShare / this.share;
+        return dominantShare / this.share;
     }
 }
 
--- a/packages/decisions/src/teams/TeamRegistry.ts
+++ b/packages/decisions/src/teams/TeamRegistry.ts
@@ -48,6 +48,15 @@
         this.ordinaryLine.allTeamsChanged();
     }
 
+    /** Weighted dominant share that each team has when all with work running use exactly their share. */
+    public fairLevel(): number {
+        let weights = 0;
+        for (const account of this.accounts.values()) {
+            weights += account.weightedShare > 0 ? account.weight : 0;
+        }
+        return weights > 0 ? 1 / weights : Number.POSITIVE_INFINITY;
+    }
+
     /** Restores the order of the lines after the usage of a team changed. */
     public teamChanged(team: TeamAccount): void {
         this.urgentLine.teamChanged(team);
--- /dev/null
+++ b/packages/decisions/src/testing/SchedulerModel.ts
@@ -0,0 +1,141 @@
+import type { Resources } from "@skylarkpath/common/model/Resources";
+import { addResources, fitsInto, NO_RESOURCES, subtractResources } from "@skylarkpath/common/model/Resources";
+import {
+    DecisionKind,
+    GroupKind,
+    TaskEnd,
+    type TaskGroup,
+    type TaskScheduler
+} from "@skylarkpath/common/scheduling/TaskScheduler";
+
+interface ModelTask {
+    readonly group: TaskGroup;
+    readonly workerId: string;
+}
+
+/** Follows the decisions of a task scheduler and collects what breaks its promises. */
+export class SchedulerModel {
+    public readonly faults: string[] = [];
+    public readonly running = new Map<string, ModelTask>();
+    public readonly groups = new Map<string, TaskGroup>();
+    public readonly rejected = new Map<string, string>();
+    public readonly disturbed: { readonly kind: DecisionKind; readonly taskId: string; }[] = [];
+    private readonly capacities = new Map<string, Resources>();
+    private readonly allotments = new Map<string, Resources>();
+    private readonly waiting = new Map<string, Set<string>>();
+
+    constructor(private readonly scheduler: TaskScheduler) {}
+
+    public setTeam(team: string, allotment: Resources): void {
+        this.allotments.set(team, allotment);
+        const policies = [...this.allotments].map(([name, resources]) =>
+            [name, { share: 1, allotment: { resources, slots: 0 } }] as const
+        );
+        this.scheduler.setTeams(new Map(policies));
+    }
+
+    public setWorker(workerId: string, capacity: Resources, schedulable = true, rack = "rack"): void {
+        this.capacities.set(workerId, schedulable ? capacity : NO_RESOURCES);
+        this.scheduler.upsertWorker({ workerId, rack, capacity, schedulable });
+    }
+
+    public removeWorker(workerId: string): void {
+        this.capacities.set(workerId, NO_RESOURCES);
+        this.scheduler.removeWorker(workerId);
+    }
+
+    public submit(group: TaskGroup): void {
+        this.groups.set(group.groupId, group);
+        this.waiting.set(group.groupId, new Set(group.taskIds));
+        this.scheduler.submit(group);
+    }
+
+    public withdraw(groupId: string): void {
+        this.waiting.set(groupId, new Set());
+        this.scheduler.withdraw(groupId);
+    }
+
+    public end(taskId: string, end: TaskEnd, nowMs: number): void {
+        const task = this.running.get(taskId);
+        this.running.delete(taskId);
+        if (task !== undefined && (end === TaskEnd.Requeued || end === TaskEnd.Failed)) {
+            this.waiting.get(task.group.groupId)?.add(taskId);
+        }
+        this.scheduler.taskEnded(taskId, end, nowMs);
+    }
+
+    /** Takes the decisions of one call and checks each of them; returns the tasks started. */
+    public decide(nowMs: number): readonly string[] {
+        const started: string[] = [];
+        for (const decision of this.scheduler.decide(nowMs)) {
+            if (decision.kind === DecisionKind.Start) {
+                this.start(decision.taskId, decision.groupId, decision.workerId);
+                started.push(decision.taskId);
+            }
+            else if (decision.kind === DecisionKind.Reject) {
+                this.rejected.set(decision.groupId, decision.reason);
+                this.waiting.set(decision.groupId, new Set());
+            }
+            else {
+                this.disturbed.push({ kind: decision.kind, taskId: decision.taskId });
+            }
+        }
+        this.checkGangs(started);
+        this.checkUsage();
+        return started;
+    }
+
+    public usageOf(team: string): Resources {
+        return this.sum(task => task.group.team === team);
+    }
+
+    public freeOn(workerId: string): Resources {
+        const capacity = this.capacities.get(workerId) ?? NO_RESOURCES;
+        return subtractResources(capacity, this.sum(task => task.workerId === workerId));
+    }
+
+    private start(taskId: string, groupId: string, workerId: string): void {
+        const group = this.groups.get(groupId)!;
+        if (this.running.has(taskId)) {
+            this.faults.push(`${taskId} started twice`);
+        }
+        if (this.waiting.get(groupId)?.delete(taskId) !== true) {
+            this.faults.push(`${taskId} started without waiting`);
+        }
+        if (!fitsInto(group.resources, this.freeOn(workerId))) {
+            this.faults.push(`${taskId} does not fit on ${workerId}`);
+        }
+        this.running.set(taskId, { group, workerId });
+        if (!fitsInto(this.usageOf(group.team), this.allotments.get(group.team) ?? NO_RESOURCES)) {
+            this.faults.push(`${taskId} exceeds the allotment of ${group.team}`);
+        }
+    }
+
+    /** A gang that started tasks may have none left waiting. */
+    private checkGangs(started: readonly string[]): void {
+        for (const taskId of started) {
+            const { group } = this.running.get(taskId)!;
+            if (group.kind === GroupKind.Gang && this.waiting.get(group.groupId)!.size > 0) {
+                this.faults.push(`gang ${group.groupId} started in part`);
+            }
+        }
+    }
+
+    private checkUsage(): void {
+        for (const team of this.allotments.keys()) {
+            const expected = this.usageOf(team);
+            const told = this.scheduler.usage(team);
+            if (!fitsInto(expected, told) || !fitsInto(told, expected)) {
+                this.faults.push(`usage of ${team} is told wrong`);
+            }
+        }
+    }
+
+    private sum(isCounted: (task: ModelTask) => boolean): Resources {
+        let total = NO_RESOURCES;
+        for (const task of this.running.values()) {
+            total = isCounted(task) ? addResources(total, task.group.resources) : total;
+        }
+        return total;
+    }
+}
