Serve callers and operators over HTTP, with a bench of real processes

Cause: the interfaces had no test over HTTP, and no load had run against separate processes. Ruled out: intervals that keep a stopped process alive (the test run did not end); they no longer do.

--- a/ava.config.js
+++ b/ava.config.js
@@ -1,6 +1,6 @@
 export default {
     files: ["packages/*/out/**/*.test.js"],
-    timeout: "5m",
+    timeout: "2m",
     workerThreads: false,
     concurrency: 4
 };
--- a/packages/adapters/src/JsonRpcClient.ts
+++ b/packages/adapters/src/JsonRpcClient.ts
@@ -3,6 +3,7 @@
 import { createJSONRPCRequest, isJSONRPCResponse } from "json-rpc-2.0";
 import { err, ok, type Result } from "neverthrow";
 import { Pool } from "undici";
+import { LinkDirection, type LinkModel } from "./LinkModel.js";
 import { type RpcFailure, RpcFailureKind } from "./RpcFailure.js";
 
 /** Options of a JSON-RPC client. */
@@ -14,6 +15,8 @@
     readonly maxReplyBytes: number;
     /** Returns headers that authenticate a body. */
     readonly sign?: (body: string) => Readonly<Record<string, string>>;
+    /** Models the links to other machines. */
+    readonly links?: LinkModel;
 }
 
 /** Default options of a JSON-RPC client. */
@@ -41,6 +44,29 @@
         timeoutMs: number
     ): Promise<Result<JsonValue, RpcFailure>> {
         const body = JSON.stringify(createJSONRPCRequest(this.nextId++, method, parameters));
+        const { links } = this.options;
+        if (!links) {
+            return this.send(address, path, body, timeoutMs);
+        }
+        if (!(await links.pass(address, body.length, LinkDirection.Out))) {
+            await pause(Math.min(timeoutMs, this.options.connectTimeoutMs));
+            return err({ kind: RpcFailureKind.Unreachable, message: `${address}: the link is cut.` });
+        }
+        const reply = await this.send(address, path, body, timeoutMs);
+        const replyBytes = reply.isOk() ? JSON.stringify(reply.value)?.length ?? 0 : 0;
+        if (!(await links.pass(address, replyBytes, LinkDirection.Back))) {
+            await pause(timeoutMs);
+            return err({ kind: RpcFailureKind.ReplyLost, message: `${address}: the link is cut.` });
+        }
+        return reply;
+    }
+
+    private async send(
+        address: string,
+        path: string,
+        body: string,
+        timeoutMs: number
+    ): Promise<Result<JsonValue, RpcFailure>> {
         try {
             const response = await this.poolOf(address).request({
                 path,
@@ -79,6 +105,12 @@
     }
 }
 
+function pause(durationMs: number): Promise<void> {
+    return new Promise(resolve => {
+        setTimeout(resolve, durationMs);
+    });
+}
+
 function readReply(status: number, text: string): Result<JsonValue, RpcFailure> {
     if (status !== 200) {
         return err({ kind: RpcFailureKind.Refused, message: `HTTP status ${status}.` });
--- a/packages/adapters/src/SystemTimer.ts
+++ b/packages/adapters/src/SystemTimer.ts
@@ -2,7 +2,7 @@
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import { performance } from "node:perf_hooks";
 
-/** Timer service on the clocks of this machine. */
+/** Timer service on the clocks of this machine; repeating calls alone do not keep a process alive. */
 export class SystemTimer implements TimerService {
     public nowMs(): number {
         return performance.now();
@@ -18,7 +18,7 @@
     }
 
     public every(intervalMs: number, callback: () => void): Disposable {
-        const handle = setInterval(callback, intervalMs);
+        const handle = setInterval(callback, intervalMs).unref();
         return toDisposable(() => clearInterval(handle));
     }
 }
--- /dev/null
+++ b/packages/bench/src/RunCommand.ts
@@ -0,0 +1,135 @@
+import { createSeededRandom } from "@skylarkpath/common/random/RandomSource";
+import { AARWALD_TOPOLOGY, KALLIO_TOPOLOGY, SMALL_TOPOLOGY, type Topology } from "@skylarkpath/proof/Topology";
+import { Command, Option } from "clipanion";
+import { writeFileSync } from "node:fs";
+import { ClusterClient } from "./cluster/ClusterClient.js";
+import { LocalCluster, pause } from "./cluster/LocalCluster.js";
+import type { StandInReport } from "./cluster/StandInHost.js";
+import { type FaultNote, FaultRunner } from "./faults/FaultRunner.js";
+import { parseFaults } from "./faults/FaultSchedule.js";
+import { composeBenchText, LOAD_TEAMS } from "./load/BenchText.js";
+import { LoadRun } from "./load/LoadRun.js";
+import { type QueueSummary, summarizeLoad } from "./load/LoadSummary.js";
+import { drawArrivals } from "./load/RequestMix.js";
+import { renderRun } from "./RunReport.js";
+
+/** Result of one run of the bench. */
+export interface RunResult {
+    readonly deployment: string;
+    readonly seed: number;
+    readonly seconds: number;
+    readonly arrivalsPerSecond: number;
+    readonly processes: number;
+    readonly queues: readonly QueueSummary[];
+    readonly faults: readonly FaultNote[];
+    readonly standIns: StandInReport;
+    readonly storeCommitsPerThousandAccepted: number;
+}
+
+const TOPOLOGIES: Readonly<Record<string, Topology>> = {
+    aarwald: AARWALD_TOPOLOGY,
+    kallio: KALLIO_TOPOLOGY,
+    small: SMALL_TOPOLOGY
+};
+const LINKS = { failureDomainDelayMs: 1, regionDelayMs: 20, regionBitsPerSecond: 20_000_000 };
+const SETTLE_MS = 4000;
+const MILLISECONDS_PER_SECOND = 1000;
+const EXIT_OK = 0;
+const EXIT_BROKEN = 1;
+const EXIT_WRONG_CALL = 2;
+
+/** Runs a load with faults against real processes on loopback. */
+export class RunCommand extends Command {
+    public static override paths = [["run"]];
+    public static override usage = Command.Usage({
+        description: "Run a load with faults against real processes on loopback.",
+        examples: [["Kill an owner", "$0 run --deployment kallio --seconds 20 --fault kill-owner@5"]]
+    });
+
+    public deployment = Option.String("--deployment", "kallio");
+    public seconds = Option.String("--seconds", "15");
+    public rate = Option.String("--rate", "200");
+    public seed = Option.String("--seed", "1");
+    public fault = Option.String("--fault", "");
+    public drain = Option.String("--drain-seconds", "60");
+    public noLinks = Option.Boolean("--no-links", false);
+    public output = Option.String("--output");
+
+    public override async execute(): Promise<number> {
+        const topology = TOPOLOGIES[this.deployment];
+        const faults = parseFaults(this.fault);
+        if (!topology || faults.isErr()) {
+            this.context.stderr.write(`${faults.isErr() ? faults.error : `unknown deployment ${this.deployment}`}\n`);
+            return EXIT_WRONG_CALL;
+        }
+        const cluster = await LocalCluster.start(topology, this.noLinks ? undefined : LINKS);
+        const client = new ClusterClient(cluster.plan);
+        try {
+            const keys = await prepare(cluster, client, topology);
+            const runner = new FaultRunner(cluster, client);
+            const arrivals = drawArrivals(
+                {
+                    arrivalsPerSecond: Number(this.rate),
+                    durationMs: Number(this.seconds) * MILLISECONDS_PER_SECOND,
+                    teams: Object.keys(LOAD_TEAMS)
+                },
+                createSeededRandom(Number(this.seed))
+            );
+            const load = new LoadRun(
+                client,
+                keys,
+                () => runner.listeningEntries,
+                Number(this.drain) * MILLISECONDS_PER_SECOND
+            );
+            const before = await cluster.report();
+            const [traces, notes] = await Promise.all([load.run(arrivals), runner.run(faults.value)]);
+            const after = await cluster.report();
+            const queues = summarizeLoad(traces);
+            const accepted = queues.reduce((total, queue) => total + queue.accepted, 0);
+            return this.finish({
+                deployment: this.deployment,
+                seed: Number(this.seed),
+                seconds: Number(this.seconds),
+                arrivalsPerSecond: Number(this.rate),
+                processes: cluster.plan.entries.length,
+                queues,
+                faults: notes,
+                standIns: after,
+                storeCommitsPerThousandAccepted: 1000 * (after.table.commits - before.table.commits)
+                    / Math.max(1, accepted)
+            });
+        }
+        finally {
+            await client.close();
+            await cluster.stop();
+        }
+    }
+
+    private finish(result: RunResult): number {
+        this.context.stdout.write(renderRun(result));
+        if (this.output !== undefined) {
+            writeFileSync(this.output, `${JSON.stringify(result, undefined, 4)}\n`);
+        }
+        const broken = result.queues.reduce((total, queue) => total + queue.lost + queue.wrongAnswers, 0)
+            + result.standIns.doubleRuns + result.standIns.doubleOrders + result.standIns.overCapacity;
+        return broken === 0 ? EXIT_OK : EXIT_BROKEN;
+    }
+}
+
+async function prepare(
+    cluster: LocalCluster,
+    client: ClusterClient,
+    topology: Topology
+): Promise<ReadonlyMap<string, string>> {
+    await cluster.waitListening();
+    await pause(MILLISECONDS_PER_SECOND);
+    const first = cluster.plan.entries[0]!;
+    await client.applyText(first, composeBenchText(topology), 0);
+    await cluster.waitReady();
+    const keys = new Map<string, string>();
+    for (const team of Object.keys(LOAD_TEAMS)) {
+        keys.set(team, (await client.grantKey(first, team)).key);
+    }
+    await pause(SETTLE_MS);
+    return keys;
+}
--- a/packages/bench/src/cluster/ClusterPlan.ts
+++ b/packages/bench/src/cluster/ClusterPlan.ts
@@ -30,6 +30,9 @@
     readonly links?: PlannedLinks;
 }
 
+/** Failure domain that stands for the platform's services in cuts. */
+export const PLATFORM_FAILURE_DOMAIN = "platform";
+
 const FIXED_PORTS = 2;
 const PORTS_PER_ENTRY = 3;
 const HOST = "127.0.0.1";
@@ -54,7 +57,7 @@
 }
 
 /** Composes the settings file of one process. */
-export function composeSettings(plan: ClusterPlan, entry: PlannedEntry): string {
+export function composeSettings(plan: ClusterPlan, entry: PlannedEntry, cutsFile: string): string {
     const lines = [
         `process_id = "${entry.machine.machineId}"`,
         `failure_domain = "${entry.machine.failureDomain}"`,
@@ -71,18 +74,23 @@
         `key_hashes = ["${plan.operatorKeyHash}"]`,
         "[cluster]",
         `key = "${plan.clusterKey}"`,
-        ...composeLinks(plan.links)
+        ...composeLinks(plan, cutsFile)
     ];
     return `${lines.join("\n")}\n`;
 }
 
-function composeLinks(links: PlannedLinks | undefined): readonly string[] {
+function composeLinks(plan: ClusterPlan, cutsFile: string): readonly string[] {
+    const { links } = plan;
+    const platform = plan.entries[0]!.machine;
     return links
         ? [
             "[links]",
             `failure_domain_delay = "${links.failureDomainDelayMs}ms"`,
             `region_delay = "${links.regionDelayMs}ms"`,
-            `region_bits_per_second = ${links.regionBitsPerSecond}`
+            `region_bits_per_second = ${links.regionBitsPerSecond}`,
+            `platform_failure_domain = "${PLATFORM_FAILURE_DOMAIN}"`,
+            `platform_region = "${platform.region}"`,
+            `cuts_file = ${JSON.stringify(cutsFile)}`
         ]
         : [];
 }
--- a/packages/bench/src/cluster/LocalCluster.ts
+++ b/packages/bench/src/cluster/LocalCluster.ts
@@ -1,7 +1,7 @@
 import { JsonRpcClient } from "@skylarkpath/adapters/JsonRpcClient";
 import type { Topology } from "@skylarkpath/proof/Topology";
 import { type ChildProcess, spawn } from "node:child_process";
-import { closeSync, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
+import { closeSync, mkdtempSync, openSync, renameSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
@@ -52,7 +52,7 @@
     public startEntry(entry: PlannedEntry): void {
         const { machineId } = entry.machine;
         const settingsPath = join(this.folder, `${machineId}.toml`);
-        writeFileSync(settingsPath, composeSettings(this.plan, entry));
+        writeFileSync(settingsPath, composeSettings(this.plan, entry, this.cutsPath));
         const child = this.spawnNode(
             [SKYLARKD_PATH, "--settings", settingsPath],
             join(this.folder, `${machineId}.log`)
@@ -96,6 +96,16 @@
         await this.callControl("storeFault", setting);
     }
 
+    /** Cuts links: messages between the given failure domains are lost, one way each. */
+    public setCuts(pairs: readonly (readonly [string, string])[]): void {
+        writeFileSync(`${this.cutsPath}.next`, JSON.stringify(pairs));
+        renameSync(`${this.cutsPath}.next`, this.cutsPath);
+    }
+
+    private get cutsPath(): string {
+        return join(this.folder, "cuts.json");
+    }
+
     /** Folder of settings and logs. */
     public get logFolder(): string {
         return this.folder;
--- /dev/null
+++ b/packages/bench/src/load/LoadRun.ts
@@ -0,0 +1,126 @@
+import { OutcomeState } from "@skylarkpath/common/model/Request";
+import type { ClusterClient } from "../cluster/ClusterClient.js";
+import type { PlannedEntry } from "../cluster/ClusterPlan.js";
+import { pause } from "../cluster/LocalCluster.js";
+import type { Arrival } from "./RequestMix.js";
+
+/** What became of one request of the load. */
+export interface RequestTrace {
+    readonly arrival: Arrival;
+    readonly requestId?: string;
+    /** Time until the first whole reply. */
+    readonly replyMs: number;
+    /** Final state, as far as it was told; absent when no reply came. */
+    readonly state?: OutcomeState;
+    readonly reason?: string;
+    /** Time until the final outcome was told. */
+    readonly finalMs?: number;
+    readonly wasAccepted: boolean;
+    readonly answersMatch: boolean;
+    /** Time of the arrival on the clock of the run. */
+    readonly arrivedMs: number;
+}
+
+/** Entries that callers may use now; the balancer leaves out those that do not listen. */
+export type EntrySource = () => readonly PlannedEntry[];
+
+const WAIT_MS = 2000;
+const MAX_ATTEMPTS = 3;
+
+/** Sends the arrivals of a load on time, whatever the replies, and follows each request to its end. */
+export class LoadRun {
+    private readonly traces: RequestTrace[] = [];
+    private readonly pending = new Set<Promise<void>>();
+    private nextEntry = 0;
+
+    constructor(
+        private readonly client: ClusterClient,
+        private readonly keys: ReadonlyMap<string, string>,
+        private readonly entries: EntrySource,
+        private readonly drainMs: number
+    ) {}
+
+    /** Runs the load; resolves once every request is followed to its end or the drain time has passed. */
+    public async run(arrivals: readonly Arrival[]): Promise<readonly RequestTrace[]> {
+        const startMs = performance.now();
+        for (const arrival of arrivals) {
+            const waitMs = startMs + arrival.atMs - performance.now();
+            if (waitMs > 0) {
+                await pause(waitMs);
+            }
+            const followed = this.follow(arrival, startMs).then(trace => {
+                this.traces.push(trace);
+                this.pending.delete(followed);
+            });
+            this.pending.add(followed);
+        }
+        await Promise.all(this.pending);
+        return this.traces;
+    }
+
+    private async follow(arrival: Arrival, startMs: number): Promise<RequestTrace> {
+        const arrivedMs = performance.now();
+        const key = this.keys.get(arrival.team)!;
+        let reply = await this.submitOnce(arrival, key);
+        for (let attempt = 1; attempt < MAX_ATTEMPTS && reply.status === 0 && mayRepeat(arrival); attempt++) {
+            reply = await this.submitOnce(arrival, key);
+        }
+        const replyMs = performance.now() - arrivedMs;
+        const base = { arrival, replyMs, requestId: reply.view?.requestId, arrivedMs: arrivedMs - startMs };
+        const state = reply.view?.state;
+        const wasAccepted = reply.status === 202 || state === OutcomeState.Running;
+        if (!wasAccepted) {
+            const answersMatch = matches(arrival, base.requestId, reply.view?.answers);
+            return { ...base, state, reason: reply.view?.reason, finalMs: replyMs, wasAccepted, answersMatch };
+        }
+        return this.followAccepted(arrival, key, base, arrivedMs);
+    }
+
+    private submitOnce(arrival: Arrival, key: string): ReturnType<ClusterClient["submit"]> {
+        const { idempotencyKey } = arrival;
+        return this.client.submit(this.chooseEntry(), arrival.body, { key, idempotencyKey });
+    }
+
+    private async followAccepted(
+        arrival: Arrival,
+        key: string,
+        base: Pick<RequestTrace, "arrival" | "replyMs" | "requestId" | "arrivedMs">,
+        arrivedMs: number
+    ): Promise<RequestTrace> {
+        const endMs = arrivedMs + this.drainMs;
+        while (performance.now() < endMs) {
+            const reply = await this.client.describe(this.chooseEntry(), base.requestId!, key, WAIT_MS);
+            const state = reply.view?.state;
+            if (state === OutcomeState.Done || state === OutcomeState.NotRun || state === OutcomeState.Unknown) {
+                const finalMs = performance.now() - arrivedMs;
+                const answersMatch = matches(arrival, base.requestId, reply.view?.answers);
+                return { ...base, state, reason: reply.view?.reason, finalMs, wasAccepted: true, answersMatch };
+            }
+            if (reply.status !== 200) {
+                await pause(WAIT_MS / 10);
+            }
+        }
+        return { ...base, wasAccepted: true, answersMatch: true };
+    }
+
+    private chooseEntry(): PlannedEntry {
+        const entries = this.entries();
+        return entries[this.nextEntry++ % entries.length]!;
+    }
+}
+
+/** A request whose connection broke may be sent again when that is safe. */
+function mayRepeat(arrival: Arrival): boolean {
+    return arrival.idempotencyKey !== undefined || arrival.body.tasks === undefined;
+}
+
+function matches(arrival: Arrival, requestId: string | undefined, answers: readonly string[] | undefined): boolean {
+    if (answers === undefined) {
+        return true;
+    }
+    if (arrival.body.tasks === undefined) {
+        return answers.length === 1 && answers[0] === `answer to ${arrival.body.payload}`;
+    }
+    return answers.length === arrival.body.tasks.count
+        && answers.every((answer, place) => answer === `answer to ${requestId}/${place}`);
+}
--- /dev/null
+++ b/packages/bench/src/load/LoadSummary.ts
@@ -0,0 +1,78 @@
+import { OutcomeState } from "@skylarkpath/common/model/Request";
+import { build } from "hdr-histogram-js";
+import type { RequestTrace } from "./LoadRun.js";
+
+/** Percentiles of a time. */
+export interface Percentiles {
+    readonly p50Ms: number;
+    readonly p99Ms: number;
+    readonly maxMs: number;
+}
+
+/** Results of one queue of the load. */
+export interface QueueSummary {
+    readonly queue: string;
+    readonly sent: number;
+    readonly accepted: number;
+    readonly done: number;
+    readonly notRun: number;
+    readonly unknown: number;
+    readonly noReply: number;
+    /** Accepted requests whose final outcome was never told. */
+    readonly lost: number;
+    /** Requests told not-run that were refused for each reason. */
+    readonly notRunReasons: Readonly<Record<string, number>>;
+    readonly wrongAnswers: number;
+    readonly reply: Percentiles;
+    readonly final: Percentiles;
+}
+
+const MICROSECONDS_PER_MILLISECOND = 1000;
+
+/** Summarizes the traces of a load by queue. */
+export function summarizeLoad(traces: readonly RequestTrace[]): readonly QueueSummary[] {
+    const byQueue = new Map<string, RequestTrace[]>();
+    for (const trace of traces) {
+        const list = byQueue.get(trace.arrival.queue) ?? [];
+        list.push(trace);
+        byQueue.set(trace.arrival.queue, list);
+    }
+    return [...byQueue].sort(([left], [right]) => left.localeCompare(right))
+        .map(([queue, list]) => summarizeQueue(queue, list));
+}
+
+/** Computes percentiles of times. */
+export function computePercentiles(timesMs: readonly number[]): Percentiles {
+    const histogram = build({ numberOfSignificantValueDigits: 3 });
+    for (const timeMs of timesMs) {
+        histogram.recordValue(Math.max(1, Math.round(timeMs * MICROSECONDS_PER_MILLISECOND)));
+    }
+    const at = (percentile: number): number =>
+        timesMs.length === 0 ? 0 : histogram.getValueAtPercentile(percentile) / MICROSECONDS_PER_MILLISECOND;
+    return { p50Ms: at(50), p99Ms: at(99), maxMs: at(100) };
+}
+
+function summarizeQueue(queue: string, traces: readonly RequestTrace[]): QueueSummary {
+    const count = (matchesTrace: (trace: RequestTrace) => boolean): number => traces.filter(matchesTrace).length;
+    const notRunReasons: Record<string, number> = {};
+    for (const trace of traces.filter(candidate => candidate.state === OutcomeState.NotRun)) {
+        const reason = trace.reason ?? "";
+        notRunReasons[reason] = (notRunReasons[reason] ?? 0) + 1;
+    }
+    return {
+        queue,
+        sent: traces.length,
+        accepted: count(trace => trace.wasAccepted),
+        done: count(trace => trace.state === OutcomeState.Done),
+        notRun: count(trace => trace.state === OutcomeState.NotRun),
+        unknown: count(trace => trace.state === OutcomeState.Unknown),
+        noReply: count(trace => trace.state === undefined && !trace.wasAccepted),
+        lost: count(trace => trace.wasAccepted && trace.state === undefined),
+        notRunReasons,
+        wrongAnswers: count(trace => !trace.answersMatch),
+        reply: computePercentiles(traces.map(trace => trace.replyMs)),
+        final: computePercentiles(
+            traces.filter(trace => trace.state === OutcomeState.Done).map(trace => trace.finalMs!)
+        )
+    };
+}
--- a/packages/skylarkd/src/SkylarkServer.ts
+++ b/packages/skylarkd/src/SkylarkServer.ts
@@ -11,6 +11,7 @@
 import { PeerSigner } from "@skylarkpath/adapters/PeerSigner";
 import { PEER_PATH } from "@skylarkpath/adapters/PlatformPaths";
 import { SystemTimer } from "@skylarkpath/adapters/SystemTimer";
+import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
 import { createSeededRandom } from "@skylarkpath/common/random/RandomSource";
 import { HybridClock } from "@skylarkpath/common/time/HybridClock";
 import { OperatorController } from "@skylarkpath/control/operators/OperatorController";
@@ -26,6 +27,14 @@
 import { OperatorApi } from "./http/OperatorApi.js";
 import { WinstonSink } from "./log/WinstonSink.js";
 import { ProcessMetrics } from "./metrics/ProcessMetrics.js";
+import { createLinkModel } from "./ModelledLinks.js";
+
+/** Addresses that a server listens on, as `IP:PORT`. */
+export interface ServerAddresses {
+    readonly callers: string;
+    readonly operators: string;
+    readonly peers: string;
+}
 
 /** Secrets that the settings refer to. */
 export interface ServerSecrets {
@@ -40,57 +49,43 @@
 export class SkylarkServer {
     private readonly listeners: HttpListener[] = [];
     private readonly clients: JsonRpcClient[] = [];
+    private readonly hasher = new NodeSecretHasher();
+    private readonly metrics = new ProcessMetrics();
+    private readonly signer: PeerSigner;
     private process: SkylarkProcess | undefined;
 
-    constructor(private readonly settings: Settings, private readonly secrets: ServerSecrets) {}
+    constructor(private readonly settings: Settings, private readonly secrets: ServerSecrets) {
+        this.signer = new PeerSigner(secrets.clusterKey);
+    }
 
     /** Begins to listen and to serve. */
-    public async start(): Promise<void> {
-        const { settings } = this;
-        const timer = new SystemTimer();
-        const clock = new HybridClock(timer);
-        const hasher = new NodeSecretHasher();
-        const metrics = new ProcessMetrics();
-        const sink = new WinstonSink(settings.logLevel);
-        const timeline = new Timeline(
-            settings.processId,
-            clock,
-            settings.limits.timelineEvents,
-            (event, definition) => {
-                metrics.countEvent(definition);
-                sink.write(event, definition);
-            }
-        );
-        const signer = new PeerSigner(this.secrets.clusterKey);
-        const endpoint = new JsonRpcEndpoint({
-            ...DEFAULT_JSON_RPC_ENDPOINT_OPTIONS,
-            verify: (body, header) => signer.verify(body, header)
-        });
+    public async start(): Promise<ServerAddresses> {
+        const endpoint = this.createPeerEndpoint();
         const peerApplication = new Hono();
         endpoint.mount(peerApplication, PEER_PATH);
-        const peerListener = await this.listen(peerApplication, settings.listen.peers);
+        const peers = await this.listen(peerApplication, this.settings.listen.peers);
+        const timer = new SystemTimer();
+        const clock = new HybridClock(timer);
+        const timeline = this.createTimeline(clock);
+        const options = optionsOf(this.settings);
         const environment: ProcessEnvironment = {
-            identity: this.identityAt(peerListener.address, hasher.randomToken()),
+            identity: this.identityAt(peers.address),
             timer,
             clock,
             random: createSeededRandom(Math.floor(Math.random() * UINT32_RANGE)),
-            hasher,
-            ...this.createClients(signer),
+            hasher: this.hasher,
+            ...this.createClients(timer),
             methods: new HttpPeerMethods(endpoint),
             log: timeline,
             schedulers: new StandardSchedulerFactory()
         };
-        const options = optionsOf(settings);
-        this.process = new SkylarkProcess(environment, options, settings.slices);
-        metrics.observeProcess(this.process);
-        await this.serveCallers(this.process, metrics);
-        await this.serveOperators(
-            this.process,
-            new OperatorController(this.process, timeline, options),
-            hasher,
-            metrics
-        );
-        this.process.start();
+        const process = new SkylarkProcess(environment, options, this.settings.slices);
+        this.process = process;
+        this.metrics.observeProcess(process);
+        const callers = await this.serveCallers(process);
+        const operators = await this.serveOperators(process, new OperatorController(process, timeline, options));
+        process.start();
+        return { callers: callers.address, operators: operators.address, peers: peers.address };
     }
 
     /** Stops gracefully. */
@@ -102,33 +97,49 @@
         }
     }
 
-    private async serveCallers(process: SkylarkProcess, metrics: ProcessMetrics): Promise<void> {
+    private createPeerEndpoint(): JsonRpcEndpoint {
+        return new JsonRpcEndpoint({
+            ...DEFAULT_JSON_RPC_ENDPOINT_OPTIONS,
+            verify: (body, header) => this.signer.verify(body, header)
+        });
+    }
+
+    private createTimeline(clock: HybridClock): Timeline {
+        const sink = new WinstonSink(this.settings.logLevel);
+        const { processId, limits } = this.settings;
+        return new Timeline(processId, clock, limits.timelineEvents, (event, definition) => {
+            this.metrics.countEvent(definition);
+            sink.write(event, definition);
+        });
+    }
+
+    private async serveCallers(process: SkylarkProcess): Promise<HttpListener> {
         const application = new Hono();
-        mountHealth(application, process, metrics);
+        mountHealth(application, process, this.metrics);
         const { bodyBytes } = this.settings.limits;
         new CallerApi(process.requests, { maxBodyBytes: bodyBytes, maxWaitMs: MAX_CALLER_WAIT_MS }).mount(application);
-        await this.listen(application, this.settings.listen.callers);
+        return this.listen(application, this.settings.listen.callers);
     }
 
-    private async serveOperators(
-        process: SkylarkProcess,
-        operators: OperatorController,
-        hasher: NodeSecretHasher,
-        metrics: ProcessMetrics
-    ): Promise<void> {
+    private async serveOperators(process: SkylarkProcess, operators: OperatorController): Promise<HttpListener> {
         const application = new Hono();
-        mountHealth(application, process, metrics);
-        new OperatorApi(process, operators, hasher, this.secrets.operatorKeyHashes).mount(application);
-        await this.listen(application, this.settings.listen.operators);
+        mountHealth(application, process, this.metrics);
+        new OperatorApi(process, operators, this.hasher, this.secrets.operatorKeyHashes).mount(application);
+        return this.listen(application, this.settings.listen.operators);
     }
 
     private createClients(
-        signer: PeerSigner
+        timer: SystemTimer
     ): Pick<ProcessEnvironment, "table" | "objects" | "liveList" | "workers" | "targets" | "transport"> {
         const { platform, timing } = this.settings;
-        const client = this.addClient(new JsonRpcClient());
+        const platformHost = hostOf(platform.tableServiceUrl);
+        const machines = (): readonly LiveMachine[] => this.process?.membership.machines ?? [];
+        const links = this.settings.links
+            && createLinkModel(this.settings, this.settings.links, platformHost, machines, timer);
+        const clientOptions = { ...DEFAULT_JSON_RPC_CLIENT_OPTIONS, links };
+        const client = this.addClient(new JsonRpcClient(clientOptions));
         const peerClient = this.addClient(
-            new JsonRpcClient({ ...DEFAULT_JSON_RPC_CLIENT_OPTIONS, sign: body => signer.sign(body) })
+            new JsonRpcClient({ ...clientOptions, sign: body => this.signer.sign(body) })
         );
         return {
             table: new HttpTableService(client, hostOf(platform.tableServiceUrl), timing.storeTimeoutMs),
@@ -151,7 +162,8 @@
         return listener;
     }
 
-    private identityAt(address: string, incarnation: string): ProcessIdentity {
+    private identityAt(address: string): ProcessIdentity {
+        const incarnation = this.hasher.randomToken();
         const { processId, failureDomain, region } = this.settings;
         return { processId, incarnation, failureDomain, region, address };
     }
--- a/packages/text/src/Settings.ts
+++ b/packages/text/src/Settings.ts
@@ -75,6 +75,11 @@
     readonly regionDelayMs: number;
     /** Bandwidth between regions; not modelled when absent. */
     readonly regionBitsPerSecond?: number;
+    /** Failure domain that holds the platform's services; they are near everywhere when absent. */
+    readonly platformFailureDomain?: string;
+    readonly platformRegion?: string;
+    /** JSON file with the cut links as `[from, to]` pairs of failure domains, read again and again. */
+    readonly cutsFile?: string;
 }
 
 /** Settings of a `skylarkd` process. */
--- a/packages/text/src/SettingsParser.ts
+++ b/packages/text/src/SettingsParser.ts
@@ -177,7 +177,21 @@
             DEFAULT_LINKS.failureDomainDelayMs
         ),
         regionDelayMs: reader.optional("region_delay", readDurationMs, DEFAULT_LINKS.regionDelayMs),
-        ...(bitsPerSecond === undefined ? {} : { regionBitsPerSecond: bitsPerSecond })
+        ...(bitsPerSecond === undefined ? {} : { regionBitsPerSecond: bitsPerSecond }),
+        ...readLinkPlaces(reader)
+    };
+}
+
+function readLinkPlaces(
+    reader: TableReader
+): Pick<LinkSettings, "platformFailureDomain" | "platformRegion" | "cutsFile"> {
+    const platformFailureDomain = reader.optional("platform_failure_domain", readName, undefined);
+    const platformRegion = reader.optional("platform_region", readName, undefined);
+    const cutsFile = reader.optional("cuts_file", readText, undefined);
+    return {
+        ...(platformFailureDomain === undefined ? {} : { platformFailureDomain }),
+        ...(platformRegion === undefined ? {} : { platformRegion }),
+        ...(cutsFile === undefined ? {} : { cutsFile })
     };
 }
 
