--- a/packages/text/src/LineDifference.ts
+++ b/packages/text/src/LineDifference.ts
@@ -11,7 +11,13 @@
         return `more than ${MAXIMUM_CHANGED_LINES} lines differ`;
     }
     return patch.hunks.map(hunk => {
-        const header = `@@ -${hunk.oldStart},${hunk.oldLines} +${hunk.newStart},${hunk.newLines} @@`;
+        const oldRange = renderRange(hunk.oldStart, hunk.oldLines);
+        const header = `@@ -${oldRange} +${renderRange(hunk.newStart, hunk.newLines)} @@`;
         return [header, ...hunk.lines].join("\n");
     }).join("\n");
 }
+
+/** Renders a range of lines in the unified form, where an empty range names the line before it. */
+function renderRange(start: number, lines: number): string {
+    return `${lines === 0 ? start - 1 : start},${lines}`;
+}
--- a/packages/text/src/OperatorsTextParser.test.ts
+++ b/packages/text/src/OperatorsTextParser.test.ts
@@ -162,3 +162,13 @@
         t.deepEqual(findings, ["1:1: the text can't be read; it may be nested too deeply"]);
     }
 });
+
+test("findings stay on one line whatever the names hold", t => {
+    const text = sampleText("[queues.part-lookup]", "[queues.\"a\\nb\\u001b\"]");
+    const findings = findingsOf(text);
+    t.deepEqual(findings.map(finding => finding.split(": ")[0]), ["24:9"]);
+    t.notRegex(findings.join(""), /\p{Cc}/u);
+    const withUnknownKey = findingsOf(`${SAMPLE}\n"x\\ny" = 1\n`);
+    t.deepEqual(withUnknownKey.length, 1);
+    t.notRegex(withUnknownKey.join(""), /\p{Cc}/u);
+});
