Keep places for large tasks and order work by size and team

Cause: with small and large tasks in a full fleet, small ones passed the large ones of the least served team by, and every freed place moved all waiting teams. Urgent work now waits one second for room before it stops others.

--- /dev/null
+++ b/packages/bench/src/decisions/QueueScheduler.ts
@@ -0,0 +1,156 @@
+import type { Resources } from "@skylarkpath/common/model/Resources";
+import { addResources, fitsInto, NO_RESOURCES, subtractResources } from "@skylarkpath/common/model/Resources";
+import {
+    type Decision,
+    DecisionKind,
+    GroupKind,
+    TaskEnd,
+    type TaskGroup,
+    type TaskScheduler,
+    type TeamPolicy,
+    type WaitExplanation,
+    type WorkerView
+} from "@skylarkpath/common/scheduling/TaskScheduler";
+
+/** Worker of a baseline with its free capacity. */
+export interface BaselineWorker {
+    readonly workerId: string;
+    free: Resources;
+}
+
+/** Chooses a worker for a demand. */
+export type WorkerChoice = (workers: readonly BaselineWorker[], demand: Resources) => BaselineWorker | undefined;
+
+/** How a baseline schedules. */
+export interface BaselinePolicy {
+    readonly choose: WorkerChoice;
+    /** Groups behind one that does not fit that are tried in each decision. */
+    readonly lookAhead: number;
+}
+
+interface QueuedGroup {
+    readonly group: TaskGroup;
+    readonly waiting: string[];
+}
+
+interface Placement {
+    readonly group: TaskGroup;
+    readonly worker: BaselineWorker;
+}
+
+/** Baseline: groups in order of arrival, on the worker that a function chooses, within the allotments. */
+export class QueueScheduler implements TaskScheduler {
+    private readonly workers: BaselineWorker[] = [];
+    private readonly running = new Map<string, Placement>();
+    private readonly usages = new Map<string, Resources>();
+    private teams: ReadonlyMap<string, TeamPolicy> = new Map();
+    private queue: QueuedGroup[] = [];
+
+    constructor(private readonly policy: BaselinePolicy) {}
+
+    public setTeams(teams: ReadonlyMap<string, TeamPolicy>): void {
+        this.teams = teams;
+    }
+
+    public upsertWorker(worker: WorkerView): void {
+        this.workers.push({ workerId: worker.workerId, free: worker.capacity });
+    }
+
+    public removeWorker(workerId: string): void {
+        this.workers.splice(this.workers.findIndex(worker => worker.workerId === workerId), 1);
+    }
+
+    public submit(group: TaskGroup): void {
+        this.queue.push({ group, waiting: [...group.taskIds].reverse() });
+    }
+
+    public adopt(): void {
+        throw new Error("Baselines adopt nothing.");
+    }
+
+    public withdraw(groupId: string): readonly string[] {
+        this.queue = this.queue.filter(({ group }) => group.groupId !== groupId);
+        return [];
+    }
+
+    public taskEnded(taskId: string, end: TaskEnd): void {
+        const { group, worker } = this.running.get(taskId)!;
+        this.running.delete(taskId);
+        worker.free = addResources(worker.free, group.resources);
+        this.usages.set(group.team, subtractResources(this.usage(group.team), group.resources));
+        if (end === TaskEnd.Requeued) {
+            this.queue.unshift({ group, waiting: [taskId] });
+        }
+    }
+
+    public decide(): readonly Decision[] {
+        const decisions: Decision[] = [];
+        let missed = 0;
+        let position = 0;
+        while (position < this.queue.length && missed <= this.policy.lookAhead) {
+            const entry = this.queue[position]!;
+            this.startEntry(entry, decisions);
+            if (entry.waiting.length > 0) {
+                missed++;
+                position++;
+            }
+            else {
+                this.queue.splice(position, 1);
+            }
+        }
+        return decisions;
+    }
+
+    public explain(): WaitExplanation | undefined {
+        return undefined;
+    }
+
+    public usage(team: string): Resources {
+        return this.usages.get(team) ?? NO_RESOURCES;
+    }
+
+    private startEntry(entry: QueuedGroup, decisions: Decision[]): void {
+        const isGang = entry.group.kind === GroupKind.Gang;
+        const placed: Placement[] = [];
+        for (let task = 0; task < entry.waiting.length; task++) {
+            const placement = this.place(entry.group);
+            if (placement === undefined) {
+                break;
+            }
+            placed.push(placement);
+        }
+        if (isGang && placed.length < entry.waiting.length) {
+            placed.forEach(placement => this.takeBack(placement));
+            return;
+        }
+        for (const placement of placed) {
+            const taskId = entry.waiting.pop()!;
+            this.running.set(taskId, placement);
+            decisions.push({
+                kind: DecisionKind.Start,
+                taskId,
+                groupId: entry.group.groupId,
+                workerId: placement.worker.workerId
+            });
+        }
+    }
+
+    private place(group: TaskGroup): Placement | undefined {
+        const usage = addResources(this.usage(group.team), group.resources);
+        if (!fitsInto(usage, this.teams.get(group.team)!.allotment.resources)) {
+            return undefined;
+        }
+        const worker = this.policy.choose(this.workers, group.resources);
+        if (worker === undefined) {
+            return undefined;
+        }
+        worker.free = subtractResources(worker.free, group.resources);
+        this.usages.set(group.team, usage);
+        return { group, worker };
+    }
+
+    private takeBack({ group, worker }: Placement): void {
+        worker.free = addResources(worker.free, group.resources);
+        this.usages.set(group.team, subtractResources(this.usage(group.team), group.resources));
+    }
+}
--- /dev/null
+++ b/packages/bench/src/decisions/TimedScheduler.ts
@@ -0,0 +1,99 @@
+import type { Resources } from "@skylarkpath/common/model/Resources";
+import {
+    type Decision,
+    DecisionKind,
+    type TaskEnd,
+    type TaskGroup,
+    type TaskScheduler,
+    type TeamPolicy,
+    type WaitExplanation,
+    type WorkerView
+} from "@skylarkpath/common/scheduling/TaskScheduler";
+import { build, type Histogram } from "hdr-histogram-js";
+
+const NANOSECONDS_PER_MILLISECOND = 1_000_000;
+const HIGHEST_NANOSECONDS = 60_000_000_000;
+
+/** Measures the processor time that a task scheduler spends in its calls. */
+export class TimedScheduler implements TaskScheduler {
+    /** Time of each call of `decide`, in nanoseconds. */
+    public readonly decideNanoseconds: Histogram = build({
+        highestTrackableValue: HIGHEST_NANOSECONDS,
+        numberOfSignificantValueDigits: 3
+    });
+    private spentMs = 0;
+    private started = 0;
+
+    constructor(private readonly scheduler: TaskScheduler) {}
+
+    /** Time spent in all calls. */
+    public get totalMs(): number {
+        return this.spentMs;
+    }
+
+    public get startCount(): number {
+        return this.started;
+    }
+
+    /** Forgets what was measured so far. */
+    public reset(): void {
+        this.decideNanoseconds.reset();
+        this.spentMs = 0;
+        this.started = 0;
+    }
+
+    public setTeams(teams: ReadonlyMap<string, TeamPolicy>): void {
+        this.scheduler.setTeams(teams);
+    }
+
+    public upsertWorker(worker: WorkerView): void {
+        this.scheduler.upsertWorker(worker);
+    }
+
+    public removeWorker(workerId: string): void {
+        this.scheduler.removeWorker(workerId);
+    }
+
+    public submit(group: TaskGroup): void {
+        const before = performance.now();
+        this.scheduler.submit(group);
+        this.spentMs += performance.now() - before;
+    }
+
+    public adopt(taskId: string, groupId: string, workerId: string, startedAtMs: number): void {
+        this.scheduler.adopt(taskId, groupId, workerId, startedAtMs);
+    }
+
+    public withdraw(groupId: string): readonly string[] {
+        const before = performance.now();
+        const running = this.scheduler.withdraw(groupId);
+        this.spentMs += performance.now() - before;
+        return running;
+    }
+
+    public taskEnded(taskId: string, end: TaskEnd, nowMs: number): void {
+        const before = performance.now();
+        this.scheduler.taskEnded(taskId, end, nowMs);
+        this.spentMs += performance.now() - before;
+    }
+
+    public decide(nowMs: number): readonly Decision[] {
+        const before = performance.now();
+        const decisions = this.scheduler.decide(nowMs);
+        const tookMs = performance.now() - before;
+        this.spentMs += tookMs;
+        this.decideNanoseconds.recordValue(Math.round(tookMs * NANOSECONDS_PER_MILLISECOND));
+        for (const { kind } of decisions) {
+            this.started += kind === DecisionKind.Start ? 1 : 0;
+        }
+        return decisions;
+    }
+
+    public explain(groupId: string, nowMs: number): WaitExplanation | undefined {
+        return this.scheduler.explain(groupId, nowMs);
+    }
+
+    public usage(team: string): Resources {
+        return this.scheduler.usage(team);
+    }
+}
--- /dev/null
+++ b/packages/bench/src/decisions/main.ts
@@ -0,0 +1,16 @@
+import { writeFileSync } from "node:fs";
+import { type MeasuredRow, printTable } from "./report.js";
+import { compareTasks } from "./taskComparison.js";
+
+const DEFAULT_REPORT_PATH = "packages/bench/out/decisions/report.json";
+
+const sections: readonly (readonly [string, () => readonly MeasuredRow[]])[] = [
+    ["Tasks of today", compareTasks]
+];
+
+const report: Record<string, readonly MeasuredRow[]> = {};
+for (const [title, measure] of sections) {
+    report[title] = measure();
+    printTable(title, report[title]);
+}
+writeFileSync(process.argv[2] ?? DEFAULT_REPORT_PATH, JSON.stringify(report, undefined, 4));
--- /dev/null
+++ b/packages/bench/src/decisions/report.ts
@@ -0,0 +1,25 @@
+/** Figures of one measurement by name. */
+export type MeasuredRow = Readonly<Record<string, string | number>>;
+
+const DECIMALS = 2;
+
+/** Prints rows as a table with a column for each figure. */
+export function printTable(title: string, rows: readonly MeasuredRow[]): void {
+    console.log(`\n${title}`);
+    const columns = [...new Set(rows.flatMap(row => Object.keys(row)))];
+    const lines = [columns, ...rows.map(row => columns.map(column => formatFigure(row[column])))];
+    const widths = [...columns.keys()].map(position => Math.max(...lines.map(line => line[position]!.length)));
+    for (const line of lines) {
+        console.log(line.map((cell, position) => cell.padEnd(widths[position]!)).join("  "));
+    }
+}
+
+function formatFigure(figure: string | number | undefined): string {
+    if (figure === undefined) {
+        return "-";
+    }
+    if (typeof figure === "string" || Number.isInteger(figure)) {
+        return String(figure);
+    }
+    return figure.toFixed(DECIMALS);
+}
--- /dev/null
+++ b/packages/bench/src/decisions/taskShapes.ts
@@ -0,0 +1,130 @@
+import type { Resources } from "@skylarkpath/common/model/Resources";
+import { GroupKind } from "@skylarkpath/common/scheduling/TaskScheduler";
+import { constant, logNormal, oneOf } from "./Distribution.js";
+import type { GroupStream, TaskWorkloadShape, WorkerClass, WorkloadTeam } from "./TaskWorkload.js";
+
+const GIBIBYTE = 2 ** 30;
+const MINUTE_MS = 60_000;
+const WRONG_BY_TEN = logNormal(1, Math.log(10) / 2);
+
+/** Creates an amount from cores, memory and accelerators. */
+export function size(cores: number, memoryGibibytes: number, accelerators = 0): Resources {
+    return { processorMillicores: cores * 1000, memoryBytes: memoryGibibytes * GIBIBYTE, accelerators };
+}
+
+const TODAY_WORKERS: readonly WorkerClass[] = [
+    { count: 24, capacity: size(16, 64) },
+    { count: 6, capacity: size(16, 64, 2) }
+];
+
+const TODAY_TEAMS: readonly WorkloadTeam[] = [
+    { name: "large-a", share: 4, demand: 5, allotted: 0.7 },
+    { name: "large-b", share: 3, demand: 3, allotted: 0.7 },
+    { name: "small-a", share: 1, demand: 1, allotted: 0.5 },
+    { name: "small-b", share: 1, demand: 1, allotted: 0.5 },
+    { name: "small-c", share: 1, demand: 1, allotted: 0.5 },
+    { name: "small-d", share: 1, demand: 1, allotted: 0.5 }
+];
+
+/** Weekly analyses as gangs among sensor batches, with services and a few urgent requests. */
+export const TRIALS_SHAPE: TaskWorkloadShape = {
+    name: "trials",
+    seed: 1001,
+    durationMs: 90 * MINUTE_MS,
+    workersPerRack: 8,
+    workers: TODAY_WORKERS,
+    teams: TODAY_TEAMS,
+    streams: [
+        createServices(0.05),
+        createBatch({ groupsPerSecond: 1.25, sizes: [size(1, 4), size(2, 4), size(2, 12), size(4, 8)] }),
+        {
+            name: "gang",
+            kind: GroupKind.Gang,
+            urgent: false,
+            groupsPerSecond: 1 / 240,
+            tasksPerGroup: oneOf([8, 16, 24]),
+            sizes: [size(4, 8), size(4, 16)],
+            durationMs: logNormal(4 * MINUTE_MS, 0.3),
+            declaredFactor: WRONG_BY_TEN,
+            checkpointable: true,
+            deadlineAfterMs: 30 * MINUTE_MS
+        },
+        createUrgent(0.05)
+    ]
+};
+
+/** Overnight reports that all must be done by the morning, many small batches and hardly a gang. */
+export const REPORTS_SHAPE: TaskWorkloadShape = {
+    name: "reports",
+    seed: 2001,
+    durationMs: 90 * MINUTE_MS,
+    workersPerRack: 8,
+    workers: TODAY_WORKERS,
+    teams: TODAY_TEAMS,
+    streams: [
+        createServices(0.05),
+        createBatch({ groupsPerSecond: 5.5, sizes: [size(0.5, 1), size(1, 2), size(1, 8), size(2, 4)] }),
+        createUrgent(0.1)
+    ]
+};
+
+/** Every team has more work than its share, one of them 50 times as much. */
+export const SATURATED_SHAPE: TaskWorkloadShape = {
+    ...TRIALS_SHAPE,
+    name: "saturated",
+    seed: 3001,
+    durationMs: 40 * MINUTE_MS,
+    teams: TODAY_TEAMS.map(team => ({
+        ...team,
+        allotted: 1,
+        demand: team.name === "small-d" ? 50 : team.share * 1.3
+    })),
+    streams: [
+        createBatch({ groupsPerSecond: 12, sizes: [size(1, 4), size(2, 4), size(2, 12), size(4, 8), size(1, 3)] })
+    ]
+};
+
+function createBatch(changes: Partial<GroupStream>): GroupStream {
+    return {
+        name: "batch",
+        kind: GroupKind.Batch,
+        urgent: false,
+        groupsPerSecond: 1,
+        tasksPerGroup: oneOf([1, 2, 4, 8, 16]),
+        sizes: [size(1, 4)],
+        durationMs: logNormal(15_000, 0.8),
+        declaredFactor: WRONG_BY_TEN,
+        checkpointable: false,
+        deadlineAfterMs: 60 * MINUTE_MS,
+        ...changes
+    };
+}
+
+function createServices(groupsPerSecond: number): GroupStream {
+    return {
+        name: "service",
+        kind: GroupKind.Service,
+        urgent: false,
+        groupsPerSecond: groupsPerSecond / 10,
+        tasksPerGroup: constant(2),
+        sizes: [size(0.5, 1)],
+        durationMs: constant(1),
+        declaredFactor: constant(1),
+        checkpointable: false
+    };
+}
+
+function createUrgent(groupsPerSecond: number): GroupStream {
+    return {
+        name: "urgent",
+        kind: GroupKind.Batch,
+        urgent: true,
+        groupsPerSecond,
+        tasksPerGroup: oneOf([1, 2]),
+        sizes: [size(2, 4), size(4, 8)],
+        durationMs: logNormal(20_000, 0.5),
+        declaredFactor: WRONG_BY_TEN,
+        checkpointable: false,
+        deadlineAfterMs: 5 * MINUTE_MS
+    };
+}
--- a/packages/decisions/src/SliceTaskScheduler.ts
+++ b/packages/decisions/src/SliceTaskScheduler.ts
@@ -19,6 +19,7 @@
 import { FailureJudge } from "./tasks/FailureJudge.js";
 import { Feasibility } from "./tasks/Feasibility.js";
 import { GangPlanner } from "./tasks/GangPlanner.js";
+import { PlaceKeeper } from "./tasks/PlaceKeeper.js";
 import { Placer } from "./tasks/Placer.js";
 import { Preemptor } from "./tasks/Preemptor.js";
 import { ReservationPlanner } from "./tasks/ReservationPlanner.js";
@@ -26,6 +27,7 @@
 import { SliceState } from "./tasks/SliceState.js";
 import { DEFAULT_TASK_OPTIONS, type TaskOptions } from "./tasks/TaskOptions.js";
 import { VictimFinder } from "./tasks/VictimFinder.js";
+import type { PriorityLine } from "./teams/PriorityLine.js";
 
 const PATIENCE_WITHOUT_DEADLINE_MS = 24 * 3_600_000;
 
@@ -36,6 +38,7 @@
     private readonly health = new WorkerHealth(() => this.state.fleet.workerCount);
     private readonly placer: Placer;
     private readonly gangs: GangPlanner;
+    private readonly keeper: PlaceKeeper;
     private readonly backfiller: Backfiller;
     private readonly preemptor: Preemptor;
     private readonly feasibility: Feasibility;
@@ -52,7 +55,8 @@
         this.gangs = new GangPlanner(state, planner, estimator, options);
         this.preemptor = new Preemptor(state, finder, options);
         this.placer = new Placer(state, queue => this.preemptor.addBlocked(queue));
-        this.backfiller = new Backfiller(state, estimator, state.teams.ordinaryLine);
+        this.backfiller = new Backfiller(state, estimator, state.teams.ordinaryLine, options.backfillSearches);
+        this.keeper = new PlaceKeeper(state, planner, state.teams.ordinaryLine, options);
         this.feasibility = new Feasibility(state, options);
         this.judge = new FailureJudge(this.health, () => state.fleet.workerCount, options);
         this.delays = new RetryDelays(options.retryDelayMs, options.maxRetryDelayMs);
@@ -128,10 +132,12 @@
     public decide(nowMs: number): readonly Decision[] {
         const { teams } = this.state;
         this.begin(nowMs);
-        this.placer.placeAll(teams.urgentLine, nowMs);
+        this.placeFirst(teams.urgentLine, nowMs);
+        this.placer.reportUrgent(teams.urgentLine);
         this.preemptor.run(nowMs);
-        this.placer.placeAll(teams.serviceLine, nowMs);
+        this.placeFirst(teams.serviceLine, nowMs);
         this.gangs.run(nowMs);
+        this.keeper.run(nowMs);
         this.placer.placeAll(teams.ordinaryLine, nowMs);
         this.backfiller.run(nowMs);
         return this.state.takeDecisions();
@@ -146,6 +152,14 @@
         return this.state.teams.find(team)?.usage ?? NO_RESOURCES;
     }
 
+    /** Places work that goes before gangs, on their reserved workers too. */
+    private placeFirst(line: PriorityLine, nowMs: number): void {
+        this.placer.placeAll(line, nowMs);
+        if (this.state.fleet.reservedWorkerCount > 0) {
+            this.placer.placeOnReserved(line);
+        }
+    }
+
     private begin(nowMs: number): void {
         if (this.sharesStale) {
             this.sharesStale = false;
--- a/packages/decisions/src/groups/Shape.ts
+++ b/packages/decisions/src/groups/Shape.ts
@@ -1,5 +1,4 @@
 import type { Resources } from "@skylarkpath/common/model/Resources";
-import type { ShapeQueue } from "./ShapeQueue.js";
 
 /** Task size shared by groups; remembers that no worker has room for it. */
 export class Shape {
@@ -9,8 +8,6 @@
     public blocked = false;
     /** Version of the fleet at which some worker could hold one task. */
     public feasibleVersion = -1;
-    /** Queues that wait until a worker has room. */
-    public readonly parkedQueues: ShapeQueue[] = [];
 
     constructor(public readonly key: string, public readonly resources: Resources) {}
 }
--- a/packages/decisions/src/groups/ShapeQueue.ts
+++ b/packages/decisions/src/groups/ShapeQueue.ts
@@ -1,16 +1,21 @@
 import { type HeapElement, IndexedHeap, NOT_IN_HEAP } from "../base/IndexedHeap.js";
-import type { TeamLine } from "../teams/TeamLine.js";
+import type { ShapeLine } from "../teams/ShapeLine.js";
+import type { TeamAccount } from "../teams/TeamAccount.js";
 import type { GroupState } from "./GroupState.js";
 import type { Shape } from "./Shape.js";
 
 /** Groups of one team, priority class and task size, ordered by latest start. */
 export class ShapeQueue implements HeapElement {
     public heapIndex = NOT_IN_HEAP;
-    /** Waits for room, for the team's allotment or for the next decision, outside of its line. */
+    /** Waits for the team's allotment or for the next decision, outside of its line. */
     public parked = false;
     private readonly groups = new IndexedHeap<GroupState>((left, right) => left.orderKeyMs < right.orderKeyMs);
 
-    constructor(public readonly line: TeamLine, public readonly shape: Shape) {}
+    constructor(public readonly team: TeamAccount, public readonly shapeLine: ShapeLine) {}
+
+    public get shape(): Shape {
+        return this.shapeLine.shape;
+    }
 
     public get headKeyMs(): number {
         return this.groups.peek()?.orderKeyMs ?? Number.POSITIVE_INFINITY;
@@ -46,3 +51,11 @@
         this.groups.remove(group);
     }
 }
+
+/** Takes all parked queues back into their lines and empties the list. */
+export function unparkAll(queues: ShapeQueue[]): void {
+    for (const queue of queues) {
+        queue.shapeLine.line.unpark(queue);
+    }
+    queues.length = 0;
+}
--- a/packages/decisions/src/groups/ShapeRegistry.ts
+++ b/packages/decisions/src/groups/ShapeRegistry.ts
@@ -1,13 +1,14 @@
 import type { Resources } from "@skylarkpath/common/model/Resources";
 import type { WorkerNode } from "../fleet/WorkerNode.js";
 import { Shape } from "./Shape.js";
-import type { ShapeQueue } from "./ShapeQueue.js";
 
 /** Task sizes in use, and those that wait until a worker has room. */
 export class ShapeRegistry {
     private readonly shapes = new Map<string, Shape>();
     private readonly blocked = new Set<Shape>();
 
+    constructor(private readonly onChanged: (shape: Shape) => void) {}
+
     /** Shapes that wait until a worker has room. */
     public get blockedShapes(): ReadonlySet<Shape> {
         return this.blocked;
@@ -30,7 +31,8 @@
         shape.groupCount--;
         if (shape.groupCount === 0) {
             this.shapes.delete(shape.key);
-            this.unblock(shape);
+            this.blocked.delete(shape);
+            this.onChanged(shape);
         }
     }
 
@@ -38,12 +40,7 @@
     public block(shape: Shape): void {
         shape.blocked = true;
         this.blocked.add(shape);
-    }
-
-    /** Parks a queue until a worker has room for its shape. */
-    public park(queue: ShapeQueue): void {
-        queue.line.park(queue);
-        queue.shape.parkedQueues.push(queue);
+        this.onChanged(shape);
     }
 
     /** Lets the shapes that fit a worker be searched again. */
@@ -58,14 +55,6 @@
     private unblock(shape: Shape): void {
         shape.blocked = false;
         this.blocked.delete(shape);
-        unparkAll(shape.parkedQueues);
-    }
-}
-
-/** Takes all parked queues back into their lines and empties the list. */
-export function unparkAll(queues: ShapeQueue[]): void {
-    for (const queue of queues) {
-        queue.line.unpark(queue);
+        this.onChanged(shape);
     }
-    queues.length = 0;
 }
--- a/packages/decisions/src/tasks/Backfiller.ts
+++ b/packages/decisions/src/tasks/Backfiller.ts
@@ -6,8 +6,6 @@
 import type { PriorityLine } from "../teams/PriorityLine.js";
 import type { SliceState } from "./SliceState.js";
 
-const MAX_SEARCHES_PER_DECISION = 32;
-
 /** Starts short tasks on reserved workers that end before the reservation needs the place. */
 export class Backfiller {
     private searchesLeft = 0;
@@ -16,12 +14,13 @@
     constructor(
         private readonly state: SliceState,
         private readonly estimator: RunTimeEstimator,
-        private readonly line: PriorityLine
+        private readonly line: PriorityLine,
+        private readonly maxSearches: number
     ) {}
 
     /** Fills reserved workers from the shapes that found no open worker. */
     public run(nowMs: number): void {
-        this.searchesLeft = MAX_SEARCHES_PER_DECISION;
+        this.searchesLeft = this.maxSearches;
         if (this.state.fleet.reservedWorkerCount === 0) {
             return;
         }
@@ -33,29 +32,19 @@
         }
     }
 
+    /** Starts tasks of one size, the least served team first. */
     private fill(shape: Shape, nowMs: number): void {
+        const shapeLine = this.line.find(shape);
         while (this.searchesLeft > 0) {
-            const queue = this.findLeastServed(shape);
-            if (queue === undefined || !this.startHead(queue, nowMs)) {
+            const queue = shapeLine?.peek();
+            if (
+                queue === undefined || !queue.team.hasRoomBesideHeld(shape.resources) || !this.startHead(queue, nowMs)
+            ) {
                 return;
             }
         }
     }
 
-    /** Returns the queue of the least served team that waits for the shape and has room under its allotment. */
-    private findLeastServed(shape: Shape): ShapeQueue | undefined {
-        let best: ShapeQueue | undefined;
-        for (const queue of shape.parkedQueues) {
-            const isCandidate = queue.line.line === this.line
-                && !queue.isEmpty
-                && queue.line.team.hasRoomBesideHeld(shape.resources);
-            if (isCandidate && (best === undefined || queue.line.team.weightedShare < best.line.team.weightedShare)) {
-                best = queue;
-            }
-        }
-        return best;
-    }
-
     private startHead(queue: ShapeQueue, nowMs: number): boolean {
         const group = queue.peek()!;
         const worker = this.findWorker(group, nowMs);
@@ -64,7 +53,7 @@
         }
         this.state.startNext(group, worker, nowMs);
         if (group.waitingCount === 0) {
-            queue.line.remove(group);
+            this.line.remove(group);
         }
         return true;
     }
--- /dev/null
+++ b/packages/decisions/src/tasks/PlaceKeeper.ts
@@ -0,0 +1,92 @@
+import type { WorkerNode } from "../fleet/WorkerNode.js";
+import type { ShapeQueue } from "../groups/ShapeQueue.js";
+import type { PriorityLine } from "../teams/PriorityLine.js";
+import { isServedBefore } from "../teams/ShapeLine.js";
+import type { ReservationPlanner } from "./ReservationPlanner.js";
+import type { SliceState } from "./SliceState.js";
+import type { TaskOptions } from "./TaskOptions.js";
+
+interface KeptPlace {
+    readonly queue: ShapeQueue;
+    readonly worker: WorkerNode;
+}
+
+const MIN_KEPT_WORKERS = 1;
+
+/** Keeps workers for large tasks of the least served teams, which small tasks would pass by for ever. */
+export class PlaceKeeper {
+    private readonly kept = new Set<KeptPlace>();
+
+    constructor(
+        private readonly state: SliceState,
+        private readonly planner: ReservationPlanner,
+        private readonly line: PriorityLine,
+        private readonly options: TaskOptions
+    ) {}
+
+    /** Starts tasks on kept workers that have room by now, and keeps a further worker when one is due. */
+    public run(nowMs: number): void {
+        for (const place of this.kept) {
+            this.advance(place, nowMs);
+        }
+        const limit = Math.floor(this.state.fleet.openWorkerCount * this.options.maxKeptFraction);
+        if (this.state.shapes.blockedShapes.size === 0 || this.kept.size >= Math.max(MIN_KEPT_WORKERS, limit)) {
+            return;
+        }
+        const queue = this.findStarved(nowMs);
+        if (queue !== undefined) {
+            this.keep(queue, nowMs);
+        }
+    }
+
+    private advance(place: KeptPlace, nowMs: number): void {
+        const { queue, worker } = place;
+        const group = queue.peek();
+        if (group === undefined || !worker.takesTasks || worker.reservation === undefined) {
+            this.drop(place);
+        }
+        else if (worker.fits(queue.shape.resources) && queue.team.hasRoomBesideHeld(queue.shape.resources)) {
+            this.state.startNext(group, worker, nowMs);
+            if (group.waitingCount === 0) {
+                this.line.remove(group);
+            }
+            this.drop(place);
+        }
+    }
+
+    /** Returns the least served team's queue whose size finds no open worker. */
+    private findStarved(nowMs: number): ShapeQueue | undefined {
+        let best: ShapeQueue | undefined;
+        for (const shape of this.state.shapes.blockedShapes) {
+            const queue = this.line.find(shape)?.peek();
+            if (queue !== undefined && this.isStarved(queue, nowMs) && isFirst(queue, best)) {
+                best = queue;
+            }
+        }
+        return best;
+    }
+
+    private isStarved(queue: ShapeQueue, nowMs: number): boolean {
+        const waitedMs = nowMs - queue.peek()!.group.submittedAtMs;
+        return waitedMs >= this.options.keepPatienceMs && queue.team.hasRoomBesideHeld(queue.shape.resources);
+    }
+
+    private keep(queue: ShapeQueue, nowMs: number): void {
+        const reservation = this.planner.planOne(queue.peek()!, nowMs);
+        const [worker] = reservation?.places.keys() ?? [];
+        if (worker !== undefined) {
+            this.state.fleet.setReservation(worker, reservation);
+            this.kept.add({ queue, worker });
+        }
+    }
+
+    private drop(place: KeptPlace): void {
+        this.kept.delete(place);
+        this.state.fleet.setReservation(place.worker, undefined);
+        this.state.roomGained(place.worker);
+    }
+}
+
+function isFirst(queue: ShapeQueue, best: ShapeQueue | undefined): boolean {
+    return best === undefined || isServedBefore(queue, best);
+}
--- a/packages/decisions/src/tasks/Placer.ts
+++ b/packages/decisions/src/tasks/Placer.ts
@@ -2,11 +2,9 @@
 import type { WorkerNode } from "../fleet/WorkerNode.js";
 import type { GroupState } from "../groups/GroupState.js";
 import type { ReplicaSpread } from "../groups/ReplicaSpread.js";
-import type { ShapeQueue } from "../groups/ShapeQueue.js";
-import { unparkAll } from "../groups/ShapeRegistry.js";
+import { type ShapeQueue, unparkAll } from "../groups/ShapeQueue.js";
 import type { TaskFailures } from "../groups/TaskFailures.js";
 import type { PriorityLine } from "../teams/PriorityLine.js";
-import type { TeamLine } from "../teams/TeamLine.js";
 import type { SliceState } from "./SliceState.js";
 
 /** Places waiting tasks: the least served team first, on the worker that fits best. */
@@ -31,42 +29,71 @@
     /** Starts what can start in one priority class. */
     public placeAll(line: PriorityLine, nowMs: number): void {
         this.nowMs = nowMs;
-        for (let teamLine = line.peek(); teamLine !== undefined; teamLine = line.peek()) {
-            this.placeNext(teamLine, nowMs);
+        for (let shapeLine = line.peek(); shapeLine !== undefined; shapeLine = line.peek()) {
+            this.placeNext(shapeLine.peek()!);
         }
     }
 
-    private placeNext(teamLine: TeamLine, nowMs: number): void {
-        const queue = teamLine.peek()!;
+    /** Starts what found no open worker on workers reserved for others. */
+    public placeOnReserved(line: PriorityLine): void {
+        for (const shapeLine of line.all()) {
+            for (let queue = shapeLine.peek(); queue !== undefined; queue = shapeLine.peek()) {
+                if (!this.placeHeadOnReserved(queue)) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /** Tells the preemptor of urgent work that found no room. */
+    public reportUrgent(line: PriorityLine): void {
+        for (const shapeLine of line.all()) {
+            shapeLine.values().forEach(this.onUrgentBlocked);
+        }
+    }
+
+    private placeNext(queue: ShapeQueue): void {
         const group = queue.peek()!;
-        const demand = queue.shape.resources;
-        const isUrgent = group.group.urgent;
-        const hasRoom = isUrgent ? group.team.hasRoom(demand, 1) : group.team.hasRoomBesideHeld(demand);
-        if (!hasRoom) {
-            this.parkForAllotment(queue, isUrgent);
+        if (!this.hasRoom(queue)) {
+            this.parkForAllotment(queue);
             return;
         }
-        const worker = this.findWorker(queue, group);
-        if (worker === undefined) {
-            this.parkForRoom(queue, isUrgent);
-            return;
+        this.failures = group.failuresOf(group.peekWaiting()!);
+        const worker = this.findOpen(group, queue.shape.resources);
+        if (worker !== undefined) {
+            this.start(queue, worker);
         }
-        this.state.startNext(group, worker, nowMs);
-        if (group.waitingCount === 0) {
-            queue.line.remove(group);
+        else if (this.failures === undefined) {
+            this.state.shapes.block(queue.shape);
+        }
+        else {
+            this.defer(queue);
         }
     }
 
-    /** Returns the best worker; urgent work and services may take reserved ones. */
-    private findWorker(queue: ShapeQueue, group: GroupState): WorkerNode | undefined {
+    private placeHeadOnReserved(queue: ShapeQueue): boolean {
+        if (!this.hasRoom(queue)) {
+            return false;
+        }
+        this.failures = queue.peek()!.failuresOf(queue.peek()!.peekWaiting()!);
+        const worker = this.state.fleet.findReserved(queue.shape.resources, this.isTakeable);
+        if (worker !== undefined) {
+            this.start(queue, worker);
+        }
+        return worker !== undefined;
+    }
+
+    private hasRoom(queue: ShapeQueue): boolean {
         const demand = queue.shape.resources;
-        const taskId = group.peekWaiting()!;
-        this.failures = group.failuresOf(taskId);
-        const open = queue.shape.blocked ? undefined : this.findOpen(group, demand);
-        if (open !== undefined || !(group.group.urgent || group.isService)) {
-            return open;
+        return queue.peek()!.group.urgent ? queue.team.hasRoom(demand, 1) : queue.team.hasRoomBesideHeld(demand);
+    }
+
+    private start(queue: ShapeQueue, worker: WorkerNode): void {
+        const group = queue.peek()!;
+        this.state.startNext(group, worker, this.nowMs);
+        if (group.waitingCount === 0) {
+            queue.shapeLine.line.remove(group);
         }
-        return this.state.fleet.findReserved(demand, this.isTakenFromGang);
     }
 
     private findOpen(group: GroupState, demand: Resources): WorkerNode | undefined {
@@ -88,31 +115,16 @@
         return fleet.findBest(demand, this.isInSpareRack);
     }
 
-    private parkForRoom(queue: ShapeQueue, isUrgent: boolean): void {
-        if (this.failures === undefined && !queue.shape.blocked) {
-            this.state.shapes.block(queue.shape);
-        }
-        if (isUrgent) {
-            this.onUrgentBlocked(queue);
-        }
-        if (isUrgent || !queue.shape.blocked) {
-            this.defer(queue);
-        }
-        else {
-            this.state.shapes.park(queue);
-        }
-    }
-
-    private parkForAllotment(queue: ShapeQueue, isUrgent: boolean): void {
-        if (isUrgent) {
+    private parkForAllotment(queue: ShapeQueue): void {
+        if (queue.peek()!.group.urgent) {
             this.onUrgentBlocked(queue);
         }
-        queue.line.park(queue);
-        queue.line.team.parkedQueues.push(queue);
+        queue.shapeLine.line.park(queue);
+        queue.team.parkedQueues.push(queue);
     }
 
     private defer(queue: ShapeQueue): void {
-        queue.line.park(queue);
+        queue.shapeLine.line.park(queue);
         this.deferred.push(queue);
     }
 
@@ -121,8 +133,8 @@
         || this.state.fleet.openWorkerCount === 1
         || !this.failures.avoids(worker.workerId, this.nowMs);
 
-    private readonly isTakenFromGang = (worker: WorkerNode): boolean =>
-        this.isNotAvoided(worker) && worker.reservation!.group.isGang;
+    private readonly isTakeable = (worker: WorkerNode): boolean =>
+        this.isNotAvoided(worker) && !worker.reservation!.group.group.urgent;
 
     private readonly isInSpareRack = (worker: WorkerNode): boolean =>
         this.isNotAvoided(worker)
--- a/packages/decisions/src/tasks/Preemptor.ts
+++ b/packages/decisions/src/tasks/Preemptor.ts
@@ -59,6 +59,10 @@
         let missing = queue.waitingCount - this.countClaims(queue);
         if (queue.isEmpty) {
             this.blocked.delete(queue);
+            return left;
+        }
+        if (nowMs - queue.peek()!.group.submittedAtMs < this.options.preemptionPatienceMs) {
+            return left;
         }
         while (missing > 0 && left > 0) {
             left--;
@@ -73,7 +77,7 @@
     }
 
     private findVictims(queue: ShapeQueue, nowMs: number): VictimChoice | undefined {
-        const { team } = queue.line;
+        const { team } = queue;
         const demand = queue.shape.resources;
         if (!team.couldHold(demand)) {
             return undefined;
@@ -110,7 +114,7 @@
         else if (worker.fits(queue.shape.resources) && group.team.hasRoom(queue.shape.resources, 1)) {
             this.state.startNext(group, worker, nowMs);
             if (group.waitingCount === 0) {
-                queue.line.remove(group);
+                queue.shapeLine.line.remove(group);
             }
             this.drop(claim);
         }
@@ -167,7 +171,7 @@
     private countClaimsOf(team: TeamAccount): number {
         let count = 0;
         for (const claim of this.claims) {
-            count += claim.queue.line.team === team ? 1 : 0;
+            count += claim.queue.team === team ? 1 : 0;
         }
         return count;
     }
--- a/packages/decisions/src/tasks/ReservationPlanner.ts
+++ b/packages/decisions/src/tasks/ReservationPlanner.ts
@@ -33,7 +33,20 @@
 
     /** Plans a reservation on workers that are open or reserved by the group, or undefined when too few are. */
     public plan(group: GroupState, maxWorkers: number, nowMs: number): Reservation | undefined {
-        const needed = group.waitingCount;
+        return this.planPlaces(group, group.waitingCount, maxWorkers, nowMs);
+    }
+
+    /** Plans a place for one task of a group. */
+    public planOne(group: GroupState, nowMs: number): Reservation | undefined {
+        return this.planPlaces(group, 1, 1, nowMs);
+    }
+
+    private planPlaces(
+        group: GroupState,
+        needed: number,
+        maxWorkers: number,
+        nowMs: number
+    ): Reservation | undefined {
         const places = this.collectPlaces(group, needed, nowMs);
         places.sort((left, right) => left.freeAtMs - right.freeAtMs);
         const chosen = new Map<WorkerNode, number>();
@@ -59,21 +72,26 @@
         const workers = this.fleet.takingTasks();
         this.offset = nextInteger(this.random, Math.max(1, workers.length));
         for (const worker of group.reservation?.places.keys() ?? []) {
-            this.addPlaces(places, worker, group, nowMs);
+            this.addPlaces(places, worker, group, needed, nowMs);
         }
         for (let step = 0; step < workers.length && places.length < wanted; step++) {
             const worker = workers[(this.offset + step) % workers.length]!;
             if (worker.reservation === undefined) {
-                this.addPlaces(places, worker, group, nowMs);
+                this.addPlaces(places, worker, group, needed, nowMs);
             }
         }
         return places;
     }
 
     /** Adds the places of one worker with the times when they are expected to be free. */
-    private addPlaces(places: Place[], worker: WorkerNode, group: GroupState, nowMs: number): void {
+    private addPlaces(
+        places: Place[],
+        worker: WorkerNode,
+        group: GroupState,
+        needed: number,
+        nowMs: number
+    ): void {
         const demand = group.shape.resources;
-        const needed = group.waitingCount;
         const capacityPlaces = placesIn(worker.capacity, demand, needed);
         if (!worker.takesTasks || capacityPlaces === 0) {
             return;
--- a/packages/decisions/src/tasks/SliceState.ts
+++ b/packages/decisions/src/tasks/SliceState.ts
@@ -4,14 +4,15 @@
 import type { WorkerNode } from "../fleet/WorkerNode.js";
 import type { GroupState } from "../groups/GroupState.js";
 import { RunningTask } from "../groups/RunningTask.js";
-import { ShapeRegistry, unparkAll } from "../groups/ShapeRegistry.js";
+import { unparkAll } from "../groups/ShapeQueue.js";
+import { ShapeRegistry } from "../groups/ShapeRegistry.js";
 import { TeamRegistry } from "../teams/TeamRegistry.js";
 
 /** What the task scheduler of a slice knows: fleet, teams, groups and running tasks. */
 export class SliceState {
     public readonly fleet = new Fleet();
     public readonly teams = new TeamRegistry();
-    public readonly shapes = new ShapeRegistry();
+    public readonly shapes = new ShapeRegistry(shape => this.teams.shapeChanged(shape));
     public readonly groups = new Map<string, GroupState>();
     public readonly running = new Map<string, RunningTask>();
     private roomVersion = 0;
@@ -40,8 +41,9 @@
         worker.running.add(task);
         group.spread?.add(worker);
         this.fleet.take(worker, group.shape.resources);
+        this.teams.beginChange(group.team);
         group.team.take(group.shape.resources, this.fleet.capacity);
-        this.teams.teamChanged(group.team);
+        this.teams.endChange(group.team);
         return task;
     }
 
@@ -64,8 +66,9 @@
         for (let part: RunningTask | undefined = task; part !== undefined; part = part.duplicate) {
             this.releasePart(part);
         }
-        this.teams.teamChanged(task.group.team);
-        unparkAll(task.group.team.parkedQueues);
+        if (task.group.team.parkedQueues.length > 0) {
+            unparkAll(task.group.team.parkedQueues);
+        }
         this.forgetWhenDone(task.group);
     }
 
@@ -102,7 +105,9 @@
         part.worker.running.delete(part);
         part.group.spread?.remove(part.worker);
         this.fleet.give(part.worker, part.group.shape.resources);
+        this.teams.beginChange(part.group.team);
         part.group.team.give(part.group.shape.resources, this.fleet.capacity);
+        this.teams.endChange(part.group.team);
         this.roomGained(part.worker);
     }
 }
--- a/packages/decisions/src/tasks/TaskOptions.ts
+++ b/packages/decisions/src/tasks/TaskOptions.ts
@@ -23,6 +23,14 @@
     readonly reservationOverdueMs: number;
     /** Time in which lost members of a running gang may be replaced before the rest is stopped. */
     readonly gangRepairMs: number;
+    /** Time that a task waits for room before a worker is kept for it. */
+    readonly keepPatienceMs: number;
+    /** Fraction of the workers that are kept for single tasks. */
+    readonly maxKeptFraction: number;
+    /** Searches for short tasks on reserved workers in each decision; zero leaves reserved workers idle. */
+    readonly backfillSearches: number;
+    /** Time that urgent work waits for room before others are stopped. */
+    readonly preemptionPatienceMs: number;
     /** Workers compared for each preemption. */
     readonly preemptionCandidates: number;
     /** Time from throttling a victim to its checkpoint. */
@@ -46,6 +54,10 @@
     maxReservedFraction: 0.5,
     reservationOverdueMs: 1_000,
     gangRepairMs: 2_000,
+    keepPatienceMs: 2_000,
+    maxKeptFraction: 0.1,
+    backfillSearches: 32,
+    preemptionPatienceMs: 1_000,
     preemptionCandidates: 32,
     throttleMs: 100,
     checkpointMs: 1_000
--- a/packages/decisions/src/teams/PriorityLine.ts
+++ b/packages/decisions/src/teams/PriorityLine.ts
@@ -1,55 +1,144 @@
 import { IndexedHeap, NOT_IN_HEAP } from "../base/IndexedHeap.js";
 import type { GroupState } from "../groups/GroupState.js";
+import type { Shape } from "../groups/Shape.js";
+import { ShapeQueue } from "../groups/ShapeQueue.js";
+import { isServedBefore, ShapeLine } from "./ShapeLine.js";
 import type { TeamAccount } from "./TeamAccount.js";
-import { TeamLine } from "./TeamLine.js";
 
-/** Teams with work to place in one priority class, least served first. */
+/** Waiting work of one priority class by task size and team, the least served team first. */
 export class PriorityLine {
-    private readonly lines = new Map<TeamAccount, TeamLine>();
-    private readonly ready = new IndexedHeap<TeamLine>((left, right) =>
-        left.team.weightedShare < right.team.weightedShare
-    );
+    private readonly shapeLines = new Map<Shape, ShapeLine>();
+    private readonly queues = new Map<TeamAccount, Map<Shape, ShapeQueue>>();
+    /** Task sizes with work to place for which some worker may have room. */
+    private readonly ready = new IndexedHeap<ShapeLine>((left, right) => isServedBefore(left.peek()!, right.peek()!));
 
-    /** Returns the least served team that has work to place. */
-    public peek(): TeamLine | undefined {
+    /** Returns the line of the least served team's size. */
+    public peek(): ShapeLine | undefined {
         return this.ready.peek();
     }
 
+    /** Returns the line of a task size. */
+    public find(shape: Shape): ShapeLine | undefined {
+        return this.shapeLines.get(shape);
+    }
+
+    /** Lines of all task sizes that have work. */
+    public all(): Iterable<ShapeLine> {
+        return this.shapeLines.values();
+    }
+
     /** Adds a group that has waiting tasks. */
     public add(group: GroupState): void {
-        let line = this.lines.get(group.team);
-        if (line === undefined) {
-            line = new TeamLine(group.team, this);
-            this.lines.set(group.team, line);
-        }
-        line.add(group);
+        const queue = this.obtainQueue(group);
+        queue.add(group);
+        queue.shapeLine.refresh(queue);
     }
 
     /** Removes a group. */
     public remove(group: GroupState): void {
-        this.lines.get(group.team)?.remove(group);
+        const queue = this.queues.get(group.team)?.get(group.shape);
+        if (queue !== undefined) {
+            queue.remove(group);
+            queue.shapeLine.refresh(queue);
+            this.forgetWhenEmpty(queue);
+        }
+    }
+
+    /** Takes a queue out of the order until it is unparked. */
+    public park(queue: ShapeQueue): void {
+        queue.parked = true;
+        queue.shapeLine.refresh(queue);
+    }
+
+    /** Takes a queue back into the order. */
+    public unpark(queue: ShapeQueue): void {
+        queue.parked = false;
+        queue.shapeLine.refresh(queue);
+        this.forgetWhenEmpty(queue);
+    }
+
+    /** Takes a task size into the order when it has work and is not blocked, and out of it when not. */
+    public refresh(shapeLine: ShapeLine): void {
+        if (shapeLine.shape.blocked || shapeLine.peek() === undefined) {
+            this.ready.remove(shapeLine);
+        }
+        else if (shapeLine.heapIndex === NOT_IN_HEAP) {
+            this.ready.push(shapeLine);
+        }
+        else {
+            this.ready.update(shapeLine);
+        }
     }
 
-    /** Takes a team into the order when it has work to place, and out of it when not. */
-    public refresh(line: TeamLine): void {
-        if (line.peek() === undefined) {
-            this.ready.remove(line);
+    /** Follows a task size that was blocked or unblocked. */
+    public shapeChanged(shape: Shape): void {
+        const shapeLine = this.shapeLines.get(shape);
+        if (shapeLine !== undefined) {
+            this.refresh(shapeLine);
         }
-        else if (line.heapIndex === NOT_IN_HEAP) {
-            this.ready.push(line);
+    }
+
+    /** Takes the sizes of a team out of the order before its usage changes. */
+    public beginChange(team: TeamAccount): void {
+        const queues = this.queues.get(team);
+        if (queues !== undefined) {
+            for (const queue of queues.values()) {
+                this.ready.remove(queue.shapeLine);
+            }
         }
     }
 
-    /** Restores the order after the usage of a team changed. */
-    public teamChanged(team: TeamAccount): void {
-        const line = this.lines.get(team);
-        if (line !== undefined) {
-            this.ready.update(line);
+    /** Takes them back after its usage changed. */
+    public endChange(team: TeamAccount): void {
+        const queues = this.queues.get(team);
+        if (queues !== undefined) {
+            for (const queue of queues.values()) {
+                queue.shapeLine.refresh(queue);
+            }
         }
     }
 
     /** Restores the order after the usage of all teams changed. */
     public allTeamsChanged(): void {
+        for (const shapeLine of this.shapeLines.values()) {
+            shapeLine.refreshAll();
+        }
         this.ready.updateAll();
     }
+
+    private obtainQueue(group: GroupState): ShapeQueue {
+        let queues = this.queues.get(group.team);
+        if (queues === undefined) {
+            queues = new Map();
+            this.queues.set(group.team, queues);
+        }
+        let queue = queues.get(group.shape);
+        if (queue === undefined) {
+            queue = new ShapeQueue(group.team, this.obtainLine(group.shape));
+            queues.set(group.shape, queue);
+        }
+        return queue;
+    }
+
+    private obtainLine(shape: Shape): ShapeLine {
+        let shapeLine = this.shapeLines.get(shape);
+        if (shapeLine === undefined) {
+            shapeLine = new ShapeLine(shape, this);
+            this.shapeLines.set(shape, shapeLine);
+        }
+        return shapeLine;
+    }
+
+    private forgetWhenEmpty(queue: ShapeQueue): void {
+        if (!queue.isEmpty || queue.parked) {
+            return;
+        }
+        const queues = this.queues.get(queue.team);
+        if (queues?.get(queue.shape) === queue) {
+            queues.delete(queue.shape);
+        }
+        if (queue.shapeLine.peek() === undefined && queue.shape.groupCount === 0) {
+            this.shapeLines.delete(queue.shape);
+        }
+    }
 }
--- a/packages/decisions/src/teams/TeamRegistry.ts
+++ b/packages/decisions/src/teams/TeamRegistry.ts
@@ -1,7 +1,8 @@
 import type { Resources } from "@skylarkpath/common/model/Resources";
 import type { TeamPolicy } from "@skylarkpath/common/scheduling/TaskScheduler";
 import type { GroupState } from "../groups/GroupState.js";
-import { unparkAll } from "../groups/ShapeRegistry.js";
+import type { Shape } from "../groups/Shape.js";
+import { unparkAll } from "../groups/ShapeQueue.js";
 import { PriorityLine } from "./PriorityLine.js";
 import { TeamAccount } from "./TeamAccount.js";
 
@@ -57,11 +58,25 @@
         return weights > 0 ? 1 / weights : Number.POSITIVE_INFINITY;
     }
 
-    /** Restores the order of the lines after the usage of a team changed. */
-    public teamChanged(team: TeamAccount): void {
-        this.urgentLine.teamChanged(team);
-        this.serviceLine.teamChanged(team);
-        this.ordinaryLine.teamChanged(team);
+    /** Has to be called before the usage of a team changes. */
+    public beginChange(team: TeamAccount): void {
+        this.urgentLine.beginChange(team);
+        this.serviceLine.beginChange(team);
+        this.ordinaryLine.beginChange(team);
+    }
+
+    /** Has to be called after the usage of a team changed. */
+    public endChange(team: TeamAccount): void {
+        this.urgentLine.endChange(team);
+        this.serviceLine.endChange(team);
+        this.ordinaryLine.endChange(team);
+    }
+
+    /** Follows a task size that was blocked or unblocked. */
+    public shapeChanged(shape: Shape): void {
+        this.urgentLine.shapeChanged(shape);
+        this.serviceLine.shapeChanged(shape);
+        this.ordinaryLine.shapeChanged(shape);
     }
 
     /** Returns the line in which a group waits. */
