Search only workers that gained room for a blocked size

Cause: every start in a full slice was followed by a search of all nearly full workers, run times were looked up by profile for every running task, and reserved workers were searched in each decision.

--- a/packages/bench/src/decisions/baselines.ts
+++ b/packages/bench/src/decisions/baselines.ts
@@ -21,7 +21,7 @@
 export const BASELINES: readonly Contender[] = [
     { name: "first come, first fit", create: createFirstFit },
     { name: "random worker", create: createRandomWorker },
-    { name: "no backfill", create: random => new SliceTaskScheduler(random, { backfillSearches: 0 }) }
+    { name: "no backfill", create: random => new SliceTaskScheduler(random, { backfill: false }) }
 ];
 
 function createFirstFit(): TaskScheduler {
--- a/packages/bench/src/decisions/main.ts
+++ b/packages/bench/src/decisions/main.ts
@@ -1,10 +1,12 @@
 import { writeFileSync } from "node:fs";
 import { type MeasuredRow, printTable } from "./report.js";
 import { compareTasks } from "./taskComparison.js";
+import { measureScale } from "./taskScale.js";
 
 const DEFAULT_REPORT_PATH = "packages/bench/out/decisions/report.json";
 
 const sections: readonly (readonly [string, () => readonly MeasuredRow[]])[] = [
+    ["Size of a slice of the future", measureScale],
     ["Tasks of today", compareTasks]
 ];
 
--- a/packages/bench/src/decisions/taskShapes.ts
+++ b/packages/bench/src/decisions/taskShapes.ts
@@ -36,18 +36,18 @@
     teams: TODAY_TEAMS,
     streams: [
         createServices(0.05),
-        createBatch({ groupsPerSecond: 1.25, sizes: [size(1, 4), size(2, 4), size(2, 12), size(4, 8)] }),
+        createBatch({ groupsPerSecond: 1.35, sizes: [size(1, 4), size(2, 4), size(2, 12), size(4, 8)] }),
         {
             name: "gang",
             kind: GroupKind.Gang,
             urgent: false,
-            groupsPerSecond: 1 / 240,
+            groupsPerSecond: 1 / 60,
             tasksPerGroup: oneOf([8, 16, 24]),
             sizes: [size(4, 8), size(4, 16)],
-            durationMs: logNormal(4 * MINUTE_MS, 0.3),
+            durationMs: logNormal(MINUTE_MS, 0.3),
             declaredFactor: WRONG_BY_TEN,
             checkpointable: true,
-            deadlineAfterMs: 30 * MINUTE_MS
+            deadlineAfterMs: 10 * MINUTE_MS
         },
         createUrgent(0.05)
     ]
--- a/packages/decisions/src/SliceTaskScheduler.ts
+++ b/packages/decisions/src/SliceTaskScheduler.ts
@@ -13,7 +13,7 @@
 import { GroupState } from "./groups/GroupState.js";
 import type { RunningTask } from "./groups/RunningTask.js";
 import { WorkerHealth } from "./health/WorkerHealth.js";
-import { RunTimeEstimator } from "./learning/RunTimeEstimator.js";
+import { RunTimeEstimator, typicalRunTimeMs } from "./learning/RunTimeEstimator.js";
 import { Backfiller } from "./tasks/Backfiller.js";
 import { Explainer } from "./tasks/Explainer.js";
 import { FailureJudge } from "./tasks/FailureJudge.js";
@@ -45,17 +45,19 @@
     private readonly judge: FailureJudge;
     private readonly delays: RetryDelays;
     private readonly explainer: Explainer;
+    private readonly options: TaskOptions;
     private sharesStale = false;
 
     constructor(random: RandomSource, changedOptions: Partial<TaskOptions> = {}) {
         const options = { ...DEFAULT_TASK_OPTIONS, ...changedOptions };
-        const { state, estimator } = this;
-        const planner = new ReservationPlanner(state.fleet, estimator, random);
+        this.options = options;
+        const { state } = this;
+        const planner = new ReservationPlanner(state.fleet, random);
         const finder = new VictimFinder(state.fleet, random, options.preemptionCandidates);
-        this.gangs = new GangPlanner(state, planner, estimator, options);
+        this.gangs = new GangPlanner(state, planner, options);
         this.preemptor = new Preemptor(state, finder, options);
         this.placer = new Placer(state, queue => this.preemptor.addBlocked(queue));
-        this.backfiller = new Backfiller(state, estimator, state.teams.ordinaryLine, options.backfillSearches);
+        this.backfiller = new Backfiller(state, state.teams.ordinaryLine);
         this.keeper = new PlaceKeeper(state, planner, state.teams.ordinaryLine, options);
         this.feasibility = new Feasibility(state, options);
         this.judge = new FailureJudge(this.health, () => state.fleet.workerCount, options);
@@ -139,7 +141,9 @@
         this.gangs.run(nowMs);
         this.keeper.run(nowMs);
         this.placer.placeAll(teams.ordinaryLine, nowMs);
-        this.backfiller.run(nowMs);
+        if (this.options.backfill) {
+            this.backfiller.run(nowMs);
+        }
         return this.state.takeDecisions();
     }
 
@@ -165,6 +169,7 @@
             this.sharesStale = false;
             this.state.teams.updateShares(this.state.fleet.capacity);
         }
+        this.state.teams.forgetFairLevel();
         this.state.fleet.updateScarcest();
         this.health.advance(nowMs);
         this.delays.advance(nowMs, group => this.enqueue(group));
@@ -175,7 +180,7 @@
     private learn(task: RunningTask, end: TaskEnd, nowMs: number): void {
         if (end === TaskEnd.Succeeded) {
             task.group.hasSucceeded = true;
-            this.estimator.observe(task.group.group.profile, nowMs - task.startedAtMs);
+            task.group.runTimes.add(nowMs - task.startedAtMs);
             this.health.taskSucceeded(task.worker.workerId);
         }
         else if (end === TaskEnd.Failed) {
@@ -205,10 +210,11 @@
         const state = new GroupState(
             group,
             this.state.teams.obtain(group.team),
-            this.state.shapes.obtain(group.resources)
+            this.state.shapes.obtain(group.resources),
+            this.estimator.obtain(group.profile)
         );
         const deadlineAtMs = group.deadlineAtMs ?? group.submittedAtMs + PATIENCE_WITHOUT_DEADLINE_MS;
-        state.orderKeyMs = deadlineAtMs - this.estimator.typicalMs(group);
+        state.orderKeyMs = deadlineAtMs - typicalRunTimeMs(state);
         this.state.groups.set(group.groupId, state);
         return state;
     }
--- a/packages/decisions/src/fleet/Fleet.ts
+++ b/packages/decisions/src/fleet/Fleet.ts
@@ -133,6 +133,11 @@
         this.forgetWhenEmpty(worker);
     }
 
+    /** Tells whether a worker takes tasks of anybody. */
+    public isOpen(worker: WorkerNode): boolean {
+        return worker.index === this.openIndex;
+    }
+
     /** Returns the worker open to all that the demand fits best. */
     public findBest(demand: Resources, accepts: (worker: WorkerNode) => boolean): WorkerNode | undefined {
         return this.openIndex.findBest(demand, this.scarcest, accepts);
--- a/packages/decisions/src/groups/GroupState.ts
+++ b/packages/decisions/src/groups/GroupState.ts
@@ -1,6 +1,7 @@
 import { GroupKind, type TaskGroup } from "@skylarkpath/common/scheduling/TaskScheduler";
 import { type HeapElement, NOT_IN_HEAP } from "../base/IndexedHeap.js";
 import type { FailureSource } from "../health/WorkerHealth.js";
+import type { ProfileRunTimes } from "../learning/ProfileRunTimes.js";
 import type { Reservation } from "../tasks/Reservation.js";
 import type { TeamAccount } from "../teams/TeamAccount.js";
 import { ReplicaSpread } from "./ReplicaSpread.js";
@@ -36,7 +37,8 @@
     constructor(
         public readonly group: TaskGroup,
         public readonly team: TeamAccount,
-        public readonly shape: Shape
+        public readonly shape: Shape,
+        public readonly runTimes: ProfileRunTimes
     ) {
         this.spread = this.isService ? new ReplicaSpread() : undefined;
     }
--- a/packages/decisions/src/groups/Shape.ts
+++ b/packages/decisions/src/groups/Shape.ts
@@ -1,4 +1,5 @@
 import type { Resources } from "@skylarkpath/common/model/Resources";
+import type { WorkerNode } from "../fleet/WorkerNode.js";
 
 /** Task size shared by groups; remembers that no worker has room for it. */
 export class Shape {
@@ -6,6 +7,8 @@
     public groupCount = 0;
     /** No worker had room when last searched, and none gained enough since. */
     public blocked = false;
+    /** Workers that gained room since no worker had any; undefined means that all are to be searched. */
+    public candidates: WorkerNode[] | undefined;
     /** Version of the fleet at which some worker could hold one task. */
     public feasibleVersion = -1;
 
--- a/packages/decisions/src/groups/ShapeRegistry.ts
+++ b/packages/decisions/src/groups/ShapeRegistry.ts
@@ -2,10 +2,14 @@
 import type { WorkerNode } from "../fleet/WorkerNode.js";
 import { Shape } from "./Shape.js";
 
+const MAX_CANDIDATES = 16;
+
 /** Task sizes in use, and those that wait until a worker has room. */
 export class ShapeRegistry {
     private readonly shapes = new Map<string, Shape>();
     private readonly blocked = new Set<Shape>();
+    /** Shapes of which the workers with room are known. */
+    private readonly searchable = new Set<Shape>();
 
     constructor(private readonly onChanged: (shape: Shape) => void) {}
 
@@ -32,6 +36,7 @@
         if (shape.groupCount === 0) {
             this.shapes.delete(shape.key);
             this.blocked.delete(shape);
+            this.searchable.delete(shape);
             this.onChanged(shape);
         }
     }
@@ -39,15 +44,24 @@
     /** Remembers that no worker has room for a shape. */
     public block(shape: Shape): void {
         shape.blocked = true;
+        shape.candidates = [];
+        this.searchable.delete(shape);
         this.blocked.add(shape);
         this.onChanged(shape);
     }
 
     /** Lets the shapes that fit a worker be searched again. */
     public roomGained(worker: WorkerNode): void {
+        for (const shape of this.searchable) {
+            if (worker.fits(shape.resources)) {
+                addCandidate(shape, worker);
+            }
+        }
         for (const shape of this.blocked) {
             if (worker.fits(shape.resources)) {
                 this.unblock(shape);
+                addCandidate(shape, worker);
+                this.searchable.add(shape);
             }
         }
     }
@@ -58,3 +72,16 @@
         this.onChanged(shape);
     }
 }
+
+/** Too many candidates are given up for a search of all workers. */
+function addCandidate(shape: Shape, worker: WorkerNode): void {
+    if (shape.candidates === undefined) {
+        return;
+    }
+    if (shape.candidates.length >= MAX_CANDIDATES) {
+        shape.candidates = undefined;
+    }
+    else if (!shape.candidates.includes(worker)) {
+        shape.candidates.push(worker);
+    }
+}
--- a/packages/decisions/src/tasks/Backfiller.ts
+++ b/packages/decisions/src/tasks/Backfiller.ts
@@ -1,68 +1,48 @@
 import type { WorkerNode } from "../fleet/WorkerNode.js";
-import type { GroupState } from "../groups/GroupState.js";
-import type { Shape } from "../groups/Shape.js";
 import type { ShapeQueue } from "../groups/ShapeQueue.js";
-import type { RunTimeEstimator } from "../learning/RunTimeEstimator.js";
+import { longRunTimeMs } from "../learning/RunTimeEstimator.js";
 import type { PriorityLine } from "../teams/PriorityLine.js";
+import { isServedBefore } from "../teams/ShapeLine.js";
 import type { SliceState } from "./SliceState.js";
 
 /** Starts short tasks on reserved workers that end before the reservation needs the place. */
 export class Backfiller {
-    private searchesLeft = 0;
-    private endsAtMs = 0;
+    constructor(private readonly state: SliceState, private readonly line: PriorityLine) {}
 
-    constructor(
-        private readonly state: SliceState,
-        private readonly estimator: RunTimeEstimator,
-        private readonly line: PriorityLine,
-        private readonly maxSearches: number
-    ) {}
-
-    /** Fills reserved workers from the shapes that found no open worker. */
+    /** Fills the reserved workers that gained room from the sizes that found no open worker. */
     public run(nowMs: number): void {
-        this.searchesLeft = this.maxSearches;
-        if (this.state.fleet.reservedWorkerCount === 0) {
-            return;
-        }
-        for (const shape of this.state.shapes.blockedShapes) {
-            this.fill(shape, nowMs);
-            if (this.searchesLeft <= 0) {
-                return;
+        for (const worker of this.state.takeReservedGains()) {
+            if (worker.takesTasks && worker.reservation !== undefined) {
+                this.fill(worker, nowMs);
             }
         }
     }
 
-    /** Starts tasks of one size, the least served team first. */
-    private fill(shape: Shape, nowMs: number): void {
-        const shapeLine = this.line.find(shape);
-        while (this.searchesLeft > 0) {
-            const queue = shapeLine?.peek();
-            if (
-                queue === undefined || !queue.team.hasRoomBesideHeld(shape.resources) || !this.startHead(queue, nowMs)
-            ) {
-                return;
+    private fill(worker: WorkerNode, nowMs: number): void {
+        const untilMs = worker.reservation!.startAtMs;
+        for (let queue = this.findNext(worker, nowMs, untilMs); queue !== undefined;) {
+            const group = queue.peek()!;
+            this.state.startNext(group, worker, nowMs);
+            if (group.waitingCount === 0) {
+                this.line.remove(group);
             }
+            queue = worker.takesTasks ? this.findNext(worker, nowMs, untilMs) : undefined;
         }
     }
 
-    private startHead(queue: ShapeQueue, nowMs: number): boolean {
-        const group = queue.peek()!;
-        const worker = this.findWorker(group, nowMs);
-        if (worker === undefined) {
-            return false;
-        }
-        this.state.startNext(group, worker, nowMs);
-        if (group.waitingCount === 0) {
-            this.line.remove(group);
+    /** Returns the least served team's queue whose next task fits and ends in time. */
+    private findNext(worker: WorkerNode, nowMs: number, untilMs: number): ShapeQueue | undefined {
+        let best: ShapeQueue | undefined;
+        for (const shape of this.state.shapes.blockedShapes) {
+            const queue = worker.fits(shape.resources) ? this.line.find(shape)?.peek() : undefined;
+            if (queue === undefined || (best !== undefined && !isServedBefore(queue, best))) {
+                continue;
+            }
+            const endsInTime = nowMs + longRunTimeMs(queue.peek()!) <= untilMs;
+            if (endsInTime && queue.team.hasRoomBesideHeld(shape.resources)) {
+                best = queue;
+            }
         }
-        return true;
+        return best;
     }
-
-    private findWorker(group: GroupState, nowMs: number): WorkerNode | undefined {
-        this.searchesLeft--;
-        this.endsAtMs = nowMs + this.estimator.longMs(group.group);
-        return this.state.fleet.findReserved(group.shape.resources, this.endsInTime);
-    }
-
-    private readonly endsInTime = (worker: WorkerNode): boolean => worker.reservation!.startAtMs >= this.endsAtMs;
 }
--- a/packages/decisions/src/tasks/GangPlanner.ts
+++ b/packages/decisions/src/tasks/GangPlanner.ts
@@ -2,7 +2,7 @@
 import { DecisionKind } from "@skylarkpath/common/scheduling/TaskScheduler";
 import type { GroupState } from "../groups/GroupState.js";
 import { PreemptionStage } from "../groups/RunningTask.js";
-import type { RunTimeEstimator } from "../learning/RunTimeEstimator.js";
+import { longRunTimeMs } from "../learning/RunTimeEstimator.js";
 import type { TeamAccount } from "../teams/TeamAccount.js";
 import { GangStarter } from "./GangStarter.js";
 import type { Reservation } from "./Reservation.js";
@@ -34,7 +34,6 @@
     constructor(
         private readonly state: SliceState,
         private readonly planner: ReservationPlanner,
-        private readonly estimator: RunTimeEstimator,
         private readonly options: TaskOptions
     ) {
         this.starter = new GangStarter(state);
@@ -136,11 +135,16 @@
         return this.nowMs >= gang.sinceMs + this.options.reservationPatienceMs && this.mayReserve(gang.group);
     }
 
-    /** A gang may reserve within its team's share, and in any case when its latest start is near. */
+    /** A gang may reserve within its team's share; beyond it only after a part of its slack, or near its latest start. */
     private mayReserve(group: GroupState): boolean {
+        const { submittedAtMs } = group.group;
+        const slackMs = group.orderKeyMs - submittedAtMs;
+        if (this.nowMs >= submittedAtMs + slackMs * this.options.gangSlackFraction) {
+            return true;
+        }
         const windowMs = Math.max(
             this.options.minGangWindowMs,
-            this.options.gangWindowFactor * this.estimator.longMs(group.group)
+            this.options.gangWindowFactor * longRunTimeMs(group)
         );
         if (this.nowMs >= group.orderKeyMs - windowMs) {
             return true;
@@ -162,7 +166,7 @@
         gang.group.reservation = plan;
         this.reserved.add(gang.group);
         for (const worker of plan.places.keys()) {
-            this.state.fleet.setReservation(worker, plan);
+            this.state.reserve(worker, plan);
         }
     }
 
@@ -246,8 +250,7 @@
     private openWorkers(reservation: Reservation): void {
         for (const worker of reservation.places.keys()) {
             if (worker.reservation === reservation) {
-                this.state.fleet.setReservation(worker, undefined);
-                this.state.roomGained(worker);
+                this.state.unreserve(worker);
             }
         }
     }
--- a/packages/decisions/src/tasks/PlaceKeeper.ts
+++ b/packages/decisions/src/tasks/PlaceKeeper.ts
@@ -73,17 +73,18 @@
 
     private keep(queue: ShapeQueue, nowMs: number): void {
         const reservation = this.planner.planOne(queue.peek()!, nowMs);
-        const [worker] = reservation?.places.keys() ?? [];
-        if (worker !== undefined) {
-            this.state.fleet.setReservation(worker, reservation);
+        if (reservation === undefined) {
+            return;
+        }
+        for (const worker of reservation.places.keys()) {
+            this.state.reserve(worker, reservation);
             this.kept.add({ queue, worker });
         }
     }
 
     private drop(place: KeptPlace): void {
         this.kept.delete(place);
-        this.state.fleet.setReservation(place.worker, undefined);
-        this.state.roomGained(place.worker);
+        this.state.unreserve(place.worker);
     }
 }
 
--- a/packages/decisions/src/tasks/Placer.ts
+++ b/packages/decisions/src/tasks/Placer.ts
@@ -98,8 +98,30 @@
 
     private findOpen(group: GroupState, demand: Resources): WorkerNode | undefined {
         const { fleet } = this.state;
-        const spread = group.spread === undefined ? undefined : this.findSpread(group.spread, demand);
-        return spread ?? fleet.findBest(demand, this.isNotAvoided);
+        if (group.spread !== undefined) {
+            return this.findSpread(group.spread, demand) ?? fleet.findBest(demand, this.isNotAvoided);
+        }
+        const { candidates } = group.shape;
+        if (candidates === undefined) {
+            return fleet.findBest(demand, this.isNotAvoided);
+        }
+        return this.findAmong(candidates, demand);
+    }
+
+    /** Returns the fullest of the few workers that may have room, dropping those that have none. */
+    private findAmong(candidates: WorkerNode[], demand: Resources): WorkerNode | undefined {
+        let best: WorkerNode | undefined;
+        for (let position = candidates.length - 1; position >= 0; position--) {
+            const worker = candidates[position]!;
+            if (!this.state.fleet.isOpen(worker) || !worker.fits(demand)) {
+                candidates[position] = candidates.at(-1)!;
+                candidates.pop();
+            }
+            else if (this.isNotAvoided(worker) && isFuller(worker, best)) {
+                best = worker;
+            }
+        }
+        return best;
     }
 
     /** Prefers racks with the fewest replicas, then workers without one. */
@@ -141,3 +163,7 @@
         && !this.spread!.isOn(worker.workerId)
         && this.spread!.countInRack(worker.rack) <= this.maxInRack;
 }
+
+function isFuller(worker: WorkerNode, other: WorkerNode | undefined): boolean {
+    return other === undefined || worker.freeProcessorMillicores < other.freeProcessorMillicores;
+}
--- a/packages/decisions/src/tasks/Preemptor.ts
+++ b/packages/decisions/src/tasks/Preemptor.ts
@@ -95,7 +95,7 @@
     private claim(queue: ShapeQueue, choice: VictimChoice, nowMs: number): void {
         const { worker, victims } = choice;
         this.claims.add({ queue, worker, victims, nextStepAtMs: nowMs + this.options.throttleMs });
-        this.state.fleet.setReservation(worker, {
+        this.state.reserve(worker, {
             group: queue.peek()!,
             places: new Map([[worker, 1]]),
             startAtMs: Number.NEGATIVE_INFINITY
@@ -156,8 +156,7 @@
 
     private drop(claim: Claim): void {
         this.claims.delete(claim);
-        this.state.fleet.setReservation(claim.worker, undefined);
-        this.state.roomGained(claim.worker);
+        this.state.unreserve(claim.worker);
     }
 
     private countClaims(queue: ShapeQueue): number {
--- a/packages/decisions/src/tasks/ReservationPlanner.ts
+++ b/packages/decisions/src/tasks/ReservationPlanner.ts
@@ -5,7 +5,7 @@
 import { placesIn } from "../fleet/Fleet.js";
 import type { WorkerNode } from "../fleet/WorkerNode.js";
 import type { GroupState } from "../groups/GroupState.js";
-import type { RunTimeEstimator } from "../learning/RunTimeEstimator.js";
+import { remainingRunTimeMs } from "../learning/RunTimeEstimator.js";
 import type { Reservation } from "./Reservation.js";
 
 interface Place {
@@ -19,7 +19,7 @@
 }
 
 const SURPLUS_FACTOR = 3;
-const MIN_SURPLUS_PLACES = 32;
+const MIN_SURPLUS_PLACES = 8;
 
 /** Plans which workers a group reserves: those expected to have room for all of its tasks first. */
 export class ReservationPlanner {
@@ -27,7 +27,6 @@
 
     constructor(
         private readonly fleet: Fleet,
-        private readonly estimator: RunTimeEstimator,
         private readonly random: RandomSource
     ) {}
 
@@ -118,7 +117,7 @@
     private sortReleases(worker: WorkerNode, nowMs: number): Release[] {
         const releases: Release[] = [];
         for (const task of worker.running) {
-            const remainingMs = this.estimator.remainingMs(task.group.group, nowMs - task.startedAtMs);
+            const remainingMs = remainingRunTimeMs(task.group, nowMs - task.startedAtMs);
             if (Number.isFinite(remainingMs)) {
                 releases.push({ endsAtMs: nowMs + remainingMs, amount: task.group.shape.resources });
             }
--- a/packages/decisions/src/tasks/SliceState.ts
+++ b/packages/decisions/src/tasks/SliceState.ts
@@ -7,6 +7,9 @@
 import { unparkAll } from "../groups/ShapeQueue.js";
 import { ShapeRegistry } from "../groups/ShapeRegistry.js";
 import { TeamRegistry } from "../teams/TeamRegistry.js";
+import type { Reservation } from "./Reservation.js";
+
+const NO_WORKERS: readonly WorkerNode[] = [];
 
 /** What the task scheduler of a slice knows: fleet, teams, groups and running tasks. */
 export class SliceState {
@@ -16,6 +19,8 @@
     public readonly groups = new Map<string, GroupState>();
     public readonly running = new Map<string, RunningTask>();
     private roomVersion = 0;
+    /** Reserved workers that gained room since the last backfill. */
+    private reservedGains: WorkerNode[] = [];
     /** Decisions to hand out next. */
     private decisions: Decision[] = [];
 
@@ -27,9 +32,37 @@
     /** Lets waiting work be tried on a worker that gained room. */
     public roomGained(worker: WorkerNode): void {
         this.roomVersion++;
-        if (worker.takesTasks && worker.reservation === undefined) {
+        if (!worker.takesTasks) {
+            return;
+        }
+        if (worker.reservation === undefined) {
             this.shapes.roomGained(worker);
         }
+        else {
+            this.reservedGains.push(worker);
+        }
+    }
+
+    /** Keeps a worker for a reservation. */
+    public reserve(worker: WorkerNode, reservation: Reservation): void {
+        this.fleet.setReservation(worker, reservation);
+        this.reservedGains.push(worker);
+    }
+
+    /** Opens a reserved worker to all again. */
+    public unreserve(worker: WorkerNode): void {
+        this.fleet.setReservation(worker, undefined);
+        this.roomGained(worker);
+    }
+
+    /** Returns the reserved workers that gained room since the last call. */
+    public takeReservedGains(): readonly WorkerNode[] {
+        if (this.reservedGains.length === 0) {
+            return NO_WORKERS;
+        }
+        const gains = this.reservedGains;
+        this.reservedGains = [];
+        return gains;
     }
 
     /** Counts a task as running on a worker. */
--- a/packages/decisions/src/tasks/TaskOptions.ts
+++ b/packages/decisions/src/tasks/TaskOptions.ts
@@ -14,6 +14,8 @@
     readonly gangAttemptIntervalMs: number;
     /** Time that a gang waits for room before it reserves workers. */
     readonly reservationPatienceMs: number;
+    /** Fraction of its slack that a gang above its team's share waits before it reserves. */
+    readonly gangSlackFraction: number;
     /** Multiple of its run time before the latest start, from when on a gang reserves above its share. */
     readonly gangWindowFactor: number;
     readonly minGangWindowMs: number;
@@ -27,8 +29,8 @@
     readonly keepPatienceMs: number;
     /** Fraction of the workers that are kept for single tasks. */
     readonly maxKeptFraction: number;
-    /** Searches for short tasks on reserved workers in each decision; zero leaves reserved workers idle. */
-    readonly backfillSearches: number;
+    /** Short tasks run on reserved workers before the reservation needs them. */
+    readonly backfill: boolean;
     /** Time that urgent work waits for room before others are stopped. */
     readonly preemptionPatienceMs: number;
     /** Workers compared for each preemption. */
@@ -49,6 +51,7 @@
     infeasibleGraceMs: 30_000,
     gangAttemptIntervalMs: 50,
     reservationPatienceMs: 1_000,
+    gangSlackFraction: 0.1,
     gangWindowFactor: 2,
     minGangWindowMs: 60_000,
     maxReservedFraction: 0.5,
@@ -56,7 +59,7 @@
     gangRepairMs: 2_000,
     keepPatienceMs: 2_000,
     maxKeptFraction: 0.1,
-    backfillSearches: 32,
+    backfill: true,
     preemptionPatienceMs: 1_000,
     preemptionCandidates: 32,
     throttleMs: 100,
--- a/packages/decisions/src/teams/TeamRegistry.ts
+++ b/packages/decisions/src/teams/TeamRegistry.ts
@@ -11,6 +11,7 @@
     public readonly urgentLine = new PriorityLine();
     public readonly serviceLine = new PriorityLine();
     public readonly ordinaryLine = new PriorityLine();
+    private knownFairLevel: number | undefined;
     private readonly accounts = new Map<string, TeamAccount>();
 
     /** Returns the account of a team; one without policy may run nothing. */
@@ -51,11 +52,13 @@
 
     /** Weighted dominant share that each team has when all with work running use exactly their share. */
     public fairLevel(): number {
-        let weights = 0;
-        for (const account of this.accounts.values()) {
-            weights += account.weightedShare > 0 ? account.weight : 0;
-        }
-        return weights > 0 ? 1 / weights : Number.POSITIVE_INFINITY;
+        this.knownFairLevel ??= this.computeFairLevel();
+        return this.knownFairLevel;
+    }
+
+    /** Has the fair level computed anew when asked for next. */
+    public forgetFairLevel(): void {
+        this.knownFairLevel = undefined;
     }
 
     /** Has to be called before the usage of a team changes. */
@@ -86,4 +89,12 @@
         }
         return group.isService ? this.serviceLine : this.ordinaryLine;
     }
+
+    private computeFairLevel(): number {
+        let weights = 0;
+        for (const account of this.accounts.values()) {
+            weights += account.weightedShare > 0 ? account.weight : 0;
+        }
+        return weights > 0 ? 1 / weights : Number.POSITIVE_INFINITY;
+    }
 }
