--- a/packages/decisions/src/tasks/TaskOptions.ts
+++ b/packages/decisions/src/tasks/TaskOptions.ts
@@ -14,6 +14,8 @@
     readonly gangAttemptIntervalMs: number;
     /** Time that a gang waits for room before it reserves workers. */
     readonly reservationPatienceMs: number;
+    /** Fraction of its slack that a gang above its team's share waits before it reserves. */
+    readonly gangSlackFraction: number;
     /** Multiple of its run time before the latest start, from when on a gang reserves above its share. */
     readonly gangWindowFactor: number;
     readonly minGangWindowMs: number;
@@ -23,6 +25,14 @@
     readonly reservationOverdueMs: number;
     /** Time in which lost members of a running gang may be replaced before the rest is stopped. */
     readonly gangRepairMs: number;
+    /** Time that a task waits for room before a worker is kept for it. */
+    readonly keepPatienceMs: number;
+    /** Fraction of the workers that are kept for single tasks. */
+    readonly maxKeptFraction: number;
+    /** Short tasks run on reserved workers before the reservation needs them. */
+    readonly backfill: boolean;
+    /** Time that urgent work waits for room before others are stopped. */
+    readonly preemptionPatienceMs: number;
     /** Workers compared for each preemption. */
     readonly preemptionCandidates: number;
     /** Time from throttling a victim to its checkpoint. */
@@ -41,11 +51,16 @@
     infeasibleGraceMs: 30_000,
     gangAttemptIntervalMs: 50,
     reservationPatienceMs: 1_000,
+    gangSlackFraction: 0.1,
     gangWindowFactor: 2,
     minGangWindowMs: 60_000,
     maxReservedFraction: 0.5,
     reservationOverdueMs: 1_000,
     gangRepairMs: 2_000,
+    keepPatienceMs: 2_000,
+    maxKeptFraction: 0.1,
+    backfill: true,
+    preemptionPatienceMs: 1_000,
     preemptionCandidates: 32,
     throttleMs: 100,
     checkpointMs: 1_000
