Find out late and lost writes, refuse in time, and keep truth over a take-over

Cause: a transaction that arrived after its successor was composed stopped its writer for ever; with the store down, queued writes were refused one batch after the other; an outdated scan opened finished requests again; a rejected job whose outcome was not committed started again; a job of a former epoch could be called not-run; a running task of an unread request was stopped and could run twice; a lost key made a question answer not-run.

--- a/packages/control/src/entry/RequestController.ts
+++ b/packages/control/src/entry/RequestController.ts
@@ -24,7 +24,7 @@
 import { LookupHandler } from "./LookupHandler.js";
 import { OrderHandler } from "./OrderHandler.js";
 import { chainFilters, type RequestContext, type RequestHandler } from "./RequestContext.js";
-import { notRun, type RequestReply, requestUnknown } from "./RequestReply.js";
+import { type RequestReply, requestUnknown, unseen } from "./RequestReply.js";
 import { SlotClient } from "./SlotClient.js";
 
 interface RememberedLookup {
@@ -195,10 +195,10 @@
     /** Team of the key, or the refusal; without a key only requests of open queues are seen. */
     private teamOf(question: RequestQuestion): string | RequestReply {
         if (question.key === undefined) {
-            return notRun(OutcomeReason.KeyMissing, "A team key is needed to see a request.");
+            return unseen(OutcomeReason.KeyMissing, "A team key is needed to see a request.");
         }
         const team = this.keys.verify(question.key, 0);
-        return team.isOk() ? team.value : notRun(team.error);
+        return team.isOk() ? team.value : unseen(team.error, "The key cannot be used; nothing is told of the request.");
     }
 
     private async askOwner(requestId: string, maySee: TeamCheck): Promise<RequestReply | undefined> {
--- a/packages/control/src/entry/RequestReply.ts
+++ b/packages/control/src/entry/RequestReply.ts
@@ -18,3 +18,8 @@
 export function requestUnknown(): RequestReply {
     return { outcome: { state: OutcomeState.Unknown, reason: OutcomeReason.RequestUnknown } };
 }
+
+/** Composes the reply to a question that is not answered; the request itself may have run. */
+export function unseen(reason: OutcomeReason, detail: string): RequestReply {
+    return { outcome: { state: OutcomeState.Unknown, reason, detail } };
+}
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -63,7 +63,7 @@
             environment.clock,
             log
         );
-        this.writer = new GroupCommitWriter(table, timer, ownerNameOf(identity), options, log);
+        this.writer = new GroupCommitWriter(table, timer, ownerNameOf(identity), options, environment.random, log);
         this.requestStore = new RequestStore(table, environment.objects, this.writer, options.inlineLimitBytes);
         this.membership = this.store.add(new MembershipController(environment, options, this.peerClient));
         this.config = this.store.add(
@@ -174,7 +174,9 @@
         }
         controller.updatePolicies(this.allotments.policiesOf(slice.sliceId));
         controller.start();
-        controller.updateMachines(this.machinesOf(this.membership.machines));
+        if (this.membership.hasLiveList) {
+            controller.updateMachines(this.machinesOf(this.membership.machines));
+        }
         this.membership.beat();
         this.directory.takeIn(this.composeHeartbeat());
     }
--- a/packages/control/src/slice/Job.ts
+++ b/packages/control/src/slice/Job.ts
@@ -44,9 +44,14 @@
         return this.closed;
     }
 
-    /** Tells whether some task was handed to a worker, as far as is known. */
+    /** Tells whether some task was or may have been handed to a worker, also under a former epoch. */
     public get hasStarted(): boolean {
-        return this.startedOnce || this.answers.size > 0;
+        return this.claimedEarlier || this.startedOnce || this.answers.size > 0;
+    }
+
+    /** Tells whether tasks may start: no final outcome was decided. */
+    public get mayRun(): boolean {
+        return !this.cancelRequested && !this.closed && this.finalOutcome === undefined;
     }
 
     /** Tells whether all tasks have finished. */
@@ -144,9 +149,12 @@
 
     /** Outcome of the job when the scheduler gives it up. */
     public rejectedOutcome(detail: string): RequestOutcome {
-        return this.hasStarted
+        if (!this.hasStarted) {
+            return { state: OutcomeState.NotRun, reason: OutcomeReason.Infeasible, detail };
+        }
+        return this.startedOnce
             ? { state: OutcomeState.Done, reason: OutcomeReason.NeverSucceeds, detail }
-            : { state: OutcomeState.NotRun, reason: OutcomeReason.Infeasible, detail };
+            : { state: OutcomeState.Unknown, reason: OutcomeReason.OwnerLost, detail };
     }
 
     /** Outcome as it stands now. */
--- a/packages/control/src/slice/JobController.ts
+++ b/packages/control/src/slice/JobController.ts
@@ -2,7 +2,7 @@
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import { QueueKind } from "@skylarkpath/common/model/OperatorsText";
-import { OutcomeState, type RequestOutcome } from "@skylarkpath/common/model/Request";
+import { isFinal, OutcomeState, type RequestOutcome } from "@skylarkpath/common/model/Request";
 import {
     TaskEnd,
     type TaskScheduler,
@@ -11,8 +11,11 @@
 } from "@skylarkpath/common/scheduling/TaskScheduler";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
-import type { RequestStore, SliceGuard, StoredRequest } from "../store/RequestStore.js";
+import { WriteErrorKind } from "../store/GroupCommitWriter.js";
+import { ReadWindow } from "../store/ReadWindow.js";
+import type { RequestStore, SliceGuard, StoredRequest, TaskProgress } from "../store/RequestStore.js";
 import { Job, taskIndexOf } from "./Job.js";
+import type { Placements } from "./Placements.js";
 
 /** Outcome of a request with what it waits for. */
 export interface JobDescription {
@@ -38,13 +41,19 @@
     Later = "later"
 }
 
+const PAYLOADS_AT_ONCE = 32;
+
 /** Holds the open batch and gang jobs of a slice and commits their outcomes. */
 export class JobController implements Disposable {
     private readonly store = new DisposableStore();
     private readonly jobs = new Map<string, Job>();
     private readonly finalOutcomes = new Map<string, FinalOutcome>();
+    private readonly reads = new ReadWindow();
     private readonly changeEmitter = this.store.add(new Emitter<void>());
     private readonly finishedEmitter = this.store.add(new Emitter<string>());
+    private readonly conflictEmitter = this.store.add(new Emitter<string>());
+    private readonly supersededEmitter = this.store.add(new Emitter<number>());
+    private loading = false;
     private loaded = false;
     private mayStartEarlierClaims = false;
 
@@ -52,6 +61,10 @@
     public readonly onChange = this.changeEmitter.event;
     /** Tells the id of each request whose outcome is committed. */
     public readonly onFinished = this.finishedEmitter.event;
+    /** Tells a request whose outcome was refused, as when another process owns the slice. */
+    public readonly onConflict = this.conflictEmitter.event;
+    /** Tells the epoch of a request that was claimed under a later owner. */
+    public readonly onSuperseded = this.supersededEmitter.event;
 
     constructor(
         private readonly sliceId: string,
@@ -61,6 +74,7 @@
         private readonly requests: RequestStore,
         private readonly scheduler: TaskScheduler,
         private readonly guard: SliceGuard,
+        private readonly placements: Placements,
         private readonly stopTask: StopTask
     ) {}
 
@@ -86,40 +100,37 @@
 
     /** Loads the open requests of the slice; returns false when the store is not reached. */
     public async load(): Promise<boolean> {
-        const open = await this.requests.loadOpen(this.sliceId);
-        const progress = await this.requests.loadProgress(this.sliceId);
-        if (open.isErr() || progress.isErr()) {
-            return false;
-        }
-        for (const stored of open.value) {
-            await this.add(stored);
-        }
-        for (const entry of progress.value) {
-            this.jobs.get(entry.requestId)?.noteFinished(entry.taskIndex, entry.answer);
+        if (this.loading) {
+            return this.loaded;
         }
-        this.loaded = true;
-        for (const job of this.jobs.values()) {
-            this.release(job);
-            this.finishWhenComplete(job);
+        this.loading = true;
+        const isLoaded = await this.reads.run(() => this.readOpen());
+        this.loading = false;
+        if (isLoaded) {
+            this.loaded = true;
+            for (const job of this.jobs.values()) {
+                this.release(job);
+                this.finishWhenComplete(job);
+            }
+            this.changeEmitter.fire();
         }
-        this.changeEmitter.fire();
-        return true;
+        return isLoaded;
     }
 
-    /** Takes in a request that was committed for this slice. */
+    /** Takes in a request that was committed for this slice; returns false when it is not known to be committed. */
     public async submit(requestId: string): Promise<boolean> {
         if (this.jobs.has(requestId)) {
             return true;
         }
-        const stored = await this.requests.find(requestId);
-        if (stored.isErr() || !stored.value) {
-            return false;
-        }
-        if (isOpen(stored.value)) {
-            await this.add(stored.value);
-            this.changeEmitter.fire();
-        }
-        return true;
+        const isFound = await this.reads.run(async () => {
+            const stored = await this.requests.find(requestId);
+            if (stored.isErr() || !stored.value) {
+                return false;
+            }
+            return !isFinal(stored.value.record.outcome) ? this.add(stored.value) : true;
+        });
+        this.changeEmitter.fire();
+        return isFound;
     }
 
     /** Lets tasks claimed under former epochs start again. */
@@ -136,15 +147,12 @@
     public adopt(taskId: string, requestId: string, workerId: string): Adoption {
         const job = this.jobs.get(requestId);
         if (!job) {
-            return this.loaded ? Adoption.Stop : Adoption.Later;
+            return this.adoptUnknown(requestId);
         }
-        if (job.isCancelled || job.isClosed || job.finishedIndexes.includes(taskIndexOf(taskId))) {
+        if (!job.mayRun || job.finishedIndexes.includes(taskIndexOf(taskId))) {
             return Adoption.Stop;
         }
-        const { timer } = this.environment;
-        this.scheduler.submit(job.toGroup([taskId], timer.nowMs(), timer.wallClockMs()));
-        this.scheduler.adopt(taskId, requestId, workerId, timer.nowMs());
-        job.noteStarted(taskId);
+        this.count(job, taskId, workerId);
         return Adoption.Adopted;
     }
 
@@ -155,9 +163,10 @@
 
     /** Commits the answer of a task; resolves with true once the worker may forget it. */
     public async taskSucceeded(taskId: string, requestId: string, answer: string): Promise<boolean> {
+        const isKnown = await this.submit(requestId);
         const job = this.jobs.get(requestId);
         if (!job) {
-            return this.loaded;
+            return isKnown;
         }
         const { timer } = this.environment;
         this.scheduler.taskEnded(taskId, TaskEnd.Succeeded, timer.nowMs());
@@ -187,7 +196,7 @@
     /** Ends a job that the scheduler gives up. */
     public reject(requestId: string, detail: string): void {
         const job = this.jobs.get(requestId);
-        if (job && !job.isClosed) {
+        if (job?.mayRun) {
             void this.finish(job, job.rejectedOutcome(detail));
         }
     }
@@ -245,22 +254,75 @@
         return this.scheduler.explain(job.requestId, this.environment.timer.nowMs());
     }
 
-    private async add(stored: StoredRequest): Promise<void> {
-        const payload = await this.requests.payloadOf(stored.record);
+    /** A task of a request that is not known here runs on until the store has been asked. */
+    private adoptUnknown(requestId: string): Adoption {
+        if (this.finalOutcomes.has(requestId)) {
+            return Adoption.Stop;
+        }
+        void this.submit(requestId);
+        return Adoption.Later;
+    }
+
+    private async readOpen(): Promise<boolean> {
+        const open = await this.requests.loadOpen(this.sliceId);
+        const progress = await this.requests.loadProgress(this.sliceId);
+        if (open.isErr() || progress.isErr()) {
+            return false;
+        }
+        const answered = new Map<string, TaskProgress[]>();
+        for (const entry of progress.value) {
+            this.jobs.get(entry.requestId)?.noteFinished(entry.taskIndex, entry.answer);
+            answered.set(entry.requestId, [...answered.get(entry.requestId) ?? [], entry]);
+        }
+        for (let start = 0; start < open.value.length; start += PAYLOADS_AT_ONCE) {
+            const part = open.value.slice(start, start + PAYLOADS_AT_ONCE);
+            await Promise.all(part.map(stored => this.add(stored, answered.get(stored.record.requestId))));
+        }
+        return true;
+    }
+
+    /** Takes in an open request; returns false when it must be read again. */
+    private async add(stored: StoredRequest, progress: readonly TaskProgress[] = []): Promise<boolean> {
         const { requestId, spec, claimEpoch } = stored.record;
-        const isKnown = this.jobs.has(requestId) || this.finalOutcomes.has(requestId);
-        if (payload.isErr() || isKnown || spec.kind === QueueKind.Lookup) {
-            return;
+        if (claimEpoch > this.epoch) {
+            this.supersededEmitter.fire(claimEpoch);
+            return false;
+        }
+        if (spec.kind === QueueKind.Lookup || this.isKnown(requestId)) {
+            return true;
+        }
+        const payload = await this.requests.payloadOf(stored.record);
+        if (payload.isErr()) {
+            return false;
+        }
+        if (this.isKnown(requestId)) {
+            return true;
         }
         const job = new Job(stored, payload.value, claimEpoch < this.epoch);
+        progress.forEach(entry => job.noteFinished(entry.taskIndex, entry.answer));
         this.jobs.set(requestId, job);
-        if (!job.claimedEarlier) {
-            this.release(job);
+        for (const { taskId, workerId } of this.placements.ofGroup(requestId)) {
+            this.count(job, taskId, workerId);
         }
+        this.release(job);
+        return true;
+    }
+
+    private isKnown(requestId: string): boolean {
+        return this.jobs.has(requestId)
+            || this.finalOutcomes.has(requestId)
+            || this.reads.hasEnded(requestId);
+    }
+
+    private count(job: Job, taskId: string, workerId: string): void {
+        const { timer } = this.environment;
+        this.scheduler.submit(job.toGroup([taskId], timer.nowMs(), timer.wallClockMs()));
+        this.scheduler.adopt(taskId, job.requestId, workerId, timer.nowMs());
+        job.noteStarted(taskId);
     }
 
     private release(job: Job): void {
-        if (job.isCancelled || job.isClosed || (job.claimedEarlier && !this.mayStartEarlierClaims)) {
+        if (!job.mayRun || (job.claimedEarlier && !this.mayStartEarlierClaims)) {
             return;
         }
         const { timer } = this.environment;
@@ -284,7 +346,11 @@
         if (job.isClosed) {
             return false;
         }
-        job.close(outcome);
+        job.close(job.pendingOutcome ?? outcome);
+        return this.commitOutcome(job, job.pendingOutcome ?? outcome);
+    }
+
+    private async commitOutcome(job: Job, outcome: RequestOutcome): Promise<boolean> {
         for (const taskId of this.scheduler.withdraw(job.requestId)) {
             this.stopTask(taskId);
         }
@@ -292,9 +358,28 @@
         const written = await this.requests.finish(stored, job.finishedIndexes, this.guard);
         if (written.isErr()) {
             job.reopen();
+            if (written.error.kind === WriteErrorKind.Conflict) {
+                this.conflictEmitter.fire(job.requestId);
+                await this.takeInOutcome(job);
+            }
             return false;
         }
+        this.noteEnded(job, outcome);
+        return true;
+    }
+
+    /** Takes the outcome that the store has, when another process has written it. */
+    private async takeInOutcome(job: Job): Promise<void> {
+        const stored = await this.requests.find(job.requestId);
+        const outcome = stored.isOk() ? stored.value?.record.outcome : undefined;
+        if (outcome && isFinal(outcome) && this.jobs.has(job.requestId)) {
+            this.noteEnded(job, outcome);
+        }
+    }
+
+    private noteEnded(job: Job, outcome: RequestOutcome): void {
         this.jobs.delete(job.requestId);
+        this.reads.noteEnded(job.requestId);
         this.finalOutcomes.set(job.requestId, { team: job.stored.record.spec.team, outcome });
         this.environment.timer.after(this.options.lookupMemoryMs, () => this.finalOutcomes.delete(job.requestId));
         this.environment.log.write(EVENTS.requestEnded, {
@@ -303,11 +388,5 @@
             reason: outcome.reason
         });
         this.finishedEmitter.fire(job.requestId);
-        return true;
     }
 }
-
-function isOpen(stored: StoredRequest): boolean {
-    return stored.record.outcome.state === OutcomeState.Accepted
-        || stored.record.outcome.state === OutcomeState.Running;
-}
--- a/packages/control/src/slice/SliceController.ts
+++ b/packages/control/src/slice/SliceController.ts
@@ -5,12 +5,7 @@
 import type { OperatorsText } from "@skylarkpath/common/model/OperatorsText";
 import { subtractResources } from "@skylarkpath/common/model/Resources";
 import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
-import {
-    WorkerCommandKind,
-    WorkerRefusal,
-    type WorkerTaskReport,
-    WorkerTaskState
-} from "@skylarkpath/common/platform/WorkerService";
+import { WorkerCommandKind, WorkerRefusal } from "@skylarkpath/common/platform/WorkerService";
 import {
     type Decision,
     DecisionKind,
@@ -23,10 +18,12 @@
 import { ownerNameOf } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import type { RequestStore, SliceGuard } from "../store/RequestStore.js";
-import { Adoption, JobController, type JobDescription } from "./JobController.js";
+import { JobController, type JobDescription } from "./JobController.js";
 import { LookupController } from "./LookupController.js";
+import { Placements } from "./Placements.js";
 import { isServiceGroup, ServiceController, type ServiceCounts } from "./ServiceController.js";
-import { type PoolReply, WorkerPool } from "./WorkerPool.js";
+import { TaskReportHandler } from "./TaskReportHandler.js";
+import { WorkerPool } from "./WorkerPool.js";
 import type { OwnershipConfirmation, RefusedStart, WorkerSession } from "./WorkerSession.js";
 import { composeWorkerTask } from "./WorkerTaskComposer.js";
 
@@ -56,9 +53,8 @@
     private readonly jobs: JobController;
     private readonly services: ServiceController;
     /** Workers by the task that runs or may run there. */
-    private readonly placements = new Map<string, { readonly workerId: string; readonly groupId: string; }>();
-    /** Reports that are being handled or wait for their acknowledgement. */
-    private readonly handledReports = new Map<string, Set<string>>();
+    private readonly placements = new Placements();
+    private readonly reports: TaskReportHandler;
     private policies: SlicePolicies = new Map();
     private decisionPending = false;
     private disposed = false;
@@ -88,10 +84,14 @@
                 requests,
                 this.scheduler,
                 slice.guard,
+                this.placements,
                 taskId => this.stopTask(taskId)
             )
         );
         this.services = new ServiceController(slice.failureDomain, this.scheduler, runningServices);
+        this.reports = this.store.add(
+            new TaskReportHandler(environment, this.scheduler, this.placements, this.jobs, this.services)
+        );
         const lookupScheduler = environment.schedulers.createLookupScheduler(environment.random);
         this.lookups = this.store.add(new LookupController(environment, options, lookupScheduler));
         this.subscribe();
@@ -178,16 +178,19 @@
     }
 
     private subscribe(): void {
-        this.store.add(this.pool.onReply(reply => this.handleReply(reply)));
+        this.store.add(this.pool.onReply(reply => this.reports.handleReply(reply)));
         this.store.add(this.pool.onChange(session => this.updateWorker(session)));
         this.store.add(this.pool.onRemoved(workerId => this.scheduler.removeWorker(workerId)));
         this.store.add(this.pool.onRefusedStart(refused => this.handleRefusedStart(refused)));
         this.store.add(
-            this.pool.onLapsed(taskIds => taskIds.forEach(taskId => this.endTask(taskId, TaskEnd.Requeued)))
+            this.pool.onLapsed(taskIds => taskIds.forEach(taskId => this.reports.endTask(taskId, TaskEnd.Requeued)))
         );
         this.store.add(this.pool.onStale(() => this.staleEmitter.fire()));
         this.store.add(this.pool.onHoldReleased(() => this.releaseHold()));
+        this.store.add(this.reports.onChange(() => this.decideSoon()));
         this.store.add(this.jobs.onChange(() => this.decideSoon()));
+        this.store.add(this.jobs.onConflict(() => void this.slice.confirmOwnership()));
+        this.store.add(this.jobs.onSuperseded(() => this.staleEmitter.fire()));
         this.store.add(this.jobs.onFinished(requestId => this.finishedEmitter.fire(requestId)));
     }
 
@@ -283,8 +286,8 @@
             this.scheduler.taskEnded(taskId, TaskEnd.Requeued, this.environment.timer.nowMs());
             return;
         }
-        this.placements.set(taskId, { workerId, groupId });
-        this.handledReports.get(workerId)?.delete(taskId);
+        this.placements.put({ taskId, workerId, groupId });
+        this.reports.noteStarted(taskId, workerId);
         if (isServiceGroup(groupId)) {
             this.services.noteRunning(taskId, groupId);
         }
@@ -296,7 +299,7 @@
     }
 
     private stopTask(taskId: string): void {
-        const placement = this.placements.get(taskId);
+        const placement = this.placements.find(taskId);
         if (placement) {
             this.pool.find(placement.workerId)?.send({ kind: WorkerCommandKind.Stop, taskId });
         }
@@ -304,97 +307,7 @@
 
     private handleRefusedStart(refused: RefusedStart): void {
         if (refused.refusal !== WorkerRefusal.DuplicateTask) {
-            this.endTask(refused.taskId, TaskEnd.Requeued);
-        }
-    }
-
-    private handleReply(poolReply: PoolReply): void {
-        const { session, reply } = poolReply;
-        const handled = this.handledReports.get(session.workerId) ?? new Set<string>();
-        const stillHandled = new Set<string>();
-        this.handledReports.set(session.workerId, stillHandled);
-        for (const report of reply.reports) {
-            const { taskId } = report.task;
-            if (isRunningState(report.state)) {
-                this.handleRunning(session, report);
-            }
-            else if (handled.has(taskId)) {
-                stillHandled.add(taskId);
-            }
-            else {
-                stillHandled.add(taskId);
-                void this.handleEnded(session, report);
-            }
-        }
-    }
-
-    private handleRunning(session: WorkerSession, report: WorkerTaskReport): void {
-        const { taskId, requestId } = report.task;
-        const placement = this.placements.get(taskId);
-        if (placement?.workerId === session.workerId) {
-            return;
-        }
-        const adoption = placement ? Adoption.Stop : this.adopt(taskId, requestId, session.workerId);
-        if (adoption === Adoption.Stop) {
-            session.send({ kind: WorkerCommandKind.Stop, taskId });
-            return;
+            this.reports.endTask(refused.taskId, TaskEnd.Requeued);
         }
-        session.hold(taskId);
-        if (adoption === Adoption.Adopted) {
-            this.placements.set(taskId, { workerId: session.workerId, groupId: requestId });
-        }
-    }
-
-    private adopt(taskId: string, groupId: string, workerId: string): Adoption {
-        return isServiceGroup(groupId)
-            ? this.services.adopt(taskId, groupId, workerId, this.environment.timer.nowMs())
-            : this.jobs.adopt(taskId, groupId, workerId);
     }
-
-    private async handleEnded(session: WorkerSession, report: WorkerTaskReport): Promise<void> {
-        const { taskId, requestId } = report.task;
-        const placement = this.placements.get(taskId);
-        const isHere = placement === undefined || placement.workerId === session.workerId;
-        if (isHere && !(await this.noteEnd(report))) {
-            this.handledReports.get(session.workerId)?.delete(taskId);
-            return;
-        }
-        session.release(taskId);
-        session.send({ kind: WorkerCommandKind.Acknowledge, taskIds: [taskId] });
-        this.environment.log.write(EVENTS.taskEnded, { requestId, taskId, state: report.state });
-    }
-
-    /** Takes in the end of a task; resolves with true once the worker may forget it. */
-    private async noteEnd(report: WorkerTaskReport): Promise<boolean> {
-        const { taskId, requestId } = report.task;
-        if (report.state === WorkerTaskState.Succeeded && !isServiceGroup(requestId)) {
-            const committed = await this.jobs.taskSucceeded(taskId, requestId, report.answer ?? "");
-            if (committed) {
-                this.placements.delete(taskId);
-            }
-            return committed;
-        }
-        this.endTask(taskId, report.state === WorkerTaskState.Failed ? TaskEnd.Failed : TaskEnd.Requeued);
-        return true;
-    }
-
-    private endTask(taskId: string, end: TaskEnd): void {
-        const placement = this.placements.get(taskId);
-        this.placements.delete(taskId);
-        if (!placement) {
-            return;
-        }
-        if (isServiceGroup(placement.groupId)) {
-            this.services.noteEnded(taskId, placement.groupId);
-            this.scheduler.taskEnded(taskId, end, this.environment.timer.nowMs());
-            this.decideSoon();
-        }
-        else {
-            this.jobs.taskEnded(taskId, placement.groupId, end);
-        }
-    }
-}
-
-function isRunningState(state: WorkerTaskState): boolean {
-    return state === WorkerTaskState.Running || state === WorkerTaskState.Throttled;
 }
--- /dev/null
+++ b/packages/control/src/slice/TaskReportHandler.ts
@@ -0,0 +1,137 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import { WorkerCommandKind, type WorkerTaskReport, WorkerTaskState } from "@skylarkpath/common/platform/WorkerService";
+import { TaskEnd, type TaskScheduler } from "@skylarkpath/common/scheduling/TaskScheduler";
+import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
+import { Adoption, type JobController } from "./JobController.js";
+import type { Placements } from "./Placements.js";
+import { isServiceGroup, type ServiceController } from "./ServiceController.js";
+import type { PoolReply } from "./WorkerPool.js";
+import type { WorkerSession } from "./WorkerSession.js";
+
+/** Takes in what workers report about tasks: adopts running ones and commits the answers of ended ones. */
+export class TaskReportHandler implements Disposable {
+    private readonly store = new DisposableStore();
+    private readonly changeEmitter = this.store.add(new Emitter<void>());
+    /** Reports that are being handled or wait for their acknowledgement. */
+    private readonly handledReports = new Map<string, Set<string>>();
+
+    /** Tells that the scheduler has free capacity. */
+    public readonly onChange = this.changeEmitter.event;
+
+    constructor(
+        private readonly environment: Pick<ProcessEnvironment, "log" | "timer">,
+        private readonly scheduler: TaskScheduler,
+        private readonly placements: Placements,
+        private readonly jobs: JobController,
+        private readonly services: ServiceController
+    ) {}
+
+    /** Notes that a task was handed to a worker, so that its reports are news again. */
+    public noteStarted(taskId: string, workerId: string): void {
+        this.handledReports.get(workerId)?.delete(taskId);
+    }
+
+    public dispose(): void {
+        this.store.dispose();
+    }
+
+    /** Takes in the reply of a worker. */
+    public handleReply(poolReply: PoolReply): void {
+        const { session, reply } = poolReply;
+        const handled = this.handledReports.get(session.workerId) ?? new Set<string>();
+        const stillHandled = new Set<string>();
+        this.handledReports.set(session.workerId, stillHandled);
+        for (const report of reply.reports) {
+            const { taskId } = report.task;
+            if (isRunningState(report.state)) {
+                this.handleRunning(session, report);
+            }
+            else if (handled.has(taskId)) {
+                stillHandled.add(taskId);
+            }
+            else {
+                stillHandled.add(taskId);
+                void this.handleEnded(session, report);
+            }
+        }
+    }
+
+    private handleRunning(session: WorkerSession, report: WorkerTaskReport): void {
+        const { taskId, requestId } = report.task;
+        const placement = this.placements.find(taskId);
+        if (placement?.workerId === session.workerId) {
+            this.stopWithoutRight(session, taskId, requestId);
+            return;
+        }
+        const adoption = placement ? Adoption.Stop : this.adopt(taskId, requestId, session.workerId);
+        if (adoption === Adoption.Stop) {
+            session.send({ kind: WorkerCommandKind.Stop, taskId });
+            return;
+        }
+        session.hold(taskId);
+        this.placements.put({ taskId, workerId: session.workerId, groupId: requestId });
+    }
+
+    /** Stops a task that ran on until the store was asked, when its request turns out to have ended. */
+    private stopWithoutRight(session: WorkerSession, taskId: string, requestId: string): void {
+        const isUnknown = !isServiceGroup(requestId) && this.jobs.find(requestId) === undefined;
+        if (isUnknown && this.jobs.adopt(taskId, requestId, session.workerId) === Adoption.Stop) {
+            session.send({ kind: WorkerCommandKind.Stop, taskId });
+        }
+    }
+
+    private adopt(taskId: string, groupId: string, workerId: string): Adoption {
+        return isServiceGroup(groupId)
+            ? this.services.adopt(taskId, groupId, workerId, this.environment.timer.nowMs())
+            : this.jobs.adopt(taskId, groupId, workerId);
+    }
+
+    private async handleEnded(session: WorkerSession, report: WorkerTaskReport): Promise<void> {
+        const { taskId, requestId } = report.task;
+        const placement = this.placements.find(taskId);
+        const isHere = placement === undefined || placement.workerId === session.workerId;
+        if (isHere && !(await this.noteEnd(report))) {
+            this.handledReports.get(session.workerId)?.delete(taskId);
+            return;
+        }
+        session.release(taskId);
+        session.send({ kind: WorkerCommandKind.Acknowledge, taskIds: [taskId] });
+        this.environment.log.write(EVENTS.taskEnded, { requestId, taskId, state: report.state });
+    }
+
+    /** Takes in the end of a task; resolves with true once the worker may forget it. */
+    private async noteEnd(report: WorkerTaskReport): Promise<boolean> {
+        const { taskId, requestId } = report.task;
+        if (report.state === WorkerTaskState.Succeeded && !isServiceGroup(requestId)) {
+            const committed = await this.jobs.taskSucceeded(taskId, requestId, report.answer ?? "");
+            if (committed) {
+                this.placements.remove(taskId);
+            }
+            return committed;
+        }
+        this.endTask(taskId, report.state === WorkerTaskState.Failed ? TaskEnd.Failed : TaskEnd.Requeued);
+        return true;
+    }
+
+    /** Notes that a task no longer runs. */
+    public endTask(taskId: string, end: TaskEnd): void {
+        const placement = this.placements.remove(taskId);
+        if (!placement) {
+            return;
+        }
+        if (isServiceGroup(placement.groupId)) {
+            this.services.noteEnded(taskId, placement.groupId);
+            this.scheduler.taskEnded(taskId, end, this.environment.timer.nowMs());
+            this.changeEmitter.fire();
+        }
+        else {
+            this.jobs.taskEnded(taskId, placement.groupId, end);
+        }
+    }
+}
+
+function isRunningState(state: WorkerTaskState): boolean {
+    return state === WorkerTaskState.Running || state === WorkerTaskState.Throttled;
+}
--- a/packages/control/src/slice/WorkerPool.ts
+++ b/packages/control/src/slice/WorkerPool.ts
@@ -158,8 +158,8 @@
         const leaseMs = this.options.taskLeaseMs * (1 + this.options.clockDriftFactor);
         const goneAfterMs = this.options.liveListLagMs + leaseMs;
         for (const [workerId, entry] of this.missing) {
-            const isGone = this.environment.timer.nowMs() - entry.missingSinceMs >= goneAfterMs;
-            if (isGone) {
+            const isOverdue = this.environment.timer.nowMs() - entry.missingSinceMs >= goneAfterMs;
+            if (isOverdue && entry.session.tryExpire()) {
                 this.missing.delete(workerId);
                 this.sessions.delete(workerId);
                 entry.session.dispose();
--- a/packages/control/src/slice/WorkerSession.ts
+++ b/packages/control/src/slice/WorkerSession.ts
@@ -145,6 +145,15 @@
         this.kickSoon();
     }
 
+    /** Tells that all tasks have lapsed, unless the worker still answers or its leases run on. */
+    public tryExpire(): boolean {
+        if (!this.isSilent || this.timer.nowMs() < this.leasesEndMs) {
+            return false;
+        }
+        this.tellLapsed();
+        return true;
+    }
+
     public dispose(): void {
         this.disposed = true;
         this.store.dispose();
--- a/packages/control/src/store/GroupCommitWriter.ts
+++ b/packages/control/src/store/GroupCommitWriter.ts
@@ -1,3 +1,5 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import { rangeOf } from "@skylarkpath/common/base/Ranges";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import type { EventLog } from "@skylarkpath/common/log/EventLog";
 import { StoreErrorKind } from "@skylarkpath/common/platform/StoreError";
@@ -9,6 +11,7 @@
     type TableService,
     type TableTransaction
 } from "@skylarkpath/common/platform/TableService";
+import type { RandomSource } from "@skylarkpath/common/random/RandomSource";
 import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
 import { err, ok, type Result } from "neverthrow";
 import { Backoff } from "./Backoff.js";
@@ -59,22 +62,35 @@
     readonly resolve: (result: Result<CommitReceipt, WriteError>) => void;
 }
 
+/** Transaction that was sent, with the writes that it holds. */
+interface SentBatch {
+    readonly writeId: string;
+    readonly writes: readonly PendingWrite[];
+}
+
 type BatchOutcome =
-    | { readonly kind: "committed"; readonly receipt: CommitReceipt; }
+    | { readonly kind: "committed"; readonly receipt: CommitReceipt; readonly writes: readonly PendingWrite[]; }
     | { readonly kind: "conflict"; readonly failedConditions: ReadonlySet<number>; readonly ambiguous: boolean; }
     | { readonly kind: "unavailable"; };
 
-const NOT_REACHED = "The table service cannot be reached; nothing was written.";
+const NOT_REACHED: WriteError = {
+    kind: WriteErrorKind.Unavailable,
+    message: "The table service cannot be reached; nothing was written."
+};
+const CONFLICT: WriteError = { kind: WriteErrorKind.Conflict, message: "A condition of the write did not hold." };
+const QUEUE_FULL: WriteError = { kind: WriteErrorKind.QueueFull, message: "Too many writes wait." };
 
 /** Writes to the table service with at most one transaction in flight; what arrives meanwhile joins the next. */
 export class GroupCommitWriter {
     private readonly backoff: Backoff;
     private queue: PendingWrite[] = [];
+    private expiry: Disposable | undefined;
     private running = false;
     private stopped = false;
     private markerVersion = 0;
     private nextWriteNumber = 1;
-    private reachable = true;
+    private unreachableSinceMs: number | undefined;
+    private nextProbeMs = 0;
     private counts = { transactions: 0, operations: 0, readBacks: 0 };
 
     constructor(
@@ -82,14 +98,20 @@
         private readonly timer: TimerService,
         private readonly writerId: string,
         private readonly options: GroupCommitOptions,
+        random: RandomSource,
         private readonly log: EventLog
     ) {
-        this.backoff = new Backoff(options.retryDelayMs, options.retryDelayLimitMs);
+        this.backoff = new Backoff(options.retryDelayMs, options.retryDelayLimitMs, random);
     }
 
     /** Tells whether the last call reached the store. */
     public get isReachable(): boolean {
-        return this.reachable;
+        return this.unreachableSinceMs === undefined;
+    }
+
+    /** Tells whether nothing waits or is in flight. */
+    public get isIdle(): boolean {
+        return !this.running && this.queue.length === 0;
     }
 
     /** Writes so far. */
@@ -100,10 +122,14 @@
     /** Adds a write to the next batch; resolves once it is certain whether it took effect. */
     public submit(operation: WriteOperation): Promise<Result<CommitReceipt, WriteError>> {
         if (this.stopped || this.queue.length >= this.options.writeQueueLength) {
-            return Promise.resolve(err({ kind: WriteErrorKind.QueueFull, message: "Too many writes wait." }));
+            return Promise.resolve(err(QUEUE_FULL));
+        }
+        if (this.isCircuitOpen && (this.running || this.timer.nowMs() < this.nextProbeMs)) {
+            return Promise.resolve(err(NOT_REACHED));
         }
         return new Promise(resolve => {
             this.queue.push({ operation, queuedAtMs: this.timer.nowMs(), resolve });
+            this.watchExpiry();
             void this.run();
         });
     }
@@ -111,6 +137,13 @@
     /** Ends the writer, as when its process dies; nothing more is sent. */
     public stop(): void {
         this.stopped = true;
+        this.expiry?.dispose();
+    }
+
+    /** The store has been out of reach for so long that only a probe now and then is sent. */
+    private get isCircuitOpen(): boolean {
+        return this.unreachableSinceMs !== undefined
+            && this.timer.nowMs() - this.unreachableSinceMs >= this.options.writeQueueLimitMs;
     }
 
     private async run(): Promise<void> {
@@ -121,10 +154,34 @@
         while (this.queue.length > 0 && !this.stopped) {
             await Promise.resolve();
             await this.commitBatch(this.takeBatch());
+            if (this.isCircuitOpen) {
+                rejectAll(this.queue.splice(0), NOT_REACHED);
+            }
         }
         this.running = false;
     }
 
+    /** Refuses writes that were never sent within their time, as when a call to the store hangs. */
+    private watchExpiry(): void {
+        const oldest = this.queue[0];
+        if (this.expiry || !oldest || this.stopped) {
+            return;
+        }
+        const dueMs = oldest.queuedAtMs + this.options.writeQueueLimitMs;
+        this.expiry = this.timer.after(dueMs - this.timer.nowMs(), () => {
+            this.expiry = undefined;
+            this.expire();
+            this.watchExpiry();
+        });
+    }
+
+    private expire(): void {
+        const latestMs = this.timer.nowMs() - this.options.writeQueueLimitMs;
+        const expired = this.queue.filter(pending => pending.queuedAtMs <= latestMs);
+        this.queue = this.queue.filter(pending => pending.queuedAtMs > latestMs);
+        rejectAll(expired, NOT_REACHED);
+    }
+
     /** Takes the next batch; a write that touches a row written earlier in the batch waits for the next one. */
     private takeBatch(): readonly PendingWrite[] {
         const batch: PendingWrite[] = [];
@@ -132,9 +189,12 @@
         const writtenRows = new Set<string>();
         const heldRows = new Set<string>();
         for (const pending of this.queue) {
+            if (batch.length >= this.options.writeBatchLength) {
+                waiting.push(pending);
+                continue;
+            }
             const rows = rowsOf(pending.operation);
-            const mustWait = batch.length >= this.options.writeBatchLength
-                || rows.touched.some(row => writtenRows.has(row) || heldRows.has(row));
+            const mustWait = rows.touched.some(row => writtenRows.has(row) || heldRows.has(row));
             (mustWait ? waiting : batch).push(pending);
             for (const row of rows.written) {
                 (mustWait ? heldRows : writtenRows).add(row);
@@ -145,33 +205,24 @@
     }
 
     private async commitBatch(batch: readonly PendingWrite[]): Promise<void> {
+        const sent: SentBatch[] = [];
         let remaining = batch;
         let rejected: readonly PendingWrite[] = [];
         while (remaining.length > 0 || rejected.length > 0) {
             const composed = this.compose(remaining);
-            const outcome = await this.send(composed.transaction, remaining, rejected.length > 0);
+            sent.push({ writeId: composed.writeId, writes: remaining });
+            const outcome = await this.send(composed.transaction, sent, rejected.length > 0);
             if (outcome.kind === "committed") {
-                this.finish(remaining, outcome.receipt);
-                rejectAll(rejected, {
-                    kind: WriteErrorKind.Conflict,
-                    message: "A condition of the write did not hold."
-                });
+                this.finish(outcome.writes, outcome.receipt);
+                rejectAll(rejected.filter(pending => !outcome.writes.includes(pending)), CONFLICT);
                 return;
             }
             if (outcome.kind === "unavailable") {
-                rejectAll(remaining, { kind: WriteErrorKind.Unavailable, message: NOT_REACHED });
-                rejectAll(rejected, {
-                    kind: WriteErrorKind.Conflict,
-                    message: "A condition of the write did not hold."
-                });
+                rejectAll(remaining, NOT_REACHED);
                 return;
             }
-            const failed: PendingWrite[] = [];
-            remaining.forEach((pending, place) => {
-                if (composed.isHit(place, outcome.failedConditions)) {
-                    failed.push(pending);
-                }
-            });
+            const places = composed.placesHit(outcome.failedConditions);
+            const failed = places.map(place => remaining[place]!);
             if (failed.length === 0) {
                 await sleep(this.timer, this.backoff.next());
             }
@@ -180,7 +231,7 @@
                 rejected = [...rejected, ...failed];
             }
             else {
-                rejectAll(failed, { kind: WriteErrorKind.Conflict, message: "A condition of the write did not hold." });
+                rejectAll(failed, CONFLICT);
             }
         }
     }
@@ -201,16 +252,18 @@
         }
     }
 
+    /** Sends a transaction until its outcome is certain, or gives it up when it certainly took no effect. */
     private async send(
         transaction: TableTransaction,
-        batch: readonly PendingWrite[],
+        sent: readonly SentBatch[],
         mustReach: boolean
     ): Promise<BatchOutcome> {
+        const { writes } = sent.at(-1)!;
         let ambiguous = mustReach;
         for (;;) {
             const result = await this.table.commit(transaction);
             if (result.isOk()) {
-                return this.committed(result.value);
+                return this.committed(result.value, writes);
             }
             if (result.error.kind === StoreErrorKind.Conflict) {
                 const failedConditions = new Set(result.error.failedConditions ?? []);
@@ -218,38 +271,45 @@
                     this.noteReachable(true);
                     return { kind: "conflict", failedConditions, ambiguous };
                 }
-                const receipt = await this.readBack(transaction);
-                if (receipt) {
-                    return this.committed(receipt);
+                const outcome = await this.readBack(sent);
+                if (outcome) {
+                    return outcome;
                 }
             }
             ambiguous ||= result.error.kind === StoreErrorKind.ReplyLost;
             this.noteReachable(false);
-            if (!ambiguous && this.isTooOld(batch)) {
+            const delayMs = this.backoff.next();
+            this.nextProbeMs = this.timer.nowMs() + delayMs;
+            if (!ambiguous && (this.isCircuitOpen || this.isTooOld(writes))) {
                 return { kind: "unavailable" };
             }
-            await sleep(this.timer, this.backoff.next());
+            await sleep(this.timer, delayMs);
             if (this.stopped) {
                 return new Promise(() => undefined);
             }
         }
     }
 
-    private committed(receipt: CommitReceipt): BatchOutcome {
+    private committed(receipt: CommitReceipt, writes: readonly PendingWrite[]): BatchOutcome {
         this.noteReachable(true);
         this.markerVersion = receipt.version;
-        return { kind: "committed", receipt };
+        return { kind: "committed", receipt, writes };
     }
 
-    private async readBack(transaction: TableTransaction): Promise<CommitReceipt | undefined> {
+    /** Finds out which of the sent transactions took effect; an earlier one may have arrived late. */
+    private async readBack(sent: readonly SentBatch[]): Promise<BatchOutcome | undefined> {
         const marker = await this.table.read(TableName.Writers, this.writerId);
-        const expected = transaction.mutations[0]!.value;
-        if (marker.isErr() || marker.value?.value !== expected) {
+        if (marker.isErr() || !marker.value) {
+            return undefined;
+        }
+        const { value, version } = marker.value;
+        const found = sent.find(batch => batch.writeId === value);
+        if (!found) {
             return undefined;
         }
         this.counts.readBacks++;
-        this.log.write(EVENTS.storeReadBack, { writeId: String(expected) });
-        return { version: marker.value!.version };
+        this.log.write(EVENTS.storeReadBack, { writeId: found.writeId });
+        return this.committed({ version }, found.writes);
     }
 
     private isTooOld(batch: readonly PendingWrite[]): boolean {
@@ -261,8 +321,8 @@
         if (reachable) {
             this.backoff.reset();
         }
-        if (reachable !== this.reachable) {
-            this.reachable = reachable;
+        if (reachable !== this.isReachable) {
+            this.unreachableSinceMs = reachable ? undefined : this.timer.nowMs();
             this.log.write(reachable ? EVENTS.storeAvailable : EVENTS.storeUnavailable);
         }
     }
@@ -273,7 +333,12 @@
 
     public readonly transaction: TableTransaction;
 
-    constructor(writerId: string, writeId: string, markerVersion: number, operations: readonly WriteOperation[]) {
+    constructor(
+        writerId: string,
+        public readonly writeId: string,
+        markerVersion: number,
+        operations: readonly WriteOperation[]
+    ) {
         const conditions: TableCondition[] = [{ table: TableName.Writers, key: writerId, version: markerVersion }];
         const mutations: TableMutation[] = [{ table: TableName.Writers, key: writerId, value: writeId }];
         for (const operation of operations) {
@@ -284,14 +349,13 @@
         this.transaction = { conditions, mutations };
     }
 
-    public isHit(place: number, failedConditions: ReadonlySet<number>): boolean {
-        const start = place === 0 ? 1 : this.ends[place - 1]!;
-        for (let condition = start; condition < this.ends[place]!; condition++) {
-            if (failedConditions.has(condition)) {
-                return true;
-            }
-        }
-        return false;
+    /** Places of the operations with a failed condition. */
+    public placesHit(failedConditions: ReadonlySet<number>): readonly number[] {
+        const failed = [...failedConditions];
+        return rangeOf(this.ends.length).filter(place => {
+            const start = place === 0 ? 1 : this.ends[place - 1]!;
+            return failed.some(condition => condition >= start && condition < this.ends[place]!);
+        });
     }
 }
 
--- a/packages/control/src/store/RequestStore.ts
+++ b/packages/control/src/store/RequestStore.ts
@@ -1,6 +1,6 @@
 import type { IdempotencyRecord, RequestRecord } from "@skylarkpath/common/model/Request";
 import type { ObjectStore } from "@skylarkpath/common/platform/ObjectStore";
-import type { StoreError } from "@skylarkpath/common/platform/StoreError";
+import { type StoreError, StoreErrorKind } from "@skylarkpath/common/platform/StoreError";
 import {
     type CommitReceipt,
     type JsonValue,
@@ -10,7 +10,7 @@
     type TableRow,
     type TableService
 } from "@skylarkpath/common/platform/TableService";
-import { err, ok, type Result } from "neverthrow";
+import { err, ok, Result } from "neverthrow";
 import type { GroupCommitWriter, WriteError } from "./GroupCommitWriter.js";
 
 /** Record with the version of its row. */
@@ -24,6 +24,8 @@
     readonly requestId: string;
     readonly taskIndex: number;
     readonly answer: string;
+    /** Object that holds the answer when it is large; `answer` is then empty. */
+    readonly answerObject?: string;
 }
 
 /** Acceptance of a request, with the row that finds it by its idempotency key. */
@@ -80,11 +82,18 @@
     }
 
     /** Commits the answer of one task. */
-    public recordProgress(progress: TaskProgress, guard: SliceGuard): Promise<Result<CommitReceipt, WriteError>> {
+    public async recordProgress(
+        progress: TaskProgress,
+        guard: SliceGuard
+    ): Promise<Result<CommitReceipt, WriteError | StoreError>> {
         const key = progressKey(progress.requestId, progress.taskIndex);
+        const moved = await this.moveLargeAnswer(key, progress);
+        if (moved.isErr()) {
+            return err(moved.error);
+        }
         return this.writer.submit({
             conditions: guard,
-            mutations: () => [{ table: TableName.Progress, key, value: toJson(progress) }]
+            mutations: () => [{ table: TableName.Progress, key, value: toJson(moved.value) }]
         });
     }
 
@@ -113,7 +122,7 @@
             return ok(record.spec.payload);
         }
         const content = await this.objects.get(record.payloadObject);
-        return content.map(payload => payload ?? "");
+        return content.andThen(payload => payload === undefined ? err(objectMissing(record.requestId)) : ok(payload));
     }
 
     /** Loads all open requests of a slice. */
@@ -125,7 +134,11 @@
     /** Loads the committed answers of all open requests of a slice. */
     public async loadProgress(sliceId: string): Promise<Result<readonly TaskProgress[], StoreError>> {
         const rows = await this.scanAll(TableName.Progress, `${sliceId}.`);
-        return rows.map(found => found.map(row => row.value as unknown as TaskProgress));
+        if (rows.isErr()) {
+            return err(rows.error);
+        }
+        const answers = rows.value.map(row => this.withAnswer(row.value as unknown as TaskProgress));
+        return Result.combine(await Promise.all(answers));
     }
 
     private async scanAll(table: string, prefix: string): Promise<Result<readonly TableRow[], StoreError>> {
@@ -164,15 +177,37 @@
         return written.map(() => ({ ...record, answersObject, outcome: { ...record.outcome, answers: undefined } }));
     }
 
+    private async moveLargeAnswer(key: string, progress: TaskProgress): Promise<Result<TaskProgress, StoreError>> {
+        if (progress.answer.length <= this.inlineLimitBytes) {
+            return ok(progress);
+        }
+        const answerObject = `answer/${key}`;
+        const written = await this.objects.put(answerObject, progress.answer);
+        return written.map(() => ({ ...progress, answer: "", answerObject }));
+    }
+
+    private async withAnswer(progress: TaskProgress): Promise<Result<TaskProgress, StoreError>> {
+        if (progress.answerObject === undefined) {
+            return ok(progress);
+        }
+        const content = await this.objects.get(progress.answerObject);
+        return content.andThen(answer =>
+            answer === undefined ? err(objectMissing(progress.requestId)) : ok({ ...progress, answer })
+        );
+    }
+
     private async withAnswers(stored: StoredRequest): Promise<Result<StoredRequest, StoreError>> {
         const { record } = stored;
         if (record.answersObject === undefined) {
             return ok(stored);
         }
         const content = await this.objects.get(record.answersObject);
-        return content.map(text => {
-            const answers: readonly string[] = JSON.parse(text ?? "[]");
-            return { ...stored, record: { ...record, outcome: { ...record.outcome, answers } } };
+        return content.andThen(text => {
+            if (text === undefined) {
+                return err(objectMissing(record.requestId));
+            }
+            const answers: readonly string[] = JSON.parse(text);
+            return ok({ ...stored, record: { ...record, outcome: { ...record.outcome, answers } } });
         });
     }
 }
@@ -193,6 +228,10 @@
     return { conditions, mutations };
 }
 
+function objectMissing(requestId: string): StoreError {
+    return { kind: StoreErrorKind.Unavailable, message: `An object of request ${requestId} cannot be read.` };
+}
+
 function idempotencyRowKey(team: string, key: string): string {
     return `${team}/${key}`;
 }
