Resolve orders of dead entries by their target, and re-check before the only dispatch

Cause: an order whose entry died stayed open for ever; an entry that waited long for the store sent an order that might have been closed; a repeated order could be called not-run for want of a slot or of the store. Before: no recovery of orders. Conclusion: done or unknown after a death, not-run only by the entry that did not send.

--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -46,6 +46,12 @@
         EventLevel.Warning,
         "An answer that belongs to no attempt was dropped."
     ),
+    orderResolved: define(
+        1521,
+        "order-resolved",
+        EventLevel.Warning,
+        "The target told what became of a request whose entry died."
+    ),
     taskStarted: define(1511, "task-started", EventLevel.Debug, "A worker was told to start a task."),
     taskEnded: define(1512, "task-ended", EventLevel.Debug, "A task ended."),
     storeUnavailable: define(1601, "store-unavailable", EventLevel.Warning, "The table service cannot be reached."),
--- a/packages/control/src/entry/JobHandler.ts
+++ b/packages/control/src/entry/JobHandler.ts
@@ -1,6 +1,7 @@
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import {
     composeRequestId,
+    type IdempotencyRecord,
     OutcomeReason,
     OutcomeState,
     type RequestRecord,
@@ -12,7 +13,6 @@
 import { ownerNameOf, type ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import type { SliceDirectory, SliceLocation } from "../slice/SliceDirectory.js";
-import { WriteErrorKind } from "../store/GroupCommitWriter.js";
 import type { RequestStore } from "../store/RequestStore.js";
 import type { RequestContext } from "./RequestContext.js";
 import { notRun, type RequestReply } from "./RequestReply.js";
@@ -41,14 +41,19 @@
         const bodyHash = this.hashOf(context);
         const acceptance = { record, idempotencyKey: context.idempotencyKey, bodyHash };
         const timeout = sleep(this.environment.timer, this.options.acceptTimeoutMs).then(() => undefined);
-        const written = await Promise.race([this.requests.accept(acceptance), timeout]);
+        const acceptanceWritten = this.requests.accept(acceptance);
+        const written = await Promise.race([acceptanceWritten, timeout]);
         if (written === undefined) {
+            void acceptanceWritten.then(late => {
+                if (late.isOk()) {
+                    void this.handToOwner(record.requestId, location.sliceId);
+                }
+            });
             return acceptanceUnknown(record.requestId);
         }
         if (written.isErr()) {
-            return written.error.kind === WriteErrorKind.Conflict && context.idempotencyKey !== undefined
-                ? this.findExisting(record.spec.team, context.idempotencyKey, bodyHash)
-                : notRun(OutcomeReason.StoreUnavailable, written.error.message, RETRY_HINT_MS);
+            const refusal = notRun(OutcomeReason.StoreUnavailable, written.error.message, RETRY_HINT_MS);
+            return (await this.findEarlier(context)) ?? refusal;
         }
         this.environment.log.write(EVENTS.requestAccepted, { requestId: record.requestId, team: record.spec.team });
         void this.handToOwner(record.requestId, location.sliceId);
@@ -60,16 +65,30 @@
         return this.environment.hasher.hash(JSON.stringify(context.rawBody));
     }
 
+    /** Answers for an earlier request with the same idempotency key, or is undefined when there is certainly none. */
+    public async findEarlier(context: RequestContext): Promise<RequestReply | undefined> {
+        const { idempotencyKey, spec } = context;
+        if (idempotencyKey === undefined) {
+            return undefined;
+        }
+        const existing = await this.requests.findByKey(spec!.team, idempotencyKey);
+        if (existing.isErr()) {
+            return keyUnreadable();
+        }
+        return existing.value && this.answerFor(existing.value, this.hashOf(context));
+    }
+
     /** Answers for the request that took an idempotency key before. */
     public async findExisting(team: string, idempotencyKey: string, bodyHash: string): Promise<RequestReply> {
         const existing = await this.requests.findByKey(team, idempotencyKey);
-        if (existing.isErr() || !existing.value) {
-            return notRun(OutcomeReason.StoreUnavailable, "The earlier request cannot be read.", RETRY_HINT_MS);
-        }
-        if (existing.value.bodyHash !== bodyHash) {
+        return existing.isOk() && existing.value ? this.answerFor(existing.value, bodyHash) : keyUnreadable();
+    }
+
+    private async answerFor(existing: IdempotencyRecord, bodyHash: string): Promise<RequestReply> {
+        if (existing.bodyHash !== bodyHash) {
             return notRun(OutcomeReason.IdempotencyConflict, "The Idempotency-Key came with another body before.");
         }
-        const { requestId } = existing.value;
+        const { requestId } = existing;
         const stored = await this.requests.find(requestId);
         const outcome = stored.isOk() && stored.value
             ? stored.value.record.outcome
@@ -107,6 +126,12 @@
     }
 }
 
+function keyUnreadable(): RequestReply {
+    const detail = "The store cannot tell whether the Idempotency-Key came before; ask again with it.";
+    const reason = OutcomeReason.StoreUnavailable;
+    return { outcome: { state: OutcomeState.Unknown, reason, detail, retryAfterMs: RETRY_HINT_MS } };
+}
+
 function acceptanceUnknown(requestId: string): RequestReply {
     const detail = "The store did not confirm the request in time; ask again by its id or Idempotency-Key.";
     const reason = OutcomeReason.StoreUnavailable;
--- a/packages/control/src/entry/OrderHandler.ts
+++ b/packages/control/src/entry/OrderHandler.ts
@@ -8,53 +8,110 @@
     type RequestSpec
 } from "@skylarkpath/common/model/Request";
 import { TargetErrorKind } from "@skylarkpath/common/platform/TargetService";
+import { ShedReason } from "@skylarkpath/common/scheduling/LookupScheduler";
 import { sleep } from "@skylarkpath/common/time/TimerService";
 import { ownerNameOf, type ProcessEnvironment } from "../process/ProcessEnvironment.js";
-import type { SliceDirectory } from "../slice/SliceDirectory.js";
+import type { SliceDirectory, SliceLocation } from "../slice/SliceDirectory.js";
 import { WriteErrorKind } from "../store/GroupCommitWriter.js";
 import type { RequestStore, StoredRequest } from "../store/RequestStore.js";
 import { resolveAttempt } from "./AttemptResolver.js";
 import type { JobHandler } from "./JobHandler.js";
 import type { LookupHandler } from "./LookupHandler.js";
+import type { OutcomeWriter } from "./OutcomeWriter.js";
 import type { RequestContext } from "./RequestContext.js";
 import { notRun, type RequestReply } from "./RequestReply.js";
 import type { AcquiredSlot, SlotClient } from "./SlotClient.js";
 
+interface GrantedLocation {
+    readonly location: SliceLocation;
+    readonly slot: AcquiredSlot;
+}
+
 const RETRY_HINT_MS = 2000;
-const FINISH_RETRY_MS = 500;
+/** Wait of a caller past the deadline of its request. */
+const ANSWER_MARGIN_MS = 1000;
+/** Age of the proof that a record is open up to which it may be dispatched without reading it again. */
+const PROOF_LIMIT_MS = 1000;
+const ASK_LIMIT_MS = 30_000;
+const UNUSED_SLOT = { latencyMs: 0, succeeded: false, unfinished: false };
 
 /** Serves requests that are not idempotent: a committed start record goes before the only dispatch. */
 export class OrderHandler {
+    private open = 0;
+
     constructor(
         private readonly environment: ProcessEnvironment,
         private readonly directory: SliceDirectory,
         private readonly requests: RequestStore,
         private readonly slots: SlotClient,
         private readonly lookups: LookupHandler,
-        private readonly jobs: JobHandler
+        private readonly jobs: JobHandler,
+        private readonly outcomes: OutcomeWriter
     ) {}
 
+    /** Requests that are not final yet. */
+    public get openCount(): number {
+        return this.open;
+    }
+
     /** Serves a request at most once. */
     public async serve(context: RequestContext): Promise<RequestReply> {
         const spec = context.spec!;
         const { timer } = this.environment;
         const deadlineMs = timer.nowMs() + spec.deadlineAtMs - timer.wallClockMs();
-        const { failureDomain, region } = this.environment.identity;
-        const location = this.directory.reachable(failureDomain, region)[0];
-        if (!location) {
-            return notRun(OutcomeReason.NoOwner, "No owner of a slice is known yet.", RETRY_HINT_MS);
+        const earlier = await this.jobs.findEarlier(context);
+        if (earlier) {
+            return earlier;
         }
-        const remainingMs = deadlineMs - timer.nowMs();
-        const reply = await this.slots.acquire(location, { team: spec.team, queue: spec.queue, remainingMs });
-        if ("shed" in reply) {
-            return notRun(OutcomeReason.Overloaded, `No slot: ${reply.shed}.`, RETRY_HINT_MS);
+        const granted = await this.acquire(spec, deadlineMs);
+        if ("shed" in granted) {
+            const refusal = notRun(OutcomeReason.Overloaded, `No slot: ${granted.shed}.`, RETRY_HINT_MS);
+            return (await this.jobs.findEarlier(context)) ?? refusal;
         }
-        const record = this.composeRecord(spec, location.sliceId, location.epoch, reply.slot);
-        const accepted = await this.accept(context, record, reply.slot);
-        if (!("stored" in accepted)) {
-            return accepted;
+        const record = this.composeRecord(spec, granted);
+        const acceptedAfterMs = timer.nowMs();
+        let stored: StoredRequest | undefined;
+        const work = this.count(async () => {
+            const accepted = await this.accept(context, record, granted.slot);
+            if (!("stored" in accepted)) {
+                return accepted;
+            }
+            stored = accepted.stored;
+            return this.carryOut(accepted.stored, granted.slot, deadlineMs, acceptedAfterMs);
+        });
+        const late = sleep(timer, deadlineMs + ANSWER_MARGIN_MS - timer.nowMs()).then(() => undefined);
+        return (await Promise.race([work, late])) ?? lateReply(record.requestId, stored !== undefined);
+    }
+
+    private async count<T>(work: () => Promise<T>): Promise<T> {
+        this.open++;
+        try {
+            return await work();
+        }
+        finally {
+            this.open--;
         }
-        return this.dispatch(accepted.stored, reply.slot, deadlineMs);
+    }
+
+    /** Asks the owners, the nearest first, for a slot. */
+    private async acquire(
+        spec: RequestSpec,
+        deadlineMs: number
+    ): Promise<GrantedLocation | { readonly shed: ShedReason; }> {
+        const { identity, timer } = this.environment;
+        let shed = ShedReason.NoTarget;
+        for (const location of this.directory.reachable(identity.failureDomain, identity.region)) {
+            const remainingMs = deadlineMs - timer.nowMs();
+            if (remainingMs <= 0) {
+                return { shed: ShedReason.DeadlinePassed };
+            }
+            const reply = await this.slots.acquire(location, { team: spec.team, queue: spec.queue, remainingMs });
+            if ("slot" in reply) {
+                return { location, slot: reply.slot };
+            }
+            shed = reply.shed;
+        }
+        return { shed };
     }
 
     private async accept(
@@ -69,30 +126,54 @@
             this.environment.log.write(EVENTS.requestAccepted, { requestId, team: record.spec.team });
             return { stored: { record, version: written.value.version } };
         }
-        this.slots.release(slot, { latencyMs: 0, succeeded: false, unfinished: false });
+        this.slots.release(slot, UNUSED_SLOT);
         return written.error.kind === WriteErrorKind.Conflict && context.idempotencyKey !== undefined
             ? this.jobs.findExisting(record.spec.team, context.idempotencyKey, bodyHash)
             : notRun(OutcomeReason.StoreUnavailable, written.error.message, RETRY_HINT_MS);
     }
 
-    private async dispatch(stored: StoredRequest, slot: AcquiredSlot, deadlineMs: number): Promise<RequestReply> {
-        const { record } = stored;
-        const { timer } = this.environment;
-        const remainingMs = deadlineMs - timer.nowMs();
-        const outcome = remainingMs > 0
-            ? await this.run(stored, slot, remainingMs)
-            : notRun(OutcomeReason.DeadlinePassed).outcome;
-        if (remainingMs <= 0) {
-            this.slots.release(slot, { latencyMs: 0, succeeded: false, unfinished: false });
+    private async carryOut(
+        stored: StoredRequest,
+        slot: AcquiredSlot,
+        deadlineMs: number,
+        acceptedAfterMs: number
+    ): Promise<RequestReply> {
+        const { requestId } = stored.record;
+        const refusal = await this.checkBeforeDispatch(stored, deadlineMs, acceptedAfterMs);
+        if (refusal) {
+            this.slots.release(slot, UNUSED_SLOT);
         }
-        const committed = this.finish(stored, outcome);
-        if (outcome.state === OutcomeState.NotRun) {
-            await committed;
+        const outcome = refusal ?? await this.run(stored, slot, deadlineMs - this.environment.timer.nowMs());
+        const committed = this.count(() => this.outcomes.commit(stored, outcome));
+        return { requestId, outcome: outcome.state === OutcomeState.Done ? outcome : await committed };
+    }
+
+    /** Nothing is sent past the deadline, or unless the record was open a moment ago. */
+    private async checkBeforeDispatch(
+        stored: StoredRequest,
+        deadlineMs: number,
+        acceptedAfterMs: number
+    ): Promise<RequestOutcome | undefined> {
+        const { timer } = this.environment;
+        let provenMs = acceptedAfterMs;
+        while (timer.nowMs() < deadlineMs) {
+            if (timer.nowMs() - provenMs <= PROOF_LIMIT_MS) {
+                return undefined;
+            }
+            provenMs = timer.nowMs();
+            const isOpen = await this.requests.isOpen(stored);
+            if (isOpen.isOk() && !isOpen.value) {
+                return notRun(OutcomeReason.OwnerLost, "The request was closed before it was sent.").outcome;
+            }
+            if (isOpen.isErr()) {
+                return notRun(OutcomeReason.StoreUnavailable, isOpen.error.message).outcome;
+            }
         }
-        return { requestId: record.requestId, outcome };
+        return notRun(OutcomeReason.DeadlinePassed).outcome;
     }
 
     private async run(stored: StoredRequest, slot: AcquiredSlot, remainingMs: number): Promise<RequestOutcome> {
+        const { targets, timer } = this.environment;
         const { record } = stored;
         const result = await this.lookups.dispatch(record.requestId, record.spec, slot, remainingMs);
         if (result.isOk()) {
@@ -105,30 +186,21 @@
             case TargetErrorKind.Unreachable:
                 return notRun(OutcomeReason.NoTarget, result.error.message, RETRY_HINT_MS).outcome;
             case TargetErrorKind.ReplyLost:
-                return resolveAttempt(this.environment, slot.address, slot.lookupId);
+                return resolveAttempt(targets, timer, {
+                    attemptId: slot.lookupId,
+                    address: () => slot.address,
+                    askUntilMs: timer.nowMs() + ASK_LIMIT_MS
+                });
         }
     }
 
-    /** Commits the outcome, however long the store takes. */
-    private async finish(stored: StoredRequest, outcome: RequestOutcome): Promise<void> {
-        const final = { ...stored, record: { ...stored.record, outcome } };
-        for (;;) {
-            const written = await this.requests.finish(final, [], () => []);
-            if (written.isOk() || written.error.kind === WriteErrorKind.Conflict) {
-                const { requestId } = stored.record;
-                this.environment.log.write(EVENTS.requestEnded, { requestId, state: outcome.state });
-                return;
-            }
-            await sleep(this.environment.timer, FINISH_RETRY_MS);
-        }
-    }
-
-    private composeRecord(spec: RequestSpec, sliceId: string, epoch: number, slot: AcquiredSlot): RequestRecord {
+    private composeRecord(spec: RequestSpec, granted: GrantedLocation): RequestRecord {
+        const { location, slot } = granted;
         return {
-            requestId: composeRequestId(sliceId, this.environment.hasher.randomToken()),
-            sliceId,
+            requestId: composeRequestId(location.sliceId, this.environment.hasher.randomToken()),
+            sliceId: location.sliceId,
             spec,
-            claimEpoch: epoch,
+            claimEpoch: location.epoch,
             entry: ownerNameOf(this.environment.identity),
             acceptedAtMs: this.environment.timer.wallClockMs(),
             outcome: { state: OutcomeState.Running },
@@ -136,3 +208,16 @@
         };
     }
 }
+
+/** Composes the reply to a caller whose request has no outcome in time; it becomes final later. */
+function lateReply(requestId: string, isAccepted: boolean): RequestReply {
+    if (isAccepted) {
+        const detail = "The outcome is not known yet; ask again by the id.";
+        return { requestId, outcome: { state: OutcomeState.Running, detail } };
+    }
+    const detail = "The store did not confirm the request in time; ask again by its id or Idempotency-Key.";
+    return {
+        requestId,
+        outcome: { state: OutcomeState.Unknown, reason: OutcomeReason.StoreUnavailable, detail }
+    };
+}
--- /dev/null
+++ b/packages/control/src/entry/OutcomeWriter.ts
@@ -0,0 +1,57 @@
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import { isFinal, OutcomeState, type RequestOutcome } from "@skylarkpath/common/model/Request";
+import { sleep } from "@skylarkpath/common/time/TimerService";
+import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
+import { Backoff } from "../store/Backoff.js";
+import { WriteErrorKind } from "../store/GroupCommitWriter.js";
+import type { RequestStore, SliceGuard, StoredRequest } from "../store/RequestStore.js";
+
+const RETRY_MS = 500;
+const RETRY_LIMIT_MS = 8000;
+const NO_GUARD: SliceGuard = () => [];
+
+/** Commits outcomes of requests, however long the store takes. */
+export class OutcomeWriter {
+    constructor(
+        private readonly environment: Pick<ProcessEnvironment, "log" | "random" | "timer">,
+        private readonly requests: RequestStore
+    ) {}
+
+    /** Commits an outcome; resolves with the one that stands, which another process may have written. */
+    public async commit(stored: StoredRequest, outcome: RequestOutcome): Promise<RequestOutcome> {
+        const backoff = new Backoff(RETRY_MS, RETRY_LIMIT_MS, this.environment.random);
+        for (;;) {
+            const standing = await this.tryCommit(stored, outcome);
+            if (standing) {
+                const { requestId } = stored.record;
+                this.environment.log.write(EVENTS.requestEnded, { requestId, state: standing.state });
+                return standing;
+            }
+            await sleep(this.environment.timer, backoff.next());
+        }
+    }
+
+    private async tryCommit(stored: StoredRequest, outcome: RequestOutcome): Promise<RequestOutcome | undefined> {
+        const final = { ...stored, record: { ...stored.record, outcome } };
+        const written = await this.requests.finish(final, [], NO_GUARD);
+        if (written.isOk()) {
+            return outcome;
+        }
+        return written.error.kind === WriteErrorKind.Conflict ? this.takeStanding(stored, outcome) : undefined;
+    }
+
+    /** An answer replaces an outcome that another process has recorded as unknown. */
+    private async takeStanding(stored: StoredRequest, outcome: RequestOutcome): Promise<RequestOutcome | undefined> {
+        const found = await this.requests.find(stored.record.requestId);
+        const standing = found.isOk() ? found.value : undefined;
+        if (!standing || !isFinal(standing.record.outcome)) {
+            return undefined;
+        }
+        const isBetter = standing.record.outcome.state === OutcomeState.Unknown && outcome.state === OutcomeState.Done;
+        if (!isBetter) {
+            return standing.record.outcome;
+        }
+        const replaced = await this.requests.replaceOutcome(standing, outcome);
+        return replaced.isOk() ? outcome : undefined;
+    }
+}
--- a/packages/control/src/entry/RequestController.ts
+++ b/packages/control/src/entry/RequestController.ts
@@ -23,6 +23,7 @@
 import { JobHandler } from "./JobHandler.js";
 import { LookupHandler } from "./LookupHandler.js";
 import { OrderHandler } from "./OrderHandler.js";
+import { OutcomeWriter } from "./OutcomeWriter.js";
 import { chainFilters, type RequestContext, type RequestHandler } from "./RequestContext.js";
 import { type RequestReply, requestUnknown, unseen } from "./RequestReply.js";
 import { SlotClient } from "./SlotClient.js";
@@ -73,7 +74,8 @@
         const slots = new SlotClient(environment, peerClient, directory);
         this.lookups = new LookupHandler(environment, directory, slots);
         this.jobs = new JobHandler(environment, options, peerClient, directory, requests);
-        this.orders = new OrderHandler(environment, directory, requests, slots, this.lookups, this.jobs);
+        const outcomes = new OutcomeWriter(environment, requests);
+        this.orders = new OrderHandler(environment, directory, requests, slots, this.lookups, this.jobs, outcomes);
         this.chain = chainFilters(
             [
                 createAdmissionFilter(isAdmitting),
@@ -88,7 +90,7 @@
 
     /** Requests of callers that are being served. */
     public get inProgressCount(): number {
-        return this.inProgress;
+        return this.inProgress + this.orders.openCount;
     }
 
     /** Submits a request; resolves with its final outcome for look-ups, with its acceptance for jobs. */
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -7,7 +7,7 @@
 import { type DescribeReply, RequestController } from "../entry/RequestController.js";
 import { KeyController } from "../keys/KeyController.js";
 import { AllotmentController } from "../limits/AllotmentController.js";
-import { MembershipController } from "../membership/MembershipController.js";
+import { MembershipController, PeerState } from "../membership/MembershipController.js";
 import { PeerClient } from "../peer/PeerClient.js";
 import {
     acquireSchema,
@@ -36,6 +36,7 @@
     private readonly allotments: AllotmentController;
     private readonly ownership: OwnershipController;
     private stopping = false;
+    private startedMs = 0;
 
     /** Calls to other processes. */
     public readonly peerClient: PeerClient;
@@ -114,6 +115,7 @@
     /** Begins to serve. */
     public start(): void {
         this.environment.log.write(EVENTS.processStarted);
+        this.startedMs = this.environment.timer.nowMs();
         this.membership.start(() => this.composeHeartbeat());
         this.config.start();
         this.keys.start();
@@ -165,7 +167,8 @@
             this.environment,
             this.options,
             this.requestStore,
-            () => this.countServices()
+            () => this.countServices(),
+            ownerName => this.isProcessAlive(ownerName)
         );
         this.slices.set(slice.sliceId, controller);
         controller.onStale(() => this.ownership.resign(slice.sliceId));
@@ -197,6 +200,19 @@
         return machines.filter(machine => machine.failureDomain === failureDomain);
     }
 
+    /** A process is alive unless it is silent for too long or was replaced by another incarnation. */
+    private isProcessAlive(ownerName: string): boolean {
+        if (ownerName === ownerNameOf(this.environment.identity)) {
+            return true;
+        }
+        const peer = this.membership.peers.find(view => ownerNameOf(view.heartbeat) === ownerName);
+        return peer ? peer.state !== PeerState.Dead : this.ageMs < this.options.deadAfterMs;
+    }
+
+    private get ageMs(): number {
+        return this.environment.timer.nowMs() - this.startedMs;
+    }
+
     private countServices(): Readonly<Record<string, number>> {
         const counts: Record<string, number> = {};
         const own = this.ownedSlices.map(slice => slice.runningServices);
--- a/packages/control/src/slice/JobController.ts
+++ b/packages/control/src/slice/JobController.ts
@@ -52,6 +52,7 @@
     private readonly changeEmitter = this.store.add(new Emitter<void>());
     private readonly finishedEmitter = this.store.add(new Emitter<string>());
     private readonly conflictEmitter = this.store.add(new Emitter<string>());
+    private readonly ordersEmitter = this.store.add(new Emitter<readonly StoredRequest[]>());
     private readonly supersededEmitter = this.store.add(new Emitter<number>());
     private loading = false;
     private loaded = false;
@@ -61,6 +62,8 @@
     public readonly onChange = this.changeEmitter.event;
     /** Tells the id of each request whose outcome is committed. */
     public readonly onFinished = this.finishedEmitter.event;
+    /** Tells the open requests that are not idempotent, each time they were read. */
+    public readonly onOrders = this.ordersEmitter.event;
     /** Tells a request whose outcome was refused, as when another process owns the slice. */
     public readonly onConflict = this.conflictEmitter.event;
     /** Tells the epoch of a request that was claimed under a later owner. */
@@ -269,6 +272,7 @@
         if (open.isErr() || progress.isErr()) {
             return false;
         }
+        this.ordersEmitter.fire(open.value.filter(isOrder));
         const answered = new Map<string, TaskProgress[]>();
         for (const entry of progress.value) {
             this.jobs.get(entry.requestId)?.noteFinished(entry.taskIndex, entry.answer);
@@ -283,12 +287,12 @@
 
     /** Takes in an open request; returns false when it must be read again. */
     private async add(stored: StoredRequest, progress: readonly TaskProgress[] = []): Promise<boolean> {
-        const { requestId, spec, claimEpoch } = stored.record;
+        const { requestId, claimEpoch } = stored.record;
         if (claimEpoch > this.epoch) {
             this.supersededEmitter.fire(claimEpoch);
             return false;
         }
-        if (spec.kind === QueueKind.Lookup || this.isKnown(requestId)) {
+        if (isOrder(stored) || this.isKnown(requestId)) {
             return true;
         }
         const payload = await this.requests.payloadOf(stored.record);
@@ -390,3 +394,7 @@
         this.finishedEmitter.fire(job.requestId);
     }
 }
+
+function isOrder(stored: StoredRequest): boolean {
+    return stored.record.spec.kind === QueueKind.Lookup;
+}
--- a/packages/control/src/slice/LookupController.ts
+++ b/packages/control/src/slice/LookupController.ts
@@ -55,6 +55,11 @@
         return this.scheduler.slotsInUse(team);
     }
 
+    /** Finds the address of a target. */
+    public addressOf(targetId: string): string | undefined {
+        return this.addresses.get(targetId);
+    }
+
     /** Sets shares and slots of the teams. */
     public setPolicies(policies: SlicePolicies): void {
         const teams = [...policies].map(([team, policy]) =>
--- a/packages/control/src/slice/SliceController.ts
+++ b/packages/control/src/slice/SliceController.ts
@@ -20,6 +20,7 @@
 import type { RequestStore, SliceGuard } from "../store/RequestStore.js";
 import { JobController, type JobDescription } from "./JobController.js";
 import { LookupController } from "./LookupController.js";
+import { type EntryCheck, OrderResolver } from "./OrderResolver.js";
 import { Placements } from "./Placements.js";
 import { isServiceGroup, ServiceController, type ServiceCounts } from "./ServiceController.js";
 import { TaskReportHandler } from "./TaskReportHandler.js";
@@ -55,6 +56,7 @@
     /** Workers by the task that runs or may run there. */
     private readonly placements = new Placements();
     private readonly reports: TaskReportHandler;
+    private readonly orders: OrderResolver;
     private policies: SlicePolicies = new Map();
     private decisionPending = false;
     private disposed = false;
@@ -71,7 +73,8 @@
         private readonly environment: ProcessEnvironment,
         private readonly options: ProcessOptions,
         requests: RequestStore,
-        runningServices: ServiceCounts
+        runningServices: ServiceCounts,
+        isEntryAlive: EntryCheck
     ) {
         this.scheduler = environment.schedulers.createTaskScheduler(environment.random);
         this.pool = this.store.add(new WorkerPool(environment, options, slice.epoch, slice.confirmOwnership));
@@ -94,6 +97,9 @@
         );
         const lookupScheduler = environment.schedulers.createLookupScheduler(environment.random);
         this.lookups = this.store.add(new LookupController(environment, options, lookupScheduler));
+        this.orders = this.store.add(
+            new OrderResolver(environment, requests, slice.guard, isEntryAlive, id => this.lookups.addressOf(id))
+        );
         this.subscribe();
     }
 
@@ -189,6 +195,7 @@
         this.store.add(this.pool.onHoldReleased(() => this.releaseHold()));
         this.store.add(this.reports.onChange(() => this.decideSoon()));
         this.store.add(this.jobs.onChange(() => this.decideSoon()));
+        this.store.add(this.jobs.onOrders(open => this.orders.update(open)));
         this.store.add(this.jobs.onConflict(() => void this.slice.confirmOwnership()));
         this.store.add(this.jobs.onSuperseded(() => this.staleEmitter.fire()));
         this.store.add(this.jobs.onFinished(requestId => this.finishedEmitter.fire(requestId)));
--- a/packages/control/src/store/RequestStore.ts
+++ b/packages/control/src/store/RequestStore.ts
@@ -1,4 +1,4 @@
-import type { IdempotencyRecord, RequestRecord } from "@skylarkpath/common/model/Request";
+import type { IdempotencyRecord, RequestOutcome, RequestRecord } from "@skylarkpath/common/model/Request";
 import type { ObjectStore } from "@skylarkpath/common/platform/ObjectStore";
 import { type StoreError, StoreErrorKind } from "@skylarkpath/common/platform/StoreError";
 import {
@@ -81,6 +81,28 @@
         });
     }
 
+    /** Replaces a final outcome by a better one. */
+    public async replaceOutcome(
+        stored: StoredRequest,
+        outcome: RequestOutcome
+    ): Promise<Result<CommitReceipt, WriteError | StoreError>> {
+        const record = await this.moveLargeAnswers({ ...stored.record, outcome });
+        if (record.isErr()) {
+            return err(record.error);
+        }
+        const row = { table: TableName.Outcomes, key: stored.record.requestId };
+        return this.writer.submit({
+            conditions: () => [{ ...row, version: stored.version }],
+            mutations: () => [{ ...row, value: toJson(record.value) }]
+        });
+    }
+
+    /** Tells whether an accepted request is still open and unchanged. */
+    public async isOpen(stored: StoredRequest): Promise<Result<boolean, StoreError>> {
+        const row = await this.table.read(TableName.Requests, stored.record.requestId);
+        return row.map(found => found?.version === stored.version);
+    }
+
     /** Commits the answer of one task. */
     public async recordProgress(
         progress: TaskProgress,
