Keys: gossiped withdrawals, age of knowledge over peers, completion without the store

Cause: a withdrawal reached the store only, every process scanned all keys each second, and with the store down every keyed request was refused after the age limit. Now each process keeps a grow-only ledger whose count and digest ride on heartbeats; a change is pushed to all live processes at once; the age counts from the sending of a question by the own monotonic clock; with the store lost for all, knowledge is as old as the oldest answer of a live process; a withdrawal completes by the store or by the acknowledgement of every live process, else the reply names who is missing. Conclusion: a withdrawn key stops within 5 s in each provoked fault (12 tests).

--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -25,6 +25,12 @@
     configInvalid: define(1204, "config-invalid", EventLevel.Error, "A stored text has findings and was not adopted."),
     keyGranted: define(1301, "key-granted", EventLevel.Info, "A team key was granted."),
     keyWithdrawn: define(1302, "key-withdrawn", EventLevel.Info, "A team key was withdrawn."),
+    withdrawalIncomplete: define(
+        1311,
+        "withdrawal-incomplete",
+        EventLevel.Warning,
+        "A withdrawal is neither in the store nor acknowledged by every live process."
+    ),
     sliceAcquired: define(1401, "slice-acquired", EventLevel.Info, "This process owns a slice."),
     sliceLost: define(1402, "slice-lost", EventLevel.Warning, "This process no longer owns a slice."),
     sliceHandedOver: define(1403, "slice-handed-over", EventLevel.Info, "A slice was handed to its successor."),
--- a/packages/control/src/keys/KeyController.ts
+++ b/packages/control/src/keys/KeyController.ts
@@ -3,11 +3,23 @@
 import { OutcomeReason } from "@skylarkpath/common/model/Request";
 import type { KeyRecord } from "@skylarkpath/common/model/Slice";
 import type { StoreError } from "@skylarkpath/common/platform/StoreError";
-import { type JsonValue, TableName } from "@skylarkpath/common/platform/TableService";
 import { err, ok, type Result } from "neverthrow";
+import type { HeartbeatReport, MembershipController } from "../membership/MembershipController.js";
+import type { PeerClient } from "../peer/PeerClient.js";
+import {
+    type KeyStatus,
+    PeerMethod,
+    pushKeysSchema,
+    readKeysReplySchema,
+    readKeysSchema
+} from "../peer/PeerMessages.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import type { GroupCommitWriter, WriteError } from "../store/GroupCommitWriter.js";
+import { KeyDistributor } from "./KeyDistributor.js";
+import { KeyFreshness } from "./KeyFreshness.js";
+import { KeyLedger } from "./KeyLedger.js";
+import { KeyTable } from "./KeyTable.js";
 
 /** Key that was granted; the only time its secret is shown. */
 export interface GrantedKey {
@@ -26,20 +38,46 @@
 
 const KEY_PREFIX = "skp";
 const KEY_SEPARATOR = "_";
-const KEY_SCAN_LENGTH = 100_000;
+const KEY_ID_LENGTH = 16;
+const CHANGES_PER_MESSAGE = 2000;
 
 /** Grants, withdraws and verifies team keys; fails closed when its knowledge is too old. */
 export class KeyController implements Disposable {
     private readonly store = new DisposableStore();
-    private records = new Map<string, KeyRecord>();
-    private readonly withdrawnKeyIds = new Set<string>();
-    private lastReadMs: number | undefined;
+    private readonly ledger: KeyLedger;
+    private readonly freshness: KeyFreshness;
+    private readonly distributor: KeyDistributor;
+    private readonly table: KeyTable;
+    /** Count of the changes of each process that are known here. */
+    private readonly mergedCounts = new Map<string, number>();
+    private readonly storing = new Map<string, Promise<boolean>>();
+    private reading = false;
 
     constructor(
         private readonly environment: ProcessEnvironment,
         private readonly options: ProcessOptions,
-        private readonly writer: GroupCommitWriter
-    ) {}
+        private readonly peerClient: PeerClient,
+        writer: GroupCommitWriter,
+        private readonly membership: MembershipController
+    ) {
+        this.ledger = new KeyLedger(environment.hasher);
+        this.freshness = new KeyFreshness(environment.timer, options);
+        this.distributor = new KeyDistributor(environment, options, peerClient, membership);
+        this.table = new KeyTable(environment.table, writer);
+        this.store.add(membership.onReport(report => void this.follow(report)));
+        this.store.add(membership.onLiveList(() => this.freshness.updateLive(this.liveProcessIds)));
+        this.servePeers();
+    }
+
+    /** Position and age of the key knowledge, for heartbeats. */
+    public get status(): KeyStatus {
+        const { storeAgeMs, storeLost } = this.freshness;
+        return {
+            ...this.ledger.position,
+            storeLost,
+            ...(Number.isFinite(storeAgeMs) ? { ageMs: storeAgeMs } : {})
+        };
+    }
 
     /** Begins to read the store. */
     public start(): void {
@@ -53,25 +91,25 @@
         if (prefix !== KEY_PREFIX || !keyId || !secret) {
             return err(OutcomeReason.KeyInvalid);
         }
-        if (this.withdrawnKeyIds.has(keyId)) {
+        if (this.ledger.isWithdrawn(keyId)) {
             return err(OutcomeReason.KeyInvalid);
         }
         if (this.ageMs() > this.options.keyAgeLimitMs + graceMs) {
             return err(OutcomeReason.KeyKnowledgeStale);
         }
-        const record = this.records.get(keyId);
+        const record = this.ledger.find(keyId);
         const matches = this.environment.hasher.equals(this.environment.hasher.hash(secret), record?.secretHash ?? "");
         return record && matches ? ok(record.team) : err(OutcomeReason.KeyInvalid);
     }
 
     /** Age of what is known about keys. */
     public ageMs(): number {
-        return this.lastReadMs === undefined ? Infinity : this.environment.timer.nowMs() - this.lastReadMs;
+        return this.freshness.ageMs({ processIds: this.liveProcessIds, listAgeMs: this.membership.liveListAgeMs });
     }
 
     /** Grants a new key to a team. */
     public async grant(team: string): Promise<Result<GrantedKey, WriteError>> {
-        const keyId = this.environment.hasher.randomToken().slice(0, 16);
+        const keyId = this.environment.hasher.randomToken().slice(0, KEY_ID_LENGTH);
         const secret = this.environment.hasher.randomToken();
         const record: KeyRecord = {
             keyId,
@@ -80,60 +118,163 @@
             grantedAtMs: this.environment.timer.wallClockMs(),
             withdrawn: false
         };
-        const written = await this.write(record, 0);
+        const written = await this.table.write(record, 0);
         return written.map(() => {
-            this.records.set(keyId, record);
+            this.ledger.addRecord(record);
             this.environment.log.write(EVENTS.keyGranted, { keyId, team });
+            void this.distributor.distribute({ keyId, record });
             return { keyId, team, key: [KEY_PREFIX, keyId, secret].join(KEY_SEPARATOR) };
         });
     }
 
     /** Withdraws a key; undefined when it does not exist. */
-    public async withdraw(keyId: string): Promise<Result<Withdrawal | undefined, WriteError | StoreError>> {
-        const row = await this.environment.table.read(TableName.Keys, keyId);
-        if (row.isErr()) {
-            return err(row.error);
+    public async withdraw(keyId: string): Promise<Result<Withdrawal | undefined, StoreError>> {
+        const exists = await this.exists(keyId);
+        if (exists.isErr()) {
+            return err(exists.error);
         }
-        if (!row.value) {
+        if (!exists.value) {
             return ok(undefined);
         }
-        this.withdrawnKeyIds.add(keyId);
-        const record = row.value.value as unknown as KeyRecord;
-        const written = await this.write({ ...record, withdrawn: true }, row.value.version);
-        return written.map(() => {
-            this.environment.log.write(EVENTS.keyWithdrawn, { keyId });
-            return { keyId, complete: true, missing: [] };
-        });
+        this.ledger.withdraw(keyId);
+        this.environment.log.write(EVENTS.keyWithdrawn, { keyId });
+        const withdrawal = await this.spread(keyId);
+        if (!withdrawal.complete) {
+            this.environment.log.write(EVENTS.withdrawalIncomplete, { keyId, missing: withdrawal.missing.join(" ") });
+        }
+        return ok(withdrawal);
     }
 
-    /** Lists all keys without their hashes. */
+    /** Lists all keys. */
     public list(): readonly KeyRecord[] {
-        return [...this.records.values()];
+        return this.ledger.all;
     }
 
     public dispose(): void {
         this.store.dispose();
     }
 
-    private write(record: KeyRecord, rowVersion: number): Promise<Result<unknown, WriteError>> {
-        return this.writer.submit({
-            conditions: () => [{ table: TableName.Keys, key: record.keyId, version: rowVersion }],
-            mutations: () => [{ table: TableName.Keys, key: record.keyId, value: { ...record } as JsonValue }]
+    private get liveProcessIds(): readonly string[] {
+        return this.membership.entryMachines.map(machine => machine.machineId);
+    }
+
+    private async exists(keyId: string): Promise<Result<boolean, StoreError>> {
+        if (this.ledger.find(keyId)) {
+            return ok(true);
+        }
+        const row = await this.table.read(keyId);
+        return row.map(found => found !== undefined);
+    }
+
+    /** Complete as soon as the store has the withdrawal or every live process has acknowledged it. */
+    private spread(keyId: string): Promise<Withdrawal> {
+        return new Promise(resolve => {
+            void this.storeWithdrawal(keyId).then(stored => {
+                if (stored) {
+                    resolve({ keyId, complete: true, missing: [] });
+                }
+            });
+            void this.distributor.distribute({ keyId }).then(result => resolve({ keyId, ...result }));
         });
     }
 
+    private storeWithdrawal(keyId: string): Promise<boolean> {
+        const current = this.storing.get(keyId);
+        if (current) {
+            return current;
+        }
+        const storing = this.table.withdraw(keyId).then(stored => {
+            this.storing.delete(keyId);
+            if (stored) {
+                this.freshness.noteStoreContact();
+                this.ledger.confirmStored(keyId);
+            }
+            return stored;
+        });
+        this.storing.set(keyId, storing);
+        return storing;
+    }
+
     private async readStore(): Promise<void> {
+        if (this.reading) {
+            return;
+        }
+        this.reading = true;
         const sentMs = this.environment.timer.nowMs();
-        const rows = await this.environment.table.scan({ table: TableName.Keys, prefix: "", limit: KEY_SCAN_LENGTH });
-        if (rows.isErr()) {
+        const records = await this.table.readChanged();
+        this.reading = false;
+        if (records.isErr()) {
             return;
         }
-        this.lastReadMs = sentMs;
-        this.records = new Map(rows.value.map(row => [row.key, row.value as unknown as KeyRecord]));
-        for (const record of this.records.values()) {
-            if (record.withdrawn) {
-                this.withdrawnKeyIds.add(record.keyId);
-            }
+        for (const record of records.value) {
+            this.ledger.addStored(record);
+        }
+        this.freshness.noteStoreRead(sentMs);
+        this.storeLateWithdrawals();
+    }
+
+    /** Writes withdrawals of a store outage; every process that knows one does so after a random delay. */
+    private storeLateWithdrawals(): void {
+        for (const keyId of this.ledger.unstoredKeyIds) {
+            const delayMs = this.environment.random.next() * this.options.rejoinSpreadMs;
+            this.store.add(this.environment.timer.after(delayMs, () => {
+                if (!this.ledger.isStored(keyId)) {
+                    void this.storeWithdrawal(keyId);
+                }
+            }));
+        }
+    }
+
+    private servePeers(): void {
+        const { processId } = this.environment.identity;
+        this.peerClient.serve(PeerMethod.PushKeys, pushKeysSchema, async message => {
+            this.ledger.merge(message.changes);
+            return ok({ processId });
+        });
+        this.peerClient.serve(PeerMethod.ReadKeys, readKeysSchema, async message =>
+            ok({
+                status: this.status,
+                changes: this.ledger.changesAfter(message.afterCount, CHANGES_PER_MESSAGE)
+            }));
+    }
+
+    /** Takes in what another process knows; only then may its answer count for the age. */
+    private async follow(report: HeartbeatReport): Promise<void> {
+        const source = `${report.processId}/${report.incarnation}`;
+        const isMerged = (status: KeyStatus): boolean =>
+            status.digest === this.ledger.position.digest
+            || status.count <= (this.mergedCounts.get(source) ?? 0);
+        if (!isMerged(report.keys)) {
+            await this.readPeer(report.address, source);
+        }
+        if (isMerged(report.keys)) {
+            this.mergedCounts.set(source, Math.max(report.keys.count, this.mergedCounts.get(source) ?? 0));
+            this.noteAges(report);
+        }
+    }
+
+    private noteAges(report: HeartbeatReport): void {
+        if (report.keys.ageMs !== undefined) {
+            this.freshness.noteRelayed(report.sentMs - report.keys.ageMs);
+        }
+        for (const statement of report.statements) {
+            this.freshness.noteStatement(statement.processId, report.sentMs - statement.ageMs, statement.storeLost);
+        }
+    }
+
+    private async readPeer(address: string, source: string): Promise<void> {
+        const afterCount = this.mergedCounts.get(source) ?? 0;
+        const reply = await this.peerClient.call<unknown>(
+            address,
+            PeerMethod.ReadKeys,
+            { afterCount },
+            this.options.peerTimeoutMs
+        );
+        const news = reply.isOk() ? readKeysReplySchema.safeParse(reply.value) : undefined;
+        if (news?.success) {
+            this.ledger.merge(news.data.changes);
+            const mergedCount = afterCount + news.data.changes.length;
+            this.mergedCounts.set(source, Math.max(mergedCount, this.mergedCounts.get(source) ?? 0));
         }
     }
 }
--- /dev/null
+++ b/packages/control/src/keys/KeyDistributor.ts
@@ -0,0 +1,62 @@
+import { sleep } from "@skylarkpath/common/time/TimerService";
+import type { MembershipController } from "../membership/MembershipController.js";
+import type { PeerClient } from "../peer/PeerClient.js";
+import { acknowledgementSchema, type KeyChange, PeerMethod } from "../peer/PeerMessages.js";
+import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
+import type { ProcessOptions } from "../process/ProcessOptions.js";
+
+/** Who has acknowledged a change of the keys. */
+export interface Distribution {
+    /** Every process of a live list that was read after the change has acknowledged it. */
+    readonly complete: boolean;
+    readonly missing: readonly string[];
+}
+
+/** Sends changes of the keys to every live process at once and collects their acknowledgements. */
+export class KeyDistributor {
+    constructor(
+        private readonly environment: ProcessEnvironment,
+        private readonly options: ProcessOptions,
+        private readonly peerClient: PeerClient,
+        private readonly membership: MembershipController
+    ) {}
+
+    /** Sends a change until all have acknowledged it, or the time is over. */
+    public async distribute(change: KeyChange): Promise<Distribution> {
+        const { timer } = this.environment;
+        const endMs = timer.nowMs() + this.options.withdrawalTimeoutMs;
+        const acknowledged = new Set<string>();
+        let listRead = false;
+        for (;;) {
+            const reading = this.membership.readLiveList();
+            await this.sendTo(change, acknowledged);
+            listRead = await reading || listRead;
+            const missing = this.missingOf(acknowledged);
+            const complete = listRead && missing.length === 0;
+            if (complete || timer.nowMs() >= endMs) {
+                return { complete, missing };
+            }
+            await sleep(timer, this.options.heartbeatIntervalMs);
+        }
+    }
+
+    private missingOf(acknowledged: ReadonlySet<string>): readonly string[] {
+        return this.membership.entryMachines.map(machine => machine.machineId).filter(id => !acknowledged.has(id));
+    }
+
+    private async sendTo(change: KeyChange, acknowledged: Set<string>): Promise<void> {
+        const waiting = this.membership.entryMachines.filter(machine => !acknowledged.has(machine.machineId));
+        await Promise.all(waiting.map(async machine => {
+            const reply = await this.peerClient.call<unknown>(
+                machine.address,
+                PeerMethod.PushKeys,
+                { changes: [change] },
+                this.options.peerTimeoutMs
+            );
+            const answer = reply.isOk() ? acknowledgementSchema.safeParse(reply.value) : undefined;
+            if (answer?.success && answer.data.processId === machine.machineId) {
+                acknowledged.add(machine.machineId);
+            }
+        }));
+    }
+}
--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -4,7 +4,7 @@
 import { type LiveMachine, MachineRole } from "@skylarkpath/common/platform/LiveList";
 import { ok } from "neverthrow";
 import type { PeerClient } from "../peer/PeerClient.js";
-import { type Heartbeat, heartbeatSchema, PeerMethod } from "../peer/PeerMessages.js";
+import { type Beat, beatSchema, type Heartbeat, type KeyStatus, PeerMethod } from "../peer/PeerMessages.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 
@@ -28,23 +28,45 @@
     lastHeardMs: number;
 }
 
+/** What a process said at most this long before it was asked. */
+export interface ProcessStatement {
+    readonly processId: string;
+    readonly ageMs: number;
+    readonly storeLost: boolean;
+}
+
+/** Answer of another process to a heartbeat that was sent from here. */
+export interface HeartbeatReport {
+    readonly processId: string;
+    readonly incarnation: string;
+    readonly address: string;
+    /** Monotonic time at which the process was asked. */
+    readonly sentMs: number;
+    readonly keys: KeyStatus;
+    readonly statements: readonly ProcessStatement[];
+}
+
 /** Composes the heartbeat of this process. */
-export type HeartbeatSource = () => Heartbeat;
+export type HeartbeatSource = () => Beat;
 
 /** Knows the live list and the other processes from their heartbeats. */
 export class MembershipController implements Disposable {
     private readonly store = new DisposableStore();
     private readonly entries = new Map<string, PeerEntry>();
     private readonly heartbeatEmitter = this.store.add(new Emitter<Heartbeat>());
+    private readonly reportEmitter = this.store.add(new Emitter<HeartbeatReport>());
     private readonly peerStateEmitter = this.store.add(new Emitter<PeerView>());
     private readonly liveListEmitter = this.store.add(new Emitter<readonly LiveMachine[]>());
     private liveMachines: readonly LiveMachine[] = [];
+    private otherEntries: readonly LiveMachine[] = [];
     private liveListReadMs: number | undefined;
     private readonly pending = new Set<string>();
     private heartbeatSource: HeartbeatSource | undefined;
 
     /** Tells each heartbeat that was received. */
     public readonly onHeartbeat = this.heartbeatEmitter.event;
+    /** Tells each answer to a heartbeat. */
+    public readonly onReport = this.reportEmitter.event;
     /** Tells each change of the state of another process. */
     public readonly onPeerState = this.peerStateEmitter.event;
     /** Tells each reading of the live list. */
@@ -55,9 +77,9 @@
         private readonly options: ProcessOptions,
         private readonly peerClient: PeerClient
     ) {
-        peerClient.serve(PeerMethod.Heartbeat, heartbeatSchema, async heartbeat => {
-            this.receive(heartbeat);
-            return ok(this.composeHeartbeat());
+        peerClient.serve(PeerMethod.Heartbeat, beatSchema, async beat => {
+            this.receive(beat.heartbeat);
+            return ok(this.heartbeatSource!());
         });
     }
 
@@ -71,6 +93,11 @@
         return this.liveListReadMs !== undefined;
     }
 
+    /** Time since the request of the last reading of the live list. */
+    public get liveListAgeMs(): number {
+        return this.liveListReadMs === undefined ? Infinity : this.environment.timer.nowMs() - this.liveListReadMs;
+    }
+
     /** Other processes that were heard. */
     public get peers(): readonly PeerView[] {
         return [...this.entries.values()];
@@ -83,10 +110,7 @@
 
     /** Processes of the live list other than this one. */
     public get entryMachines(): readonly LiveMachine[] {
-        const { processId } = this.environment.identity;
-        return this.liveMachines.filter(machine =>
-            machine.role === MachineRole.Entry && machine.machineId !== processId
-        );
+        return this.otherEntries;
     }
 
     /** Begins to read the live list and to send heartbeats. */
@@ -106,12 +130,24 @@
         }
     }
 
-    public dispose(): void {
-        this.store.dispose();
+    /** Reads the live list now; false when it cannot be read. */
+    public async readLiveList(): Promise<boolean> {
+        const sentMs = this.environment.timer.nowMs();
+        const machines = await this.environment.liveList.read();
+        if (machines.isErr()) {
+            return false;
+        }
+        this.liveListReadMs = Math.max(sentMs, this.liveListReadMs ?? sentMs);
+        this.liveMachines = machines.value;
+        this.otherEntries = machines.value.filter(machine =>
+            machine.role === MachineRole.Entry && machine.machineId !== this.environment.identity.processId
+        );
+        this.liveListEmitter.fire(machines.value);
+        return true;
     }
 
-    private composeHeartbeat(): Heartbeat {
-        return this.heartbeatSource!();
+    public dispose(): void {
+        this.store.dispose();
     }
 
     private async beatTo(address: string): Promise<void> {
@@ -119,20 +155,28 @@
             return;
         }
         this.pending.add(address);
-        const message = this.composeHeartbeat();
+        const sentMs = this.environment.timer.nowMs();
         const reply = await this.peerClient.call<unknown>(
             address,
             PeerMethod.Heartbeat,
-            message,
+            this.heartbeatSource!(),
             this.options.peerTimeoutMs
         );
         this.pending.delete(address);
-        const heartbeat = reply.isOk() ? heartbeatSchema.safeParse(reply.value) : undefined;
-        if (heartbeat?.success) {
-            this.receive(heartbeat.data);
+        const beat = reply.isOk() ? beatSchema.safeParse(reply.value) : undefined;
+        if (beat?.success) {
+            this.receive(beat.data.heartbeat);
+            this.report(beat.data, sentMs);
         }
     }
 
+    private report(beat: Beat, sentMs: number): void {
+        const { heartbeat, keys } = beat;
+        const { processId, incarnation, address } = heartbeat;
+        const statements = [{ processId, ageMs: 0, storeLost: keys.storeLost }];
+        this.reportEmitter.fire({ processId, incarnation, address, sentMs, keys, statements });
+    }
+
     private receive(heartbeat: Heartbeat): void {
         const nowMs = this.environment.timer.nowMs();
         const entry = this.entries.get(heartbeat.processId);
@@ -177,13 +221,4 @@
         this.environment.log.write(definition, { peer: entry.heartbeat.processId });
         this.peerStateEmitter.fire(entry);
     }
-
-    private async readLiveList(): Promise<void> {
-        const machines = await this.environment.liveList.read();
-        if (machines.isOk()) {
-            this.liveListReadMs = this.environment.timer.nowMs();
-            this.liveMachines = machines.value;
-            this.liveListEmitter.fire(machines.value);
-        }
-    }
 }
--- a/packages/control/src/peer/PeerMessages.ts
+++ b/packages/control/src/peer/PeerMessages.ts
@@ -28,12 +28,46 @@
     slices: z.array(ownedSliceSchema).max(64).readonly()
 }).readonly();
 
-/** Withdrawn keys that a process knows and the age of its key knowledge. */
-export const keyNewsSchema = z.object({
-    withdrawn: z.array(name).max(100_000).readonly(),
-    ageMs: z.number().nonnegative()
+/** Granted key, without its secret. */
+export const keyRecordSchema = z.object({
+    keyId: name,
+    team: name,
+    secretHash: name,
+    grantedAtMs: z.number(),
+    withdrawn: z.boolean()
+}).readonly();
+
+/** Change of the keys: a grant when it carries a record, else a withdrawal. */
+export const keyChangeSchema = z.object({ keyId: name, record: keyRecordSchema.optional() }).readonly();
+
+/** Position and age of the key knowledge of a process. */
+export const keyStatusSchema = z.object({
+    count: wholeNumber,
+    digest: wholeNumber,
+    /** The process has not reached the store lately, nor can one that vanished have done so. */
+    storeLost: z.boolean(),
+    /** Age of what is known from the store; absent before the first reading. */
+    ageMs: z.number().nonnegative().optional()
 }).readonly();
 
+/** Changes of the keys that are sent to another process. */
+export const pushKeysSchema = z.object({ changes: z.array(keyChangeSchema).max(10_000).readonly() }).readonly();
+
+/** Answer of a process that took a message in. */
+export const acknowledgementSchema = z.object({ processId: name }).readonly();
+
+/** Question for the changes of the keys after a position. */
+export const readKeysSchema = z.object({ afterCount: wholeNumber }).readonly();
+
+/** Changes of the keys with the status of the process that sends them. */
+export const readKeysReplySchema = z.object({
+    status: keyStatusSchema,
+    changes: z.array(keyChangeSchema).max(10_000).readonly()
+}).readonly();
+
+/** Heartbeat with the status of the key knowledge. */
+export const beatSchema = z.object({ heartbeat: heartbeatSchema, keys: keyStatusSchema }).readonly();
+
 /** Versioned operators' text. */
 export const versionedTextSchema = z.object({ version: wholeNumber, text: z.string() }).readonly();
 
@@ -75,8 +109,14 @@
 /** Slice that a process owns. */
 export type OwnedSliceNews = z.infer<typeof ownedSliceSchema>;
 
-/** Withdrawn keys and the age of key knowledge. */
-export type KeyNews = z.infer<typeof keyNewsSchema>;
+/** Change of the keys. */
+export type KeyChange = z.infer<typeof keyChangeSchema>;
+
+/** Position and age of key knowledge. */
+export type KeyStatus = z.infer<typeof keyStatusSchema>;
+
+/** Heartbeat with the status of the key knowledge. */
+export type Beat = z.infer<typeof beatSchema>;
 
 /** Look-up that asks for a slot. */
 export type AcquireMessage = z.infer<typeof acquireSchema>;
@@ -89,6 +129,7 @@
     Heartbeat = "membership.heartbeat",
     ReadConfig = "config.read",
     ReadKeys = "keys.read",
+    PushKeys = "keys.push",
     SubmitRequest = "slice.submit",
     DescribeRequest = "slice.describe",
     CancelRequest = "slice.cancel",
--- a/packages/control/src/process/ProcessOptions.ts
+++ b/packages/control/src/process/ProcessOptions.ts
@@ -13,6 +13,14 @@
     readonly keyIntervalMs: number;
     /** Age of key knowledge past which keyed work is refused. */
     readonly keyAgeLimitMs: number;
+    /** Silence of the store after which a process says that it has lost the store. */
+    readonly keyStoreLostMs: number;
+    /** Longest wait of a new process for an answer of every live process. */
+    readonly keyJoinLimitMs: number;
+    /** Longest wait for the acknowledgements of a withdrawal. */
+    readonly withdrawalTimeoutMs: number;
+    /** Time over which processes spread what they held back during an outage of the store. */
+    readonly rejoinSpreadMs: number;
     readonly peerTimeoutMs: number;
     readonly taskLeaseMs: number;
     readonly workerExchangeIntervalMs: number;
@@ -45,8 +53,12 @@
     liveListIntervalMs: 1000,
     liveListLagMs: 3000,
     configIntervalMs: 1000,
-    keyIntervalMs: 1000,
+    keyIntervalMs: 500,
     keyAgeLimitMs: 4000,
+    keyStoreLostMs: 1200,
+    keyJoinLimitMs: 5000,
+    withdrawalTimeoutMs: 3000,
+    rejoinSpreadMs: 2000,
     peerTimeoutMs: 1500,
     taskLeaseMs: 10_000,
     workerExchangeIntervalMs: 500,
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -69,7 +69,9 @@
         this.config = this.store.add(
             new ConfigController(environment, options, this.peerClient, this.writer, this.membership)
         );
-        this.keys = this.store.add(new KeyController(environment, options, this.writer));
+        this.keys = this.store.add(
+            new KeyController(environment, options, this.peerClient, this.writer, this.membership)
+        );
         this.allotments = this.store.add(new AllotmentController(this.config));
         this.directory = this.store.add(new SliceDirectory(this.membership));
         this.ownership = this.store.add(
@@ -114,7 +116,7 @@
     /** Begins to serve. */
     public start(): void {
         this.environment.log.write(EVENTS.processStarted);
-        this.membership.start(() => this.composeHeartbeat());
+        this.membership.start(() => ({ heartbeat: this.composeHeartbeat(), keys: this.keys.status }));
         this.config.start();
         this.keys.start();
         this.ownership.start();
--- a/packages/proof/src/VirtualDeployment.ts
+++ b/packages/proof/src/VirtualDeployment.ts
@@ -8,6 +8,7 @@
 import { HybridClock } from "@skylarkpath/common/time/HybridClock";
 import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
 import { OperatorController } from "@skylarkpath/control/operators/OperatorController";
+import type { ProcessEnvironment } from "@skylarkpath/control/process/ProcessEnvironment";
 import { DEFAULT_PROCESS_OPTIONS, type ProcessOptions } from "@skylarkpath/control/process/ProcessOptions";
 import { SkylarkProcess } from "@skylarkpath/control/process/SkylarkProcess";
 import { Timeline } from "@skylarkpath/control/timeline/Timeline";
@@ -32,6 +33,8 @@
     readonly regionDelayMs: number;
     readonly remoteDelayMs: number;
     readonly storeDelayMs: number;
+    /** Changes what a process is given, as to add faults. */
+    readonly wrapEnvironment?: (environment: ProcessEnvironment) => ProcessEnvironment;
 }
 
 /** Process of a virtual deployment. */
@@ -162,23 +165,24 @@
         const clock = new HybridClock(this.timer);
         const { processOptions } = this.options;
         const timeline = new Timeline(machine.machineId, clock, processOptions.timelineLength, () => undefined);
+        const environment: ProcessEnvironment = {
+            identity: { ...machine, processId: machine.machineId },
+            timer: this.timer,
+            clock,
+            random: createSeededRandom(nextInteger(this.random, 2 ** 31)),
+            hasher: this.hasher,
+            table: this.table,
+            objects: this.objects,
+            liveList: this.liveList,
+            workers: this.network.workerServiceOf(address),
+            targets: this.network.targetServiceOf(address),
+            transport: this.network.peerTransportOf(address),
+            methods: this.network.attachPeer(address),
+            log: timeline,
+            schedulers: this.options.schedulers
+        };
         const process = new SkylarkProcess(
-            {
-                identity: { ...machine, processId: machine.machineId },
-                timer: this.timer,
-                clock,
-                random: createSeededRandom(nextInteger(this.random, 2 ** 31)),
-                hasher: this.hasher,
-                table: this.table,
-                objects: this.objects,
-                liveList: this.liveList,
-                workers: this.network.workerServiceOf(address),
-                targets: this.network.targetServiceOf(address),
-                transport: this.network.peerTransportOf(address),
-                methods: this.network.attachPeer(address),
-                log: timeline,
-                schedulers: this.options.schedulers
-            },
+            this.options.wrapEnvironment?.(environment) ?? environment,
             processOptions,
             [machine.failureDomain]
         );
--- /dev/null
+++ b/packages/proof/src/members/Keys.test.ts
@@ -0,0 +1,166 @@
+import { OutcomeReason } from "@skylarkpath/common/model/Request";
+import type { GrantedKey, Withdrawal } from "@skylarkpath/control/keys/KeyController";
+import test from "ava";
+import { SMALL_TOPOLOGY } from "../Topology.js";
+import { FaultyDeployment } from "./FaultyDeployment.js";
+
+const SEED = 11;
+const WITHDRAWAL_LIMIT_MS = 5000;
+
+async function startWithKey(): Promise<{ faulty: FaultyDeployment; granted: GrantedKey; }> {
+    console.log(`seed ${SEED}`);
+    const faulty = new FaultyDeployment(SMALL_TOPOLOGY, SEED);
+    await faulty.deployment.timer.advance(3000);
+    const keys = faulty.deployment.process("vantaa-entry-0").process.keys;
+    const granted = await faulty.deployment.timer.advanceUntil(keys.grant("dispatch"));
+    await faulty.deployment.timer.advance(1000);
+    return { faulty, granted: granted._unsafeUnwrap() };
+}
+
+async function withdrawAt(faulty: FaultyDeployment, processId: string, keyId: string): Promise<Withdrawal> {
+    const withdrawing = faulty.deployment.process(processId).process.keys.withdraw(keyId);
+    const result = await faulty.deployment.timer.advanceUntil(withdrawing, 60_000, 1);
+    return result._unsafeUnwrap()!;
+}
+
+function acceptingProcesses(faulty: FaultyDeployment, granted: GrantedKey): readonly string[] {
+    return faulty.deployment.processes
+        .filter(running => running.process.keys.verify(granted.key, 0).isOk())
+        .map(running => running.machine.machineId);
+}
+
+test("a granted key is accepted at every process", async t => {
+    const { faulty, granted } = await startWithKey();
+    t.is(acceptingProcesses(faulty, granted).length, 4);
+    const wrong = faulty.deployment.process("oulu-entry-0").process.keys.verify(`${granted.key}0`, 0);
+    t.is(wrong._unsafeUnwrapErr(), OutcomeReason.KeyInvalid);
+});
+
+test("a withdrawal is in force everywhere at once while all are connected", async t => {
+    const { faulty, granted } = await startWithKey();
+    const withdrawal = await withdrawAt(faulty, "tampere-entry-0", granted.keyId);
+    t.true(withdrawal.complete);
+    await faulty.deployment.timer.advance(50);
+    t.deepEqual(acceptingProcesses(faulty, granted), []);
+});
+
+test("with the store down for long, keys work and a withdrawal completes by acknowledgements", async t => {
+    const { faulty, granted } = await startWithKey();
+    faulty.setStoreDown(true);
+    for (let second = 0; second < 60; second++) {
+        await faulty.deployment.timer.advance(1000);
+        t.is(acceptingProcesses(faulty, granted).length, 4, `second ${second}`);
+    }
+    const withdrawal = await withdrawAt(faulty, "oulu-entry-0", granted.keyId);
+    t.true(withdrawal.complete);
+    t.deepEqual(acceptingProcesses(faulty, granted), []);
+    faulty.deployment.kill("oulu-entry-0");
+    faulty.setStoreDown(false);
+    await faulty.deployment.timer.advance(5000);
+    const row = await faulty.deployment.table.read("keys", granted.keyId);
+    t.like(row._unsafeUnwrap()!.value, { withdrawn: true });
+});
+
+test("with the store down and a region cut off, the withdrawal names who is missing", async t => {
+    const { faulty, granted } = await startWithKey();
+    faulty.setStoreDown(true);
+    await faulty.deployment.timer.advance(3000);
+    faulty.cut("vantaa", "oulu");
+    faulty.cut("tampere", "oulu");
+    const startMs = faulty.deployment.timer.nowMs();
+    const withdrawal = await withdrawAt(faulty, "vantaa-entry-0", granted.keyId);
+    t.deepEqual(withdrawal, { keyId: granted.keyId, complete: false, missing: ["oulu-entry-0"] });
+    await faulty.deployment.timer.advance(startMs + WITHDRAWAL_LIMIT_MS - faulty.deployment.timer.nowMs());
+    t.deepEqual(acceptingProcesses(faulty, granted), []);
+    const refused = faulty.deployment.process("oulu-entry-0").process.keys.verify(granted.key, 0);
+    t.is(refused._unsafeUnwrapErr(), OutcomeReason.KeyKnowledgeStale);
+    faulty.heal();
+    await faulty.deployment.timer.advance(1000);
+    const afterwards = faulty.deployment.process("oulu-entry-0").process.keys.verify(granted.key, 0);
+    t.is(afterwards._unsafeUnwrapErr(), OutcomeReason.KeyInvalid);
+});
+
+for (const wayOut of [true, false]) {
+    test(`a link cut one way (${wayOut ? "from" : "to"} the region) stops a withdrawn key in time`, async t => {
+        const { faulty, granted } = await startWithKey();
+        faulty.cutPlatform("oulu");
+        for (const domain of ["vantaa", "tampere"]) {
+            faulty.cutOneWay(wayOut ? "oulu" : domain, wayOut ? domain : "oulu");
+        }
+        const withdrawal = await withdrawAt(faulty, "vantaa-entry-0", granted.keyId);
+        t.true(withdrawal.complete);
+        await faulty.deployment.timer.advance(WITHDRAWAL_LIMIT_MS);
+        t.deepEqual(acceptingProcesses(faulty, granted), []);
+    });
+}
+
+test("a failure domain cut off from the platform lives by the age that others pass on", async t => {
+    const { faulty, granted } = await startWithKey();
+    faulty.cutPlatform("tampere");
+    await faulty.deployment.timer.advance(30_000);
+    t.is(acceptingProcesses(faulty, granted).length, 4);
+    faulty.cut("tampere", "vantaa");
+    faulty.cut("tampere", "oulu");
+    await faulty.deployment.timer.advance(WITHDRAWAL_LIMIT_MS);
+    t.deepEqual(acceptingProcesses(faulty, granted), ["vantaa-entry-0", "vantaa-entry-1", "oulu-entry-0"]);
+});
+
+test("a paused process refuses with stale knowledge when it wakes", async t => {
+    const { faulty, granted } = await startWithKey();
+    faulty.pause("tampere-entry-0");
+    const withdrawal = await withdrawAt(faulty, "vantaa-entry-0", granted.keyId);
+    t.true(withdrawal.complete);
+    await faulty.deployment.timer.advance(WITHDRAWAL_LIMIT_MS);
+    const woken = faulty.deployment.process("tampere-entry-0").process.keys.verify(granted.key, 0);
+    t.is(woken._unsafeUnwrapErr(), OutcomeReason.KeyKnowledgeStale);
+    faulty.resume("tampere-entry-0");
+    await faulty.deployment.timer.advance(2000);
+    const later = faulty.deployment.process("tampere-entry-0").process.keys.verify(granted.key, 0);
+    t.is(later._unsafeUnwrapErr(), OutcomeReason.KeyInvalid);
+});
+
+test("a process that vanishes while it may reach the store ends the exemption of an outage", async t => {
+    const { faulty, granted } = await startWithKey();
+    faulty.setStoreDown(true);
+    faulty.deployment.kill("vantaa-entry-1");
+    await faulty.deployment.timer.advance(10_000);
+    t.deepEqual(acceptingProcesses(faulty, granted), []);
+    faulty.setStoreDown(false);
+    await faulty.deployment.timer.advance(2000);
+    t.is(acceptingProcesses(faulty, granted).length, 3);
+});
+
+test("a process that dies after all had lost the store stops nothing", async t => {
+    const { faulty, granted } = await startWithKey();
+    faulty.setStoreDown(true);
+    await faulty.deployment.timer.advance(5000);
+    faulty.deployment.kill("vantaa-entry-1");
+    await faulty.deployment.timer.advance(10_000);
+    t.is(acceptingProcesses(faulty, granted).length, 3);
+});
+
+test("two operators withdraw one key and grant others at the same time", async t => {
+    const { faulty, granted } = await startWithKey();
+    const { timer } = faulty.deployment;
+    const [first, second] = ["vantaa-entry-0", "oulu-entry-0"].map(id => faulty.deployment.process(id).process.keys);
+    const withdrawals = Promise.all([first!.withdraw(granted.keyId), second!.withdraw(granted.keyId)]);
+    const grants = Promise.all([first!.grant("depot"), second!.grant("depot")]);
+    for (const result of await timer.advanceUntil(withdrawals)) {
+        t.true(result._unsafeUnwrap()!.complete);
+    }
+    const others = await timer.advanceUntil(grants);
+    await timer.advance(1000);
+    t.deepEqual(acceptingProcesses(faulty, granted), []);
+    for (const other of others) {
+        t.is(acceptingProcesses(faulty, other._unsafeUnwrap()).length, 4);
+    }
+});
+
+test("a process that starts while the store is down learns the keys from the others", async t => {
+    const { faulty, granted } = await startWithKey();
+    faulty.setStoreDown(true);
+    await faulty.deployment.timer.advance(5000);
+    faulty.deployment.startProcess({ failureDomain: "tampere", region: "etela" }, "tampere-entry-1");
+    await faulty.deployment.timer.advance(4000);
+    t.is(acceptingProcesses(faulty, granted).length, 5);
+});
