Team limits by escrow: allotments move to the demand and never exceed the limit

Cause: each slice had a fixed part of each limit, so a team with its work in one failure domain could use a third. Now allotments per slice are rows of the table service. A coordinator moves them once a second in one transaction under the version of the text and of the round; only the owner of a slice lowers its grant, after every live process of its failure domain knows of it. A lowered limit scales every grant at its owner at once, and the youngest tasks above it stop. A cut-off slice keeps its grant until its failure domain is declared as lost. Found by the property test: a partial acknowledgement under a lowered limit raised what may be spent again; such a grant is now given back in full or not at all.

--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -31,6 +31,13 @@
         EventLevel.Warning,
         "A withdrawal is neither in the store nor acknowledged by every live process."
     ),
+    allotmentsMoved: define(
+        1801,
+        "allotments-moved",
+        EventLevel.Info,
+        "Grants of the teams' limits were moved between slices."
+    ),
+    allotmentGivenBack: define(1802, "allotment-given-back", EventLevel.Info, "An owner lowered grants of its slice."),
     sliceAcquired: define(1401, "slice-acquired", EventLevel.Info, "This process owns a slice."),
     sliceLost: define(1402, "slice-lost", EventLevel.Warning, "This process no longer owns a slice."),
     sliceHandedOver: define(1403, "slice-handed-over", EventLevel.Info, "A slice was handed to its successor."),
--- a/packages/common/src/model/Slice.ts
+++ b/packages/common/src/model/Slice.ts
@@ -21,12 +21,21 @@
     readonly slots: number;
 }
 
-/** Allotments of all teams for one slice. */
+/** What a slice was granted of a team's upper limit. */
+export interface TeamEscrow {
+    /** Counted against the limit; only the owner of the slice lowers it. */
+    readonly granted: TeamAllotment;
+    /** Lower amount that the coordinator asks for. */
+    readonly target?: TeamAllotment;
+    /** Upper limit of the team when the grant was made. */
+    readonly limit: TeamAllotment;
+}
+
+/** Row of the table service with what one slice was granted of all teams' limits. */
 export interface SliceAllotment {
     readonly sliceId: string;
     readonly version: number;
-    readonly configVersion: number;
-    readonly teams: Readonly<Record<string, TeamAllotment>>;
+    readonly teams: Readonly<Record<string, TeamEscrow>>;
 }
 
 /** Granted team key; only the hash of its secret is kept. */
--- a/packages/control/src/keys/KeyController.ts
+++ b/packages/control/src/keys/KeyController.ts
@@ -79,6 +79,11 @@
         };
     }
 
+    /** Tells whether the store was reached lately. */
+    public get isStoreReached(): boolean {
+        return this.freshness.isStoreReached;
+    }
+
     /** Begins to read the store. */
     public start(): void {
         this.store.add(this.environment.timer.every(this.options.keyIntervalMs, () => void this.readStore()));
--- a/packages/control/src/keys/KeyFreshness.ts
+++ b/packages/control/src/keys/KeyFreshness.ts
@@ -40,10 +40,14 @@
         return this.timer.nowMs() - this.storeAsOfMs;
     }
 
+    /** Tells whether the store was reached lately. */
+    public get isStoreReached(): boolean {
+        return this.timer.nowMs() - this.storeContactMs < this.options.keyStoreLostMs;
+    }
+
     /** Tells that neither this process nor one that vanished can have reached the store lately. */
     public get storeLost(): boolean {
-        const silenceMs = this.timer.nowMs() - this.storeContactMs;
-        return silenceMs >= this.options.keyStoreLostMs && !this.isBlocked;
+        return !this.isStoreReached && !this.isBlocked;
     }
 
     /** Notes a read of the store, complete up to the time it was sent. */
--- /dev/null
+++ b/packages/control/src/limits/DemandReporter.ts
@@ -0,0 +1,46 @@
+import { DIMENSIONS } from "./Amounts.js";
+import type { TeamDemand } from "./EscrowPlanner.js";
+
+interface ReportedDemand {
+    readonly demand: TeamDemand;
+    readonly sequence: number;
+}
+
+/** Demand of the teams that changed since a sequence number. */
+export interface DemandDelta {
+    readonly sequence: number;
+    readonly teams: Readonly<Record<string, TeamDemand>>;
+}
+
+const CHANGE_PART = 0.1;
+
+/** Reports the demand of a slice as deltas; small changes are left out. */
+export class DemandReporter {
+    private readonly reported = new Map<string, ReportedDemand>();
+    private sequence = 0;
+
+    /** Returns what changed since a sequence number that was returned before. */
+    public deltaSince(since: number, current: ReadonlyMap<string, TeamDemand>): DemandDelta {
+        for (const [team, demand] of current) {
+            const known = this.reported.get(team);
+            if (!known || hasChanged(known.demand, demand)) {
+                this.sequence++;
+                this.reported.set(team, { demand, sequence: this.sequence });
+            }
+        }
+        const changed = [...this.reported].filter(([, entry]) => entry.sequence > since);
+        return {
+            sequence: this.sequence,
+            teams: Object.fromEntries(changed.map(([team, entry]) => [team, entry.demand]))
+        };
+    }
+}
+
+function hasChanged(before: TeamDemand, after: TeamDemand): boolean {
+    return [["wanted", CHANGE_PART] as const, ["quantum", 0] as const].some(([field, part]) =>
+        DIMENSIONS.some(dimension => {
+            const [left, right] = [dimension.read(before[field]), dimension.read(after[field])];
+            return Math.abs(left - right) > part * Math.max(left, right);
+        })
+    );
+}
--- /dev/null
+++ b/packages/control/src/limits/LookupDemandScheduler.ts
@@ -0,0 +1,90 @@
+import type {
+    LookupDecision,
+    LookupScheduler,
+    LookupTeamPolicy,
+    PendingLookup,
+    TargetView
+} from "@skylarkpath/common/scheduling/LookupScheduler";
+import type { WaitExplanation } from "@skylarkpath/common/scheduling/TaskScheduler";
+
+/** Look-up scheduler that also knows how many look-ups of each team wait. */
+export class LookupDemandScheduler implements LookupScheduler {
+    private readonly teams = new Map<string, string>();
+    private readonly waiting = new Map<string, number>();
+    private readonly targets = new Map<string, TargetView>();
+
+    constructor(private readonly inner: LookupScheduler) {}
+
+    /** Slots of all targets. */
+    public get capacity(): number {
+        return [...this.targets.values()].reduce((sum, target) => sum + target.slots, 0);
+    }
+
+    /** Slots of targets that take nothing, as their use may not be known yet. */
+    public get unknownSlots(): number {
+        const closed = [...this.targets.values()].filter(target => !target.schedulable);
+        return closed.reduce((sum, target) => sum + target.slots, 0);
+    }
+
+    /** Look-ups of a team that wait for a slot. */
+    public waitingCount(team: string): number {
+        return this.waiting.get(team) ?? 0;
+    }
+
+    public setTeams(teams: ReadonlyMap<string, LookupTeamPolicy>): void {
+        this.inner.setTeams(teams);
+    }
+
+    public upsertTarget(target: TargetView): void {
+        this.targets.set(target.targetId, target);
+        this.inner.upsertTarget(target);
+    }
+
+    public removeTarget(targetId: string): void {
+        this.targets.delete(targetId);
+        this.inner.removeTarget(targetId);
+    }
+
+    public submit(lookup: PendingLookup): void {
+        this.teams.set(lookup.lookupId, lookup.team);
+        this.waiting.set(lookup.team, this.waitingCount(lookup.team) + 1);
+        this.inner.submit(lookup);
+    }
+
+    public adopt(lookupId: string, team: string, targetId: string): void {
+        this.inner.adopt(lookupId, team, targetId);
+    }
+
+    public withdraw(lookupId: string): boolean {
+        this.noteDecided(lookupId);
+        return this.inner.withdraw(lookupId);
+    }
+
+    public finished(lookupId: string, latencyMs: number, succeeded: boolean): void {
+        this.inner.finished(lookupId, latencyMs, succeeded);
+    }
+
+    public decide(nowMs: number): readonly LookupDecision[] {
+        const decisions = this.inner.decide(nowMs);
+        for (const decision of decisions) {
+            this.noteDecided(decision.lookupId);
+        }
+        return decisions;
+    }
+
+    public explain(lookupId: string): WaitExplanation | undefined {
+        return this.inner.explain(lookupId);
+    }
+
+    public slotsInUse(team: string): number {
+        return this.inner.slotsInUse(team);
+    }
+
+    private noteDecided(lookupId: string): void {
+        const team = this.teams.get(lookupId);
+        if (team !== undefined) {
+            this.teams.delete(lookupId);
+            this.waiting.set(team, this.waitingCount(team) - 1);
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/limits/TaskDemandScheduler.ts
@@ -0,0 +1,209 @@
+import { addResources, NO_RESOURCES, type Resources, scaleResources } from "@skylarkpath/common/model/Resources";
+import type { TeamAllotment } from "@skylarkpath/common/model/Slice";
+import {
+    type Decision,
+    DecisionKind,
+    GroupKind,
+    type TaskEnd,
+    TaskEnd as End,
+    type TaskGroup,
+    type TaskScheduler,
+    type TeamPolicy,
+    type WaitExplanation,
+    type WorkerView
+} from "@skylarkpath/common/scheduling/TaskScheduler";
+
+interface GroupDemand {
+    readonly group: TaskGroup;
+    readonly waiting: Set<string>;
+    readonly running: Set<string>;
+    readonly finished: Set<string>;
+}
+
+interface RunningTask {
+    readonly groupId: string;
+    readonly workerId: string;
+    stopping: boolean;
+}
+
+/** Amounts by team. */
+export type TeamCaps = ReadonlyMap<string, TeamAllotment>;
+
+/** Task scheduler that also knows what each team wants, and stops the youngest tasks above a lowered limit. */
+export class TaskDemandScheduler implements TaskScheduler {
+    private readonly groups = new Map<string, GroupDemand>();
+    /** Running tasks, oldest first. */
+    private readonly tasks = new Map<string, RunningTask>();
+    private readonly workers = new Map<string, Resources>();
+    private policies: ReadonlyMap<string, TeamPolicy> = new Map();
+
+    constructor(private readonly inner: TaskScheduler, private readonly enforcedCaps: () => TeamCaps) {}
+
+    /** What all workers of the slice hold. */
+    public get capacity(): Resources {
+        return [...this.workers.values()].reduce(addResources, NO_RESOURCES);
+    }
+
+    /** Allotment that the slice lets a team spend now. */
+    public spendable(team: string): Resources {
+        return this.policies.get(team)?.allotment.resources ?? NO_RESOURCES;
+    }
+
+    /** Waiting work by team. */
+    public waitingByTeam(): ReadonlyMap<string, Resources> {
+        const waiting = new Map<string, Resources>();
+        for (const { group, waiting: taskIds } of this.groups.values()) {
+            const amount = scaleResources(group.resources, taskIds.size);
+            waiting.set(group.team, addResources(waiting.get(group.team) ?? NO_RESOURCES, amount));
+        }
+        return waiting;
+    }
+
+    /** Largest piece of waiting work of a team that has to start as a whole. */
+    public quantumOf(team: string): Resources {
+        let largest = NO_RESOURCES;
+        for (const { group, waiting } of this.groups.values()) {
+            if (group.team === team && waiting.size > 0) {
+                const count = group.kind === GroupKind.Gang ? waiting.size : 1;
+                largest = largerOf(largest, scaleResources(group.resources, count));
+            }
+        }
+        return largest;
+    }
+
+    public setTeams(teams: ReadonlyMap<string, TeamPolicy>): void {
+        this.policies = teams;
+        this.inner.setTeams(teams);
+    }
+
+    public upsertWorker(worker: WorkerView): void {
+        this.workers.set(worker.workerId, worker.capacity);
+        this.inner.upsertWorker(worker);
+    }
+
+    public removeWorker(workerId: string): void {
+        this.workers.delete(workerId);
+        this.inner.removeWorker(workerId);
+    }
+
+    public submit(group: TaskGroup): void {
+        const known = this.groups.get(group.groupId) ?? {
+            group,
+            waiting: new Set(),
+            running: new Set(),
+            finished: new Set()
+        };
+        this.groups.set(group.groupId, known);
+        for (const taskId of group.taskIds) {
+            if (!known.running.has(taskId) && !known.finished.has(taskId)) {
+                known.waiting.add(taskId);
+            }
+        }
+        this.inner.submit(group);
+    }
+
+    public adopt(taskId: string, groupId: string, workerId: string, startedAtMs: number): void {
+        this.noteStart(taskId, groupId, workerId);
+        this.inner.adopt(taskId, groupId, workerId, startedAtMs);
+    }
+
+    public withdraw(groupId: string): readonly string[] {
+        this.groups.get(groupId)?.waiting.clear();
+        this.removeIfDone(groupId);
+        return this.inner.withdraw(groupId);
+    }
+
+    public taskEnded(taskId: string, end: TaskEnd, nowMs: number): void {
+        const task = this.tasks.get(taskId);
+        const known = task && this.groups.get(task.groupId);
+        this.tasks.delete(taskId);
+        known?.running.delete(taskId);
+        if (end === End.Requeued) {
+            known?.waiting.add(taskId);
+        }
+        else {
+            known?.finished.add(taskId);
+        }
+        if (task) {
+            this.removeIfDone(task.groupId);
+        }
+        this.inner.taskEnded(taskId, end, nowMs);
+    }
+
+    public decide(nowMs: number): readonly Decision[] {
+        const decisions = this.inner.decide(nowMs);
+        for (const decision of decisions) {
+            if (decision.kind === DecisionKind.Start) {
+                this.noteStart(decision.taskId, decision.groupId, decision.workerId);
+            }
+            else if (decision.kind === DecisionKind.Reject) {
+                this.groups.delete(decision.groupId);
+            }
+        }
+        return [...decisions, ...this.stopsAboveCaps()];
+    }
+
+    public explain(groupId: string, nowMs: number): WaitExplanation | undefined {
+        return this.inner.explain(groupId, nowMs);
+    }
+
+    public usage(team: string): Resources {
+        return this.inner.usage(team);
+    }
+
+    private noteStart(taskId: string, groupId: string, workerId: string): void {
+        const known = this.groups.get(groupId);
+        known?.waiting.delete(taskId);
+        known?.running.add(taskId);
+        this.tasks.delete(taskId);
+        this.tasks.set(taskId, { groupId, workerId, stopping: false });
+    }
+
+    private removeIfDone(groupId: string): void {
+        const known = this.groups.get(groupId);
+        if (known && known.waiting.size === 0 && known.running.size === 0) {
+            this.groups.delete(groupId);
+        }
+    }
+
+    private stopsAboveCaps(): readonly Decision[] {
+        return [...this.enforcedCaps()].flatMap(([team, cap]) => this.stopsOf(team, cap.resources));
+    }
+
+    /** Stops the youngest tasks until what stays is within the cap. */
+    private stopsOf(team: string, cap: Resources): readonly Decision[] {
+        const usage = this.inner.usage(team);
+        if (!isAbove(usage, cap)) {
+            return [];
+        }
+        const decisions: Decision[] = [];
+        let staying = usage;
+        for (const [taskId, task] of [...this.tasks].reverse()) {
+            const group = this.groups.get(task.groupId)?.group;
+            if (group?.team !== team || !isAbove(staying, cap)) {
+                continue;
+            }
+            staying = addResources(staying, scaleResources(group.resources, -1));
+            if (!task.stopping) {
+                task.stopping = true;
+                const { groupId, workerId } = task;
+                decisions.push({ kind: DecisionKind.Stop, taskId, groupId, workerId });
+            }
+        }
+        return decisions;
+    }
+}
+
+function isAbove(usage: Resources, cap: Resources): boolean {
+    return usage.processorMillicores > cap.processorMillicores
+        || usage.memoryBytes > cap.memoryBytes
+        || usage.accelerators > cap.accelerators;
+}
+
+function largerOf(left: Resources, right: Resources): Resources {
+    return {
+        processorMillicores: Math.max(left.processorMillicores, right.processorMillicores),
+        memoryBytes: Math.max(left.memoryBytes, right.memoryBytes),
+        accelerators: Math.max(left.accelerators, right.accelerators)
+    };
+}
--- a/packages/control/src/peer/PeerMessages.ts
+++ b/packages/control/src/peer/PeerMessages.ts
@@ -25,6 +25,8 @@
     address: name,
     configVersion: wholeNumber,
     stopping: z.boolean(),
+    /** The process has reached the table service lately. */
+    storeReached: z.boolean(),
     slices: z.array(ownedSliceSchema).max(64).readonly()
 }).readonly();
 
@@ -68,6 +70,37 @@
 /** Heartbeat with the status of the key knowledge. */
 export const beatSchema = z.object({ heartbeat: heartbeatSchema, keys: keyStatusSchema }).readonly();
 
+const amount = z.number().finite().nonnegative();
+
+/** Amounts of all dimensions of a limit. */
+export const allotmentSchema = z.object({
+    resources: z.object({ processorMillicores: amount, memoryBytes: amount, accelerators: amount }).readonly(),
+    slots: amount
+}).readonly();
+
+/** What one slice was granted of all teams' limits. */
+export const sliceAllotmentSchema = z.object({
+    sliceId: name,
+    version: wholeNumber,
+    teams: z.record(
+        z.string(),
+        z.object({
+            granted: allotmentSchema,
+            target: allotmentSchema.optional(),
+            limit: allotmentSchema
+        }).readonly()
+    ).readonly()
+}).readonly();
+
+/** Question for the demand of a slice as changed since a sequence number. */
+export const readDemandSchema = z.object({ sliceId: name, since: wholeNumber }).readonly();
+
+/** Demand of the teams in one slice. */
+export const demandDeltaSchema = z.object({
+    sequence: wholeNumber,
+    teams: z.record(z.string(), z.object({ wanted: allotmentSchema, quantum: allotmentSchema }).readonly()).readonly()
+}).readonly();
+
 /** Versioned operators' text. */
 export const versionedTextSchema = z.object({ version: wholeNumber, text: z.string() }).readonly();
 
@@ -130,6 +163,8 @@
     ReadConfig = "config.read",
     ReadKeys = "keys.read",
     PushKeys = "keys.push",
+    PushAllotment = "limits.push",
+    ReadDemand = "limits.demand",
     SubmitRequest = "slice.submit",
     DescribeRequest = "slice.describe",
     CancelRequest = "slice.cancel",
--- a/packages/control/src/process/ProcessOptions.ts
+++ b/packages/control/src/process/ProcessOptions.ts
@@ -21,6 +21,10 @@
     readonly withdrawalTimeoutMs: number;
     /** Time over which processes spread what they held back during an outage of the store. */
     readonly rejoinSpreadMs: number;
+    /** Interval at which an owner reads the allotments of its slice. */
+    readonly allotmentIntervalMs: number;
+    /** Interval at which the coordinator moves allotments towards the demand. */
+    readonly rebalanceIntervalMs: number;
     readonly peerTimeoutMs: number;
     readonly taskLeaseMs: number;
     readonly workerExchangeIntervalMs: number;
@@ -59,6 +63,8 @@
     keyJoinLimitMs: 5000,
     withdrawalTimeoutMs: 3000,
     rejoinSpreadMs: 2000,
+    allotmentIntervalMs: 500,
+    rebalanceIntervalMs: 1000,
     peerTimeoutMs: 1500,
     taskLeaseMs: 10_000,
     workerExchangeIntervalMs: 500,
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -7,6 +7,7 @@
 import { type DescribeReply, RequestController } from "../entry/RequestController.js";
 import { KeyController } from "../keys/KeyController.js";
 import { AllotmentController } from "../limits/AllotmentController.js";
+import { AllotmentCoordinator } from "../limits/AllotmentCoordinator.js";
 import { MembershipController } from "../membership/MembershipController.js";
 import { PeerClient } from "../peer/PeerClient.js";
 import {
@@ -34,6 +35,7 @@
     private readonly writer: GroupCommitWriter;
     private readonly requestStore: RequestStore;
     private readonly allotments: AllotmentController;
+    private readonly coordinator: AllotmentCoordinator;
     private readonly ownership: OwnershipController;
     private stopping = false;
 
@@ -72,8 +74,29 @@
         this.keys = this.store.add(
             new KeyController(environment, options, this.peerClient, this.writer, this.membership)
         );
-        this.allotments = this.store.add(new AllotmentController(this.config));
+        this.allotments = this.store.add(
+            new AllotmentController(
+                environment,
+                options,
+                this.config,
+                this.peerClient,
+                this.membership,
+                this.writer
+            )
+        );
         this.directory = this.store.add(new SliceDirectory(this.membership));
+        this.coordinator = this.store.add(
+            new AllotmentCoordinator(
+                environment,
+                options,
+                this.config,
+                this.membership,
+                this.directory,
+                this.peerClient,
+                this.writer,
+                this.allotments
+            )
+        );
         this.ownership = this.store.add(
             new OwnershipController(sliceIds, environment, options, this.membership, this.writer)
         );
@@ -119,6 +142,8 @@
         this.membership.start(() => ({ heartbeat: this.composeHeartbeat(), keys: this.keys.status }));
         this.config.start();
         this.keys.start();
+        this.allotments.start();
+        this.coordinator.start();
         this.ownership.start();
     }
 
@@ -162,9 +187,10 @@
     }
 
     private acquire(slice: OwnedSlice): void {
+        const schedulers = this.allotments.openSlice(slice.sliceId, slice.guard);
         const controller = new SliceController(
             slice,
-            this.environment,
+            { ...this.environment, schedulers },
             this.options,
             this.requestStore,
             () => this.countServices()
@@ -182,6 +208,7 @@
     }
 
     private lose(sliceId: string): void {
+        this.allotments.closeSlice(sliceId);
         this.slices.get(sliceId)?.dispose();
         this.slices.delete(sliceId);
     }
@@ -221,6 +248,7 @@
             address: identity.address,
             configVersion: this.config.version,
             stopping: this.stopping,
+            storeReached: this.keys.isStoreReached,
             slices: this.ownedSlices.map(controller => ({
                 sliceId: controller.slice.sliceId,
                 epoch: controller.slice.epoch,
--- a/packages/proof/src/members/FaultyDeployment.ts
+++ b/packages/proof/src/members/FaultyDeployment.ts
@@ -27,8 +27,12 @@
 
     public readonly deployment: VirtualDeployment;
 
-    constructor(topology: Topology, seed: number, processOptions?: Partial<ProcessOptions>) {
-        const defaults = DEFAULT_DEPLOYMENT_OPTIONS;
+    constructor(
+        topology: Topology,
+        seed: number,
+        processOptions?: Partial<ProcessOptions>,
+        defaults: typeof DEFAULT_DEPLOYMENT_OPTIONS = DEFAULT_DEPLOYMENT_OPTIONS
+    ) {
         this.deployment = new VirtualDeployment({
             ...defaults,
             topology,
--- /dev/null
+++ b/packages/proof/src/members/Limits.test.ts
@@ -0,0 +1,155 @@
+import { OutcomeState } from "@skylarkpath/common/model/Request";
+import type { SliceAllotment } from "@skylarkpath/common/model/Slice";
+import test from "ava";
+import { SMALL_TOPOLOGY } from "../Topology.js";
+import { DEFAULT_DEPLOYMENT_OPTIONS } from "../VirtualDeployment.js";
+import { FaultyDeployment } from "./FaultyDeployment.js";
+import { MEMBERS_TEXT } from "./MembersText.js";
+import { RunningTeams } from "./RunningTeams.js";
+
+interface Fixture {
+    readonly faulty: FaultyDeployment;
+    readonly running: RunningTeams;
+    readonly key: string;
+}
+
+const SEED = 23;
+const LIMIT_MILLICORES = 12_000;
+const LONG_TASK_MS = 600_000;
+const DOMAINS = ["vantaa", "tampere", "oulu"];
+
+async function start(durationMs: number): Promise<Fixture> {
+    console.log(`seed ${SEED}`);
+    const faulty = new FaultyDeployment(SMALL_TOPOLOGY, SEED, {}, {
+        ...DEFAULT_DEPLOYMENT_OPTIONS,
+        taskBehaviorOf: task => ({ durationMs, fails: false, answer: task.taskId })
+    });
+    const running = new RunningTeams(faulty.deployment);
+    const { timer } = faulty.deployment;
+    await timer.advance(1500);
+    const first = faulty.deployment.process("vantaa-entry-0").process;
+    (await timer.advanceUntil(first.config.apply(MEMBERS_TEXT, 0)))._unsafeUnwrap();
+    const granted = await timer.advanceUntil(first.keys.grant("dispatch"));
+    await timer.advance(6000);
+    return { faulty, running, key: granted._unsafeUnwrap().key };
+}
+
+async function submitTasks(fixture: Fixture, processId: string, count: number): Promise<void> {
+    const { requests } = fixture.faulty.deployment.process(processId).process;
+    const tasks = { count, processorMillicores: 1000, memoryBytes: 1024 };
+    const submitting = requests.submit({ rawBody: { queue: "diagnostics", payload: "x", tasks }, key: fixture.key });
+    const reply = await fixture.faulty.deployment.timer.advanceUntil(submitting);
+    if (reply.outcome.state !== OutcomeState.Accepted) {
+        throw new Error(JSON.stringify(reply));
+    }
+}
+
+async function changeText(fixture: Fixture, text: string, baseVersion: number): Promise<void> {
+    const { config } = fixture.faulty.deployment.process("vantaa-entry-0").process;
+    const applied = await fixture.faulty.deployment.timer.advanceUntil(config.apply(text, baseVersion));
+    applied._unsafeUnwrap();
+}
+
+async function grantedSlots(fixture: Fixture): Promise<readonly number[]> {
+    const rows = await fixture.faulty.deployment.table.scan({ table: "allotments", prefix: "", limit: 100 });
+    return rows._unsafeUnwrap().filter(row => DOMAINS.includes(row.key)).map(row =>
+        (row.value as unknown as SliceAllotment).teams.dispatch!.granted.slots
+    );
+}
+
+function withLimit(processors: number): string {
+    return MEMBERS_TEXT.replace("processors = 12,", `processors = ${processors},`);
+}
+
+test("the limit moves to where the work is and is never exceeded", async t => {
+    const fixture = await start(2000);
+    await submitTasks(fixture, "vantaa-entry-0", 60);
+    await fixture.faulty.deployment.timer.advance(6000);
+    t.true(fixture.running.usage("dispatch", "vantaa").processorMillicores >= 9000);
+    await submitTasks(fixture, "oulu-entry-0", 60);
+    await fixture.faulty.deployment.timer.advance(8000);
+    t.true(fixture.running.usage("dispatch", "oulu").processorMillicores >= 3000);
+    await fixture.faulty.deployment.timer.advance(8000);
+    t.true(fixture.running.peakMillicores("dispatch") <= LIMIT_MILLICORES);
+    t.true(fixture.running.peakMillicores("dispatch") >= LIMIT_MILLICORES - 1000);
+});
+
+test("a domain that is cut off keeps its allotment until the operators declare it as lost", async t => {
+    const fixture = await start(LONG_TASK_MS);
+    await submitTasks(fixture, "oulu-entry-0", 4);
+    await fixture.faulty.deployment.timer.advance(3000);
+    const before = fixture.running.usage("dispatch", "oulu").processorMillicores;
+    t.is(before, 4000);
+    fixture.faulty.cut("oulu", "vantaa");
+    fixture.faulty.cut("oulu", "tampere");
+    fixture.faulty.cutPlatform("oulu");
+    await submitTasks(fixture, "vantaa-entry-0", 40);
+    await fixture.faulty.deployment.timer.advance(30_000);
+    t.is(fixture.running.usage("dispatch", "oulu").processorMillicores, before);
+    t.true(fixture.running.peakMillicores("dispatch") <= LIMIT_MILLICORES);
+    t.true(fixture.running.usage("dispatch", "vantaa").processorMillicores >= 6000);
+    const lost = MEMBERS_TEXT.replace("[failure_domains.oulu]\n", "[failure_domains.oulu]\nlost = true\n");
+    await changeText(fixture, lost, 1);
+    await fixture.faulty.deployment.timer.advance(6000);
+    t.true(fixture.running.usage("dispatch", "vantaa").processorMillicores >= 10_000);
+});
+
+test("a lowered limit is in force within seconds and the youngest tasks above it stop", async t => {
+    const fixture = await start(LONG_TASK_MS);
+    for (const domain of DOMAINS) {
+        await submitTasks(fixture, `${domain}-entry-0`, 20);
+    }
+    await fixture.faulty.deployment.timer.advance(6000);
+    t.is(fixture.running.usage("dispatch").processorMillicores, LIMIT_MILLICORES);
+    await changeText(fixture, withLimit(6), 1);
+    await fixture.faulty.deployment.timer.advance(3000);
+    fixture.running.resetPeaks();
+    const lowered = fixture.running.usage("dispatch").processorMillicores;
+    t.true(lowered <= 6000 && lowered >= 4000, `${lowered}`);
+    await fixture.faulty.deployment.timer.advance(20_000);
+    t.true(fixture.running.peakMillicores("dispatch") <= 6000);
+    await changeText(fixture, withLimit(9), 2);
+    await fixture.faulty.deployment.timer.advance(6000);
+    const raised = fixture.running.usage("dispatch").processorMillicores;
+    t.true(raised > 6000 && raised <= 9000, `${raised}`);
+});
+
+test("an owner that dies leaves its allotment to its successor and the limit holds", async t => {
+    const fixture = await start(LONG_TASK_MS);
+    await submitTasks(fixture, "vantaa-entry-1", 30);
+    await submitTasks(fixture, "oulu-entry-0", 30);
+    await fixture.faulty.deployment.timer.advance(6000);
+    const before = fixture.running.usage("dispatch", "vantaa").processorMillicores;
+    t.true(before > 0);
+    fixture.faulty.deployment.kill("vantaa-entry-0");
+    await fixture.faulty.deployment.timer.advance(15_000);
+    t.is(fixture.running.usage("dispatch", "vantaa").processorMillicores, before);
+    t.true(fixture.running.peakMillicores("dispatch") <= LIMIT_MILLICORES);
+});
+
+test("coordinators on both sides of a cut never grant more than the limit", async t => {
+    const fixture = await start(LONG_TASK_MS);
+    fixture.faulty.cut("oulu", "vantaa");
+    fixture.faulty.cut("oulu", "tampere");
+    await submitTasks(fixture, "vantaa-entry-0", 40);
+    await submitTasks(fixture, "oulu-entry-0", 40);
+    for (let second = 0; second < 20; second++) {
+        await fixture.faulty.deployment.timer.advance(1000);
+        const slots = await grantedSlots(fixture);
+        t.is(slots.length, DOMAINS.length);
+        t.true(slots.reduce((sum, granted) => sum + granted, 0) <= 6);
+    }
+    t.true(fixture.running.peakMillicores("dispatch") <= LIMIT_MILLICORES);
+});
+
+test("with the store down the allotments stay in force", async t => {
+    const fixture = await start(LONG_TASK_MS);
+    await submitTasks(fixture, "vantaa-entry-0", 30);
+    await fixture.faulty.deployment.timer.advance(6000);
+    const before = fixture.running.usage("dispatch").processorMillicores;
+    t.true(before > 0);
+    fixture.faulty.setStoreDown(true);
+    await fixture.faulty.deployment.timer.advance(30_000);
+    t.is(fixture.running.usage("dispatch").processorMillicores, before);
+    t.true(fixture.running.peakMillicores("dispatch") <= LIMIT_MILLICORES);
+});
