--- /dev/null
+++ b/packages/proof/src/histories/HistoryBatch.ts
@@ -0,0 +1,80 @@
+import type { History } from "../history/History.js";
+import { HistoryChecker } from "../rules/HistoryChecker.js";
+import type { Violation } from "../rules/HistoryRule.js";
+import { describeViolation, summarizeViolation } from "./HistoryReport.js";
+import { HistoryRun } from "./HistoryRun.js";
+import { composeScript } from "./ScriptComposer.js";
+import { shrinkScript } from "./ScriptShrinker.js";
+import type { FaultScript } from "./ScriptStep.js";
+
+/** Options of a batch of histories. */
+export interface HistoryBatchOptions {
+    /** Writes the events that belong to each violation. */
+    readonly trace: boolean;
+    /** Shrinks each script that shows a violation. */
+    readonly shrink: boolean;
+    readonly write: (line: string) => void;
+}
+
+interface JudgedHistory {
+    readonly history: History;
+    readonly violations: readonly Violation[];
+}
+
+const MAX_SHRINK_RUNS = 400;
+
+/** Runs histories of consecutive seeds one after the other and reports what the rules find. */
+export class HistoryBatch {
+    private readonly checker = new HistoryChecker();
+    private readonly countsByRule = new Map<string, number>();
+
+    constructor(private readonly options: HistoryBatchOptions) {}
+
+    /** Runs a range of seeds and returns the number of histories with violations. */
+    public async run(firstSeed: number, count: number): Promise<number> {
+        let violatingCount = 0;
+        for (let seed = firstSeed; seed < firstSeed + count; seed++) {
+            const { history, violations } = await this.judge(composeScript(seed));
+            if (violations.length > 0) {
+                violatingCount++;
+                this.report(seed, history, violations);
+                await this.reportShrunk(seed, violations[0]!);
+            }
+        }
+        const range = `seeds ${firstSeed} to ${firstSeed + count - 1}`;
+        this.options.write(`${range}: ${count} histories, ${violatingCount} with violations`);
+        this.countsByRule.forEach((total, rule) => this.options.write(`${rule}: ${total}`));
+        return violatingCount;
+    }
+
+    private async judge(script: FaultScript): Promise<JudgedHistory> {
+        const history = await new HistoryRun(script).run();
+        return { history, violations: this.checker.check(history) };
+    }
+
+    private report(seed: number, history: History, violations: readonly Violation[]): void {
+        for (const violation of violations) {
+            this.countsByRule.set(violation.rule, (this.countsByRule.get(violation.rule) ?? 0) + 1);
+            const text = this.options.trace ? describeViolation(history, violation) : summarizeViolation(violation);
+            this.options.write(`seed ${seed}: ${text}`);
+        }
+    }
+
+    private async reportShrunk(seed: number, violation: Violation): Promise<void> {
+        if (!this.options.shrink) {
+            return;
+        }
+        const breaks = async (script: FaultScript): Promise<boolean> => {
+            const { violations } = await this.judge(script);
+            return violations.some(found => found.rule === violation.rule);
+        };
+        const shrunk = await shrinkScript(composeScript(seed), breaks, MAX_SHRINK_RUNS);
+        const { history, violations } = await this.judge(shrunk);
+        const steps = shrunk.steps.map(step => `    ${JSON.stringify(step)}`).join("\n");
+        this.options.write(`seed ${seed} shrunk to ${shrunk.steps.length} steps:\n${steps}`);
+        const found = violations.find(candidate => candidate.rule === violation.rule);
+        if (found) {
+            this.options.write(describeViolation(history, found));
+        }
+    }
+}
--- /dev/null
+++ b/packages/proof/src/mutants/AllMutants.ts
@@ -0,0 +1,114 @@
+import { TableName } from "@skylarkpath/common/platform/TableService";
+import { DEFAULT_WORKER_CHECKS } from "@skylarkpath/standins/memory/MemoryWorker";
+import { AtMostOnceRule } from "../rules/AtMostOnceRule.js";
+import { ConfigRule } from "../rules/ConfigRule.js";
+import { GracefulStopRule } from "../rules/GracefulStopRule.js";
+import { LeavingRule } from "../rules/LeavingRule.js";
+import { NeverLostRule } from "../rules/NeverLostRule.js";
+import { NotRunRule } from "../rules/NotRunRule.js";
+import { OnePlaceRule } from "../rules/OnePlaceRule.js";
+import { TeamKeyRule } from "../rules/TeamKeyRule.js";
+import { TeamLimitRule } from "../rules/TeamLimitRule.js";
+import { WholeAnswerRule } from "../rules/WholeAnswerRule.js";
+import { WorkerCapacityRule } from "../rules/WorkerCapacityRule.js";
+import {
+    withDeniedDispatch,
+    withFirstText,
+    withoutLeaving,
+    withoutRowsOf,
+    withoutWithdrawals,
+    withStaleAnswers
+} from "./BrokenEnvironments.js";
+import { adoptFirstVersionOnly, adoptLowerVersions, takeKeysForDepot } from "./BrokenProcesses.js";
+import { EXAGGERATED_LIMITS, EXAGGERATED_WORKERS } from "./BrokenSchedulers.js";
+import type { Mutant } from "./Mutant.js";
+import * as scripts from "./MutantScripts.js";
+
+/** Broken builds for all rules. */
+export const ALL_MUTANTS: readonly Mutant[] = [
+    {
+        name: "a worker does not check its capacity and its owner takes it for larger",
+        rule: new WorkerCapacityRule(),
+        script: scripts.FULL_WORKERS,
+        broken: { schedulers: EXAGGERATED_WORKERS, workerChecks: { ...DEFAULT_WORKER_CHECKS, capacity: false } }
+    },
+    {
+        name: "a worker does not stop tasks whose leases lapsed",
+        rule: new OnePlaceRule(),
+        script: scripts.UNREACHED_WORKERS,
+        broken: { workerChecks: { ...DEFAULT_WORKER_CHECKS, lease: false } }
+    },
+    {
+        name: "withdrawals of keys are not seen",
+        rule: new TeamKeyRule(),
+        script: scripts.WITHDRAWN_KEY,
+        broken: { changeEnvironment: withoutWithdrawals }
+    },
+    {
+        name: "keys are taken for those of another team",
+        rule: new TeamKeyRule(),
+        script: scripts.ONE_LOOKUP,
+        broken: { changeProcess: takeKeysForDepot }
+    },
+    {
+        name: "the limit of a team is not checked for tasks",
+        rule: new TeamLimitRule(),
+        script: scripts.MANY_TASKS,
+        broken: { schedulers: EXAGGERATED_LIMITS }
+    },
+    {
+        name: "the limit of a team is not checked for slots",
+        rule: new TeamLimitRule(),
+        script: scripts.MANY_LOOKUPS,
+        broken: { schedulers: EXAGGERATED_LIMITS }
+    },
+    {
+        name: "a stale answer is accepted",
+        rule: new WholeAnswerRule(),
+        script: scripts.TWO_LOOKUPS,
+        broken: { changeEnvironment: withStaleAnswers }
+    },
+    {
+        name: "not-run is told after a dispatch",
+        rule: new NotRunRule(),
+        script: scripts.ONE_LOOKUP,
+        broken: { changeEnvironment: withDeniedDispatch }
+    },
+    {
+        name: "the start record of an order is skipped",
+        rule: new AtMostOnceRule(),
+        script: scripts.REPEATED_ORDER,
+        broken: { changeEnvironment: withoutRowsOf([TableName.Requests, TableName.Idempotency]) }
+    },
+    {
+        name: "the live list is read without the leaving machines",
+        rule: new LeavingRule(),
+        script: scripts.LEAVING_TARGET,
+        common: { targetsRefuseWhenLeaving: false },
+        broken: { changeEnvironment: withoutLeaving }
+    },
+    {
+        name: "a stop drops the requests in progress",
+        rule: new GracefulStopRule(),
+        script: scripts.STOP_IN_PROGRESS,
+        broken: { stopProcess: async process => process.dispose() }
+    },
+    {
+        name: "lower versions of the text are adopted",
+        rule: new ConfigRule(),
+        script: scripts.NEW_TEXT,
+        broken: { changeEnvironment: withFirstText, changeProcess: adoptLowerVersions }
+    },
+    {
+        name: "new versions of the text are not adopted",
+        rule: new ConfigRule(),
+        script: scripts.NEW_TEXT,
+        broken: { changeProcess: adoptFirstVersionOnly }
+    },
+    {
+        name: "accepted requests are not written",
+        rule: new NeverLostRule(),
+        script: scripts.ONE_BATCH,
+        broken: { changeEnvironment: withoutRowsOf([TableName.Requests]) }
+    }
+];
--- /dev/null
+++ b/packages/proof/src/mutants/BrokenProcesses.ts
@@ -0,0 +1,37 @@
+import type { VersionedText } from "@skylarkpath/common/model/OperatorsText";
+import type { SkylarkProcess } from "@skylarkpath/control/process/SkylarkProcess";
+import { ok } from "neverthrow";
+
+interface AdoptingConfig {
+    inForce: unknown;
+    adopt(next: VersionedText): void;
+}
+
+/** Exchanges parts of a process after it was composed. */
+export type ProcessChange = (process: SkylarkProcess) => void;
+
+/** Every key is taken for one of another team. */
+export const takeKeysForDepot: ProcessChange = process => {
+    process.keys.verify = () => ok("depot");
+};
+
+/** Lower versions of the text are adopted as well. */
+export const adoptLowerVersions: ProcessChange = process => {
+    const config = process.config as unknown as AdoptingConfig;
+    const adopt = config.adopt.bind(config);
+    config.adopt = next => {
+        config.inForce = undefined;
+        adopt(next);
+    };
+};
+
+/** Only the first version of the text is adopted. */
+export const adoptFirstVersionOnly: ProcessChange = process => {
+    const config = process.config as unknown as AdoptingConfig;
+    const adopt = config.adopt.bind(config);
+    config.adopt = next => {
+        if (next.version === 1) {
+            adopt(next);
+        }
+    };
+};
--- /dev/null
+++ b/packages/proof/src/mutants/BrokenSchedulers.ts
@@ -0,0 +1,61 @@
+import { scaleResources } from "@skylarkpath/common/model/Resources";
+import type { LookupScheduler } from "@skylarkpath/common/scheduling/LookupScheduler";
+import type { SchedulerFactory } from "@skylarkpath/common/scheduling/SchedulerFactory";
+import type { TaskScheduler } from "@skylarkpath/common/scheduling/TaskScheduler";
+import { StandardSchedulerFactory } from "@skylarkpath/decisions/StandardSchedulerFactory";
+
+const EXAGGERATION = 100;
+
+const sound = new StandardSchedulerFactory();
+
+/** Schedulers that take workers for larger than they are. */
+export const EXAGGERATED_WORKERS: SchedulerFactory = {
+    createTaskScheduler: random => {
+        const scheduler = sound.createTaskScheduler(random);
+        return override<TaskScheduler>(scheduler, {
+            upsertWorker: worker => {
+                const capacity = scaleResources(worker.capacity, EXAGGERATION);
+                scheduler.upsertWorker({ ...worker, capacity });
+            }
+        });
+    },
+    createLookupScheduler: random => sound.createLookupScheduler(random)
+};
+
+/** Schedulers that take the limits of teams for larger than they are. */
+export const EXAGGERATED_LIMITS: SchedulerFactory = {
+    createTaskScheduler: random => {
+        const scheduler = sound.createTaskScheduler(random);
+        return override<TaskScheduler>(scheduler, {
+            setTeams: teams =>
+                scheduler.setTeams(
+                    new Map([...teams].map(([team, policy]) => {
+                        const resources = scaleResources(policy.allotment.resources, EXAGGERATION);
+                        return [team, { ...policy, allotment: { ...policy.allotment, resources } }];
+                    }))
+                )
+        });
+    },
+    createLookupScheduler: random => {
+        const scheduler = sound.createLookupScheduler(random);
+        return override<LookupScheduler>(scheduler, {
+            setTeams: teams =>
+                scheduler.setTeams(
+                    new Map([...teams].map(([team, policy]) => [
+                        team,
+                        { ...policy, slots: policy.slots * EXAGGERATION }
+                    ]))
+                )
+        });
+    }
+};
+
+/** Returns an object that differs from another one in some methods. */
+function override<T extends object>(original: T, changed: Partial<T>): T {
+    return new Proxy(original, {
+        get: (target, name) => {
+            const value: unknown = Reflect.get(changed, name) ?? Reflect.get(target, name);
+            return typeof value === "function" ? value.bind(target) : value;
+        }
+    });
+}
--- /dev/null
+++ b/packages/proof/src/mutants/MutantScripts.ts
@@ -0,0 +1,114 @@
+import { rangeOf } from "@skylarkpath/common/base/Ranges";
+import type { TextVariant } from "../histories/HistoryText.js";
+import {
+    type FaultScript,
+    type ScriptAction,
+    type ScriptRequest,
+    type ScriptStep,
+    StepKind
+} from "../histories/ScriptStep.js";
+
+const FIRST_OWNER = "vantaa-entry-0";
+const OTHER_ENTRY = "vantaa-entry-1";
+const REMOTE_ENTRY = "oulu-entry-0";
+const LOOKUP: ScriptRequest = {
+    name: "lookup",
+    queue: "part-lookup",
+    team: "dispatch",
+    entry: OTHER_ENTRY,
+    taskCount: 0,
+    processorMillicores: 0,
+    declaredDurationMs: 0,
+    durationMs: 800,
+    fails: false
+};
+const BATCH: ScriptRequest = {
+    ...LOOKUP,
+    name: "batch",
+    queue: "diagnostics",
+    taskCount: 3,
+    processorMillicores: 3000
+};
+const ORDER: ScriptRequest = { ...LOOKUP, name: "order", queue: "battery-order", idempotencyKey: "key-of-order" };
+const WIDE_LIMITS: TextVariant = { processors: 200, slots: 40, replicas: 0 };
+
+function script(...steps: readonly ScriptStep[]): FaultScript {
+    return { seed: 1, clockRates: {}, steps };
+}
+
+function at(atMs: number, action: ScriptAction): ScriptStep {
+    return { atMs, action };
+}
+
+function submit(atMs: number, request: ScriptRequest): ScriptStep {
+    return at(atMs, { kind: StepKind.Submit, request });
+}
+
+/** Tasks that fill workers. */
+export const FULL_WORKERS = script(
+    at(100, { kind: StepKind.Apply, processId: FIRST_OWNER, variant: WIDE_LIMITS }),
+    submit(3000, { ...BATCH, processorMillicores: 12_000, durationMs: 4000 })
+);
+
+/** A worker that its owner cannot reach for longer than the leases of its tasks. */
+export const UNREACHED_WORKERS = script(
+    submit(100, { ...BATCH, durationMs: 12_000 }),
+    ...["vantaa-worker-0", "vantaa-worker-1"].map((workerId, place) =>
+        at(1000 + 9000 * place, {
+            kind: StepKind.CutWorker,
+            workerId,
+            processId: FIRST_OWNER,
+            oneWay: false,
+            silent: false,
+            durationMs: 9000
+        })
+    )
+);
+
+/** A key that goes on being used after its withdrawal. */
+export const WITHDRAWN_KEY = script(
+    at(100, { kind: StepKind.Withdraw, processId: FIRST_OWNER, team: "dispatch" }),
+    submit(6500, LOOKUP)
+);
+
+/** One look-up. */
+export const ONE_LOOKUP = script(submit(100, LOOKUP));
+
+/** Two look-ups one after the other. */
+export const TWO_LOOKUPS = script(
+    submit(100, { ...LOOKUP, name: "first" }),
+    submit(2000, { ...LOOKUP, name: "second" })
+);
+
+/** More tasks of one team than its upper limit. */
+export const MANY_TASKS = script(
+    ...rangeOf(5).map(place => submit(100, { ...BATCH, name: `batch${place}`, durationMs: 3000 }))
+);
+
+/** More look-ups of one team than it may use slots. */
+export const MANY_LOOKUPS = script(
+    ...rangeOf(12).map(place =>
+        submit(100, { ...LOOKUP, name: `lookup${place}`, entry: place % 2 === 0 ? OTHER_ENTRY : REMOTE_ENTRY })
+    )
+);
+
+/** An order that is repeated at another entry. */
+export const REPEATED_ORDER = script(submit(100, ORDER), submit(2000, { ...ORDER, entry: REMOTE_ENTRY }));
+
+/** Look-ups after a target began to leave. */
+export const LEAVING_TARGET = script(
+    at(100, { kind: StepKind.LeaveTarget, machineId: "vantaa-target-0" }),
+    ...rangeOf(12).map(place => submit(8000, { ...LOOKUP, name: `lookup${place}` }))
+);
+
+/** A planned stop while a look-up is in progress. */
+export const STOP_IN_PROGRESS = script(
+    submit(100, LOOKUP),
+    at(500, { kind: StepKind.Stop, processId: OTHER_ENTRY, replacedAfterMs: 1000 })
+);
+
+/** A new text. */
+export const NEW_TEXT = script(at(100, { kind: StepKind.Apply, processId: FIRST_OWNER, variant: WIDE_LIMITS }));
+
+/** One batch job. */
+export const ONE_BATCH = script(submit(100, { ...BATCH, durationMs: 500 }));
