--- a/packages/standins/src/memory/MemoryNetwork.ts
+++ b/packages/standins/src/memory/MemoryNetwork.ts
@@ -109,7 +109,7 @@
         const handler = this.peers.get(to)?.get(method);
         const copy: JsonValue = JSON.parse(JSON.stringify(parameters));
         const call = this.deliver(from, to, handler, found => found(copy, from));
-        const delivered = await Promise.race([call, this.expire<Result<JsonValue, string>>(timeoutMs)]);
+        const delivered = await this.expireAfter(timeoutMs, call);
         if (!delivered.sent) {
             return err({ kind: PeerErrorKind.Unreachable, message: `${to} cannot be reached.` });
         }
@@ -138,7 +138,7 @@
         request: TargetRequest
     ): Promise<Result<TargetAnswer, TargetError>> {
         const call = this.deliver(from, to, this.targets.get(to), target => target.dispatch(request));
-        const delivered = await Promise.race([call, this.expire<Result<TargetAnswer, TargetError>>(request.timeoutMs)]);
+        const delivered = await this.expireAfter(request.timeoutMs, call);
         return delivered.value ?? err(lostAtTarget(to, delivered.sent));
     }
 
@@ -151,9 +151,15 @@
         return delivered.value === undefined ? err(lostAtTarget(to, delivered.sent)) : ok(delivered.value);
     }
 
-    private async expire<T>(timeoutMs: number): Promise<Delivered<T>> {
-        await sleep(this.timer, timeoutMs);
-        return { sent: true };
+    /** Waits for a delivery; a reply that takes longer is lost. */
+    private expireAfter<T>(timeoutMs: number, call: Promise<Delivered<T>>): Promise<Delivered<T>> {
+        return new Promise(resolve => {
+            const expiry = this.timer.after(timeoutMs, () => resolve({ sent: true }));
+            void call.then(delivered => {
+                expiry.dispose();
+                resolve(delivered);
+            });
+        });
     }
 
     private async deliver<S, T>(
