--- a/packages/decisions/src/teams/TeamRegistry.ts
+++ b/packages/decisions/src/teams/TeamRegistry.ts
@@ -1,7 +1,8 @@
 import type { Resources } from "@skylarkpath/common/model/Resources";
 import type { TeamPolicy } from "@skylarkpath/common/scheduling/TaskScheduler";
 import type { GroupState } from "../groups/GroupState.js";
-import { unparkAll } from "../groups/ShapeRegistry.js";
+import type { Shape } from "../groups/Shape.js";
+import { unparkAll } from "../groups/ShapeQueue.js";
 import { PriorityLine } from "./PriorityLine.js";
 import { TeamAccount } from "./TeamAccount.js";
 
@@ -10,6 +11,7 @@
     public readonly urgentLine = new PriorityLine();
     public readonly serviceLine = new PriorityLine();
     public readonly ordinaryLine = new PriorityLine();
+    private knownFairLevel: number | undefined;
     private readonly accounts = new Map<string, TeamAccount>();
 
     /** Returns the account of a team; one without policy may run nothing. */
@@ -50,18 +52,34 @@
 
     /** Weighted dominant share that each team has when all with work running use exactly their share. */
     public fairLevel(): number {
-        let weights = 0;
-        for (const account of this.accounts.values()) {
-            weights += account.weightedShare > 0 ? account.weight : 0;
-        }
-        return weights > 0 ? 1 / weights : Number.POSITIVE_INFINITY;
+        this.knownFairLevel ??= this.computeFairLevel();
+        return this.knownFairLevel;
+    }
+
+    /** Has the fair level computed anew when asked for next. */
+    public forgetFairLevel(): void {
+        this.knownFairLevel = undefined;
+    }
+
+    /** Has to be called before the usage of a team changes. */
+    public beginChange(team: TeamAccount): void {
+        this.urgentLine.beginChange(team);
+        this.serviceLine.beginChange(team);
+        this.ordinaryLine.beginChange(team);
     }
 
-    /** Restores the order of the lines after the usage of a team changed. */
-    public teamChanged(team: TeamAccount): void {
-        this.urgentLine.teamChanged(team);
-        this.serviceLine.teamChanged(team);
-        this.ordinaryLine.teamChanged(team);
+    /** Has to be called after the usage of a team changed. */
+    public endChange(team: TeamAccount): void {
+        this.urgentLine.endChange(team);
+        this.serviceLine.endChange(team);
+        this.ordinaryLine.endChange(team);
+    }
+
+    /** Follows a task size that was blocked or unblocked. */
+    public shapeChanged(shape: Shape): void {
+        this.urgentLine.shapeChanged(shape);
+        this.serviceLine.shapeChanged(shape);
+        this.ordinaryLine.shapeChanged(shape);
     }
 
     /** Returns the line in which a group waits. */
@@ -71,4 +89,12 @@
         }
         return group.isService ? this.serviceLine : this.ordinaryLine;
     }
+
+    private computeFairLevel(): number {
+        let weights = 0;
+        for (const account of this.accounts.values()) {
+            weights += account.weightedShare > 0 ? account.weight : 0;
+        }
+        return weights > 0 ? 1 / weights : Number.POSITIVE_INFINITY;
+    }
 }
