--- a/packages/proof/src/members/FaultyDeployment.ts
+++ b/packages/proof/src/members/FaultyDeployment.ts
@@ -38,7 +38,7 @@
             topology,
             seed,
             processOptions: { ...defaults.processOptions, ...processOptions },
-            wrapEnvironment: environment => this.wrap(environment)
+            changeEnvironment: environment => this.wrap(environment)
         });
         this.deployment.network.setLinkPlan((from, to) => ({
             cut: this.isCut(from, to),
--- a/packages/standins/src/memory/MemoryNetwork.ts
+++ b/packages/standins/src/memory/MemoryNetwork.ts
@@ -30,6 +30,8 @@
 export interface Link {
     readonly cut: boolean;
     readonly delayMs: number;
+    /** A message over a cut link is lost without a sign; otherwise its sender learns that it was not sent. */
+    readonly silent?: boolean;
 }
 
 /** Chooses the state of a link when a message is sent. */
@@ -107,7 +109,7 @@
         const handler = this.peers.get(to)?.get(method);
         const copy: JsonValue = JSON.parse(JSON.stringify(parameters));
         const call = this.deliver(from, to, handler, found => found(copy, from));
-        const delivered = await Promise.race([call, this.expire<Result<JsonValue, string>>(timeoutMs)]);
+        const delivered = await this.expireAfter(timeoutMs, call);
         if (!delivered.sent) {
             return err({ kind: PeerErrorKind.Unreachable, message: `${to} cannot be reached.` });
         }
@@ -136,7 +138,7 @@
         request: TargetRequest
     ): Promise<Result<TargetAnswer, TargetError>> {
         const call = this.deliver(from, to, this.targets.get(to), target => target.dispatch(request));
-        const delivered = await Promise.race([call, this.expire<Result<TargetAnswer, TargetError>>(request.timeoutMs)]);
+        const delivered = await this.expireAfter(request.timeoutMs, call);
         return delivered.value ?? err(lostAtTarget(to, delivered.sent));
     }
 
@@ -149,9 +151,15 @@
         return delivered.value === undefined ? err(lostAtTarget(to, delivered.sent)) : ok(delivered.value);
     }
 
-    private async expire<T>(timeoutMs: number): Promise<Delivered<T>> {
-        await sleep(this.timer, timeoutMs);
-        return { sent: true };
+    /** Waits for a delivery; a reply that takes longer is lost. */
+    private expireAfter<T>(timeoutMs: number, call: Promise<Delivered<T>>): Promise<Delivered<T>> {
+        return new Promise(resolve => {
+            const expiry = this.timer.after(timeoutMs, () => resolve({ sent: true }));
+            void call.then(delivered => {
+                expiry.dispose();
+                resolve(delivered);
+            });
+        });
     }
 
     private async deliver<S, T>(
@@ -163,7 +171,7 @@
         const there = this.linkPlan(from, to);
         await sleep(this.timer, there.delayMs);
         if (there.cut || station === undefined) {
-            return { sent: false };
+            return { sent: there.cut && (there.silent ?? false) };
         }
         const value = await call(station);
         const back = this.linkPlan(to, from);
