Leave out whole values after a fault of syntax and name duplicates exactly

Cause: a faulty line with a value over several lines made its other lines look faulty too, and a name used twice inside an inline table was reported as the table's name. Conclusion: one fault of syntax gives one finding for values over several lines as well.

--- a/packages/skylark/src/SkylarkCli.test.ts
+++ b/packages/skylark/src/SkylarkCli.test.ts
@@ -173,6 +173,8 @@
     };
     const server = await serve(t, { "PUT /v1/config": { status: 422, body: problem } });
     t.is((await runOn(server, "config", "apply", "bad.toml", "--base", "0")).exitCode, ExitCode.Refused);
+    const asJson = await runOn(server, "config", "apply", "bad.toml", "--base", "0", "--json");
+    t.is(JSON.parse(asJson.output).findings.length, 3);
     t.deepEqual(server.calls, []);
     const refused = await runOn(server, "config", "apply", "good.toml", "--base", "0");
     t.is(refused.exitCode, ExitCode.Refused);
--- a/packages/skylark/src/commands/ConfigApplyCommand.ts
+++ b/packages/skylark/src/commands/ConfigApplyCommand.ts
@@ -1,3 +1,4 @@
+import type { Finding } from "@skylarkpath/common/base/Finding";
 import type { VersionedText } from "@skylarkpath/common/model/OperatorsText";
 import { renderLineDifference } from "@skylarkpath/text/LineDifference";
 import { parseOperatorsText } from "@skylarkpath/text/OperatorsTextParser";
@@ -32,8 +33,7 @@
         }
         const checked = parseOperatorsText(text.value);
         if (checked.isErr()) {
-            this.print(renderFindings(this.file, checked.error));
-            return ExitCode.Refused;
+            return this.refuse(checked.error);
         }
         return this.apply(client, text.value);
     }
@@ -58,8 +58,7 @@
 
     private explainFailure(error: OperatorsError, currentVersion: number, difference: string): ExitCode {
         if (error.problem?.findings !== undefined) {
-            this.print(renderFindings(this.file, error.problem.findings));
-            return ExitCode.Refused;
+            return this.refuse(error.problem.findings);
         }
         if (error.kind === OperatorsErrorKind.Conflict) {
             const winningVersion = error.problem?.winningVersion ?? currentVersion;
@@ -72,6 +71,11 @@
         return this.fail(error);
     }
 
+    private refuse(findings: readonly Finding[]): ExitCode {
+        this.printData({ file: this.file, findings }, () => renderFindings(this.file, findings));
+        return ExitCode.Refused;
+    }
+
     private printConflict(winningVersion: number, comparedVersion: number, difference: string): void {
         const compared = `difference of version ${comparedVersion} to ${this.file}:`;
         this.printData({ winningVersion, comparedVersion, difference }, () => `${compared}\n${difference}`);
--- /dev/null
+++ b/packages/text/src/FaultyLines.ts
@@ -0,0 +1,48 @@
+const TABLE_HEADER = /^\s*\[/;
+const QUOTED_OR_COMMENT = /"(?:[^"\\]|\\.)*"|'[^']*'|#.*/g;
+const MULTILINE_QUOTE = /"""|'''/g;
+const OPENING_BRACKET = /[[{]/g;
+const CLOSING_BRACKET = /[\]}]/g;
+
+/** Tells whether a line starts a table. */
+export function isTableHeader(line: string): boolean {
+    return TABLE_HEADER.test(line);
+}
+
+/** Returns the index after the last line that belongs to the faulty one: its table, its value or itself. */
+export function findFaultyEnd(lines: readonly string[], firstIndex: number): number {
+    if (isTableHeader(lines[firstIndex])) {
+        return findFrom(lines, firstIndex + 1, isTableHeader) ?? lines.length;
+    }
+    if (countMatches(lines[firstIndex], MULTILINE_QUOTE) === 1) {
+        const lastIndex = findFrom(lines, firstIndex + 1, line => countMatches(line, MULTILINE_QUOTE) > 0);
+        return (lastIndex ?? firstIndex) + 1;
+    }
+    return findBalancedEnd(lines, firstIndex);
+}
+
+/** Follows a value over several lines to its last bracket; an unbalanced value ends on its first line. */
+function findBalancedEnd(lines: readonly string[], firstIndex: number): number {
+    let open = 0;
+    for (let index = firstIndex; index < lines.length; index++) {
+        const code = lines[index].replace(QUOTED_OR_COMMENT, "");
+        open += countMatches(code, OPENING_BRACKET) - countMatches(code, CLOSING_BRACKET);
+        if (open <= 0) {
+            return index + 1;
+        }
+    }
+    return firstIndex + 1;
+}
+
+function findFrom(
+    lines: readonly string[],
+    firstIndex: number,
+    predicate: (line: string) => boolean
+): number | undefined {
+    const offset = lines.slice(firstIndex).findIndex(predicate);
+    return offset < 0 ? undefined : firstIndex + offset;
+}
+
+function countMatches(text: string, pattern: RegExp): number {
+    return text.match(pattern)?.length ?? 0;
+}
--- a/packages/text/src/OperatorsTextParser.test.ts
+++ b/packages/text/src/OperatorsTextParser.test.ts
@@ -102,6 +102,15 @@
         ["[queues.part-lookup]", "[queues.parts-database]", /^24:1: the name "parts-database" is used twice/],
         ["[queues.part-lookup]", "[queues.part_lookup]", /^24:9: queues: the name "part_lookup" must consist of/],
         ["[queues.diagnostics]", "[queues.part-lookup]", /^28:\d+: the name "queues.part-lookup" is used twice/],
+        ["slots = 60", "slots = 60, slots = 61", /^7:59: the name "slots" is used twice/],
+        ["share = 3", "share = 3\n\"share\" = 4", /^7:1: the name "share" is used twice/],
+        [
+            "count = 1\n",
+            "count = 1\ndepends_on = []\ndepends_on = [\n  \"x\", # ]\n  \"y\"\n]\n",
+            /^15:1: the name "depends_on" is/
+        ],
+        ["count = 1\n", "count = 1\nurgent = = {\n x = 1,\n y = 2 }\n", /^14:10: TOML syntax/],
+        ["command = \"parts-catalogue --serve\"", "command = = \"\"\"\nx\n\"\"\"", /^23:11: TOML syntax/],
         ["count = 3", "count = 3\ncount = 4", /^20:1: the name "count" is used twice/],
         ["team = \"workshop\"", "team = \"workshp\"", /^12:8: .*team "workshp" does not exist.*"workshop"/],
         ["count = 3", "count = 90", /^19:9: services\.parts-catalogue: count times size is 45 processors/],
--- a/packages/text/src/TomlReader.ts
+++ b/packages/text/src/TomlReader.ts
@@ -1,6 +1,7 @@
 import type { Finding, TextPosition } from "@skylarkpath/common/base/Finding";
 import { err, ok, type Result } from "neverthrow";
 import { ParseError, parseTOML } from "toml-eslint-parser";
+import { findFaultyEnd, isTableHeader } from "./FaultyLines.js";
 import { TomlKind, type TomlTable } from "./TomlNode.js";
 import { TomlTreeBuilder } from "./TomlTreeBuilder.js";
 import { quote } from "./Units.js";
@@ -37,7 +38,8 @@
 
 const REPEATED_PARSE_CHARACTERS = 1_048_576;
 const MAXIMUM_PARSES = 50;
-const TABLE_HEADER = /^\s*\[/;
+const TABLE_BRACKETS = /^\s*\[+|\].*$/g;
+const KEY_CHARACTERS = /^[A-Za-z0-9_-]+/;
 const TOML_VERSION = "1.0";
 const EMPTY_ROOT: TomlTable = {
     kind: TomlKind.Table,
@@ -107,7 +109,7 @@
     }
     const position = locateFault(error, lines);
     if (error.message.startsWith("Defining a key multiple times")) {
-        const message = `the name ${definedName(lines[position.line - 1])} is used twice`;
+        const message = `the name ${definedName(lines[position.line - 1], position.column)} is used twice`;
         return { finding: { position, message }, kind: FaultKind.Duplicate };
     }
     const detail = error.message.charAt(0).toLowerCase() + error.message.slice(1);
@@ -128,30 +130,30 @@
     return { line, column: Math.min(column, lines[line - 1].length) + 1 };
 }
 
-function definedName(line: string): string {
-    const trimmed = line.trim();
-    const name = trimmed.startsWith("[") ? trimmed.replace(/^\[+|\].*$/g, "") : trimmed.split("=")[0];
-    return quote(name.trim());
+/** Returns the whole path of a table, or the key at the place of the fault. */
+function definedName(line: string, column: number): string {
+    if (isTableHeader(line)) {
+        return quote(line.replace(TABLE_BRACKETS, "").trim());
+    }
+    const rest = line.slice(column - 1);
+    const key = /^["']/.test(rest) ? rest.split(rest[0])[1] : KEY_CHARACTERS.exec(rest)?.[0];
+    return quote(key ?? rest.trim());
 }
 
-/** Blanks the faulty line, or the whole table when its header is at fault. */
+/** Blanks the faulty line with what belongs to it; tells whether that can help. */
 function removeFault(state: ParseState, fault: SyntaxFault): boolean {
-    const first = fault.finding.position.line;
-    if (state.lines[first - 1].trim() === "") {
+    const firstIndex = fault.finding.position.line - 1;
+    const line = state.lines[firstIndex];
+    if (line.trim() === "") {
         return false;
     }
-    let last = first;
-    if (TABLE_HEADER.test(state.lines[first - 1])) {
+    const end = findFaultyEnd(state.lines, firstIndex);
+    if (isTableHeader(line)) {
         state.incomplete ||= fault.kind === FaultKind.Syntax;
-        while (last < state.lines.length && !TABLE_HEADER.test(state.lines[last])) {
-            last++;
-        }
     }
     else {
-        state.removedLines.add(first);
-    }
-    for (let line = first; line <= last; line++) {
-        state.lines[line - 1] = "";
+        state.removedLines.add(fault.finding.position.line);
     }
+    state.lines.fill("", firstIndex, end);
     return true;
 }
