--- /dev/null
+++ b/packages/control/src/entry/JobHandler.ts
@@ -0,0 +1,139 @@
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import {
+    composeRequestId,
+    type IdempotencyRecord,
+    OutcomeReason,
+    OutcomeState,
+    type RequestRecord,
+    type RequestSpec
+} from "@skylarkpath/common/model/Request";
+import { sleep } from "@skylarkpath/common/time/TimerService";
+import type { PeerClient } from "../peer/PeerClient.js";
+import { PeerMethod } from "../peer/PeerMessages.js";
+import { ownerNameOf, type ProcessEnvironment } from "../process/ProcessEnvironment.js";
+import type { ProcessOptions } from "../process/ProcessOptions.js";
+import type { SliceDirectory, SliceLocation } from "../slice/SliceDirectory.js";
+import type { RequestStore } from "../store/RequestStore.js";
+import type { RequestContext } from "./RequestContext.js";
+import { notRun, type RequestReply } from "./RequestReply.js";
+
+const RETRY_HINT_MS = 2000;
+const SUBMIT_ATTEMPTS = 3;
+
+/** Accepts batch and gang jobs durably and hands them to the owner of a slice. */
+export class JobHandler {
+    constructor(
+        private readonly environment: ProcessEnvironment,
+        private readonly options: ProcessOptions,
+        private readonly peerClient: PeerClient,
+        private readonly directory: SliceDirectory,
+        private readonly requests: RequestStore
+    ) {}
+
+    /** Accepts a job: commits it, or says that it did not run. */
+    public async accept(context: RequestContext): Promise<RequestReply> {
+        const { failureDomain, region } = this.environment.identity;
+        const location = this.directory.reachable(failureDomain, region)[0];
+        if (!location) {
+            return notRun(OutcomeReason.NoOwner, "No owner of a slice is known yet.", RETRY_HINT_MS);
+        }
+        const record = this.composeRecord(context.spec!, location);
+        const bodyHash = this.hashOf(context);
+        const acceptance = { record, idempotencyKey: context.idempotencyKey, bodyHash };
+        const timeout = sleep(this.environment.timer, this.options.acceptTimeoutMs).then(() => undefined);
+        const acceptanceWritten = this.requests.accept(acceptance);
+        const written = await Promise.race([acceptanceWritten, timeout]);
+        if (written === undefined) {
+            void acceptanceWritten.then(late => {
+                if (late.isOk()) {
+                    void this.handToOwner(record.requestId, location.sliceId);
+                }
+            });
+            return acceptanceUnknown(record.requestId);
+        }
+        if (written.isErr()) {
+            const refusal = notRun(OutcomeReason.StoreUnavailable, written.error.message, RETRY_HINT_MS);
+            return (await this.findEarlier(context)) ?? refusal;
+        }
+        this.environment.log.write(EVENTS.requestAccepted, { requestId: record.requestId, team: record.spec.team });
+        void this.handToOwner(record.requestId, location.sliceId);
+        return { requestId: record.requestId, outcome: record.outcome };
+    }
+
+    /** Hash of what a caller sent, to tell a repeated request from another one. */
+    public hashOf(context: RequestContext): string {
+        return this.environment.hasher.hash(JSON.stringify(context.rawBody));
+    }
+
+    /** Answers for an earlier request with the same idempotency key, or is undefined when there is certainly none. */
+    public async findEarlier(context: RequestContext): Promise<RequestReply | undefined> {
+        const { idempotencyKey, spec } = context;
+        if (idempotencyKey === undefined) {
+            return undefined;
+        }
+        const existing = await this.requests.findByKey(spec!.team, idempotencyKey);
+        if (existing.isErr()) {
+            return keyUnreadable();
+        }
+        return existing.value && this.answerFor(existing.value, this.hashOf(context));
+    }
+
+    /** Answers for the request that took an idempotency key before. */
+    public async findExisting(team: string, idempotencyKey: string, bodyHash: string): Promise<RequestReply> {
+        const existing = await this.requests.findByKey(team, idempotencyKey);
+        return existing.isOk() && existing.value ? this.answerFor(existing.value, bodyHash) : keyUnreadable();
+    }
+
+    private async answerFor(existing: IdempotencyRecord, bodyHash: string): Promise<RequestReply> {
+        if (existing.bodyHash !== bodyHash) {
+            return notRun(OutcomeReason.IdempotencyConflict, "The Idempotency-Key came with another body before.");
+        }
+        const { requestId } = existing;
+        const stored = await this.requests.find(requestId);
+        const outcome = stored.isOk() && stored.value
+            ? stored.value.record.outcome
+            : { state: OutcomeState.Accepted };
+        return { requestId, outcome };
+    }
+
+    private composeRecord(spec: RequestSpec, location: SliceLocation): RequestRecord {
+        return {
+            requestId: composeRequestId(location.sliceId, this.environment.hasher.randomToken()),
+            sliceId: location.sliceId,
+            spec,
+            claimEpoch: location.epoch,
+            entry: ownerNameOf(this.environment.identity),
+            acceptedAtMs: this.environment.timer.wallClockMs(),
+            outcome: { state: OutcomeState.Accepted }
+        };
+    }
+
+    /** Tells the owner of the committed request; an owner that is not reached finds it in the store. */
+    private async handToOwner(requestId: string, sliceId: string): Promise<void> {
+        for (let attempt = 0; attempt < SUBMIT_ATTEMPTS; attempt++) {
+            const location = this.directory.locate(sliceId);
+            const reply = location && await this.peerClient.call(
+                location.address,
+                PeerMethod.SubmitRequest,
+                { requestId },
+                this.options.peerTimeoutMs
+            );
+            if (reply?.isOk()) {
+                return;
+            }
+            await sleep(this.environment.timer, this.options.heartbeatIntervalMs);
+        }
+    }
+}
+
+function keyUnreadable(): RequestReply {
+    const detail = "The store cannot tell whether the Idempotency-Key came before; ask again with it.";
+    const reason = OutcomeReason.StoreUnavailable;
+    return { outcome: { state: OutcomeState.Unknown, reason, detail, retryAfterMs: RETRY_HINT_MS } };
+}
+
+function acceptanceUnknown(requestId: string): RequestReply {
+    const detail = "The store did not confirm the request in time; ask again by its id or Idempotency-Key.";
+    const reason = OutcomeReason.StoreUnavailable;
+    return { requestId, outcome: { state: OutcomeState.Unknown, reason, detail, retryAfterMs: RETRY_HINT_MS } };
+}
--- /dev/null
+++ b/packages/control/src/slice/JobController.ts
@@ -0,0 +1,400 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import { QueueKind } from "@skylarkpath/common/model/OperatorsText";
+import { isFinal, OutcomeState, type RequestOutcome } from "@skylarkpath/common/model/Request";
+import {
+    TaskEnd,
+    type TaskScheduler,
+    WaitCause,
+    type WaitExplanation
+} from "@skylarkpath/common/scheduling/TaskScheduler";
+import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
+import type { ProcessOptions } from "../process/ProcessOptions.js";
+import { WriteErrorKind } from "../store/GroupCommitWriter.js";
+import { ReadWindow } from "../store/ReadWindow.js";
+import type { RequestStore, SliceGuard, StoredRequest, TaskProgress } from "../store/RequestStore.js";
+import { Job, taskIndexOf } from "./Job.js";
+import type { Placements } from "./Placements.js";
+
+/** Outcome of a request with what it waits for. */
+export interface JobDescription {
+    readonly team: string;
+    readonly outcome: RequestOutcome;
+    readonly waiting?: WaitExplanation;
+}
+
+interface FinalOutcome {
+    readonly team: string;
+    readonly outcome: RequestOutcome;
+}
+
+/** Asks for a running task to be stopped. */
+export type StopTask = (taskId: string) => void;
+
+/** What to do with a task that an inventory shows as running. */
+export enum Adoption {
+    Adopted = "adopted",
+    /** The task has no right to run. */
+    Stop = "stop",
+    /** Not known yet; the task goes on until it is. */
+    Later = "later"
+}
+
+const PAYLOADS_AT_ONCE = 32;
+
+/** Holds the open batch and gang jobs of a slice and commits their outcomes. */
+export class JobController implements Disposable {
+    private readonly store = new DisposableStore();
+    private readonly jobs = new Map<string, Job>();
+    private readonly finalOutcomes = new Map<string, FinalOutcome>();
+    private readonly reads = new ReadWindow();
+    private readonly changeEmitter = this.store.add(new Emitter<void>());
+    private readonly finishedEmitter = this.store.add(new Emitter<string>());
+    private readonly conflictEmitter = this.store.add(new Emitter<string>());
+    private readonly ordersEmitter = this.store.add(new Emitter<readonly StoredRequest[]>());
+    private readonly supersededEmitter = this.store.add(new Emitter<number>());
+    private loading = false;
+    private loaded = false;
+    private mayStartEarlierClaims = false;
+
+    /** Tells that the scheduler has new work or free capacity. */
+    public readonly onChange = this.changeEmitter.event;
+    /** Tells the id of each request whose outcome is committed. */
+    public readonly onFinished = this.finishedEmitter.event;
+    /** Tells the open requests that are not idempotent, each time they were read. */
+    public readonly onOrders = this.ordersEmitter.event;
+    /** Tells a request whose outcome was refused, as when another process owns the slice. */
+    public readonly onConflict = this.conflictEmitter.event;
+    /** Tells the epoch of a request that was claimed under a later owner. */
+    public readonly onSuperseded = this.supersededEmitter.event;
+
+    constructor(
+        private readonly sliceId: string,
+        private readonly epoch: number,
+        private readonly environment: ProcessEnvironment,
+        private readonly options: ProcessOptions,
+        private readonly requests: RequestStore,
+        private readonly scheduler: TaskScheduler,
+        private readonly guard: SliceGuard,
+        private readonly placements: Placements,
+        private readonly stopTask: StopTask
+    ) {}
+
+    /** Tells whether all open requests of the slice were loaded. */
+    public get isLoaded(): boolean {
+        return this.loaded;
+    }
+
+    /** Requests that are held until work of former epochs has certainly ended. */
+    public get heldCount(): number {
+        return this.mayStartEarlierClaims ? 0 : [...this.jobs.values()].filter(job => job.claimedEarlier).length;
+    }
+
+    /** Open requests. */
+    public get openCount(): number {
+        return this.jobs.size;
+    }
+
+    /** Finds the open job of a request. */
+    public find(requestId: string): Job | undefined {
+        return this.jobs.get(requestId);
+    }
+
+    /** Loads the open requests of the slice; returns false when the store is not reached. */
+    public async load(): Promise<boolean> {
+        if (this.loading) {
+            return this.loaded;
+        }
+        this.loading = true;
+        const isLoaded = await this.reads.run(() => this.readOpen());
+        this.loading = false;
+        if (isLoaded) {
+            this.loaded = true;
+            for (const job of this.jobs.values()) {
+                this.release(job);
+                this.finishWhenComplete(job);
+            }
+            this.changeEmitter.fire();
+        }
+        return isLoaded;
+    }
+
+    /** Takes in a request that was committed for this slice; returns false when it is not known to be committed. */
+    public async submit(requestId: string): Promise<boolean> {
+        if (this.jobs.has(requestId)) {
+            return true;
+        }
+        const isFound = await this.reads.run(async () => {
+            const stored = await this.requests.find(requestId);
+            if (stored.isErr() || !stored.value) {
+                return false;
+            }
+            return !isFinal(stored.value.record.outcome) ? this.add(stored.value) : true;
+        });
+        this.changeEmitter.fire();
+        return isFound;
+    }
+
+    /** Lets tasks claimed under former epochs start again. */
+    public releaseHold(): void {
+        this.mayStartEarlierClaims = true;
+        for (const job of this.jobs.values()) {
+            this.release(job);
+            this.finishCancelled(job);
+        }
+        this.changeEmitter.fire();
+    }
+
+    /** Counts a task as running where an inventory found it. */
+    public adopt(taskId: string, requestId: string, workerId: string): Adoption {
+        const job = this.jobs.get(requestId);
+        if (!job) {
+            return this.adoptUnknown(requestId);
+        }
+        if (!job.mayRun || job.finishedIndexes.includes(taskIndexOf(taskId))) {
+            return Adoption.Stop;
+        }
+        this.count(job, taskId, workerId);
+        return Adoption.Adopted;
+    }
+
+    /** Notes that a task was handed to a worker. */
+    public noteStarted(taskId: string, requestId: string): void {
+        this.jobs.get(requestId)?.noteStarted(taskId);
+    }
+
+    /** Commits the answer of a task; resolves with true once the worker may forget it. */
+    public async taskSucceeded(taskId: string, requestId: string, answer: string): Promise<boolean> {
+        const isKnown = await this.submit(requestId);
+        const job = this.jobs.get(requestId);
+        if (!job) {
+            return isKnown;
+        }
+        const { timer } = this.environment;
+        this.scheduler.taskEnded(taskId, TaskEnd.Succeeded, timer.nowMs());
+        job.noteFinished(taskIndexOf(taskId), answer);
+        this.changeEmitter.fire();
+        if (job.isComplete) {
+            return this.finish(job, job.completeOutcome());
+        }
+        const progress = { requestId, taskIndex: taskIndexOf(taskId), answer };
+        const written = await this.requests.recordProgress(progress, this.guard);
+        this.finishCancelled(job);
+        return written.isOk();
+    }
+
+    /** Notes that a task ended without an answer. */
+    public taskEnded(taskId: string, requestId: string, end: TaskEnd): void {
+        const job = this.jobs.get(requestId);
+        job?.noteStopped(taskId);
+        const effectiveEnd = job && !job.isCancelled ? end : TaskEnd.Cancelled;
+        this.scheduler.taskEnded(taskId, effectiveEnd, this.environment.timer.nowMs());
+        if (job) {
+            this.finishCancelled(job);
+        }
+        this.changeEmitter.fire();
+    }
+
+    /** Ends a job that the scheduler gives up. */
+    public reject(requestId: string, detail: string): void {
+        const job = this.jobs.get(requestId);
+        if (job?.mayRun) {
+            void this.finish(job, job.rejectedOutcome(detail));
+        }
+    }
+
+    /** Cancels a job; resolves with its final outcome once nothing of it runs. */
+    public cancel(requestId: string): boolean {
+        const job = this.jobs.get(requestId);
+        if (!job) {
+            return false;
+        }
+        if (!job.isCancelled) {
+            job.cancel();
+            for (const taskId of this.scheduler.withdraw(requestId)) {
+                this.stopTask(taskId);
+            }
+            this.finishCancelled(job);
+        }
+        return true;
+    }
+
+    /** Describes a request of this slice, or undefined when it is not open here. */
+    public describe(requestId: string): JobDescription | undefined {
+        const final = this.finalOutcomes.get(requestId);
+        if (final) {
+            return final;
+        }
+        const job = this.jobs.get(requestId);
+        if (!job) {
+            return undefined;
+        }
+        const outcome = job.currentOutcome();
+        const { team } = job.stored.record.spec;
+        const waiting = outcome.state === OutcomeState.Accepted ? this.explain(job) : undefined;
+        return { team, outcome, waiting };
+    }
+
+    /** Commits final outcomes again whose commit has failed. */
+    public retryFinishes(): void {
+        for (const job of this.jobs.values()) {
+            if (job.pendingOutcome && !job.isClosed) {
+                void this.finish(job, job.pendingOutcome);
+            }
+        }
+    }
+
+    public dispose(): void {
+        this.store.dispose();
+    }
+
+    private explain(job: Job): WaitExplanation | undefined {
+        if (job.claimedEarlier && !this.mayStartEarlierClaims) {
+            const detail = "Workers of the slice are not yet fenced; the request may still run under its former owner.";
+            return { cause: WaitCause.Fencing, detail };
+        }
+        return this.scheduler.explain(job.requestId, this.environment.timer.nowMs());
+    }
+
+    /** A task of a request that is not known here runs on until the store has been asked. */
+    private adoptUnknown(requestId: string): Adoption {
+        if (this.finalOutcomes.has(requestId)) {
+            return Adoption.Stop;
+        }
+        void this.submit(requestId);
+        return Adoption.Later;
+    }
+
+    private async readOpen(): Promise<boolean> {
+        const open = await this.requests.loadOpen(this.sliceId);
+        const progress = await this.requests.loadProgress(this.sliceId);
+        if (open.isErr() || progress.isErr()) {
+            return false;
+        }
+        this.ordersEmitter.fire(open.value.filter(isOrder));
+        const answered = new Map<string, TaskProgress[]>();
+        for (const entry of progress.value) {
+            this.jobs.get(entry.requestId)?.noteFinished(entry.taskIndex, entry.answer);
+            answered.set(entry.requestId, [...answered.get(entry.requestId) ?? [], entry]);
+        }
+        for (let start = 0; start < open.value.length; start += PAYLOADS_AT_ONCE) {
+            const part = open.value.slice(start, start + PAYLOADS_AT_ONCE);
+            await Promise.all(part.map(stored => this.add(stored, answered.get(stored.record.requestId))));
+        }
+        return true;
+    }
+
+    /** Takes in an open request; returns false when it must be read again. */
+    private async add(stored: StoredRequest, progress: readonly TaskProgress[] = []): Promise<boolean> {
+        const { requestId, claimEpoch } = stored.record;
+        if (claimEpoch > this.epoch) {
+            this.supersededEmitter.fire(claimEpoch);
+            return false;
+        }
+        if (isOrder(stored) || this.isKnown(requestId)) {
+            return true;
+        }
+        const payload = await this.requests.payloadOf(stored.record);
+        if (payload.isErr()) {
+            return false;
+        }
+        if (this.isKnown(requestId)) {
+            return true;
+        }
+        const job = new Job(stored, payload.value, claimEpoch < this.epoch);
+        progress.forEach(entry => job.noteFinished(entry.taskIndex, entry.answer));
+        this.jobs.set(requestId, job);
+        for (const { taskId, workerId } of this.placements.ofGroup(requestId)) {
+            this.count(job, taskId, workerId);
+        }
+        this.release(job);
+        return true;
+    }
+
+    private isKnown(requestId: string): boolean {
+        return this.jobs.has(requestId)
+            || this.finalOutcomes.has(requestId)
+            || this.reads.hasEnded(requestId);
+    }
+
+    private count(job: Job, taskId: string, workerId: string): void {
+        const { timer } = this.environment;
+        this.scheduler.submit(job.toGroup([taskId], timer.nowMs(), timer.wallClockMs()));
+        this.scheduler.adopt(taskId, job.requestId, workerId, timer.nowMs());
+        job.noteStarted(taskId);
+    }
+
+    private release(job: Job): void {
+        if (!job.mayRun || (job.claimedEarlier && !this.mayStartEarlierClaims)) {
+            return;
+        }
+        const { timer } = this.environment;
+        this.scheduler.submit(job.toGroup(job.openTaskIds, timer.nowMs(), timer.wallClockMs()));
+    }
+
+    private finishCancelled(job: Job): void {
+        const mayRunElsewhere = job.claimedEarlier && !this.mayStartEarlierClaims;
+        if (job.isCancelled && !job.isClosed && job.runningTasks.size === 0 && !mayRunElsewhere) {
+            void this.finish(job, job.cancelledOutcome());
+        }
+    }
+
+    private finishWhenComplete(job: Job): void {
+        if (job.isComplete && !job.isClosed) {
+            void this.finish(job, job.completeOutcome());
+        }
+    }
+
+    private async finish(job: Job, outcome: RequestOutcome): Promise<boolean> {
+        if (job.isClosed) {
+            return false;
+        }
+        job.close(job.pendingOutcome ?? outcome);
+        return this.commitOutcome(job, job.pendingOutcome ?? outcome);
+    }
+
+    private async commitOutcome(job: Job, outcome: RequestOutcome): Promise<boolean> {
+        for (const taskId of this.scheduler.withdraw(job.requestId)) {
+            this.stopTask(taskId);
+        }
+        const stored = { ...job.stored, record: { ...job.stored.record, outcome } };
+        const written = await this.requests.finish(stored, job.finishedIndexes, this.guard);
+        if (written.isErr()) {
+            job.reopen();
+            if (written.error.kind === WriteErrorKind.Conflict) {
+                this.conflictEmitter.fire(job.requestId);
+                await this.takeInOutcome(job);
+            }
+            return false;
+        }
+        this.noteEnded(job, outcome);
+        return true;
+    }
+
+    /** Takes the outcome that the store has, when another process has written it. */
+    private async takeInOutcome(job: Job): Promise<void> {
+        const stored = await this.requests.find(job.requestId);
+        const outcome = stored.isOk() ? stored.value?.record.outcome : undefined;
+        if (outcome && isFinal(outcome) && this.jobs.has(job.requestId)) {
+            this.noteEnded(job, outcome);
+        }
+    }
+
+    private noteEnded(job: Job, outcome: RequestOutcome): void {
+        this.jobs.delete(job.requestId);
+        this.reads.noteEnded(job.requestId);
+        this.finalOutcomes.set(job.requestId, { team: job.stored.record.spec.team, outcome });
+        this.environment.timer.after(this.options.lookupMemoryMs, () => this.finalOutcomes.delete(job.requestId));
+        this.environment.log.write(EVENTS.requestEnded, {
+            requestId: job.requestId,
+            state: outcome.state,
+            reason: outcome.reason
+        });
+        this.finishedEmitter.fire(job.requestId);
+    }
+}
+
+function isOrder(stored: StoredRequest): boolean {
+    return stored.record.spec.kind === QueueKind.Lookup;
+}
--- /dev/null
+++ b/packages/control/src/slice/SliceController.ts
@@ -0,0 +1,320 @@
+import type { SliceStatus } from "@skylarkpath/common/api/OperatorsApi";
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { OperatorsText } from "@skylarkpath/common/model/OperatorsText";
+import { subtractResources } from "@skylarkpath/common/model/Resources";
+import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
+import { WorkerCommandKind, WorkerRefusal } from "@skylarkpath/common/platform/WorkerService";
+import {
+    type Decision,
+    DecisionKind,
+    TaskEnd,
+    type TaskScheduler,
+    type TeamPolicy
+} from "@skylarkpath/common/scheduling/TaskScheduler";
+import type { SlicePolicies } from "../limits/AllotmentController.js";
+import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
+import { ownerNameOf } from "../process/ProcessEnvironment.js";
+import type { ProcessOptions } from "../process/ProcessOptions.js";
+import type { RequestStore, SliceGuard } from "../store/RequestStore.js";
+import { JobController, type JobDescription } from "./JobController.js";
+import { LookupController } from "./LookupController.js";
+import { type EntryCheck, OrderResolver } from "./OrderResolver.js";
+import { Placements } from "./Placements.js";
+import { isServiceGroup, ServiceController, type ServiceCounts } from "./ServiceController.js";
+import { TaskReportHandler } from "./TaskReportHandler.js";
+import { WorkerPool } from "./WorkerPool.js";
+import type { OwnershipConfirmation, RefusedStart, WorkerSession } from "./WorkerSession.js";
+import { composeWorkerTask } from "./WorkerTaskComposer.js";
+
+/** Slice that this process owns. */
+export interface OwnedSlice {
+    readonly sliceId: string;
+    readonly failureDomain: string;
+    readonly epoch: number;
+    readonly guard: SliceGuard;
+    readonly confirmOwnership: OwnershipConfirmation;
+}
+
+const COMMAND_KINDS = {
+    [DecisionKind.Throttle]: WorkerCommandKind.Throttle,
+    [DecisionKind.Checkpoint]: WorkerCommandKind.Checkpoint
+} as const;
+const DECISION_INTERVAL_MS = 100;
+const LOAD_RETRY_MS = 500;
+
+/** Owner of one slice: takes every decision about its workers, targets, jobs and services. */
+export class SliceController implements Disposable {
+    private readonly store = new DisposableStore();
+    private readonly staleEmitter = this.store.add(new Emitter<void>());
+    private readonly finishedEmitter = this.store.add(new Emitter<string>());
+    private readonly scheduler: TaskScheduler;
+    private readonly pool: WorkerPool;
+    private readonly jobs: JobController;
+    private readonly services: ServiceController;
+    /** Workers by the task that runs or may run there. */
+    private readonly placements = new Placements();
+    private readonly reports: TaskReportHandler;
+    private readonly orders: OrderResolver;
+    private policies: SlicePolicies = new Map();
+    private decisionPending = false;
+    private disposed = false;
+
+    /** Gives executor slots to look-ups. */
+    public readonly lookups: LookupController;
+    /** Tells that another owner has a higher epoch. */
+    public readonly onStale = this.staleEmitter.event;
+    /** Tells the id of each request whose outcome is committed. */
+    public readonly onRequestFinished = this.finishedEmitter.event;
+
+    constructor(
+        public readonly slice: OwnedSlice,
+        private readonly environment: ProcessEnvironment,
+        private readonly options: ProcessOptions,
+        requests: RequestStore,
+        runningServices: ServiceCounts,
+        isEntryAlive: EntryCheck
+    ) {
+        this.scheduler = environment.schedulers.createTaskScheduler(environment.random);
+        this.pool = this.store.add(new WorkerPool(environment, options, slice.epoch, slice.confirmOwnership));
+        this.jobs = this.store.add(
+            new JobController(
+                slice.sliceId,
+                slice.epoch,
+                environment,
+                options,
+                requests,
+                this.scheduler,
+                slice.guard,
+                this.placements,
+                taskId => this.stopTask(taskId)
+            )
+        );
+        this.services = new ServiceController(slice.failureDomain, this.scheduler, runningServices);
+        this.reports = this.store.add(
+            new TaskReportHandler(environment, this.scheduler, this.placements, this.jobs, this.services)
+        );
+        const lookupScheduler = environment.schedulers.createLookupScheduler(environment.random);
+        this.lookups = this.store.add(new LookupController(environment, options, lookupScheduler));
+        this.orders = this.store.add(
+            new OrderResolver(environment, requests, slice.guard, isEntryAlive, id => this.lookups.addressOf(id))
+        );
+        this.subscribe();
+    }
+
+    /** Running replicas by service. */
+    public get runningServices(): Readonly<Record<string, number>> {
+        return this.services.runningCounts;
+    }
+
+    /** Begins to own the slice: loads its requests and fences its workers. */
+    public start(): void {
+        this.store.add(this.environment.timer.every(DECISION_INTERVAL_MS, () => this.decide()));
+        this.store.add(this.environment.timer.every(this.options.reloadIntervalMs, () => this.reload()));
+        void this.load();
+    }
+
+    /** Takes in the machines of the slice. */
+    public updateMachines(machines: readonly LiveMachine[]): void {
+        this.pool.update(machines);
+        this.lookups.update(machines);
+    }
+
+    /** Takes in the operators' text. */
+    public updateText(text: OperatorsText): void {
+        for (const taskId of this.services.update(text)) {
+            this.stopTask(taskId);
+        }
+        this.decideSoon();
+    }
+
+    /** Takes in the shares and allotments of the teams. */
+    public updatePolicies(policies: SlicePolicies): void {
+        this.policies = policies;
+        this.lookups.setPolicies(policies);
+        this.applyPolicies();
+    }
+
+    /** Takes in a committed request. */
+    public submit(requestId: string): Promise<boolean> {
+        return this.jobs.submit(requestId);
+    }
+
+    /** Describes a request that is open here or ended lately. */
+    public describe(requestId: string): JobDescription | undefined {
+        return this.jobs.describe(requestId);
+    }
+
+    /** Cancels a request; returns false when it is not open here. */
+    public cancel(requestId: string): boolean {
+        return this.jobs.cancel(requestId);
+    }
+
+    /** Tells whether all open requests of the slice were loaded. */
+    public get isLoaded(): boolean {
+        return this.jobs.isLoaded;
+    }
+
+    /** State of the slice for operators. */
+    public status(): SliceStatus {
+        const sessions = this.pool.all;
+        return {
+            sliceId: this.slice.sliceId,
+            owner: ownerNameOf(this.environment.identity),
+            epoch: this.slice.epoch,
+            workers: sessions.length,
+            fencedWorkers: sessions.filter(session => session.isFenced).length,
+            runningTasks: this.placements.size,
+            waitingGroups: this.jobs.openCount,
+            heldRequests: this.jobs.heldCount,
+            teams: [...this.policies.keys()].map(team => ({
+                team,
+                running: this.scheduler.usage(team),
+                slotsInUse: this.lookups.slotsInUse(team),
+                waitingGroups: 0
+            })),
+            services: this.services.runningCounts
+        };
+    }
+
+    public dispose(): void {
+        this.disposed = true;
+        this.store.dispose();
+    }
+
+    private subscribe(): void {
+        this.store.add(this.pool.onReply(reply => this.reports.handleReply(reply)));
+        this.store.add(this.pool.onChange(session => this.updateWorker(session)));
+        this.store.add(this.pool.onRemoved(workerId => this.scheduler.removeWorker(workerId)));
+        this.store.add(this.pool.onRefusedStart(refused => this.handleRefusedStart(refused)));
+        this.store.add(
+            this.pool.onLapsed(taskIds => taskIds.forEach(taskId => this.reports.endTask(taskId, TaskEnd.Requeued)))
+        );
+        this.store.add(this.pool.onStale(() => this.staleEmitter.fire()));
+        this.store.add(this.pool.onHoldReleased(() => this.releaseHold()));
+        this.store.add(this.reports.onChange(() => this.decideSoon()));
+        this.store.add(this.jobs.onChange(() => this.decideSoon()));
+        this.store.add(this.jobs.onOrders(open => this.orders.update(open)));
+        this.store.add(this.jobs.onConflict(() => void this.slice.confirmOwnership()));
+        this.store.add(this.jobs.onSuperseded(() => this.staleEmitter.fire()));
+        this.store.add(this.jobs.onFinished(requestId => this.finishedEmitter.fire(requestId)));
+    }
+
+    private async load(): Promise<void> {
+        while (!this.disposed && !(await this.jobs.load())) {
+            await new Promise<void>(resolve => this.environment.timer.after(LOAD_RETRY_MS, resolve));
+        }
+        this.releaseHold();
+    }
+
+    private reload(): void {
+        this.jobs.retryFinishes();
+        void this.jobs.load();
+    }
+
+    /** Work of former epochs may start again once all requests are known and all workers are fenced. */
+    private releaseHold(): void {
+        if (!this.disposed && this.pool.isHoldReleased && this.jobs.isLoaded) {
+            this.jobs.releaseHold();
+            this.services.releaseHold();
+            this.decideSoon();
+        }
+    }
+
+    private updateWorker(session: WorkerSession): void {
+        if (session.capacity) {
+            this.scheduler.upsertWorker({
+                workerId: session.workerId,
+                rack: session.rack,
+                capacity: session.capacity,
+                schedulable: session.isSchedulable
+            });
+        }
+        this.applyPolicies();
+        this.decideSoon();
+    }
+
+    /** A worker that is not yet fenced counts, for every team, as full of that team's work. */
+    private applyPolicies(): void {
+        const unfenced = this.pool.unfencedCapacity;
+        const teams = [...this.policies].map(([team, policy]): readonly [string, TeamPolicy] => {
+            const resources = subtractResources(policy.allotment.resources, unfenced);
+            return [team, { ...policy, allotment: { ...policy.allotment, resources } }];
+        });
+        this.scheduler.setTeams(new Map(teams));
+    }
+
+    private decideSoon(): void {
+        if (!this.decisionPending && !this.disposed) {
+            this.decisionPending = true;
+            void Promise.resolve().then(() => {
+                this.decisionPending = false;
+                this.decide();
+            });
+        }
+    }
+
+    private decide(): void {
+        if (this.disposed) {
+            return;
+        }
+        const nowMs = this.environment.timer.nowMs();
+        this.services.submitReady(nowMs);
+        for (const decision of this.scheduler.decide(nowMs)) {
+            this.carryOut(decision);
+        }
+    }
+
+    private carryOut(decision: Decision): void {
+        switch (decision.kind) {
+            case DecisionKind.Start:
+                this.startTask(decision.taskId, decision.groupId, decision.workerId);
+                break;
+            case DecisionKind.Stop:
+                this.stopTask(decision.taskId);
+                break;
+            case DecisionKind.Throttle:
+            case DecisionKind.Checkpoint: {
+                const kind = COMMAND_KINDS[decision.kind];
+                this.pool.find(decision.workerId)?.send({ kind, taskId: decision.taskId });
+                break;
+            }
+            case DecisionKind.Reject:
+                this.jobs.reject(decision.groupId, decision.reason);
+                break;
+        }
+    }
+
+    private startTask(taskId: string, groupId: string, workerId: string): void {
+        const session = this.pool.find(workerId);
+        const task = composeWorkerTask(taskId, groupId, this.services, this.jobs);
+        if (!session || !task) {
+            this.scheduler.taskEnded(taskId, TaskEnd.Requeued, this.environment.timer.nowMs());
+            return;
+        }
+        this.placements.put({ taskId, workerId, groupId });
+        this.reports.noteStarted(taskId, workerId);
+        if (isServiceGroup(groupId)) {
+            this.services.noteRunning(taskId, groupId);
+        }
+        else {
+            this.jobs.noteStarted(taskId, groupId);
+        }
+        this.environment.log.write(EVENTS.taskStarted, { requestId: groupId, taskId, worker: workerId });
+        session.start(task);
+    }
+
+    private stopTask(taskId: string): void {
+        const placement = this.placements.find(taskId);
+        if (placement) {
+            this.pool.find(placement.workerId)?.send({ kind: WorkerCommandKind.Stop, taskId });
+        }
+    }
+
+    private handleRefusedStart(refused: RefusedStart): void {
+        if (refused.refusal !== WorkerRefusal.DuplicateTask) {
+            this.reports.endTask(refused.taskId, TaskEnd.Requeued);
+        }
+    }
+}
--- /dev/null
+++ b/packages/control/src/store/RequestStore.ts
@@ -0,0 +1,271 @@
+import type { IdempotencyRecord, RequestOutcome, RequestRecord } from "@skylarkpath/common/model/Request";
+import type { ObjectStore } from "@skylarkpath/common/platform/ObjectStore";
+import { type StoreError, StoreErrorKind } from "@skylarkpath/common/platform/StoreError";
+import {
+    type CommitReceipt,
+    type JsonValue,
+    type TableCondition,
+    type TableMutation,
+    TableName,
+    type TableRow,
+    type TableService
+} from "@skylarkpath/common/platform/TableService";
+import { err, ok, Result } from "neverthrow";
+import type { GroupCommitWriter, WriteError } from "./GroupCommitWriter.js";
+
+/** Record with the version of its row. */
+export interface StoredRequest {
+    readonly record: RequestRecord;
+    readonly version: number;
+}
+
+/** Answer of one finished task of a request that is not final. */
+export interface TaskProgress {
+    readonly requestId: string;
+    readonly taskIndex: number;
+    readonly answer: string;
+    /** Object that holds the answer when it is large; `answer` is then empty. */
+    readonly answerObject?: string;
+}
+
+/** Acceptance of a request, with the row that finds it by its idempotency key. */
+export interface Acceptance {
+    readonly record: RequestRecord;
+    readonly idempotencyKey?: string;
+    readonly bodyHash: string;
+}
+
+/** Returns the condition that fences writes of a former owner, or none. */
+export type SliceGuard = () => readonly TableCondition[];
+
+const SCAN_PAGE_LENGTH = 500;
+
+/** Keeps requests and their outcomes in the table service and large contents in the object store. */
+export class RequestStore {
+    constructor(
+        private readonly table: TableService,
+        private readonly objects: ObjectStore,
+        private readonly writer: GroupCommitWriter,
+        private readonly inlineLimitBytes: number
+    ) {}
+
+    /** Commits an accepted request; a conflict means that its idempotency key is taken. */
+    public async accept(acceptance: Acceptance): Promise<Result<CommitReceipt, WriteError | StoreError>> {
+        const record = await this.moveLargePayload(acceptance.record);
+        if (record.isErr()) {
+            return err(record.error);
+        }
+        const rows = acceptanceRows(acceptance, record.value);
+        return this.writer.submit({ conditions: () => rows.conditions, mutations: () => rows.mutations });
+    }
+
+    /** Commits the final outcome of a request and removes it from the open ones. */
+    public async finish(
+        stored: StoredRequest,
+        finishedTaskIndexes: readonly number[],
+        guard: SliceGuard
+    ): Promise<Result<CommitReceipt, WriteError | StoreError>> {
+        const record = await this.moveLargeAnswers(stored.record);
+        if (record.isErr()) {
+            return err(record.error);
+        }
+        const requestId = record.value.requestId;
+        const mutations: TableMutation[] = [
+            { table: TableName.Requests, key: requestId },
+            { table: TableName.Outcomes, key: requestId, value: toJson(record.value) },
+            ...finishedTaskIndexes.map(index => ({ table: TableName.Progress, key: progressKey(requestId, index) }))
+        ];
+        return this.writer.submit({
+            conditions: () => [{ table: TableName.Requests, key: requestId, version: stored.version }, ...guard()],
+            mutations: () => mutations
+        });
+    }
+
+    /** Replaces a final outcome by a better one. */
+    public async replaceOutcome(
+        stored: StoredRequest,
+        outcome: RequestOutcome
+    ): Promise<Result<CommitReceipt, WriteError | StoreError>> {
+        const record = await this.moveLargeAnswers({ ...stored.record, outcome });
+        if (record.isErr()) {
+            return err(record.error);
+        }
+        const row = { table: TableName.Outcomes, key: stored.record.requestId };
+        return this.writer.submit({
+            conditions: () => [{ ...row, version: stored.version }],
+            mutations: () => [{ ...row, value: toJson(record.value) }]
+        });
+    }
+
+    /** Tells whether an accepted request is still open and unchanged. */
+    public async isOpen(stored: StoredRequest): Promise<Result<boolean, StoreError>> {
+        const row = await this.table.read(TableName.Requests, stored.record.requestId);
+        return row.map(found => found?.version === stored.version);
+    }
+
+    /** Commits the answer of one task. */
+    public async recordProgress(
+        progress: TaskProgress,
+        guard: SliceGuard
+    ): Promise<Result<CommitReceipt, WriteError | StoreError>> {
+        const key = progressKey(progress.requestId, progress.taskIndex);
+        const moved = await this.moveLargeAnswer(key, progress);
+        if (moved.isErr()) {
+            return err(moved.error);
+        }
+        return this.writer.submit({
+            conditions: guard,
+            mutations: () => [{ table: TableName.Progress, key, value: toJson(moved.value) }]
+        });
+    }
+
+    /** Finds a request, open or final. */
+    public async find(requestId: string): Promise<Result<StoredRequest | undefined, StoreError>> {
+        const open = await this.table.read(TableName.Requests, requestId);
+        if (open.isErr() || open.value) {
+            return open.map(row => row && toStored(row));
+        }
+        const final = await this.table.read(TableName.Outcomes, requestId);
+        if (final.isErr() || !final.value) {
+            return final.map(() => undefined);
+        }
+        return this.withAnswers(toStored(final.value));
+    }
+
+    /** Finds the request that took an idempotency key. */
+    public async findByKey(team: string, key: string): Promise<Result<IdempotencyRecord | undefined, StoreError>> {
+        const row = await this.table.read(TableName.Idempotency, idempotencyRowKey(team, key));
+        return row.map(found => found?.value as IdempotencyRecord | undefined);
+    }
+
+    /** Loads the payload of a record that keeps it in the object store. */
+    public async payloadOf(record: RequestRecord): Promise<Result<string, StoreError>> {
+        if (record.payloadObject === undefined) {
+            return ok(record.spec.payload);
+        }
+        const content = await this.objects.get(record.payloadObject);
+        return content.andThen(payload => payload === undefined ? err(objectMissing(record.requestId)) : ok(payload));
+    }
+
+    /** Loads all open requests of a slice. */
+    public async loadOpen(sliceId: string): Promise<Result<readonly StoredRequest[], StoreError>> {
+        const rows = await this.scanAll(TableName.Requests, `${sliceId}.`);
+        return rows.map(found => found.map(toStored));
+    }
+
+    /** Loads the committed answers of all open requests of a slice. */
+    public async loadProgress(sliceId: string): Promise<Result<readonly TaskProgress[], StoreError>> {
+        const rows = await this.scanAll(TableName.Progress, `${sliceId}.`);
+        if (rows.isErr()) {
+            return err(rows.error);
+        }
+        const answers = rows.value.map(row => this.withAnswer(row.value as unknown as TaskProgress));
+        return Result.combine(await Promise.all(answers));
+    }
+
+    private async scanAll(table: string, prefix: string): Promise<Result<readonly TableRow[], StoreError>> {
+        const rows: TableRow[] = [];
+        let afterKey: string | undefined;
+        for (;;) {
+            const page = await this.table.scan({ table, prefix, afterKey, limit: SCAN_PAGE_LENGTH });
+            if (page.isErr()) {
+                return err(page.error);
+            }
+            rows.push(...page.value);
+            if (page.value.length < SCAN_PAGE_LENGTH) {
+                return ok(rows);
+            }
+            afterKey = page.value.at(-1)!.key;
+        }
+    }
+
+    private async moveLargePayload(record: RequestRecord): Promise<Result<RequestRecord, StoreError>> {
+        if (record.spec.payload.length <= this.inlineLimitBytes) {
+            return ok(record);
+        }
+        const payloadObject = `payload/${record.requestId}`;
+        const written = await this.objects.put(payloadObject, record.spec.payload);
+        return written.map(() => ({ ...record, payloadObject, spec: { ...record.spec, payload: "" } }));
+    }
+
+    private async moveLargeAnswers(record: RequestRecord): Promise<Result<RequestRecord, StoreError>> {
+        const answers = record.outcome.answers ?? [];
+        const sizeBytes = answers.reduce((total, answer) => total + answer.length, 0);
+        if (sizeBytes <= this.inlineLimitBytes) {
+            return ok(record);
+        }
+        const answersObject = `answers/${record.requestId}`;
+        const written = await this.objects.put(answersObject, JSON.stringify(answers));
+        return written.map(() => ({ ...record, answersObject, outcome: { ...record.outcome, answers: undefined } }));
+    }
+
+    private async moveLargeAnswer(key: string, progress: TaskProgress): Promise<Result<TaskProgress, StoreError>> {
+        if (progress.answer.length <= this.inlineLimitBytes) {
+            return ok(progress);
+        }
+        const answerObject = `answer/${key}`;
+        const written = await this.objects.put(answerObject, progress.answer);
+        return written.map(() => ({ ...progress, answer: "", answerObject }));
+    }
+
+    private async withAnswer(progress: TaskProgress): Promise<Result<TaskProgress, StoreError>> {
+        if (progress.answerObject === undefined) {
+            return ok(progress);
+        }
+        const content = await this.objects.get(progress.answerObject);
+        return content.andThen(answer =>
+            answer === undefined ? err(objectMissing(progress.requestId)) : ok({ ...progress, answer })
+        );
+    }
+
+    private async withAnswers(stored: StoredRequest): Promise<Result<StoredRequest, StoreError>> {
+        const { record } = stored;
+        if (record.answersObject === undefined) {
+            return ok(stored);
+        }
+        const content = await this.objects.get(record.answersObject);
+        return content.andThen(text => {
+            if (text === undefined) {
+                return err(objectMissing(record.requestId));
+            }
+            const answers: readonly string[] = JSON.parse(text);
+            return ok({ ...stored, record: { ...record, outcome: { ...record.outcome, answers } } });
+        });
+    }
+}
+
+function acceptanceRows(
+    acceptance: Acceptance,
+    record: RequestRecord
+): { readonly conditions: readonly TableCondition[]; readonly mutations: readonly TableMutation[]; } {
+    const { requestId } = record;
+    const conditions: TableCondition[] = [{ table: TableName.Requests, key: requestId, version: 0 }];
+    const mutations: TableMutation[] = [{ table: TableName.Requests, key: requestId, value: toJson(record) }];
+    if (acceptance.idempotencyKey !== undefined) {
+        const key = idempotencyRowKey(record.spec.team, acceptance.idempotencyKey);
+        conditions.push({ table: TableName.Idempotency, key, version: 0 });
+        const value: IdempotencyRecord = { requestId, bodyHash: acceptance.bodyHash };
+        mutations.push({ table: TableName.Idempotency, key, value: toJson(value) });
+    }
+    return { conditions, mutations };
+}
+
+function objectMissing(requestId: string): StoreError {
+    return { kind: StoreErrorKind.Unavailable, message: `An object of request ${requestId} cannot be read.` };
+}
+
+function idempotencyRowKey(team: string, key: string): string {
+    return `${team}/${key}`;
+}
+
+function progressKey(requestId: string, taskIndex: number): string {
+    return `${requestId}/${taskIndex}`;
+}
+
+function toStored(row: TableRow): StoredRequest {
+    return { record: row.value as unknown as RequestRecord, version: row.version };
+}
+
+function toJson(value: object): JsonValue {
+    return value as JsonValue;
+}
