Try gangs when their reserved workers gain room, keep places by latest start

Cause: gangs that wait were tried every 50 ms, eight in a decision, and kept places were walked in each decision. Processor time is measured from now on.

--- a/packages/bench/src/decisions/TimedScheduler.ts
+++ b/packages/bench/src/decisions/TimedScheduler.ts
@@ -11,12 +11,13 @@
 } from "@skylarkpath/common/scheduling/TaskScheduler";
 import { build, type Histogram } from "hdr-histogram-js";
 
+const MICROSECONDS_PER_MILLISECOND = 1_000;
 const NANOSECONDS_PER_MILLISECOND = 1_000_000;
 const HIGHEST_NANOSECONDS = 60_000_000_000;
 
 /** Measures the processor time that a task scheduler spends in its calls. */
 export class TimedScheduler implements TaskScheduler {
-    /** Time of each call of `decide`, in nanoseconds. */
+    /** Elapsed time of each call of `decide`, in nanoseconds. */
     public readonly decideNanoseconds: Histogram = build({
         highestTrackableValue: HIGHEST_NANOSECONDS,
         numberOfSignificantValueDigits: 3
@@ -26,7 +27,7 @@
 
     constructor(private readonly scheduler: TaskScheduler) {}
 
-    /** Time spent in all calls. */
+    /** Processor time spent in all calls, that of garbage collection and of measuring included. */
     public get totalMs(): number {
         return this.spentMs;
     }
@@ -55,9 +56,9 @@
     }
 
     public submit(group: TaskGroup): void {
-        const before = performance.now();
+        const before = process.cpuUsage();
         this.scheduler.submit(group);
-        this.spentMs += performance.now() - before;
+        this.addSpent(before);
     }
 
     public adopt(taskId: string, groupId: string, workerId: string, startedAtMs: number): void {
@@ -65,23 +66,24 @@
     }
 
     public withdraw(groupId: string): readonly string[] {
-        const before = performance.now();
+        const before = process.cpuUsage();
         const running = this.scheduler.withdraw(groupId);
-        this.spentMs += performance.now() - before;
+        this.addSpent(before);
         return running;
     }
 
     public taskEnded(taskId: string, end: TaskEnd, nowMs: number): void {
-        const before = performance.now();
+        const before = process.cpuUsage();
         this.scheduler.taskEnded(taskId, end, nowMs);
-        this.spentMs += performance.now() - before;
+        this.addSpent(before);
     }
 
     public decide(nowMs: number): readonly Decision[] {
+        const usageBefore = process.cpuUsage();
         const before = performance.now();
         const decisions = this.scheduler.decide(nowMs);
         const tookMs = performance.now() - before;
-        this.spentMs += tookMs;
+        this.addSpent(usageBefore);
         this.decideNanoseconds.recordValue(Math.round(tookMs * NANOSECONDS_PER_MILLISECOND));
         for (const { kind } of decisions) {
             this.started += kind === DecisionKind.Start ? 1 : 0;
@@ -96,4 +98,9 @@
     public usage(team: string): Resources {
         return this.scheduler.usage(team);
     }
+
+    private addSpent(before: NodeJS.CpuUsage): void {
+        const { user, system } = process.cpuUsage(before);
+        this.spentMs += (user + system) / MICROSECONDS_PER_MILLISECOND;
+    }
 }
--- a/packages/bench/src/decisions/taskComparison.ts
+++ b/packages/bench/src/decisions/taskComparison.ts
@@ -20,7 +20,8 @@
     return rows;
 }
 
-function measure(shape: TaskWorkloadShape, contender: Contender): MeasuredRow {
+/** Measures one scheduler on one workload. */
+export function measure(shape: TaskWorkloadShape, contender: Contender): MeasuredRow {
     const scheduler = new TimedScheduler(contender.create(createSeededRandom(RANDOM_SEED)));
     const result = new TaskRun(shape, scheduler, { warmUpMs: WARM_UP_MS }).run();
     return {
@@ -46,6 +47,7 @@
         if (histogram !== undefined) {
             row[`${stream}P50Ms`] = histogram.getValueAtPercentile(50);
             row[`${stream}P99Ms`] = histogram.getValueAtPercentile(99);
+            row[`${stream}MeanMs`] = Math.round(histogram.mean);
         }
     }
     return row;
--- a/packages/decisions/src/SliceTaskScheduler.ts
+++ b/packages/decisions/src/SliceTaskScheduler.ts
@@ -141,8 +141,9 @@
         this.gangs.run(nowMs);
         this.keeper.run(nowMs);
         this.placer.placeAll(teams.ordinaryLine, nowMs);
+        const gains = this.state.takeReservedGains();
         if (this.options.backfill) {
-            this.backfiller.run(nowMs);
+            this.backfiller.run(gains, nowMs);
         }
         return this.state.takeDecisions();
     }
--- a/packages/decisions/src/tasks/Backfiller.ts
+++ b/packages/decisions/src/tasks/Backfiller.ts
@@ -10,8 +10,8 @@
     constructor(private readonly state: SliceState, private readonly line: PriorityLine) {}
 
     /** Fills the reserved workers that gained room from the sizes that found no open worker. */
-    public run(nowMs: number): void {
-        for (const worker of this.state.takeReservedGains()) {
+    public run(gains: readonly WorkerNode[], nowMs: number): void {
+        for (const worker of gains) {
             if (worker.takesTasks && worker.reservation !== undefined) {
                 this.fill(worker, nowMs);
             }
--- a/packages/decisions/src/tasks/GangPlanner.ts
+++ b/packages/decisions/src/tasks/GangPlanner.ts
@@ -14,11 +14,14 @@
     readonly group: GroupState;
     readonly sinceMs: number;
     nextAttemptAtMs: number;
+    intervalMs: number;
+    nextPlanAtMs: number;
     attemptedVersion: number;
     attemptedFleetVersion: number;
 }
 
-const MAX_ATTEMPTS_PER_DECISION = 8;
+const MAX_FAILURES_PER_DECISION = 3;
+const INTERVAL_GROWTH = 2;
 const NEVER_ATTEMPTED = -1;
 
 /** Starts gangs as a whole; those that find no room reserve workers, the latest start first. */
@@ -54,6 +57,8 @@
                 group,
                 sinceMs: this.nowMs,
                 nextAttemptAtMs: Number.NEGATIVE_INFINITY,
+                intervalMs: this.options.gangAttemptIntervalMs,
+                nextPlanAtMs: Number.NEGATIVE_INFINITY,
                 attemptedVersion: NEVER_ATTEMPTED,
                 attemptedFleetVersion: NEVER_ATTEMPTED
             };
@@ -67,13 +72,24 @@
     public run(nowMs: number): void {
         this.nowMs = nowMs;
         this.sort();
-        let attempts = 0;
+        this.markGained();
+        let failures = 0;
         for (const gang of this.ordered) {
-            if (attempts >= MAX_ATTEMPTS_PER_DECISION) {
+            if (failures >= MAX_FAILURES_PER_DECISION) {
                 break;
             }
             if (this.isDue(gang)) {
-                attempts += this.advance(gang) ? 1 : 0;
+                failures += this.advance(gang) ? 0 : 1;
+            }
+        }
+    }
+
+    /** Has the gangs tried of which a reserved worker gained room. */
+    private markGained(): void {
+        for (const { reservation } of this.state.peekReservedGains()) {
+            const gang = reservation === undefined ? undefined : this.waiting.get(reservation.group);
+            if (gang !== undefined) {
+                gang.nextAttemptAtMs = this.nowMs;
             }
         }
     }
@@ -101,33 +117,42 @@
         return timeCame && gang.group.delayedCount === 0 && this.waiting.get(gang.group) === gang;
     }
 
-    /** Advances one gang; returns whether places were searched. */
+    /** Advances one gang; returns false when places were searched in vain. */
     private advance(gang: WaitingGang): boolean {
         const { group } = gang;
         if (group.running.size > 0) {
-            this.repair(gang);
-            return true;
+            return this.repair(gang);
         }
         if (!group.team.hasRoom(group.shape.resources, group.waitingCount)) {
             this.holdAllotment(group);
-            return false;
+            return true;
         }
-        gang.nextAttemptAtMs = this.nowMs + this.options.gangAttemptIntervalMs;
-        gang.attemptedFleetVersion = this.state.fleet.version;
+        this.scheduleAttempt(gang);
         if (gang.attemptedVersion === this.state.version && !this.isPlanDue(gang)) {
-            return false;
+            return true;
         }
         gang.attemptedVersion = this.state.version;
         if (this.starter.tryStart(group, this.nowMs)) {
             this.remove(group);
+            return true;
         }
-        else if (this.isPlanDue(gang)) {
+        if (this.isPlanDue(gang)) {
             this.reserve(gang);
         }
-        return true;
+        return false;
+    }
+
+    /** Tries again after an interval that grows, or at once when workers changed. */
+    private scheduleAttempt(gang: WaitingGang): void {
+        gang.nextAttemptAtMs = this.nowMs + gang.intervalMs;
+        gang.intervalMs = Math.min(gang.intervalMs * INTERVAL_GROWTH, this.options.maxGangAttemptIntervalMs);
+        gang.attemptedFleetVersion = this.state.fleet.version;
     }
 
     private isPlanDue(gang: WaitingGang): boolean {
+        if (this.nowMs < gang.nextPlanAtMs) {
+            return false;
+        }
         const { reservation } = gang.group;
         if (reservation !== undefined) {
             return this.nowMs >= reservation.startAtMs + this.options.reservationOverdueMs;
@@ -159,6 +184,7 @@
         while (plan === undefined && this.dropLaterReservation(gang.group)) {
             plan = this.planWithin(gang.group);
         }
+        gang.nextPlanAtMs = this.nowMs + this.options.reservationOverdueMs;
         if (plan === undefined) {
             return;
         }
@@ -197,20 +223,20 @@
     }
 
     /** Replaces lost members of a running gang, or stops the rest when there is no room in time. */
-    private repair(gang: WaitingGang): void {
+    private repair(gang: WaitingGang): boolean {
         const { group } = gang;
         if (isStopping(group)) {
-            return;
+            return true;
         }
         if (this.starter.tryStart(group, this.nowMs)) {
             this.remove(group);
-            return;
+            return true;
         }
-        gang.nextAttemptAtMs = this.nowMs + this.options.gangAttemptIntervalMs;
-        gang.attemptedFleetVersion = this.state.fleet.version;
+        this.scheduleAttempt(gang);
         if (this.nowMs >= gang.sinceMs + this.options.gangRepairMs) {
             this.stopAll(group);
         }
+        return false;
     }
 
     private stopAll(group: GroupState): void {
--- a/packages/decisions/src/tasks/GangStarter.ts
+++ b/packages/decisions/src/tasks/GangStarter.ts
@@ -1,3 +1,4 @@
+import { placesIn } from "../fleet/Fleet.js";
 import type { WorkerNode } from "../fleet/WorkerNode.js";
 import type { GroupState } from "../groups/GroupState.js";
 import type { SliceState } from "./SliceState.js";
@@ -9,6 +10,9 @@
     /** Starts the gang on its reserved workers and on open ones when all of its tasks fit. */
     public tryStart(group: GroupState, nowMs: number): boolean {
         const needed = group.waitingCount;
+        if (!this.mayFit(group)) {
+            return false;
+        }
         if (!group.team.hasRoom(group.shape.resources, needed)) {
             return false;
         }
@@ -25,6 +29,19 @@
         return true;
     }
 
+    /** Cheap test: the first place, or the reserved ones, must be there. */
+    private mayFit(group: GroupState): boolean {
+        const { shape, reservation } = group;
+        if (reservation === undefined) {
+            return !shape.blocked;
+        }
+        let ready = 0;
+        for (const worker of reservation.places.keys()) {
+            ready += worker.takesTasks ? placesIn(worker.copyFree(), shape.resources, group.waitingCount) : 0;
+        }
+        return ready >= group.waitingCount || !shape.blocked;
+    }
+
     /** Takes up to the needed places for a trial; the caller gives them back. */
     private claimPlaces(group: GroupState, needed: number): readonly WorkerNode[] {
         const demand = group.shape.resources;
@@ -39,6 +56,7 @@
         while (claimed.length < needed) {
             const worker = fleet.findBest(demand, acceptAny);
             if (worker === undefined) {
+                this.blockWhenNoneTaken(group, claimed);
                 break;
             }
             fleet.take(worker, demand);
@@ -46,6 +64,14 @@
         }
         return claimed;
     }
+
+    /** No open worker has room for one task when none was taken for the trial. */
+    private blockWhenNoneTaken(group: GroupState, claimed: readonly WorkerNode[]): void {
+        const open = claimed.some(worker => worker.reservation === undefined);
+        if (!open && !group.shape.blocked) {
+            this.state.shapes.block(group.shape);
+        }
+    }
 }
 
 function acceptAny(): boolean {
--- a/packages/decisions/src/tasks/PlaceKeeper.ts
+++ b/packages/decisions/src/tasks/PlaceKeeper.ts
@@ -12,10 +12,15 @@
 }
 
 const MIN_KEPT_WORKERS = 1;
+const SWEEP_INTERVAL_MS = 100;
+const KEEP_INTERVAL_MS = 10;
+const MAX_QUEUES_COMPARED = 32;
 
 /** Keeps workers for large tasks of the least served teams, which small tasks would pass by for ever. */
 export class PlaceKeeper {
-    private readonly kept = new Set<KeptPlace>();
+    private readonly kept = new Map<WorkerNode, KeptPlace>();
+    private nextKeepAtMs = Number.NEGATIVE_INFINITY;
+    private nextSweepAtMs = Number.NEGATIVE_INFINITY;
 
     constructor(
         private readonly state: SliceState,
@@ -26,9 +31,24 @@
 
     /** Starts tasks on kept workers that have room by now, and keeps a further worker when one is due. */
     public run(nowMs: number): void {
-        for (const place of this.kept) {
-            this.advance(place, nowMs);
+        for (const worker of this.state.peekReservedGains()) {
+            const place = this.kept.get(worker);
+            if (place !== undefined) {
+                this.advance(place, nowMs);
+            }
+        }
+        if (nowMs >= this.nextSweepAtMs) {
+            this.nextSweepAtMs = nowMs + SWEEP_INTERVAL_MS;
+            this.kept.forEach(place => this.advance(place, nowMs));
+        }
+        this.keepNext(nowMs);
+    }
+
+    private keepNext(nowMs: number): void {
+        if (nowMs < this.nextKeepAtMs) {
+            return;
         }
+        this.nextKeepAtMs = nowMs + KEEP_INTERVAL_MS;
         const limit = Math.floor(this.state.fleet.openWorkerCount * this.options.maxKeptFraction);
         if (this.state.shapes.blockedShapes.size === 0 || this.kept.size >= Math.max(MIN_KEPT_WORKERS, limit)) {
             return;
@@ -54,18 +74,33 @@
         }
     }
 
-    /** Returns the least served team's queue whose size finds no open worker. */
+    /** Returns the queue with the latest start of the teams below their share, or else of the least served team. */
     private findStarved(nowMs: number): ShapeQueue | undefined {
         let best: ShapeQueue | undefined;
         for (const shape of this.state.shapes.blockedShapes) {
-            const queue = this.line.find(shape)?.peek();
-            if (queue !== undefined && this.isStarved(queue, nowMs) && isFirst(queue, best)) {
-                best = queue;
+            const queues = this.line.find(shape)?.values() ?? [];
+            const count = Math.min(queues.length, MAX_QUEUES_COMPARED);
+            for (let position = 0; position < count; position++) {
+                const queue = queues[position]!;
+                if (this.isStarved(queue, nowMs) && this.isBefore(queue, best)) {
+                    best = queue;
+                }
             }
         }
         return best;
     }
 
+    private isBefore(queue: ShapeQueue, best: ShapeQueue | undefined): boolean {
+        if (best === undefined) {
+            return true;
+        }
+        const fairLevel = this.state.teams.fairLevel();
+        if (queue.team.weightedShare <= fairLevel && best.team.weightedShare <= fairLevel) {
+            return queue.headKeyMs < best.headKeyMs;
+        }
+        return isServedBefore(queue, best);
+    }
+
     private isStarved(queue: ShapeQueue, nowMs: number): boolean {
         const waitedMs = nowMs - queue.peek()!.group.submittedAtMs;
         return waitedMs >= this.options.keepPatienceMs && queue.team.hasRoomBesideHeld(queue.shape.resources);
@@ -78,16 +113,12 @@
         }
         for (const worker of reservation.places.keys()) {
             this.state.reserve(worker, reservation);
-            this.kept.add({ queue, worker });
+            this.kept.set(worker, { queue, worker });
         }
     }
 
     private drop(place: KeptPlace): void {
-        this.kept.delete(place);
+        this.kept.delete(place.worker);
         this.state.unreserve(place.worker);
     }
 }
-
-function isFirst(queue: ShapeQueue, best: ShapeQueue | undefined): boolean {
-    return best === undefined || isServedBefore(queue, best);
-}
--- a/packages/decisions/src/tasks/SliceState.ts
+++ b/packages/decisions/src/tasks/SliceState.ts
@@ -55,6 +55,11 @@
         this.roomGained(worker);
     }
 
+    /** Returns the reserved workers that gained room, without taking them. */
+    public peekReservedGains(): readonly WorkerNode[] {
+        return this.reservedGains;
+    }
+
     /** Returns the reserved workers that gained room since the last call. */
     public takeReservedGains(): readonly WorkerNode[] {
         if (this.reservedGains.length === 0) {
--- a/packages/decisions/src/tasks/TaskOptions.ts
+++ b/packages/decisions/src/tasks/TaskOptions.ts
@@ -10,8 +10,9 @@
     readonly maxRetryDelayMs: number;
     /** Time for which a size has to exceed all workers before its groups are rejected. */
     readonly infeasibleGraceMs: number;
-    /** Time between two tries to start a waiting gang. */
+    /** Time between the first two tries to start a waiting gang; it grows up to the longest. */
     readonly gangAttemptIntervalMs: number;
+    readonly maxGangAttemptIntervalMs: number;
     /** Time that a gang waits for room before it reserves workers. */
     readonly reservationPatienceMs: number;
     /** Fraction of its slack that a gang above its team's share waits before it reserves. */
@@ -50,6 +51,7 @@
     maxRetryDelayMs: 60_000,
     infeasibleGraceMs: 30_000,
     gangAttemptIntervalMs: 50,
+    maxGangAttemptIntervalMs: 500,
     reservationPatienceMs: 1_000,
     gangSlackFraction: 0.1,
     gangWindowFactor: 2,
