Test scheduling under faults; gangs reserve while their team is within its share

Cause: a retried task went back and forth between two workers, so a job that can never run was not seen on a third; a gang counted on top of its team's running batches, so that it reserved late.

--- /dev/null
+++ b/packages/decisions/src/health/WorkerHealth.test.ts
@@ -0,0 +1,65 @@
+import test from "ava";
+import { WorkerCondition } from "./WorkerCondition.js";
+import { type FailureSource, WorkerHealth } from "./WorkerHealth.js";
+
+const WORKERS = 8;
+
+function createSource(hasSucceeded: boolean, failedWorkerCount: number): FailureSource {
+    return { hasSucceeded, failedWorkerCount };
+}
+
+test("quarantines a worker that fails tasks of several groups, then tries one task at a time", t => {
+    const health = new WorkerHealth(() => WORKERS);
+    for (let task = 0; task < 3; task++) {
+        health.taskFailed("bad", `t${task}`, createSource(false, 1), 0);
+    }
+    t.is(health.conditionOf("bad"), WorkerCondition.Quarantined);
+    health.advance(59_999);
+    t.is(health.conditionOf("bad"), WorkerCondition.Quarantined);
+    health.advance(60_000);
+    t.is(health.conditionOf("bad"), WorkerCondition.Probation);
+    health.taskFailed("bad", "t4", createSource(true, 1), 61_000);
+    t.is(health.conditionOf("bad"), WorkerCondition.Quarantined);
+    health.advance(61_000 + 119_999);
+    t.is(health.conditionOf("bad"), WorkerCondition.Quarantined);
+    health.advance(61_000 + 120_000);
+    health.taskSucceeded("bad");
+    t.is(health.conditionOf("bad"), WorkerCondition.Healthy);
+});
+
+test("does not count groups against a worker that fail on others too", t => {
+    const health = new WorkerHealth(() => WORKERS);
+    for (let task = 0; task < 10; task++) {
+        health.taskFailed("good", `t${task}`, createSource(false, 2), 0);
+    }
+    t.is(health.conditionOf("good"), WorkerCondition.Healthy);
+});
+
+test("does not count one group that never ran anywhere, however many of its tasks fail", t => {
+    const health = new WorkerHealth(() => WORKERS);
+    const source = createSource(false, 1);
+    for (let task = 0; task < 8; task++) {
+        health.taskFailed("good", `t${task}`, source, 0);
+    }
+    t.is(health.conditionOf("good"), WorkerCondition.Healthy);
+});
+
+test("releases a worker once the groups that condemned it turn out to fail everywhere", t => {
+    const health = new WorkerHealth(() => WORKERS);
+    const sources = [createSource(false, 1), createSource(false, 1), createSource(false, 1)];
+    sources.forEach((source, task) => health.taskFailed("good", `t${task}`, source, 0));
+    t.is(health.conditionOf("good"), WorkerCondition.Quarantined);
+    health.sourceRejected(sources[0]!);
+    t.is(health.conditionOf("good"), WorkerCondition.Healthy);
+});
+
+test("quarantines no more than a quarter of the workers", t => {
+    const health = new WorkerHealth(() => WORKERS);
+    for (let worker = 0; worker < WORKERS; worker++) {
+        for (let task = 0; task < 3; task++) {
+            health.taskFailed(`w${worker}`, `t${worker}-${task}`, createSource(true, 1), 0);
+        }
+    }
+    const conditions = [...Array(WORKERS).keys()].map(worker => health.conditionOf(`w${worker}`));
+    t.is(conditions.filter(condition => condition === WorkerCondition.Quarantined).length, 2);
+});
--- a/packages/decisions/src/tasks/GangPlanner.ts
+++ b/packages/decisions/src/tasks/GangPlanner.ts
@@ -175,8 +175,8 @@
             return true;
         }
         const { fleet, teams } = this.state;
-        const shareAfter = group.team.weightedShareWith(group.shape.resources, group.waitingCount, fleet.capacity);
-        return shareAfter <= teams.fairLevel();
+        const ownShare = group.team.weightedShareOf(group.shape.resources, group.waitingCount, fleet.capacity);
+        return Math.max(ownShare, group.team.weightedShare) <= teams.fairLevel();
     }
 
     private reserve(gang: WaitingGang): void {
--- a/packages/decisions/src/tasks/Placer.ts
+++ b/packages/decisions/src/tasks/Placer.ts
@@ -152,7 +152,7 @@
 
     private readonly isNotAvoided = (worker: WorkerNode): boolean =>
         this.failures === undefined
-        || this.state.fleet.openWorkerCount === 1
+        || this.failures.workerIds.size >= this.state.fleet.openWorkerCount
         || !this.failures.avoids(worker.workerId, this.nowMs);
 
     private readonly isTakeable = (worker: WorkerNode): boolean =>
--- /dev/null
+++ b/packages/decisions/src/tasks/Preemptor.test.ts
@@ -0,0 +1,66 @@
+import { DecisionKind, TaskEnd } from "@skylarkpath/common/scheduling/TaskScheduler";
+import test from "ava";
+import { cores, createFixture, createGroup, decideUntil } from "../testing/taskFixtures.js";
+
+test("throttles, checkpoints and stops the cheapest task, and starts the urgent one in its place", t => {
+    const { model } = createFixture(2, 4);
+    model.submit(createGroup("costly", 4, { checkpointable: false }));
+    model.decide(0);
+    model.submit(createGroup("cheap", 4, { checkpointable: true, team: "b" }));
+    model.decide(20_000);
+    model.submit(createGroup("urgent", 1, { urgent: true, submittedAtMs: 30_000 }));
+    let stoppedAtMs: number | undefined;
+    for (let nowMs = 30_000; nowMs < 33_900 && !model.running.has("urgent-0"); nowMs += 50) {
+        model.decide(nowMs);
+        const last = model.disturbed.at(-1);
+        if (last?.kind === DecisionKind.Stop && stoppedAtMs === undefined) {
+            stoppedAtMs = nowMs;
+            model.end(last.taskId, TaskEnd.Requeued, nowMs);
+        }
+    }
+    t.true(model.running.has("urgent-0"));
+    t.deepEqual(model.disturbed.map(({ kind }) => kind), [
+        DecisionKind.Throttle,
+        DecisionKind.Checkpoint,
+        DecisionKind.Stop
+    ]);
+    t.true(model.disturbed.every(({ taskId }) => taskId.startsWith("cheap")));
+    t.deepEqual(model.faults, []);
+});
+
+test("stops no other team's task for a team at its allotment, but one of its own", t => {
+    const { model } = createFixture(2, 4);
+    model.setTeam("a", cores(4));
+    model.submit(createGroup("own", 4));
+    model.submit(createGroup("other", 4, { team: "b" }));
+    model.decide(0);
+    model.submit(createGroup("urgent", 1, { urgent: true }));
+    decideUntil(model, 50, 3000);
+    const stopped = model.disturbed.filter(({ kind }) => kind === DecisionKind.Stop);
+    t.is(stopped.length, 1);
+    t.true(stopped[0]!.taskId.startsWith("own"));
+    t.false(model.running.has("urgent-0"));
+    model.end(stopped[0]!.taskId, TaskEnd.Requeued, 3050);
+    t.deepEqual(decideUntil(model, 3050, 3100), ["urgent-0"]);
+    t.deepEqual(model.faults, []);
+});
+
+test("never stops services or urgent tasks", t => {
+    const { model } = createFixture(1, 4);
+    model.submit(createGroup("first", 4, { urgent: true }));
+    model.decide(0);
+    model.submit(createGroup("second", 1, { urgent: true, submittedAtMs: 1000 }));
+    decideUntil(model, 1000, 9000);
+    t.is(model.disturbed.length, 0);
+});
+
+test("leaves running tasks alone when room appears in time", t => {
+    const { model } = createFixture(1, 4);
+    model.submit(createGroup("batch", 4));
+    model.decide(0);
+    model.submit(createGroup("urgent", 1, { urgent: true, submittedAtMs: 1000 }));
+    decideUntil(model, 1000, 1500);
+    model.end("batch-0", TaskEnd.Succeeded, 1500);
+    t.deepEqual(model.decide(1500), ["urgent-0"]);
+    t.is(model.disturbed.length, 0);
+});
--- a/packages/decisions/src/teams/TeamAccount.ts
+++ b/packages/decisions/src/teams/TeamAccount.ts
@@ -100,20 +100,22 @@
 
     /** Computes the weighted dominant share anew. */
     public updateShare(fleetCapacity: Resources): void {
-        this.weightedShare = this.weightedShareWith(NO_RESOURCES, 0, fleetCapacity);
+        const dominantShare = Math.max(
+            fractionOf(this.usedProcessorMillicores, fleetCapacity.processorMillicores),
+            fractionOf(this.usedMemoryBytes, fleetCapacity.memoryBytes),
+            fractionOf(this.usedAccelerators, fleetCapacity.accelerators)
+        );
+        this.weightedShare = dominantShare / this.share;
     }
 
-    /** Weighted dominant share if so many tasks of a size ran besides. */
-    public weightedShareWith(demand: Resources, count: number, fleetCapacity: Resources): number {
-        const processors = this.usedProcessorMillicores + count * demand.processorMillicores;
-        const memory = this.usedMemoryBytes + count * demand.memoryBytes;
-        const accelerators = this.usedAccelerators + count * demand.accelerators;
+    /** Weighted dominant share of so many tasks of a size alone. */
+    public weightedShareOf(demand: Resources, count: number, fleetCapacity: Resources): number {
         const dominantShare = Math.max(
-            fractionOf(processors, fleetCapacity.processorMillicores),
-            fractionOf(memory, fleetCapacity.memoryBytes),
-            fractionOf(accelerators, fleetCapacity.accelerators)
+            fractionOf(demand.processorMillicores, fleetCapacity.processorMillicores),
+            fractionOf(demand.memoryBytes, fleetCapacity.memoryBytes),
+            fractionOf(demand.accelerators, fleetCapacity.accelerators)
         );
-        return dominantShare / this.share;
+        return count * dominantShare / this.share;
     }
 }
 
