--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -28,6 +28,19 @@
     sliceAcquired: define(1401, "slice-acquired", EventLevel.Info, "This process owns a slice."),
     sliceLost: define(1402, "slice-lost", EventLevel.Warning, "This process no longer owns a slice."),
     sliceHandedOver: define(1403, "slice-handed-over", EventLevel.Info, "A slice was handed to its successor."),
+    sliceTakenUnrecorded: define(
+        1421,
+        "slice-taken-unrecorded",
+        EventLevel.Warning,
+        "A named successor took a slice over without the store."
+    ),
+    sliceTakenFromHandOver: define(1422, "slice-received", EventLevel.Info, "A slice was received with its state."),
+    processPaused: define(
+        1423,
+        "process-paused",
+        EventLevel.Warning,
+        "The process was paused; it commands nothing before its ownership is confirmed."
+    ),
     workerFenced: define(1411, "worker-fenced", EventLevel.Info, "A worker takes commands of this epoch only."),
     workerLost: define(
         1412,
--- a/packages/common/src/model/Slice.ts
+++ b/packages/common/src/model/Slice.ts
@@ -2,7 +2,8 @@
 
 /** Process named to take a slice over, with the epoch assigned to it beforehand. */
 export interface Successor {
-    readonly processId: string;
+    /** Name of the process with its incarnation. */
+    readonly owner: string;
     readonly epoch: number;
 }
 
@@ -10,9 +11,13 @@
 export interface SliceRecord {
     readonly sliceId: string;
     readonly failureDomain: string;
+    /** Empty when the slice was left without a successor. */
     readonly owner: string;
     readonly epoch: number;
+    /** In order; a successor stays named until it has certainly ended. */
     readonly successors: readonly Successor[];
+    /** Workers that owners have used; each is recorded before its first use. */
+    readonly workers: readonly string[];
 }
 
 /** Part of a team's upper limit that one slice may spend. */
--- a/packages/control/src/entry/JobHandler.ts
+++ b/packages/control/src/entry/JobHandler.ts
@@ -13,12 +13,14 @@
 import { ownerNameOf, type ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import type { SliceDirectory, SliceLocation } from "../slice/SliceDirectory.js";
+import { Backoff } from "../store/Backoff.js";
 import type { RequestStore } from "../store/RequestStore.js";
 import type { RequestContext } from "./RequestContext.js";
 import { notRun, type RequestReply } from "./RequestReply.js";
 
 const RETRY_HINT_MS = 2000;
-const SUBMIT_ATTEMPTS = 3;
+const SUBMIT_ATTEMPTS = 8;
+const SUBMIT_RETRY_MS = 20;
 
 /** Accepts batch and gang jobs durably and hands them to the owner of a slice. */
 export class JobHandler {
@@ -110,6 +112,7 @@
 
     /** Tells the owner of the committed request; an owner that is not reached finds it in the store. */
     private async handToOwner(requestId: string, sliceId: string): Promise<void> {
+        const backoff = new Backoff(SUBMIT_RETRY_MS, this.options.heartbeatIntervalMs, this.environment.random);
         for (let attempt = 0; attempt < SUBMIT_ATTEMPTS; attempt++) {
             const location = this.directory.locate(sliceId);
             const reply = location && await this.peerClient.call(
@@ -121,7 +124,7 @@
             if (reply?.isOk()) {
                 return;
             }
-            await sleep(this.environment.timer, this.options.heartbeatIntervalMs);
+            await sleep(this.environment.timer, backoff.next());
         }
     }
 }
--- a/packages/control/src/entry/RequestController.ts
+++ b/packages/control/src/entry/RequestController.ts
@@ -13,6 +13,7 @@
 import type { KeyController } from "../keys/KeyController.js";
 import type { PeerClient } from "../peer/PeerClient.js";
 import { PeerMethod } from "../peer/PeerMessages.js";
+import type { PauseDetector } from "../process/PauseDetector.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import type { JobDescription } from "../slice/JobController.js";
@@ -69,9 +70,10 @@
         private readonly requests: RequestStore,
         config: ConfigController,
         private readonly keys: KeyController,
-        isAdmitting: () => boolean
+        isAdmitting: () => boolean,
+        pauses: PauseDetector
     ) {
-        const slots = new SlotClient(environment, peerClient, directory);
+        const slots = new SlotClient(environment, peerClient, directory, pauses);
         this.lookups = new LookupHandler(environment, directory, slots);
         this.jobs = new JobHandler(environment, options, peerClient, directory, requests);
         const outcomes = new OutcomeWriter(environment, requests);
--- a/packages/control/src/entry/SlotClient.ts
+++ b/packages/control/src/entry/SlotClient.ts
@@ -1,6 +1,7 @@
 import { ShedReason } from "@skylarkpath/common/scheduling/LookupScheduler";
 import type { PeerClient } from "../peer/PeerClient.js";
 import { type AcquireMessage, PeerMethod, type ReleaseMessage } from "../peer/PeerMessages.js";
+import type { PauseDetector } from "../process/PauseDetector.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { SlotGrant } from "../slice/LookupController.js";
 import type { SliceDirectory, SliceLocation } from "../slice/SliceDirectory.js";
@@ -33,16 +34,18 @@
     constructor(
         private readonly environment: ProcessEnvironment,
         private readonly peerClient: PeerClient,
-        private readonly directory: SliceDirectory
+        private readonly directory: SliceDirectory,
+        private readonly pauses: PauseDetector
     ) {}
 
-    /** Asks one owner for a slot. */
+    /** Asks one owner for a slot; one that was given before a pause of this process is too old to use. */
     public async acquire(
         location: SliceLocation,
         request: Pick<AcquireMessage, "team" | "queue" | "remainingMs">
     ): Promise<SlotReply> {
         const lookupId = this.environment.hasher.randomToken();
         const { sliceId } = location;
+        const startMs = this.environment.timer.nowMs();
         const message: AcquireMessage = { ...request, lookupId, sliceId };
         const reply = await this.peerClient.call<SlotGrant>(
             location.address,
@@ -50,7 +53,8 @@
             message,
             request.remainingMs
         );
-        if (reply.isErr()) {
+        const wasPaused = this.pauses.sincePauseMs <= this.environment.timer.nowMs() - startMs;
+        if (reply.isErr() || wasPaused) {
             this.release({ sliceId, lookupId }, { latencyMs: 0, succeeded: false, unfinished: false });
             return { shed: ShedReason.NoTarget };
         }
--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -41,6 +41,8 @@
     private liveMachines: readonly LiveMachine[] = [];
     private liveListReadMs: number | undefined;
     private readonly pending = new Set<string>();
+    /** Addresses whose heartbeat was due while another one was under way. */
+    private readonly dueAgain = new Set<string>();
     private heartbeatSource: HeartbeatSource | undefined;
 
     /** Tells each heartbeat that was received. */
@@ -116,9 +118,11 @@
 
     private async beatTo(address: string): Promise<void> {
         if (this.pending.has(address)) {
+            this.dueAgain.add(address);
             return;
         }
         this.pending.add(address);
+        this.dueAgain.delete(address);
         const message = this.composeHeartbeat();
         const reply = await this.peerClient.call<unknown>(
             address,
@@ -127,6 +131,9 @@
             this.options.peerTimeoutMs
         );
         this.pending.delete(address);
+        if (this.dueAgain.has(address) && reply.isOk()) {
+            void this.beatTo(address);
+        }
         const heartbeat = reply.isOk() ? heartbeatSchema.safeParse(reply.value) : undefined;
         if (heartbeat?.success) {
             this.receive(heartbeat.data);
--- a/packages/control/src/peer/PeerMessages.ts
+++ b/packages/control/src/peer/PeerMessages.ts
@@ -13,7 +13,9 @@
 export const ownedSliceSchema = z.object({
     sliceId: name,
     epoch: wholeNumber,
-    services: z.record(z.string(), wholeNumber)
+    services: z.record(z.string(), wholeNumber),
+    /** Version of the slice's row, for successors that keep a copy. */
+    rowVersion: wholeNumber.optional()
 }).readonly();
 
 /** Heartbeat of a process. */
@@ -63,6 +65,14 @@
     unfinished: z.boolean()
 }).readonly();
 
+/** Question of an owner whether a successor has taken its slice over. */
+export const confirmSliceSchema = z.object({ sliceId: name, epoch: wholeNumber }).readonly();
+
+/** Answer to the question of an owner. */
+export interface ConfirmSliceReply {
+    readonly superseded: boolean;
+}
+
 /** Question for the time line of one process. */
 export const timelineSchema = z.object({ requestId: z.string().optional(), sinceMs: z.number().optional() }).readonly();
 
@@ -94,6 +104,8 @@
     CancelRequest = "slice.cancel",
     AcquireSlot = "lookup.acquire",
     ReleaseSlot = "lookup.release",
+    ConfirmSlice = "slice.confirm",
+    HandOverSlice = "slice.hand-over",
     ReadTimeline = "timeline.read",
     ReadStatus = "status.read"
 }
--- /dev/null
+++ b/packages/control/src/process/PauseDetector.ts
@@ -0,0 +1,42 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+
+const TICK_INTERVAL_MS = 100;
+
+/** Finds out from the monotonic clock that this process was paused, before anything else is done. */
+export class PauseDetector implements Disposable {
+    private readonly store = new DisposableStore();
+    private readonly pauseEmitter = this.store.add(new Emitter<number>());
+    private lastSeenMs: number;
+    private lastPauseEndMs = -Infinity;
+
+    /** Tells the length of each pause at its end. */
+    public readonly onPause = this.pauseEmitter.event;
+
+    constructor(private readonly timer: TimerService, private readonly limitMs: number) {
+        this.lastSeenMs = timer.nowMs();
+        this.store.add(timer.every(TICK_INTERVAL_MS, () => this.check()));
+    }
+
+    /** Time since the end of the last pause. */
+    public get sincePauseMs(): number {
+        this.check();
+        return this.timer.nowMs() - this.lastPauseEndMs;
+    }
+
+    /** Notices a pause that has just ended; called before whatever a paused process must not do. */
+    public check(): void {
+        const nowMs = this.timer.nowMs();
+        const gapMs = nowMs - this.lastSeenMs;
+        this.lastSeenMs = nowMs;
+        if (gapMs > this.limitMs) {
+            this.lastPauseEndMs = nowMs;
+            this.pauseEmitter.fire(gapMs);
+        }
+    }
+
+    public dispose(): void {
+        this.store.dispose();
+    }
+}
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -17,11 +17,13 @@
     releaseSchema,
     submitSchema
 } from "../peer/PeerMessages.js";
+import { HandoverController } from "../slice/HandoverController.js";
 import { OwnershipController } from "../slice/OwnershipController.js";
 import { type OwnedSlice, SliceController } from "../slice/SliceController.js";
 import { SliceDirectory } from "../slice/SliceDirectory.js";
 import { type GroupCommitCounts, GroupCommitWriter } from "../store/GroupCommitWriter.js";
 import { RequestStore } from "../store/RequestStore.js";
+import { PauseDetector } from "./PauseDetector.js";
 import { ownerNameOf, type ProcessEnvironment } from "./ProcessEnvironment.js";
 import type { ProcessOptions } from "./ProcessOptions.js";
 
@@ -35,6 +37,8 @@
     private readonly requestStore: RequestStore;
     private readonly allotments: AllotmentController;
     private readonly ownership: OwnershipController;
+    private readonly handovers: HandoverController;
+    private readonly pauses: PauseDetector;
     private stopping = false;
     private startedMs = 0;
 
@@ -72,10 +76,20 @@
         );
         this.keys = this.store.add(new KeyController(environment, options, this.writer));
         this.allotments = this.store.add(new AllotmentController(this.config));
+        this.pauses = this.store.add(new PauseDetector(timer, options.suspectAfterMs));
         this.directory = this.store.add(new SliceDirectory(this.membership));
         this.ownership = this.store.add(
-            new OwnershipController(sliceIds, environment, options, this.membership, this.writer)
+            new OwnershipController(
+                sliceIds,
+                environment,
+                options,
+                this.membership,
+                this.writer,
+                this.peerClient,
+                this.pauses
+            )
         );
+        this.handovers = new HandoverController(environment, options, this.peerClient, this.membership, this.ownership);
         this.requests = this.store.add(
             new RequestController(
                 environment,
@@ -85,7 +99,8 @@
                 this.requestStore,
                 this.config,
                 this.keys,
-                () => this.isReady
+                () => this.isReady,
+                this.pauses
             )
         );
         this.subscribe();
@@ -128,14 +143,20 @@
         this.stopping = true;
         this.ownership.pause();
         this.membership.beat();
+        await Promise.all(this.ownedSlices.map(slice => this.handovers.handOver(slice)));
+        this.membership.beat();
         const endMs = this.environment.timer.nowMs() + this.options.stopLimitMs;
-        while (this.requests.inProgressCount > 0 && this.environment.timer.nowMs() < endMs) {
+        while (this.isBusy && this.environment.timer.nowMs() < endMs) {
             await sleep(this.environment.timer, STOP_CHECK_INTERVAL_MS);
         }
         this.environment.log.write(EVENTS.processStopped);
         this.dispose();
     }
 
+    private get isBusy(): boolean {
+        return this.requests.inProgressCount > 0 || !this.writer.isIdle;
+    }
+
     public dispose(): void {
         for (const slice of this.slices.values()) {
             slice.dispose();
@@ -168,7 +189,8 @@
             this.options,
             this.requestStore,
             () => this.countServices(),
-            ownerName => this.isProcessAlive(ownerName)
+            ownerName => this.isProcessAlive(ownerName),
+            this.pauses
         );
         this.slices.set(slice.sliceId, controller);
         controller.onStale(() => this.ownership.resign(slice.sliceId));
@@ -240,7 +262,8 @@
             slices: this.ownedSlices.map(controller => ({
                 sliceId: controller.slice.sliceId,
                 epoch: controller.slice.epoch,
-                services: controller.runningServices
+                services: controller.runningServices,
+                rowVersion: this.ownership.rowOf(controller.slice.sliceId)?.version
             }))
         };
     }
--- /dev/null
+++ b/packages/control/src/slice/DomainPeers.ts
@@ -0,0 +1,115 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
+import { type MembershipController, PeerState, type PeerView } from "../membership/MembershipController.js";
+import { ownerNameOf, type ProcessEnvironment } from "../process/ProcessEnvironment.js";
+import type { ProcessOptions } from "../process/ProcessOptions.js";
+import type { SuccessorCandidates } from "./SuccessorList.js";
+
+/** Knows the processes of the own failure domain by their owner names. */
+export class DomainPeers implements Disposable {
+    private readonly store = new DisposableStore();
+    private readonly missingSinceMs = new Map<string, number>();
+    private readonly startedMs: number;
+
+    constructor(
+        private readonly environment: Pick<ProcessEnvironment, "identity" | "timer">,
+        private readonly options: ProcessOptions,
+        private readonly membership: MembershipController
+    ) {
+        this.startedMs = environment.timer.nowMs();
+        this.store.add(membership.onLiveList(machines => this.noteListed(machines)));
+    }
+
+    /** Candidates for the succession of a slice of this failure domain. */
+    public get candidates(): SuccessorCandidates {
+        return { live: this.live, hasEnded: ownerName => this.hasEnded(ownerName) };
+    }
+
+    /** Finds a process by its owner name. */
+    public find(ownerName: string): PeerView | undefined {
+        return this.membership.peers.find(peer => ownerNameOf(peer.heartbeat) === ownerName);
+    }
+
+    /** Tells whether a process is heard and not stopping. */
+    public isServing(ownerName: string): boolean {
+        const peer = this.find(ownerName);
+        return peer !== undefined && peer.state !== PeerState.Dead && !peer.heartbeat.stopping;
+    }
+
+    /** Tells whether a process is silent, was replaced, or was never heard for a long time. */
+    public isSilent(ownerName: string): boolean {
+        const peer = this.find(ownerName);
+        if (peer) {
+            return peer.state === PeerState.Dead;
+        }
+        const ageMs = this.environment.timer.nowMs() - this.startedMs;
+        return this.isReplaced(ownerName) || ageMs >= this.options.deadAfterMs;
+    }
+
+    /** Tells whether a process that is not silent holds a slice under this epoch or a higher one. */
+    public isHeld(sliceId: string, epoch: number): boolean {
+        return this.membership.peers.some(peer =>
+            peer.state !== PeerState.Dead
+            && peer.heartbeat.slices.some(slice => slice.sliceId === sliceId && slice.epoch >= epoch)
+        );
+    }
+
+    /** Tells whether the owner of a slice says that its row has another version. */
+    public isChanged(sliceId: string, version: number): boolean {
+        return this.membership.peers.some(peer =>
+            peer.state !== PeerState.Dead
+            && peer.heartbeat.slices.some(slice => slice.sliceId === sliceId && (slice.rowVersion ?? 0) > version)
+        );
+    }
+
+    /** Tells whether this process is the first one of its failure domain that may own a slice. */
+    public get isFirst(): boolean {
+        const { processId } = this.environment.identity;
+        return this.live.every(ownerName => processIdOf(ownerName) > processId);
+    }
+
+    public dispose(): void {
+        this.store.dispose();
+    }
+
+    private get live(): readonly string[] {
+        const { failureDomain } = this.environment.identity;
+        return this.membership.peers
+            .filter(peer => peer.state === PeerState.Alive && !peer.heartbeat.stopping)
+            .filter(peer => peer.heartbeat.failureDomain === failureDomain)
+            .map(peer => ownerNameOf(peer.heartbeat))
+            .sort();
+    }
+
+    /** A process has ended when it stops without a slice, when another incarnation runs, or when its VM is off the live list past the list's lag. */
+    private hasEnded(ownerName: string): boolean {
+        const missingSinceMs = this.missingSinceMs.get(processIdOf(ownerName));
+        const isGone = missingSinceMs !== undefined
+            && this.environment.timer.nowMs() - missingSinceMs >= this.options.liveListLagMs;
+        const heartbeat = this.find(ownerName)?.heartbeat;
+        const hasStopped = heartbeat !== undefined && heartbeat.stopping && heartbeat.slices.length === 0;
+        return this.isReplaced(ownerName) || isGone || hasStopped;
+    }
+
+    private isReplaced(ownerName: string): boolean {
+        const peer = this.membership.peer(processIdOf(ownerName));
+        return peer !== undefined && ownerNameOf(peer.heartbeat) !== ownerName;
+    }
+
+    private noteListed(machines: readonly LiveMachine[]): void {
+        const listed = new Set(machines.map(machine => machine.machineId));
+        const heard = this.membership.peers.map(peer => peer.heartbeat.processId);
+        for (const processId of heard) {
+            if (listed.has(processId)) {
+                this.missingSinceMs.delete(processId);
+            }
+            else if (!this.missingSinceMs.has(processId)) {
+                this.missingSinceMs.set(processId, this.environment.timer.nowMs());
+            }
+        }
+    }
+}
+
+function processIdOf(ownerName: string): string {
+    return ownerName.slice(0, ownerName.lastIndexOf("/"));
+}
--- a/packages/control/src/slice/Job.ts
+++ b/packages/control/src/slice/Job.ts
@@ -4,6 +4,7 @@
 import { NO_RESOURCES } from "@skylarkpath/common/model/Resources";
 import { GroupKind, type TaskGroup } from "@skylarkpath/common/scheduling/TaskScheduler";
 import type { StoredRequest } from "../store/RequestStore.js";
+import type { HandedJob } from "./SliceHandover.js";
 
 const NO_TASKS: TaskSizing = { count: 0, resources: NO_RESOURCES, declaredDurationMs: 0, checkpointable: false };
 
@@ -21,8 +22,15 @@
         /** Payload of the request, loaded from the object store when it is large. */
         public readonly payload: string,
         /** Tasks may run already under a former epoch. */
-        public readonly claimedEarlier: boolean
-    ) {}
+        public readonly claimedEarlier: boolean,
+        /** What the former owner has handed over. */
+        private readonly history?: HandedJob
+    ) {
+        this.startedOnce = history?.started ?? false;
+        this.cancelRequested = history?.cancelled ?? false;
+        this.finalOutcome = history?.pendingOutcome as RequestOutcome | undefined;
+        history?.answers.forEach(({ taskIndex, answer }) => this.answers.set(taskIndex, answer));
+    }
 
     /** Id of the request. */
     public get requestId(): string {
@@ -46,7 +54,8 @@
 
     /** Tells whether some task was or may have been handed to a worker, also under a former epoch. */
     public get hasStarted(): boolean {
-        return this.claimedEarlier || this.startedOnce || this.answers.size > 0;
+        const isUnseen = this.claimedEarlier && this.history === undefined;
+        return isUnseen || this.startedOnce || this.answers.size > 0;
     }
 
     /** Tells whether tasks may start: no final outcome was decided. */
@@ -157,6 +166,19 @@
             : { state: OutcomeState.Unknown, reason: OutcomeReason.OwnerLost, detail };
     }
 
+    /** Describes the job for the next owner of the slice. */
+    public toHanded(): HandedJob {
+        return {
+            record: { ...this.stored.record },
+            version: this.stored.version,
+            payload: this.payload,
+            answers: [...this.answers].map(([taskIndex, answer]) => ({ taskIndex, answer })),
+            started: this.hasStarted,
+            cancelled: this.cancelRequested,
+            pendingOutcome: this.finalOutcome && { ...this.finalOutcome }
+        };
+    }
+
     /** Outcome as it stands now. */
     public currentOutcome(): RequestOutcome {
         const state = this.running.size > 0 ? OutcomeState.Running : OutcomeState.Accepted;
--- a/packages/control/src/slice/JobController.ts
+++ b/packages/control/src/slice/JobController.ts
@@ -1,8 +1,7 @@
 import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
-import { QueueKind } from "@skylarkpath/common/model/OperatorsText";
-import { isFinal, OutcomeState, type RequestOutcome } from "@skylarkpath/common/model/Request";
+import { isFinal, OutcomeState, type RequestOutcome, type RequestRecord } from "@skylarkpath/common/model/Request";
 import {
     TaskEnd,
     type TaskScheduler,
@@ -11,11 +10,16 @@
 } from "@skylarkpath/common/scheduling/TaskScheduler";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
-import { WriteErrorKind } from "../store/GroupCommitWriter.js";
+import { groupByRequest } from "../store/ProgressGroups.js";
 import { ReadWindow } from "../store/ReadWindow.js";
 import type { RequestStore, SliceGuard, StoredRequest, TaskProgress } from "../store/RequestStore.js";
+import { Adoption } from "./Adoption.js";
 import { Job, taskIndexOf } from "./Job.js";
+import { JobOutcomeWriter } from "./JobOutcomeWriter.js";
+import { isOrder } from "./OrderResolver.js";
+import { OutcomeMemory } from "./OutcomeMemory.js";
 import type { Placements } from "./Placements.js";
+import type { HandedJob, SliceHandover } from "./SliceHandover.js";
 
 /** Outcome of a request with what it waits for. */
 export interface JobDescription {
@@ -24,30 +28,17 @@
     readonly waiting?: WaitExplanation;
 }
 
-interface FinalOutcome {
-    readonly team: string;
-    readonly outcome: RequestOutcome;
-}
-
 /** Asks for a running task to be stopped. */
 export type StopTask = (taskId: string) => void;
 
-/** What to do with a task that an inventory shows as running. */
-export enum Adoption {
-    Adopted = "adopted",
-    /** The task has no right to run. */
-    Stop = "stop",
-    /** Not known yet; the task goes on until it is. */
-    Later = "later"
-}
-
 const PAYLOADS_AT_ONCE = 32;
 
 /** Holds the open batch and gang jobs of a slice and commits their outcomes. */
 export class JobController implements Disposable {
     private readonly store = new DisposableStore();
     private readonly jobs = new Map<string, Job>();
-    private readonly finalOutcomes = new Map<string, FinalOutcome>();
+    private readonly finalOutcomes: OutcomeMemory;
+    private readonly outcomes: JobOutcomeWriter;
     private readonly reads = new ReadWindow();
     private readonly changeEmitter = this.store.add(new Emitter<void>());
     private readonly finishedEmitter = this.store.add(new Emitter<string>());
@@ -73,13 +64,16 @@
         private readonly sliceId: string,
         private readonly epoch: number,
         private readonly environment: ProcessEnvironment,
-        private readonly options: ProcessOptions,
+        options: Pick<ProcessOptions, "lookupMemoryMs">,
         private readonly requests: RequestStore,
         private readonly scheduler: TaskScheduler,
         private readonly guard: SliceGuard,
         private readonly placements: Placements,
         private readonly stopTask: StopTask
-    ) {}
+    ) {
+        this.outcomes = new JobOutcomeWriter(requests, guard);
+        this.finalOutcomes = new OutcomeMemory(environment.timer, options.lookupMemoryMs);
+    }
 
     /** Tells whether all open requests of the slice were loaded. */
     public get isLoaded(): boolean {
@@ -113,13 +107,31 @@
             this.loaded = true;
             for (const job of this.jobs.values()) {
                 this.release(job);
-                this.finishWhenComplete(job);
+                if (job.isComplete && !job.isClosed) {
+                    void this.finish(job, job.completeOutcome());
+                }
             }
             this.changeEmitter.fire();
         }
         return isLoaded;
     }
 
+    /** Takes in the open jobs that the former owner has handed over. */
+    public adoptHanded(handover: SliceHandover): void {
+        for (const handed of handover.jobs) {
+            const record = handed.record as unknown as RequestRecord;
+            const stored = { record, version: handed.version };
+            this.insert(new Job(stored, handed.payload, record.claimEpoch < this.epoch, handed));
+        }
+        this.loaded = handover.jobsComplete;
+        this.retryFinishes();
+    }
+
+    /** Jobs for the next owner of the slice. */
+    public handOver(): readonly HandedJob[] {
+        return [...this.jobs.values()].map(job => job.toHanded());
+    }
+
     /** Takes in a request that was committed for this slice; returns false when it is not known to be committed. */
     public async submit(requestId: string): Promise<boolean> {
         if (this.jobs.has(requestId)) {
@@ -222,7 +234,7 @@
 
     /** Describes a request of this slice, or undefined when it is not open here. */
     public describe(requestId: string): JobDescription | undefined {
-        const final = this.finalOutcomes.get(requestId);
+        const final = this.finalOutcomes.find(requestId);
         if (final) {
             return final;
         }
@@ -259,7 +271,7 @@
 
     /** A task of a request that is not known here runs on until the store has been asked. */
     private adoptUnknown(requestId: string): Adoption {
-        if (this.finalOutcomes.has(requestId)) {
+        if (this.finalOutcomes.find(requestId)) {
             return Adoption.Stop;
         }
         void this.submit(requestId);
@@ -273,11 +285,10 @@
             return false;
         }
         this.ordersEmitter.fire(open.value.filter(isOrder));
-        const answered = new Map<string, TaskProgress[]>();
         for (const entry of progress.value) {
             this.jobs.get(entry.requestId)?.noteFinished(entry.taskIndex, entry.answer);
-            answered.set(entry.requestId, [...answered.get(entry.requestId) ?? [], entry]);
         }
+        const answered = groupByRequest(progress.value);
         for (let start = 0; start < open.value.length; start += PAYLOADS_AT_ONCE) {
             const part = open.value.slice(start, start + PAYLOADS_AT_ONCE);
             await Promise.all(part.map(stored => this.add(stored, answered.get(stored.record.requestId))));
@@ -304,17 +315,25 @@
         }
         const job = new Job(stored, payload.value, claimEpoch < this.epoch);
         progress.forEach(entry => job.noteFinished(entry.taskIndex, entry.answer));
-        this.jobs.set(requestId, job);
-        for (const { taskId, workerId } of this.placements.ofGroup(requestId)) {
+        this.insert(job);
+        return true;
+    }
+
+    private insert(job: Job): void {
+        this.jobs.set(job.requestId, job);
+        for (const { taskId, workerId } of this.placements.ofGroup(job.requestId)) {
             this.count(job, taskId, workerId);
+            if (job.isCancelled) {
+                this.stopTask(taskId);
+            }
         }
         this.release(job);
-        return true;
+        this.finishCancelled(job);
     }
 
     private isKnown(requestId: string): boolean {
         return this.jobs.has(requestId)
-            || this.finalOutcomes.has(requestId)
+            || this.finalOutcomes.find(requestId) !== undefined
             || this.reads.hasEnded(requestId);
     }
 
@@ -340,12 +359,6 @@
         }
     }
 
-    private finishWhenComplete(job: Job): void {
-        if (job.isComplete && !job.isClosed) {
-            void this.finish(job, job.completeOutcome());
-        }
-    }
-
     private async finish(job: Job, outcome: RequestOutcome): Promise<boolean> {
         if (job.isClosed) {
             return false;
@@ -358,34 +371,22 @@
         for (const taskId of this.scheduler.withdraw(job.requestId)) {
             this.stopTask(taskId);
         }
-        const stored = { ...job.stored, record: { ...job.stored.record, outcome } };
-        const written = await this.requests.finish(stored, job.finishedIndexes, this.guard);
-        if (written.isErr()) {
+        const { standing, isConflict } = await this.outcomes.commit(job, outcome);
+        if (isConflict) {
+            this.conflictEmitter.fire(job.requestId);
+        }
+        if (!standing) {
             job.reopen();
-            if (written.error.kind === WriteErrorKind.Conflict) {
-                this.conflictEmitter.fire(job.requestId);
-                await this.takeInOutcome(job);
-            }
             return false;
         }
-        this.noteEnded(job, outcome);
-        return true;
-    }
-
-    /** Takes the outcome that the store has, when another process has written it. */
-    private async takeInOutcome(job: Job): Promise<void> {
-        const stored = await this.requests.find(job.requestId);
-        const outcome = stored.isOk() ? stored.value?.record.outcome : undefined;
-        if (outcome && isFinal(outcome) && this.jobs.has(job.requestId)) {
-            this.noteEnded(job, outcome);
-        }
+        this.noteEnded(job, standing);
+        return !isConflict;
     }
 
     private noteEnded(job: Job, outcome: RequestOutcome): void {
         this.jobs.delete(job.requestId);
         this.reads.noteEnded(job.requestId);
-        this.finalOutcomes.set(job.requestId, { team: job.stored.record.spec.team, outcome });
-        this.environment.timer.after(this.options.lookupMemoryMs, () => this.finalOutcomes.delete(job.requestId));
+        this.finalOutcomes.add(job.requestId, { team: job.stored.record.spec.team, outcome });
         this.environment.log.write(EVENTS.requestEnded, {
             requestId: job.requestId,
             state: outcome.state,
@@ -394,7 +395,3 @@
         this.finishedEmitter.fire(job.requestId);
     }
 }
-
-function isOrder(stored: StoredRequest): boolean {
-    return stored.record.spec.kind === QueueKind.Lookup;
-}
--- a/packages/control/src/slice/LookupController.ts
+++ b/packages/control/src/slice/LookupController.ts
@@ -6,6 +6,7 @@
 import type { AcquireMessage, ReleaseMessage } from "../peer/PeerMessages.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
+import type { SliceHandover } from "./SliceHandover.js";
 
 /** Slot that a look-up may use, or the reason why it gets none. */
 export type SlotGrant =
@@ -13,17 +14,24 @@
     | { readonly shed: ShedReason; };
 
 interface GrantedSlot {
+    readonly team: string;
     readonly targetId: string;
     readonly address: string;
+    readonly endMs: number;
     readonly expiry: Disposable;
 }
 
+type GrantPlace = Pick<GrantedSlot, "address" | "targetId" | "team">;
+
 interface WaitingLookup {
     readonly team: string;
     readonly deadlineAtMs: number;
     readonly resolve: (grant: SlotGrant) => void;
 }
 
+/** Tells whether this process may give slots now. */
+export type GrantCheck = () => boolean;
+
 const GRANT_MARGIN_MS = 1000;
 const SETTLE_INTERVAL_MS = 500;
 const NEVER_SEEN_GRACE_MS = 2000;
@@ -33,14 +41,16 @@
     private readonly store = new DisposableStore();
     private readonly waiting = new Map<string, WaitingLookup>();
     private readonly granted = new Map<string, GrantedSlot>();
-    private readonly addresses = new Map<string, string>();
+    private readonly machines = new Map<string, LiveMachine>();
     private readonly adopted = new Set<string>();
+    private isOpen = false;
     private decisionPending = false;
 
     constructor(
         private readonly environment: ProcessEnvironment,
         options: ProcessOptions,
-        private readonly scheduler: LookupScheduler
+        private readonly scheduler: LookupScheduler,
+        private readonly mayGrant: GrantCheck
     ) {
         this.store.add(environment.timer.every(options.heartbeatIntervalMs, () => this.decide()));
     }
@@ -57,7 +67,7 @@
 
     /** Finds the address of a target. */
     public addressOf(targetId: string): string | undefined {
-        return this.addresses.get(targetId);
+        return this.machines.get(targetId)?.address;
     }
 
     /** Sets shares and slots of the teams. */
@@ -78,9 +88,9 @@
                 this.takeIn(machine);
             }
         }
-        for (const targetId of this.addresses.keys()) {
+        for (const targetId of this.machines.keys()) {
             if (!listed.has(targetId)) {
-                this.addresses.delete(targetId);
+                this.machines.delete(targetId);
                 this.adopted.delete(targetId);
                 this.scheduler.removeTarget(targetId);
             }
@@ -88,8 +98,46 @@
         this.decideSoon();
     }
 
+    /** Begins to give slots: those that a former owner has given are in use by now or never will be. */
+    public open(): void {
+        this.isOpen = true;
+        for (const [targetId, machine] of this.machines) {
+            if (!this.adopted.has(targetId)) {
+                void this.adoptInventory(machine);
+            }
+        }
+    }
+
+    /** Takes in the slots that the former owner has handed over, and begins to give slots. */
+    public adoptHanded(handover: SliceHandover): void {
+        this.isOpen = true;
+        handover.targets.forEach(targetId => this.adopted.add(targetId));
+        for (const { lookupId, team, targetId, address, remainingMs } of handover.grants) {
+            this.scheduler.adopt(lookupId, team, targetId);
+            this.grant(lookupId, { team, targetId, address }, remainingMs);
+        }
+    }
+
+    /** Gives no more slots and tells those in use. */
+    public handOver(): Pick<SliceHandover, "grants" | "targets"> {
+        this.isOpen = false;
+        this.refuseWaiting();
+        const nowMs = this.environment.timer.nowMs();
+        const grants = [...this.granted].map(([lookupId, slot]) => ({
+            lookupId,
+            team: slot.team,
+            targetId: slot.targetId,
+            address: slot.address,
+            remainingMs: Math.max(0, slot.endMs - nowMs)
+        }));
+        return { grants, targets: [...this.adopted] };
+    }
+
     /** Waits for a slot until the deadline of the look-up. */
     public acquire(message: AcquireMessage): Promise<SlotGrant> {
+        if (!this.isOpen) {
+            return Promise.resolve({ shed: ShedReason.NoTarget });
+        }
         const nowMs = this.environment.timer.nowMs();
         const deadlineAtMs = nowMs + message.remainingMs;
         return new Promise(resolve => {
@@ -124,17 +172,22 @@
         for (const slot of this.granted.values()) {
             slot.expiry.dispose();
         }
-        for (const lookup of this.waiting.values()) {
+        this.refuseWaiting();
+        this.store.dispose();
+    }
+
+    private refuseWaiting(): void {
+        for (const [lookupId, lookup] of this.waiting) {
+            this.scheduler.withdraw(lookupId);
             lookup.resolve({ shed: ShedReason.NoTarget });
         }
         this.waiting.clear();
-        this.store.dispose();
     }
 
     private takeIn(machine: LiveMachine): void {
-        this.addresses.set(machine.machineId, machine.address);
+        this.machines.set(machine.machineId, machine);
         this.upsert(machine);
-        if (!this.adopted.has(machine.machineId)) {
+        if (this.isOpen && !this.adopted.has(machine.machineId)) {
             void this.adoptInventory(machine);
         }
     }
@@ -149,7 +202,8 @@
         for (const attempt of inventory.value.running) {
             if (!this.granted.has(attempt.attemptId)) {
                 this.scheduler.adopt(attempt.attemptId, attempt.team ?? "", machine.machineId);
-                this.grant(attempt.attemptId, machine.machineId, machine.address, 0);
+                const { machineId: targetId, address } = machine;
+                this.grant(attempt.attemptId, { team: attempt.team ?? "", targetId, address }, 0);
             }
         }
         this.upsert(machine);
@@ -176,6 +230,9 @@
     }
 
     private decide(): void {
+        if (!this.isOpen || !this.mayGrant()) {
+            return;
+        }
         for (const decision of this.scheduler.decide(this.environment.timer.nowMs())) {
             const lookup = this.waiting.get(decision.lookupId);
             this.waiting.delete(decision.lookupId);
@@ -183,26 +240,29 @@
                 lookup?.resolve({ shed: decision.shed });
                 continue;
             }
-            const address = this.addresses.get(decision.targetId);
+            const address = this.addressOf(decision.targetId);
             if (!lookup || address === undefined) {
                 this.scheduler.finished(decision.lookupId, 0, false);
                 lookup?.resolve({ shed: ShedReason.NoTarget });
                 continue;
             }
             const remainingMs = lookup.deadlineAtMs - this.environment.timer.nowMs();
-            this.grant(decision.lookupId, decision.targetId, address, remainingMs);
-            lookup.resolve({ targetId: decision.targetId, address });
+            const { team } = lookup;
+            const { targetId } = decision;
+            this.grant(decision.lookupId, { team, targetId, address }, remainingMs);
+            lookup.resolve({ targetId, address });
         }
     }
 
-    private grant(lookupId: string, targetId: string, address: string, remainingMs: number): void {
+    private grant(lookupId: string, place: GrantPlace, remainingMs: number): void {
         const expiry = this.environment.timer.after(remainingMs + GRANT_MARGIN_MS, () => {
             const slot = this.granted.get(lookupId);
             if (slot) {
                 this.settleLater(lookupId, slot, 0);
             }
         });
-        this.granted.set(lookupId, { targetId, address, expiry });
+        const endMs = this.environment.timer.nowMs() + remainingMs;
+        this.granted.set(lookupId, { ...place, endMs, expiry });
     }
 
     private settleLater(lookupId: string, slot: GrantedSlot, waitedMs: number): void {
@@ -216,7 +276,7 @@
     /** Frees a slot once its target says that the attempt has ended or was never seen. */
     private async settle(lookupId: string, slot: GrantedSlot, waitedMs: number): Promise<void> {
         const report = await this.environment.targets.attempt(slot.address, lookupId);
-        const isGone = !this.addresses.has(slot.targetId);
+        const isGone = !this.machines.has(slot.targetId);
         const state = report.isOk() ? report.value.state : undefined;
         const hasEnded = state === AttemptState.Done || state === AttemptState.Failed;
         const wasNeverSeen = state === AttemptState.NeverSeen && waitedMs >= NEVER_SEEN_GRACE_MS;
--- a/packages/control/src/slice/OrderResolver.ts
+++ b/packages/control/src/slice/OrderResolver.ts
@@ -1,5 +1,6 @@
 import type { Disposable } from "@skylarkpath/common/base/Disposable";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import { QueueKind } from "@skylarkpath/common/model/OperatorsText";
 import { OutcomeReason, OutcomeState, type RequestOutcome } from "@skylarkpath/common/model/Request";
 import { resolveAttempt } from "../entry/AttemptResolver.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
@@ -70,3 +71,8 @@
         });
     }
 }
+
+/** Tells whether a request is a look-up that is not idempotent; only such look-ups are recorded. */
+export function isOrder(stored: StoredRequest): boolean {
+    return stored.record.spec.kind === QueueKind.Lookup;
+}
--- a/packages/control/src/slice/OwnershipController.ts
+++ b/packages/control/src/slice/OwnershipController.ts
@@ -1,29 +1,48 @@
 import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
-import type { SliceRecord } from "@skylarkpath/common/model/Slice";
-import { type JsonValue, TableName, type TableRow } from "@skylarkpath/common/platform/TableService";
-import { type MembershipController, PeerState } from "../membership/MembershipController.js";
+import type { SliceRecord, Successor } from "@skylarkpath/common/model/Slice";
+import { type JsonValue, TableName } from "@skylarkpath/common/platform/TableService";
+import { err, ok } from "neverthrow";
+import type { MembershipController } from "../membership/MembershipController.js";
+import type { PeerClient } from "../peer/PeerClient.js";
+import { type ConfirmSliceReply, confirmSliceSchema, PeerMethod } from "../peer/PeerMessages.js";
+import type { PauseDetector } from "../process/PauseDetector.js";
 import { ownerNameOf, type ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import type { GroupCommitWriter } from "../store/GroupCommitWriter.js";
+import { DomainPeers } from "./DomainPeers.js";
+import { Confirmation, SliceClaim, type SliceRow } from "./SliceClaim.js";
 import type { OwnedSlice } from "./SliceController.js";
+import type { SliceHandover } from "./SliceHandover.js";
+import { assignedEpochOf, highestEpochOf } from "./SuccessorList.js";
 
 interface Ownership {
     readonly slice: OwnedSlice;
-    rowVersion: number;
+    readonly claim: SliceClaim;
 }
 
+/** Slice that its owner does not report as held. */
+interface UnheldSlice {
+    readonly owner: string;
+    readonly sinceMs: number;
+}
+
+const RENEWAL_INTERVAL_MS = 1000;
+
 /** Acquires the slices of the own failure domain whose owner is missing, and gives them up when superseded. */
 export class OwnershipController implements Disposable {
     private readonly store = new DisposableStore();
     private readonly owned = new Map<string, Ownership>();
+    /** Rows of slices as they were last read. */
+    private readonly knownRows = new Map<string, SliceRow>();
+    private readonly unheld = new Map<string, UnheldSlice>();
     private readonly acquiredEmitter = this.store.add(new Emitter<OwnedSlice>());
     private readonly lostEmitter = this.store.add(new Emitter<string>());
+    private readonly peers: DomainPeers;
     private readonly ownerName: string;
-    private startedMs = 0;
     private busy = false;
-    private paused = false;
+    private stopped = false;
 
     /** Tells each slice that this process owns from now on. */
     public readonly onAcquired = this.acquiredEmitter.event;
@@ -34,118 +53,243 @@
         private readonly sliceIds: readonly string[],
         private readonly environment: ProcessEnvironment,
         private readonly options: ProcessOptions,
-        private readonly membership: MembershipController,
-        private readonly writer: GroupCommitWriter
+        membership: MembershipController,
+        private readonly writer: GroupCommitWriter,
+        private readonly peerClient: PeerClient,
+        private readonly pauses: PauseDetector
     ) {
         this.ownerName = ownerNameOf(environment.identity);
+        this.peers = this.store.add(new DomainPeers(environment, options, membership));
+        this.store.add(membership.onPeerState(() => void this.check()));
+        peerClient.serve(PeerMethod.ConfirmSlice, confirmSliceSchema, async message => {
+            const reply: ConfirmSliceReply = { superseded: this.isSuperseded(message.sliceId, message.epoch) };
+            return ok(reply);
+        });
     }
 
     /** Begins to watch the slices. */
     public start(): void {
-        this.startedMs = this.environment.timer.nowMs();
-        this.store.add(this.environment.timer.every(this.options.ownershipIntervalMs, () => void this.check()));
+        const { timer } = this.environment;
+        this.store.add(timer.every(this.options.ownershipIntervalMs, () => void this.check()));
+        this.store.add(timer.every(RENEWAL_INTERVAL_MS, () => this.renew()));
     }
 
     /** Acquires nothing more, as a graceful stop begins. */
     public pause(): void {
-        this.paused = true;
+        this.stopped = true;
+    }
+
+    /** Slices of this process with their rows. */
+    public rowOf(sliceId: string): SliceRow | undefined {
+        return this.owned.get(sliceId)?.claim.current;
     }
 
     /** Gives up a slice, since another owner has a higher epoch. */
     public resign(sliceId: string): void {
         if (this.owned.delete(sliceId)) {
+            this.knownRows.delete(sliceId);
             this.environment.log.write(EVENTS.sliceLost, { slice: sliceId });
             this.lostEmitter.fire(sliceId);
         }
     }
 
+    /** Leaves a slice to any process that finds it, when no successor can be reached. */
+    public async abandon(sliceId: string): Promise<void> {
+        const ownership = this.owned.get(sliceId);
+        this.resign(sliceId);
+        await ownership?.claim.abandon();
+    }
+
+    /** Takes a slice that its owner hands over; returns the reason when it cannot be taken. */
+    public takeHandedOver(handover: SliceHandover, row: SliceRow): string | undefined {
+        const { sliceId } = row.record;
+        const epoch = assignedEpochOf(row.record, this.ownerName);
+        if (this.stopped || !this.sliceIds.includes(sliceId) || epoch === undefined) {
+            return "This process is stopping or is not a named successor.";
+        }
+        if (this.isSuperseded(sliceId, epoch) || this.owned.has(sliceId)) {
+            return "A later owner is known.";
+        }
+        this.take(this.claimRecord(row.record, epoch), row.version, false, handover);
+        return undefined;
+    }
+
+    /** Confirms all slices after a pause of this process; gives up those that are superseded. */
+    public async confirmAll(): Promise<void> {
+        await Promise.all([...this.owned.values()].map(({ slice }) => slice.confirmOwnership()));
+    }
+
     public dispose(): void {
+        this.stopped = true;
         this.store.dispose();
     }
 
+    private renew(): void {
+        if (!this.stopped) {
+            void this.confirmAll();
+        }
+    }
+
+    private isSuperseded(sliceId: string, epoch: number): boolean {
+        const ownEpoch = this.owned.get(sliceId)?.slice.epoch ?? 0;
+        const knownEpoch = this.knownRows.get(sliceId)?.record.epoch ?? 0;
+        return Math.max(ownEpoch, knownEpoch) > epoch || this.peers.isHeld(sliceId, epoch + 1);
+    }
+
     private async check(): Promise<void> {
-        if (this.busy || this.paused) {
+        if (this.busy || this.stopped) {
             return;
         }
         this.busy = true;
         for (const sliceId of this.sliceIds) {
             if (!this.owned.has(sliceId)) {
-                await this.tryAcquire(sliceId);
+                await this.watch(sliceId);
             }
         }
         this.busy = false;
     }
 
-    private async tryAcquire(sliceId: string): Promise<void> {
+    /** Reads the row of a slice when its owner has changed it or is missing; takes the slice over when due. */
+    private async watch(sliceId: string): Promise<void> {
+        const known = this.knownRows.get(sliceId);
+        if (known && this.peers.isHeld(sliceId, known.record.epoch) && !this.peers.isChanged(sliceId, known.version)) {
+            this.unheld.delete(sliceId);
+            return;
+        }
         const row = await this.environment.table.read(TableName.Slices, sliceId);
-        if (row.isErr() || !this.mayAcquire(row.value)) {
+        if (row.isOk() && row.value) {
+            this.knownRows.set(sliceId, {
+                record: row.value.value as unknown as SliceRecord,
+                version: row.value.version
+            });
+        }
+        const latest = this.knownRows.get(sliceId);
+        if (row.isOk() && !row.value) {
+            await this.takeFirst(sliceId);
+        }
+        else if (latest && this.isOwnerMissing(latest.record)) {
+            await this.takeOver(latest, row.isOk());
+        }
+    }
+
+    private async takeFirst(sliceId: string): Promise<void> {
+        if (!this.mayTake || !this.peers.isFirst) {
             return;
         }
-        const record = row.value?.value as SliceRecord | undefined;
-        const next: SliceRecord = {
-            sliceId,
-            failureDomain: this.environment.identity.failureDomain,
-            owner: this.ownerName,
-            epoch: (record?.epoch ?? 0) + 1,
-            successors: []
-        };
-        const written = await this.writer.submit({
-            conditions: () => [{ table: TableName.Slices, key: sliceId, version: row.value?.version ?? 0 }],
-            mutations: () => [{ table: TableName.Slices, key: sliceId, value: next as unknown as JsonValue }]
-        });
-        if (written.isOk()) {
-            this.take(next, written.value.version);
+        const { failureDomain } = this.environment.identity;
+        const record = { sliceId, failureDomain, owner: this.ownerName, epoch: 1, successors: [], workers: [] };
+        await this.takeInStore(record, 0);
+    }
+
+    private async takeOver(row: SliceRow, isStoreReached: boolean): Promise<void> {
+        const { record, version } = row;
+        const assigned = assignedEpochOf(record, this.ownerName);
+        if (!this.mayTake || !this.isTurnOf(record, assigned)) {
+            return;
+        }
+        const next = this.claimRecord(record, assigned ?? highestEpochOf(record) + 1);
+        if (isStoreReached) {
+            await this.takeInStore(next, version);
+        }
+        else if (assigned !== undefined) {
+            this.environment.log.write(EVENTS.sliceTakenUnrecorded, { slice: record.sliceId, epoch: assigned });
+            this.take(next, version, false);
         }
     }
 
-    /** The first live process of the failure domain takes a slice whose owner is missing. */
-    private mayAcquire(row: TableRow | undefined): boolean {
-        const record = row?.value as SliceRecord | undefined;
-        const silenceMs = this.environment.timer.nowMs() - this.startedMs;
-        if (record && record.owner !== this.ownerName) {
-            const owner = this.membership.peers.find(peer => ownerNameOf(peer.heartbeat) === record.owner);
-            const isMissing = owner ? owner.state === PeerState.Dead : silenceMs >= this.options.deadAfterMs;
-            if (!isMissing) {
-                return false;
-            }
+    /** Named successors come first, in order; any other process only when all of them have ended. */
+    private isTurnOf(record: SliceRecord, assigned: number | undefined): boolean {
+        if (assigned !== undefined) {
+            return record.successors.every(({ owner, epoch }) => epoch >= assigned || !this.peers.isServing(owner));
         }
-        return this.isFirstCandidate();
+        const { hasEnded } = this.peers.candidates;
+        return record.successors.every(({ owner }) => owner === this.ownerName || hasEnded(owner))
+            && this.peers.isFirst;
     }
 
-    private isFirstCandidate(): boolean {
-        const { processId, failureDomain } = this.environment.identity;
-        return !this.membership.peers.some(peer =>
-            peer.state === PeerState.Alive
-            && !peer.heartbeat.stopping
-            && peer.heartbeat.failureDomain === failureDomain
-            && peer.heartbeat.processId < processId
-        );
+    private isOwnerMissing(record: SliceRecord): boolean {
+        const { sliceId, owner, epoch } = record;
+        if (this.peers.isHeld(sliceId, epoch)) {
+            this.unheld.delete(sliceId);
+            return false;
+        }
+        const nowMs = this.environment.timer.nowMs();
+        const unheld = this.unheld.get(sliceId);
+        const sinceMs = unheld?.owner === owner ? unheld.sinceMs : nowMs;
+        this.unheld.set(sliceId, { owner, sinceMs });
+        const isSilent = owner === "" || (owner !== this.ownerName && this.peers.isSilent(owner));
+        return isSilent || nowMs - sinceMs >= this.options.deadAfterMs;
+    }
+
+    /** After a pause everybody seems silent until heard again. */
+    private get mayTake(): boolean {
+        return !this.stopped && this.pauses.sincePauseMs >= this.options.deadAfterMs;
+    }
+
+    private claimRecord(record: SliceRecord, epoch: number): SliceRecord {
+        const successors = record.successors.filter(successor => successor.epoch > epoch);
+        return { ...record, owner: this.ownerName, epoch, successors };
     }
 
-    private take(record: SliceRecord, rowVersion: number): void {
+    private async takeInStore(record: SliceRecord, version: number): Promise<void> {
+        const { sliceId } = record;
+        const written = await this.writer.submit({
+            conditions: () => [{ table: TableName.Slices, key: sliceId, version }],
+            mutations: () => [{ table: TableName.Slices, key: sliceId, value: record as unknown as JsonValue }]
+        });
+        if (written.isOk() && !this.stopped) {
+            this.take(record, written.value.version, true);
+        }
+    }
+
+    private take(record: SliceRecord, version: number, isRecorded: boolean, handover?: SliceHandover): void {
         const { sliceId, epoch, failureDomain } = record;
+        const claim = new SliceClaim(
+            { record, version },
+            isRecorded,
+            this.environment,
+            this.writer,
+            () => this.peers.candidates,
+            (successor, askedSliceId, askedEpoch) => this.ask(successor, askedSliceId, askedEpoch)
+        );
         const slice: OwnedSlice = {
             sliceId,
             failureDomain,
             epoch,
-            guard: () => [{ table: TableName.Slices, key: sliceId, version: this.owned.get(sliceId)?.rowVersion ?? 0 }],
-            confirmOwnership: () => this.confirm(sliceId, epoch)
+            handover,
+            recordedWorkers: record.workers,
+            guard: () => claim.guard(),
+            confirmOwnership: workerId => this.confirm(sliceId, claim, workerId),
+            lastConfirmedMs: () => claim.lastConfirmedMs,
+            removeWorker: workerId => claim.removeWorker(workerId)
         };
-        this.owned.set(sliceId, { slice, rowVersion });
+        this.owned.set(sliceId, { slice, claim });
+        this.unheld.delete(sliceId);
         this.environment.log.write(EVENTS.sliceAcquired, { slice: sliceId, epoch });
         this.acquiredEmitter.fire(slice);
+        void slice.confirmOwnership();
     }
 
-    private async confirm(sliceId: string, epoch: number): Promise<boolean> {
-        const row = await this.environment.table.read(TableName.Slices, sliceId);
-        if (row.isErr()) {
-            return false;
-        }
-        const record = row.value?.value as SliceRecord | undefined;
-        const isOwner = record?.owner === this.ownerName && record.epoch === epoch;
-        if (!isOwner) {
+    private async confirm(sliceId: string, claim: SliceClaim, workerId?: string): Promise<Confirmation> {
+        const confirmation = await claim.confirm(workerId);
+        const isCurrent = this.owned.get(sliceId)?.claim === claim;
+        if (confirmation === Confirmation.Superseded && isCurrent) {
             this.resign(sliceId);
         }
-        return isOwner;
+        return isCurrent ? confirmation : Confirmation.Superseded;
+    }
+
+    private async ask(successor: Successor, sliceId: string, epoch: number): Promise<Confirmation> {
+        const address = this.peers.find(successor.owner)?.heartbeat.address;
+        const reply = address === undefined ? err(undefined) : await this.peerClient.call<ConfirmSliceReply>(
+            address,
+            PeerMethod.ConfirmSlice,
+            { sliceId, epoch },
+            this.options.peerTimeoutMs
+        );
+        if (reply.isErr()) {
+            return Confirmation.Unknown;
+        }
+        return reply.value.superseded ? Confirmation.Superseded : Confirmation.Owner;
     }
 }
--- a/packages/control/src/slice/Placements.ts
+++ b/packages/control/src/slice/Placements.ts
@@ -15,6 +15,11 @@
         return this.byTask.size;
     }
 
+    /** All placed tasks. */
+    public get all(): readonly PlacedTask[] {
+        return [...this.byTask.values()];
+    }
+
     /** Finds the place of a task. */
     public find(taskId: string): PlacedTask | undefined {
         return this.byTask.get(taskId);
--- a/packages/control/src/slice/ServiceController.ts
+++ b/packages/control/src/slice/ServiceController.ts
@@ -1,7 +1,7 @@
 import { rangeOf } from "@skylarkpath/common/base/Ranges";
 import type { OperatorsText, ServiceDefinition } from "@skylarkpath/common/model/OperatorsText";
 import { GroupKind, type TaskGroup, type TaskScheduler } from "@skylarkpath/common/scheduling/TaskScheduler";
-import { Adoption } from "./JobController.js";
+import { Adoption } from "./Adoption.js";
 
 interface ServiceState {
     readonly definition: ServiceDefinition;
--- /dev/null
+++ b/packages/control/src/slice/SliceClaim.ts
@@ -0,0 +1,197 @@
+import type { SliceRecord, Successor } from "@skylarkpath/common/model/Slice";
+import {
+    type JsonValue,
+    type TableCondition,
+    TableName,
+    type TableRow
+} from "@skylarkpath/common/platform/TableService";
+import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
+import type { GroupCommitWriter } from "../store/GroupCommitWriter.js";
+import { renewSuccessors, type SuccessorCandidates } from "./SuccessorList.js";
+
+/** Whether this process still owns a slice. */
+export enum Confirmation {
+    Owner = "owner",
+    Superseded = "superseded",
+    /** Neither the store nor every successor has answered. */
+    Unknown = "unknown"
+}
+
+/** Asks a successor whether it has taken a slice over. */
+export type AskSuccessor = (successor: Successor, sliceId: string, epoch: number) => Promise<Confirmation>;
+
+/** Row of a slice with its version. */
+export interface SliceRow {
+    readonly record: SliceRecord;
+    readonly version: number;
+}
+
+interface ClaimWrite {
+    readonly owner?: string;
+}
+
+/** Ownership of one slice by this process: its row, its successors and the proof that it still holds. */
+export class SliceClaim {
+    private readonly newWorkers = new Set<string>();
+    private readonly removedWorkers = new Set<string>();
+    private confirmedMs = -Infinity;
+    private running: Promise<Confirmation> | undefined;
+    private next: Promise<Confirmation> | undefined;
+
+    constructor(
+        private row: SliceRow,
+        private isRecorded: boolean,
+        private readonly environment: Pick<ProcessEnvironment, "table" | "timer">,
+        private readonly writer: GroupCommitWriter,
+        private readonly candidates: () => SuccessorCandidates,
+        private readonly askSuccessor: AskSuccessor
+    ) {}
+
+    /** Row as this process knows it. */
+    public get current(): SliceRow {
+        return this.row;
+    }
+
+    /** Time at which the last successful confirmation began. */
+    public get lastConfirmedMs(): number {
+        return this.confirmedMs;
+    }
+
+    /** Condition that fences the writes of a former owner. */
+    public guard(): readonly TableCondition[] {
+        return [{ table: TableName.Slices, key: this.row.record.sliceId, version: this.row.version }];
+    }
+
+    /** Finds out, after this call, whether the slice is still owned; a named worker is recorded before its use. */
+    public async confirm(workerId?: string): Promise<Confirmation> {
+        if (workerId !== undefined && !this.row.record.workers.includes(workerId)) {
+            this.newWorkers.add(workerId);
+        }
+        const confirmation = await this.runSoon();
+        const isUnrecorded = workerId !== undefined && !this.row.record.workers.includes(workerId);
+        return confirmation === Confirmation.Owner && isUnrecorded ? Confirmation.Unknown : confirmation;
+    }
+
+    /** Removes a worker that is gone from the record at the next renewal. */
+    public removeWorker(workerId: string): void {
+        this.removedWorkers.add(workerId);
+        this.newWorkers.delete(workerId);
+    }
+
+    /** Leaves the slice to any process that finds it. */
+    public async abandon(): Promise<void> {
+        await this.write({ owner: "" });
+    }
+
+    /** Joins the run that begins next; one in progress may have read the store before the call. */
+    private runSoon(): Promise<Confirmation> {
+        if (!this.running) {
+            return this.begin();
+        }
+        this.next ??= this.running.then(() => {
+            this.next = undefined;
+            return this.begin();
+        });
+        return this.next;
+    }
+
+    private async begin(): Promise<Confirmation> {
+        const run = this.run();
+        this.running = run;
+        const confirmation = await run;
+        if (this.running === run) {
+            this.running = undefined;
+        }
+        return confirmation;
+    }
+
+    private async run(): Promise<Confirmation> {
+        const startMs = this.environment.timer.nowMs();
+        const confirmation = await this.check();
+        if (confirmation === Confirmation.Owner) {
+            this.confirmedMs = startMs;
+        }
+        return confirmation;
+    }
+
+    private async check(): Promise<Confirmation> {
+        const { sliceId, epoch } = this.row.record;
+        const found = await this.environment.table.read(TableName.Slices, sliceId);
+        if (found.isOk()) {
+            const confirmation = await this.confirmByRow(found.value);
+            if (confirmation !== Confirmation.Owner) {
+                return confirmation;
+            }
+        }
+        const { successors } = this.row.record;
+        const answers = await Promise.all(successors.map(successor => this.askSuccessor(successor, sliceId, epoch)));
+        if (answers.includes(Confirmation.Superseded)) {
+            return Confirmation.Superseded;
+        }
+        const { hasEnded } = this.candidates();
+        const allAgree = answers.every((answer, place) =>
+            answer === Confirmation.Owner || (found.isOk() && hasEnded(successors[place]!.owner))
+        );
+        return allAgree && (found.isOk() || successors.length > 0) ? Confirmation.Owner : Confirmation.Unknown;
+    }
+
+    private async confirmByRow(row: TableRow | undefined): Promise<Confirmation> {
+        const found = row?.value as SliceRecord | undefined;
+        const { owner, epoch } = this.row.record;
+        if (found && (found.epoch > epoch || (found.epoch === epoch && found.owner !== owner))) {
+            return Confirmation.Superseded;
+        }
+        if (found && found.epoch < epoch) {
+            this.row = { record: this.mergeOlder(found), version: row!.version };
+            this.isRecorded = false;
+        }
+        return this.needsWrite ? this.write({}) : Confirmation.Owner;
+    }
+
+    /** Successors and workers that a former owner has recorded meanwhile stay known. */
+    private mergeOlder(older: SliceRecord): SliceRecord {
+        const { record } = this.row;
+        const named = new Set([record.owner, ...record.successors.map(successor => successor.owner)]);
+        const others = older.successors.filter(({ owner, epoch }) => epoch > record.epoch && !named.has(owner));
+        return {
+            ...record,
+            successors: [...record.successors, ...others],
+            workers: [...new Set([...record.workers, ...older.workers])]
+        };
+    }
+
+    private get needsWrite(): boolean {
+        const { record } = this.row;
+        const successors = renewSuccessors(record, this.candidates());
+        const named = (list: readonly Successor[]): string => list.map(successor => successor.owner).join();
+        return !this.isRecorded
+            || this.newWorkers.size > 0
+            || this.removedWorkers.size > 0
+            || named(successors) !== named(record.successors);
+    }
+
+    private async write(change: ClaimWrite): Promise<Confirmation> {
+        const { record } = this.row;
+        const newWorkers = [...this.newWorkers];
+        const removedWorkers = [...this.removedWorkers];
+        const next: SliceRecord = {
+            ...record,
+            ...change,
+            successors: renewSuccessors(record, this.candidates()),
+            workers: [...new Set([...record.workers, ...newWorkers])].filter(id => !removedWorkers.includes(id))
+        };
+        const written = await this.writer.submit({
+            conditions: () => this.guard(),
+            mutations: () => [
+                { table: TableName.Slices, key: record.sliceId, value: next as unknown as JsonValue }
+            ],
+            onCommitted: receipt => {
+                this.row = { record: next, version: receipt.version };
+                this.isRecorded = true;
+                newWorkers.forEach(workerId => this.newWorkers.delete(workerId));
+                removedWorkers.forEach(workerId => this.removedWorkers.delete(workerId));
+            }
+        });
+        return written.isOk() ? Confirmation.Owner : Confirmation.Unknown;
+    }
+}
--- a/packages/control/src/slice/SliceController.ts
+++ b/packages/control/src/slice/SliceController.ts
@@ -14,15 +14,20 @@
     type TeamPolicy
 } from "@skylarkpath/common/scheduling/TaskScheduler";
 import type { SlicePolicies } from "../limits/AllotmentController.js";
+import type { PauseDetector } from "../process/PauseDetector.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import { ownerNameOf } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import type { RequestStore, SliceGuard } from "../store/RequestStore.js";
+import { GrantWindow } from "./GrantWindow.js";
 import { JobController, type JobDescription } from "./JobController.js";
 import { LookupController } from "./LookupController.js";
 import { type EntryCheck, OrderResolver } from "./OrderResolver.js";
 import { Placements } from "./Placements.js";
 import { isServiceGroup, ServiceController, type ServiceCounts } from "./ServiceController.js";
+import { Confirmation } from "./SliceClaim.js";
+import type { SliceHandover } from "./SliceHandover.js";
+import { SliceTransfer } from "./SliceTransfer.js";
 import { TaskReportHandler } from "./TaskReportHandler.js";
 import { WorkerPool } from "./WorkerPool.js";
 import type { OwnershipConfirmation, RefusedStart, WorkerSession } from "./WorkerSession.js";
@@ -33,8 +38,16 @@
     readonly sliceId: string;
     readonly failureDomain: string;
     readonly epoch: number;
+    /** State that the former owner has handed over; absent after its death. */
+    readonly handover?: SliceHandover;
+    /** Workers that former owners have used. */
+    readonly recordedWorkers: readonly string[];
     readonly guard: SliceGuard;
     readonly confirmOwnership: OwnershipConfirmation;
+    /** Time at which the last successful confirmation began. */
+    readonly lastConfirmedMs: () => number;
+    /** Forgets a worker that is gone. */
+    readonly removeWorker: (workerId: string) => void;
 }
 
 const COMMAND_KINDS = {
@@ -57,9 +70,14 @@
     private readonly placements = new Placements();
     private readonly reports: TaskReportHandler;
     private readonly orders: OrderResolver;
+    private readonly grants: GrantWindow;
+    private readonly transfer: SliceTransfer;
     private policies: SlicePolicies = new Map();
     private decisionPending = false;
     private disposed = false;
+    /** Ownership is being confirmed after a pause of this process. */
+    private suspended = false;
+    private handingOver = false;
 
     /** Gives executor slots to look-ups. */
     public readonly lookups: LookupController;
@@ -74,10 +92,11 @@
         private readonly options: ProcessOptions,
         requests: RequestStore,
         runningServices: ServiceCounts,
-        isEntryAlive: EntryCheck
+        isEntryAlive: EntryCheck,
+        private readonly pauses: PauseDetector
     ) {
         this.scheduler = environment.schedulers.createTaskScheduler(environment.random);
-        this.pool = this.store.add(new WorkerPool(environment, options, slice.epoch, slice.confirmOwnership));
+        this.pool = this.store.add(new WorkerPool(environment, options, slice, this));
         this.jobs = this.store.add(
             new JobController(
                 slice.sliceId,
@@ -96,7 +115,18 @@
             new TaskReportHandler(environment, this.scheduler, this.placements, this.jobs, this.services)
         );
         const lookupScheduler = environment.schedulers.createLookupScheduler(environment.random);
-        this.lookups = this.store.add(new LookupController(environment, options, lookupScheduler));
+        this.lookups = this.store.add(
+            new LookupController(environment, options, lookupScheduler, () => this.mayCommand && this.grants.isProven)
+        );
+        this.grants = this.store.add(new GrantWindow(environment.timer, options, slice, this.pool, this.lookups));
+        this.transfer = new SliceTransfer(
+            environment.timer,
+            this.pool,
+            this.placements,
+            this.jobs,
+            this.services,
+            this.lookups
+        );
         this.orders = this.store.add(
             new OrderResolver(environment, requests, slice.guard, isEntryAlive, id => this.lookups.addressOf(id))
         );
@@ -108,17 +138,34 @@
         return this.services.runningCounts;
     }
 
+    /** Tells whether this process may command workers and targets now. */
+    public get mayCommand(): boolean {
+        this.pauses.check();
+        return !this.disposed && !this.suspended && !this.handingOver;
+    }
+
     /** Begins to own the slice: loads its requests and fences its workers. */
     public start(): void {
+        if (this.slice.handover) {
+            this.transfer.adopt(this.slice.handover);
+            this.releaseHold();
+        }
         this.store.add(this.environment.timer.every(DECISION_INTERVAL_MS, () => this.decide()));
         this.store.add(this.environment.timer.every(this.options.reloadIntervalMs, () => this.reload()));
         void this.load();
     }
 
+    /** Stops commanding and tells the state of the slice for its next owner. */
+    public handOver(): Promise<SliceHandover> {
+        this.handingOver = true;
+        return this.transfer.collect();
+    }
+
     /** Takes in the machines of the slice. */
     public updateMachines(machines: readonly LiveMachine[]): void {
         this.pool.update(machines);
         this.lookups.update(machines);
+        this.grants.update();
     }
 
     /** Takes in the operators' text. */
@@ -138,7 +185,7 @@
 
     /** Takes in a committed request. */
     public submit(requestId: string): Promise<boolean> {
-        return this.jobs.submit(requestId);
+        return this.handingOver ? Promise.resolve(false) : this.jobs.submit(requestId);
     }
 
     /** Describes a request that is open here or ended lately. */
@@ -148,7 +195,7 @@
 
     /** Cancels a request; returns false when it is not open here. */
     public cancel(requestId: string): boolean {
-        return this.jobs.cancel(requestId);
+        return !this.handingOver && this.jobs.cancel(requestId);
     }
 
     /** Tells whether all open requests of the slice were loaded. */
@@ -183,7 +230,19 @@
         this.store.dispose();
     }
 
+    /** After a pause nothing is commanded before the ownership was read again. */
+    private async suspend(): Promise<void> {
+        this.suspended = true;
+        this.environment.log.write(EVENTS.processPaused, { slice: this.slice.sliceId });
+        const confirmation = await this.slice.confirmOwnership();
+        if (confirmation !== Confirmation.Superseded) {
+            this.suspended = false;
+            this.decideSoon();
+        }
+    }
+
     private subscribe(): void {
+        this.store.add(this.pauses.onPause(() => void this.suspend()));
         this.store.add(this.pool.onReply(reply => this.reports.handleReply(reply)));
         this.store.add(this.pool.onChange(session => this.updateWorker(session)));
         this.store.add(this.pool.onRemoved(workerId => this.scheduler.removeWorker(workerId)));
@@ -231,6 +290,7 @@
                 schedulable: session.isSchedulable
             });
         }
+        this.grants.update();
         this.applyPolicies();
         this.decideSoon();
     }
@@ -256,7 +316,7 @@
     }
 
     private decide(): void {
-        if (this.disposed) {
+        if (!this.mayCommand) {
             return;
         }
         const nowMs = this.environment.timer.nowMs();
--- /dev/null
+++ b/packages/control/src/slice/SliceTransfer.ts
@@ -0,0 +1,65 @@
+import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
+import { Adoption } from "./Adoption.js";
+import type { JobController } from "./JobController.js";
+import type { LookupController } from "./LookupController.js";
+import type { PlacedTask, Placements } from "./Placements.js";
+import { isServiceGroup, type ServiceController } from "./ServiceController.js";
+import type { HandedWorker, SliceHandover } from "./SliceHandover.js";
+import type { WorkerPool } from "./WorkerPool.js";
+import type { WorkerSession } from "./WorkerSession.js";
+
+const QUIET_LIMIT_MS = 1500;
+const QUIET_CHECK_INTERVAL_MS = 5;
+
+/** Collects the state of a slice for its next owner, and takes in the state of a former one. */
+export class SliceTransfer {
+    constructor(
+        private readonly timer: TimerService,
+        private readonly pool: WorkerPool,
+        private readonly placements: Placements,
+        private readonly jobs: JobController,
+        private readonly services: ServiceController,
+        private readonly lookups: LookupController
+    ) {}
+
+    /** Collects the state; the slice has stopped commanding before. */
+    public async collect(): Promise<SliceHandover> {
+        const endMs = this.timer.nowMs() + QUIET_LIMIT_MS;
+        while (!this.pool.isQuiet && this.timer.nowMs() < endMs) {
+            await sleep(this.timer, QUIET_CHECK_INTERVAL_MS);
+        }
+        return {
+            ...this.lookups.handOver(),
+            jobs: this.jobs.handOver(),
+            jobsComplete: this.jobs.isLoaded,
+            placements: this.placements.all,
+            workers: this.pool.all.flatMap(toHandedWorker),
+            holdReleased: this.pool.isHoldReleased && this.pool.isQuiet
+        };
+    }
+
+    /** Takes in the state that the former owner has handed over. */
+    public adopt(handover: SliceHandover): void {
+        for (const placed of handover.placements) {
+            this.placements.put(placed);
+            if (isServiceGroup(placed.groupId)) {
+                this.adoptReplica(placed);
+            }
+        }
+        this.jobs.adoptHanded(handover);
+        this.lookups.adoptHanded(handover);
+    }
+
+    private adoptReplica(placed: PlacedTask): void {
+        const { taskId, groupId, workerId } = placed;
+        if (this.services.adopt(taskId, groupId, workerId, this.timer.nowMs()) === Adoption.Stop) {
+            this.placements.remove(taskId);
+        }
+    }
+}
+
+/** A worker with an exchange under way is fenced anew by the next owner. */
+function toHandedWorker(session: WorkerSession): readonly HandedWorker[] {
+    const incarnation = session.isBusy ? undefined : session.fencedIncarnation;
+    return incarnation === undefined ? [] : [{ workerId: session.workerId, incarnation }];
+}
--- a/packages/control/src/slice/TaskReportHandler.ts
+++ b/packages/control/src/slice/TaskReportHandler.ts
@@ -4,7 +4,8 @@
 import { WorkerCommandKind, type WorkerTaskReport, WorkerTaskState } from "@skylarkpath/common/platform/WorkerService";
 import { TaskEnd, type TaskScheduler } from "@skylarkpath/common/scheduling/TaskScheduler";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
-import { Adoption, type JobController } from "./JobController.js";
+import { Adoption } from "./Adoption.js";
+import type { JobController } from "./JobController.js";
 import type { Placements } from "./Placements.js";
 import { isServiceGroup, type ServiceController } from "./ServiceController.js";
 import type { PoolReply } from "./WorkerPool.js";
@@ -62,6 +63,7 @@
         const { taskId, requestId } = report.task;
         const placement = this.placements.find(taskId);
         if (placement?.workerId === session.workerId) {
+            session.hold(taskId);
             this.stopWithoutRight(session, taskId, requestId);
             return;
         }
--- a/packages/control/src/slice/WorkerPool.ts
+++ b/packages/control/src/slice/WorkerPool.ts
@@ -6,7 +6,8 @@
 import type { WorkerReply } from "@skylarkpath/common/platform/WorkerService";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
-import { type OwnershipConfirmation, type RefusedStart, WorkerSession } from "./WorkerSession.js";
+import type { OwnedSlice } from "./SliceController.js";
+import { type CommandGate, type InheritedWorker, type RefusedStart, WorkerSession } from "./WorkerSession.js";
 
 /** Reply of one worker. */
 export interface PoolReply {
@@ -31,6 +32,8 @@
     private readonly lapsedEmitter = this.store.add(new Emitter<readonly string[]>());
     private readonly staleEmitter = this.store.add(new Emitter<void>());
     private readonly holdReleasedEmitter = this.store.add(new Emitter<void>());
+    /** Workers that former owners have used and that the live list does not name. */
+    private readonly unlistedSinceMs = new Map<string, number>();
     private listedOnce = false;
     private holdReleased = false;
     private sequence = 0;
@@ -53,9 +56,14 @@
     constructor(
         private readonly environment: ProcessEnvironment,
         private readonly options: ProcessOptions,
-        private readonly epoch: number,
-        private readonly confirmOwnership: OwnershipConfirmation
-    ) {}
+        private readonly slice: OwnedSlice,
+        private readonly gate: CommandGate
+    ) {
+        this.holdReleased = slice.handover?.holdReleased ?? false;
+        for (const workerId of slice.recordedWorkers) {
+            this.unlistedSinceMs.set(workerId, environment.timer.nowMs());
+        }
+    }
 
     /** Tells whether tasks claimed under former epochs may start again. */
     public get isHoldReleased(): boolean {
@@ -72,11 +80,24 @@
         return this.sessions.get(workerId);
     }
 
+    /** Time since which every worker has served an exchange under this epoch; any other owner fences one first. */
+    public get allAcknowledgedMs(): number {
+        const times = this.all.map(session => session.lastAcknowledgedMs);
+        return times.length > 0 ? Math.min(...times) : -Infinity;
+    }
+
+    /** Tells whether no exchange is under way. */
+    public get isQuiet(): boolean {
+        return this.all.every(session => !session.isBusy);
+    }
+
     /** Capacity of the workers that may still run work of former epochs. */
     public get unfencedCapacity(): Resources {
-        return this.all
+        const listed = this.all
             .filter(session => !session.isFenced)
             .reduce((total, session) => addResources(total, session.capacity ?? NO_RESOURCES), NO_RESOURCES);
+        const largest = this.all.reduce((most, { capacity }) => mostOf(most, capacity), NO_RESOURCES);
+        return [...this.unlistedSinceMs].reduce(total => addResources(total, largest), listed);
     }
 
     /** Takes in the live list: the workers of this slice. */
@@ -91,6 +112,7 @@
         this.listedOnce = true;
         this.noteMissing(listed);
         this.removeGone();
+        this.removeUnlisted();
         this.checkHold();
     }
 
@@ -103,6 +125,7 @@
 
     private takeIn(machine: LiveMachine): void {
         this.missing.delete(machine.machineId);
+        this.unlistedSinceMs.delete(machine.machineId);
         const known = this.sessions.get(machine.machineId);
         if (known) {
             known.update(machine);
@@ -111,24 +134,37 @@
         }
         const session = new WorkerSession(
             machine,
-            this.epoch,
+            this.slice.epoch,
             this.environment.workers,
             this.environment.timer,
             this.options,
-            this.confirmOwnership,
-            () => ++this.sequence
+            this.slice.confirmOwnership,
+            () => ++this.sequence,
+            this.gate,
+            this.inheritedWorker(machine.machineId)
         );
         this.sessions.set(machine.machineId, session);
         this.subscribe(session);
     }
 
+    private inheritedWorker(workerId: string): InheritedWorker {
+        const { handover } = this.slice;
+        const worker = handover?.workers.find(candidate => candidate.workerId === workerId);
+        return { incarnation: worker?.incarnation, taskIds: this.inheritedTasks(workerId) };
+    }
+
+    private inheritedTasks(workerId: string): readonly string[] {
+        const placements = this.slice.handover?.placements ?? [];
+        return placements.filter(placed => placed.workerId === workerId).map(placed => placed.taskId);
+    }
+
     private subscribe(session: WorkerSession): void {
         session.onReply(reply => {
             this.changeEmitter.fire(session);
             this.replyEmitter.fire({ session, reply });
         });
         session.onFenced(() => {
-            this.environment.log.write(EVENTS.workerFenced, { worker: session.workerId, epoch: this.epoch });
+            this.environment.log.write(EVENTS.workerFenced, { worker: session.workerId, epoch: this.slice.epoch });
             this.changeEmitter.fire(session);
             void Promise.resolve().then(() => this.checkHold());
         });
@@ -155,25 +191,47 @@
 
     /** Removes workers that have been missing for longer than the lag of the list and the longest lease. */
     private removeGone(): void {
-        const leaseMs = this.options.taskLeaseMs * (1 + this.options.clockDriftFactor);
-        const goneAfterMs = this.options.liveListLagMs + leaseMs;
         for (const [workerId, entry] of this.missing) {
-            const isOverdue = this.environment.timer.nowMs() - entry.missingSinceMs >= goneAfterMs;
+            const isOverdue = this.environment.timer.nowMs() - entry.missingSinceMs >= this.goneAfterMs;
             if (isOverdue && entry.session.tryExpire()) {
                 this.missing.delete(workerId);
                 this.sessions.delete(workerId);
                 entry.session.dispose();
+                this.slice.removeWorker(workerId);
                 this.removedEmitter.fire(workerId);
             }
         }
     }
 
+    private removeUnlisted(): void {
+        for (const [workerId, sinceMs] of this.unlistedSinceMs) {
+            if (this.environment.timer.nowMs() - sinceMs >= this.goneAfterMs) {
+                this.unlistedSinceMs.delete(workerId);
+                this.slice.removeWorker(workerId);
+                this.lapsedEmitter.fire(this.inheritedTasks(workerId));
+            }
+        }
+    }
+
+    private get goneAfterMs(): number {
+        return this.options.liveListLagMs + this.options.taskLeaseMs * (1 + this.options.clockDriftFactor);
+    }
+
     private checkHold(): void {
-        if (this.holdReleased || !this.listedOnce || this.all.some(session => !session.isFenced)) {
+        const someUnlisted = this.unlistedSinceMs.size > 0;
+        if (this.holdReleased || !this.listedOnce || someUnlisted || this.all.some(session => !session.isFenced)) {
             return;
         }
         this.holdReleased = true;
-        this.environment.log.write(EVENTS.holdReleased, { epoch: this.epoch });
+        this.environment.log.write(EVENTS.holdReleased, { epoch: this.slice.epoch });
         this.holdReleasedEmitter.fire();
     }
 }
+
+function mostOf(left: Resources, right: Resources | undefined): Resources {
+    return {
+        processorMillicores: Math.max(left.processorMillicores, right?.processorMillicores ?? 0),
+        memoryBytes: Math.max(left.memoryBytes, right?.memoryBytes ?? 0),
+        accelerators: Math.max(left.accelerators, right?.accelerators ?? 0)
+    };
+}
--- a/packages/control/src/slice/WorkerSession.ts
+++ b/packages/control/src/slice/WorkerSession.ts
@@ -13,6 +13,7 @@
 } from "@skylarkpath/common/platform/WorkerService";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import type { Result } from "neverthrow";
+import { Confirmation } from "./SliceClaim.js";
 
 /** Timing of a worker session. */
 export interface WorkerSessionOptions {
@@ -28,8 +29,21 @@
     readonly refusal?: WorkerRefusal;
 }
 
-/** Asks whether this process still owns the slice; resolves with the truth known after the call. */
-export type OwnershipConfirmation = () => Promise<boolean>;
+/** Asks whether this process still owns the slice, for the use of a worker; resolves with what is true after the call. */
+export type OwnershipConfirmation = (workerId?: string) => Promise<Confirmation>;
+
+/** Tells whether this process may command workers and targets now. */
+export interface CommandGate {
+    readonly mayCommand: boolean;
+}
+
+/** Worker as the former owner has handed it over. */
+export interface InheritedWorker {
+    /** Undefined when the former owner had not fenced it, or had an exchange under way. */
+    readonly incarnation?: string;
+    /** Tasks that run or may run there. */
+    readonly taskIds: readonly string[];
+}
 
 interface Ticket {
     readonly workerTimeMs: number;
@@ -56,6 +70,7 @@
     private fenced = false;
     private disposed = false;
     private isSilent = false;
+    private acknowledgedMs = -Infinity;
 
     /** Tells each reply with the worker's inventory. */
     public readonly onReply = this.replyEmitter.event;
@@ -75,10 +90,18 @@
         private readonly timer: TimerService,
         private readonly options: WorkerSessionOptions,
         private readonly confirmOwnership: OwnershipConfirmation,
-        private readonly takeSequence: () => number
+        private readonly takeSequence: () => number,
+        private readonly gate: CommandGate,
+        inherited?: InheritedWorker
     ) {
         this.leasesEndMs = timer.nowMs() + this.leaseBoundMs;
+        this.incarnation = inherited?.incarnation;
+        for (const taskId of inherited?.taskIds ?? []) {
+            this.tasks.add(taskId);
+            this.uncertainStarts.add(taskId);
+        }
         this.store.add(timer.every(options.workerExchangeIntervalMs, () => this.kick()));
+        this.kickSoon();
     }
 
     /** Id of the worker. */
@@ -101,6 +124,21 @@
         return this.fenced && !this.isSilent && !this.machine.leaving;
     }
 
+    /** Incarnation that is fenced, if any. */
+    public get fencedIncarnation(): string | undefined {
+        return this.fenced ? this.incarnation : undefined;
+    }
+
+    /** Tells whether an exchange is under way. */
+    public get isBusy(): boolean {
+        return this.inFlight;
+    }
+
+    /** Sending time of the last exchange that the worker has served under this epoch. */
+    public get lastAcknowledgedMs(): number {
+        return this.acknowledgedMs;
+    }
+
     /** What the worker holds. */
     public get capacity(): Resources | undefined {
         return this.machine.capacity;
@@ -170,7 +208,7 @@
     }
 
     private kick(): void {
-        if (!this.inFlight && !this.disposed) {
+        if (!this.inFlight && !this.disposed && this.gate.mayCommand) {
             this.inFlight = true;
             void this.exchange().finally(() => {
                 this.inFlight = false;
@@ -186,13 +224,16 @@
         if (this.incarnation === undefined && !(await this.learnIncarnation())) {
             return;
         }
-        const commands = this.takeCommands();
-        const ticket = this.ticket!;
+        if (!this.gate.mayCommand) {
+            return;
+        }
+        const commands = this.ticket ? this.takeCommands() : [];
+        const sentMs = this.timer.nowMs();
         const result = await this.workers.exchange(this.machine.address, {
             epoch: this.epoch,
             incarnation: this.incarnation,
             sequence: this.takeSequence(),
-            ticketMs: ticket.workerTimeMs,
+            ticketMs: this.ticket?.workerTimeMs,
             commands
         });
         if (this.disposed) {
@@ -202,6 +243,7 @@
             this.handleFailure(result.error, commands);
         }
         else {
+            this.acknowledgedMs = sentMs;
             this.handleReply(result.value, commands);
         }
     }
@@ -219,7 +261,8 @@
             this.handleFailure(result.error, []);
             return false;
         }
-        if (!(await this.confirmOwnership()) || this.disposed) {
+        const confirmation = await this.confirmOwnership(this.workerId);
+        if (confirmation !== Confirmation.Owner || this.disposed) {
             return false;
         }
         this.incarnation = result.value.incarnation;
--- /dev/null
+++ b/packages/control/src/store/ProgressGroups.ts
@@ -0,0 +1,16 @@
+import type { TaskProgress } from "./RequestStore.js";
+
+/** Groups the answers of tasks by their request. */
+export function groupByRequest(progress: readonly TaskProgress[]): ReadonlyMap<string, readonly TaskProgress[]> {
+    const groups = new Map<string, TaskProgress[]>();
+    for (const entry of progress) {
+        const group = groups.get(entry.requestId);
+        if (group) {
+            group.push(entry);
+        }
+        else {
+            groups.set(entry.requestId, [entry]);
+        }
+    }
+    return groups;
+}
