--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -61,6 +61,8 @@
     private otherEntries: readonly LiveMachine[] = [];
     private liveListReadMs: number | undefined;
     private readonly pending = new Set<string>();
+    /** Addresses whose heartbeat was due while another one was under way. */
+    private readonly dueAgain = new Set<string>();
     private heartbeatSource: HeartbeatSource | undefined;
 
     /** Tells each heartbeat that was received. */
@@ -152,9 +154,11 @@
 
     private async beatTo(address: string): Promise<void> {
         if (this.pending.has(address)) {
+            this.dueAgain.add(address);
             return;
         }
         this.pending.add(address);
+        this.dueAgain.delete(address);
         const sentMs = this.environment.timer.nowMs();
         const reply = await this.peerClient.call<unknown>(
             address,
@@ -163,6 +167,9 @@
             this.options.peerTimeoutMs
         );
         this.pending.delete(address);
+        if (this.dueAgain.has(address) && reply.isOk()) {
+            void this.beatTo(address);
+        }
         const beat = reply.isOk() ? beatSchema.safeParse(reply.value) : undefined;
         if (beat?.success) {
             this.receive(beat.data.heartbeat);
