--- a/packages/proof/src/members/FaultyDeployment.ts
+++ b/packages/proof/src/members/FaultyDeployment.ts
@@ -17,12 +17,23 @@
     readonly crossesRegions: boolean;
 }
 
+/** Bytes so far. */
+export interface TrafficTotals {
+    /** Between regions, messages between processes and calls of the store. */
+    readonly linkBytes: number;
+    /** Sent and received by each process, by its address. */
+    readonly byProcess: ReadonlyMap<string, number>;
+}
+
 /** Virtual deployment whose links, platform and processes fail on command. */
 export class FaultyDeployment {
     private readonly timers = new Map<string, PausableTimer>();
     private readonly cutFromPlatform = new Set<string>();
     private readonly cutLinks = new Set<string>();
     private readonly trafficSeen: PeerTraffic[] = [];
+    private readonly bytesByProcess = new Map<string, number>();
+    private readonly storeRegion: string;
+    private linkBytes = 0;
     private storeDown = false;
 
     public readonly deployment: VirtualDeployment;
@@ -33,6 +44,7 @@
         processOptions?: Partial<ProcessOptions>,
         defaults: typeof DEFAULT_DEPLOYMENT_OPTIONS = DEFAULT_DEPLOYMENT_OPTIONS
     ) {
+        this.storeRegion = topology.domains[0]!.region;
         this.deployment = new VirtualDeployment({
             ...defaults,
             topology,
@@ -51,6 +63,11 @@
         return this.trafficSeen;
     }
 
+    /** Bytes so far; the store is in the region of the first failure domain. */
+    public get totals(): TrafficTotals {
+        return { linkBytes: this.linkBytes, byProcess: new Map(this.bytesByProcess) };
+    }
+
     /** Running processes of a failure domain. */
     public processesOf(failureDomain: string): readonly VirtualProcess[] {
         return this.deployment.processes.filter(running => running.machine.failureDomain === failureDomain);
@@ -107,16 +124,19 @@
         const { processId, failureDomain } = environment.identity;
         const timer = new PausableTimer(environment.timer);
         this.timers.set(processId, timer);
-        const guard = <A extends readonly unknown[], T>(
-            call: (...parameters: A) => Promise<Result<T, StoreError>>
-        ) =>
-        async (...parameters: A): Promise<Result<T, StoreError>> => {
-            const isCut = this.cutFromPlatform.has(failureDomain);
-            const result = isCut ? err(unavailable()) : await call(...parameters);
-            await timer.whenRunning();
-            return result;
-        };
         const { table, liveList, methods } = environment;
+        const readLiveList = (): ReturnType<typeof liveList.read> => liveList.read();
+        const guard =
+            <A extends readonly unknown[], T>(call: (...parameters: A) => Promise<Result<T, StoreError>>) =>
+            async (...parameters: A): Promise<Result<T, StoreError>> => {
+                const isRemote = environment.identity.region !== this.storeRegion && (call as unknown) !== readLiveList;
+                const isCut = this.cutFromPlatform.has(failureDomain);
+                const result = isCut ? err(unavailable()) : await call(...parameters);
+                const reply = result.isOk() ? result.value ?? "" : "";
+                this.count([environment.identity.address], sizeOf(parameters) + sizeOf(reply), isRemote);
+                await timer.whenRunning();
+                return result;
+            };
         return {
             ...environment,
             timer,
@@ -125,19 +145,27 @@
                 scan: guard(request => table.scan(request)),
                 commit: guard(transaction => table.commit(transaction))
             },
-            liveList: { read: guard(() => liveList.read()) },
+            liveList: { read: guard(readLiveList) },
             transport: this.wrapTransport(environment.transport, environment.identity.address, timer),
             methods: { register: (name, handler) => methods.register(name, holdWhilePaused(timer, handler)) }
         };
     }
 
+    private count(addresses: readonly string[], bytes: number, crossesRegions: boolean): void {
+        this.linkBytes += crossesRegions ? bytes : 0;
+        for (const address of addresses) {
+            this.bytesByProcess.set(address, (this.bytesByProcess.get(address) ?? 0) + bytes);
+        }
+    }
+
     private wrapTransport(transport: PeerTransport, from: string, timer: PausableTimer): PeerTransport {
         return {
             call: async (to, method, parameters, timeoutMs) => {
                 const reply = await transport.call(to, method, parameters, timeoutMs);
-                const replyBytes = reply.isOk() ? JSON.stringify(reply.value).length : 0;
+                const replyBytes = reply.isOk() ? sizeOf(reply.value) : 0;
                 const crossesRegions = this.deployment.domainOf(from)?.region !== this.deployment.domainOf(to)?.region;
-                const bytes = JSON.stringify(parameters).length + replyBytes;
+                const bytes = sizeOf(parameters) + replyBytes;
+                this.count([from, to], bytes, crossesRegions);
                 this.trafficSeen.push({ from, to, method, bytes, crossesRegions });
                 await timer.whenRunning();
                 return reply;
@@ -146,6 +174,10 @@
     }
 }
 
+function sizeOf(value: unknown): number {
+    return JSON.stringify(value).length;
+}
+
 function holdWhilePaused(timer: PausableTimer, handler: PeerHandler): PeerHandler {
     return async (parameters, from) => {
         await timer.whenRunning();
