Relays between failure domains and regions: deltas of reports, ages by failure domain

Cause: every process exchanged whole heartbeats with every other one four times a second. Now the mesh is full inside a failure domain only; one relay for each failure domain and one for each region ask each other, the next process takes over when one fails. Reports travel as changed fields, lives and answers about keys as one age for each failure domain. A silent process is judged by its own link, by what others hear and by the live list.

--- a/packages/control/src/keys/KeyController.ts
+++ b/packages/control/src/keys/KeyController.ts
@@ -4,7 +4,7 @@
 import type { KeyRecord } from "@skylarkpath/common/model/Slice";
 import type { StoreError } from "@skylarkpath/common/platform/StoreError";
 import { err, ok, type Result } from "neverthrow";
-import type { HeartbeatReport, MembershipController } from "../membership/MembershipController.js";
+import type { GroupStatement, HeartbeatReport, MembershipController } from "../membership/MembershipController.js";
 import type { PeerClient } from "../peer/PeerClient.js";
 import {
     type KeyStatus,
@@ -79,6 +79,11 @@
         };
     }
 
+    /** Oldest statement about keys of some processes; undefined when one is missing. */
+    public statementOf(processIds: readonly string[]): GroupStatement | undefined {
+        return this.freshness.statementOf(processIds, this.environment.identity.processId);
+    }
+
     /** Tells whether the store was reached lately. */
     public get isStoreReached(): boolean {
         return this.freshness.isStoreReached;
--- a/packages/control/src/keys/KeyFreshness.ts
+++ b/packages/control/src/keys/KeyFreshness.ts
@@ -1,4 +1,5 @@
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import type { GroupStatement } from "../membership/MembershipController.js";
 
 /** Bounds of the age of key knowledge. */
 export interface KeyFreshnessOptions {
@@ -74,6 +75,24 @@
         }
     }
 
+    /** Oldest statement of some processes, the own one included; undefined when one is missing. */
+    public statementOf(processIds: readonly string[], ownProcessId: string): GroupStatement | undefined {
+        const statements: Statement[] = [];
+        for (const processId of processIds) {
+            const own = { asOfMs: this.timer.nowMs(), storeLost: this.storeLost };
+            const statement = processId === ownProcessId ? own : this.statements.get(processId);
+            if (!statement) {
+                return undefined;
+            }
+            statements.push(statement);
+        }
+        const oldestMs = Math.min(...statements.map(statement => statement.asOfMs));
+        const isKnown = statements.length > 0;
+        return isKnown
+            ? { ageMs: this.timer.nowMs() - oldestMs, storeLost: statements.every(statement => statement.storeLost) }
+            : undefined;
+    }
+
     /** Takes in the live list; a process that vanished may have reached the store after it was last heard. */
     public updateLive(processIds: readonly string[]): void {
         const live = new Set(processIds);
--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -4,9 +4,21 @@
 import { type LiveMachine, MachineRole } from "@skylarkpath/common/platform/LiveList";
 import { ok } from "neverthrow";
 import type { PeerClient } from "../peer/PeerClient.js";
-import { type Beat, beatSchema, type Heartbeat, type KeyStatus, PeerMethod } from "../peer/PeerMessages.js";
+import {
+    type Beat,
+    type BeatReply,
+    beatReplySchema,
+    beatSchema,
+    type Heartbeat,
+    type KeyStatus,
+    PeerMethod
+} from "../peer/PeerMessages.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
+import { PartnerChoice } from "./PartnerChoice.js";
+import { ReportExchange } from "./ReportExchange.js";
+import { type KnownReport, ReportTable } from "./ReportTable.js";
+import { Suspicion, SuspicionTracker } from "./SuspicionTracker.js";
 
 /** How a process sees another one. */
 export enum PeerState {
@@ -19,23 +31,20 @@
 export interface PeerView {
     readonly state: PeerState;
     readonly heartbeat: Heartbeat;
+    /** Monotonic time up to which the process is known to have lived, also by the word of relays. */
     readonly lastHeardMs: number;
+    /** Why the process is silent, unless it is alive. */
+    readonly suspicion?: Suspicion;
 }
 
-interface PeerEntry {
-    state: PeerState;
-    heartbeat: Heartbeat;
-    lastHeardMs: number;
-}
-
-/** What a process said at most this long before it was asked. */
+/** What a process said at most this long before its relay was asked. */
 export interface ProcessStatement {
     readonly processId: string;
     readonly ageMs: number;
     readonly storeLost: boolean;
 }
 
-/** Answer of another process to a heartbeat that was sent from here. */
+/** Answer of another process to a beat that was sent from here. */
 export interface HeartbeatReport {
     readonly processId: string;
     readonly incarnation: string;
@@ -46,13 +55,33 @@
     readonly statements: readonly ProcessStatement[];
 }
 
-/** Composes the heartbeat of this process. */
-export type HeartbeatSource = () => Beat;
+/** Oldest statement about keys of some processes. */
+export interface GroupStatement {
+    readonly ageMs: number;
+    readonly storeLost: boolean;
+}
+
+/** What a process tells others about itself. */
+export interface HeartbeatSource {
+    readonly heartbeat: () => Heartbeat;
+    readonly keys: () => KeyStatus;
+    readonly keyStatement: (processIds: readonly string[]) => GroupStatement | undefined;
+}
 
-/** Knows the live list and the other processes from their heartbeats. */
+interface PeerEntry {
+    state: PeerState;
+    suspicion?: Suspicion;
+}
+
+/** Knows the live list and the other processes: directly in the failure domain, by relays beyond it. */
 export class MembershipController implements Disposable {
     private readonly store = new DisposableStore();
+    private readonly table: ReportTable;
+    private readonly exchange: ReportExchange;
+    private readonly partners: PartnerChoice;
+    private readonly suspicions = new SuspicionTracker();
     private readonly entries = new Map<string, PeerEntry>();
+    private readonly pending = new Set<string>();
     private readonly heartbeatEmitter = this.store.add(new Emitter<Heartbeat>());
     private readonly reportEmitter = this.store.add(new Emitter<HeartbeatReport>());
     private readonly peerStateEmitter = this.store.add(new Emitter<PeerView>());
@@ -60,12 +89,12 @@
     private liveMachines: readonly LiveMachine[] = [];
     private otherEntries: readonly LiveMachine[] = [];
     private liveListReadMs: number | undefined;
-    private readonly pending = new Set<string>();
-    private heartbeatSource: HeartbeatSource | undefined;
+    private source: HeartbeatSource | undefined;
+    private newsPending = false;
 
-    /** Tells each heartbeat that was received. */
+    /** Tells each heartbeat that brings something new. */
     public readonly onHeartbeat = this.heartbeatEmitter.event;
-    /** Tells each answer to a heartbeat. */
+    /** Tells each answer to a beat. */
     public readonly onReport = this.reportEmitter.event;
     /** Tells each change of the state of another process. */
     public readonly onPeerState = this.peerStateEmitter.event;
@@ -77,9 +106,14 @@
         private readonly options: ProcessOptions,
         private readonly peerClient: PeerClient
     ) {
+        const { identity, timer, hasher } = environment;
+        this.table = new ReportTable(hasher);
+        this.exchange = new ReportExchange(identity, timer, this.table, options);
+        this.partners = new PartnerChoice(identity, timer, options, processId => this.isEligible(processId));
+        this.store.add(this.exchange.onChange(heartbeat => this.takeIn(heartbeat)));
         peerClient.serve(PeerMethod.Heartbeat, beatSchema, async beat => {
-            this.receive(beat.heartbeat);
-            return ok(this.heartbeatSource!());
+            this.exchange.receiveNews(beat.news, timer.nowMs());
+            return ok(this.composeReply(beat));
         });
     }
 
@@ -100,12 +134,7 @@
 
     /** Other processes that were heard. */
     public get peers(): readonly PeerView[] {
-        return [...this.entries.values()];
-    }
-
-    /** Finds another process by its id. */
-    public peer(processId: string): PeerView | undefined {
-        return this.entries.get(processId);
+        return this.table.all.filter(known => !this.isSelf(known)).map(known => this.viewOf(known));
     }
 
     /** Processes of the live list other than this one. */
@@ -113,21 +142,34 @@
         return this.otherEntries;
     }
 
-    /** Begins to read the live list and to send heartbeats. */
-    public start(heartbeatSource: HeartbeatSource): void {
-        this.heartbeatSource = heartbeatSource;
+    /** Tells whether this process speaks for its failure domain. */
+    public get isDomainRelay(): boolean {
+        return this.partners.isDomainRelay;
+    }
+
+    /** Other processes to pass news on to, so that each message crosses a link between regions once. */
+    public get newsReceivers(): readonly LiveMachine[] {
+        return this.partners.newsReceivers();
+    }
+
+    /** Finds another process by its id. */
+    public peer(processId: string): PeerView | undefined {
+        const known = this.table.find(processId);
+        return known && !this.isSelf(known) ? this.viewOf(known) : undefined;
+    }
+
+    /** Begins to read the live list and to exchange heartbeats. */
+    public start(source: HeartbeatSource): void {
+        this.source = source;
         const { timer } = this.environment;
         this.store.add(timer.every(this.options.liveListIntervalMs, () => void this.readLiveList()));
-        this.store.add(timer.every(this.options.heartbeatIntervalMs, () => this.beat()));
-        void this.readLiveList().then(() => this.beat());
+        this.store.add(timer.every(this.options.heartbeatIntervalMs, () => this.beatWith(false)));
+        void this.readLiveList().then(() => this.beatWith(true));
     }
 
-    /** Sends heartbeats now, so that news spread at once. */
+    /** Tells the others now what is new here. */
     public beat(): void {
-        this.updateStates();
-        for (const machine of this.entryMachines) {
-            void this.beatTo(machine.address);
-        }
+        this.beatWith(true);
     }
 
     /** Reads the live list now; false when it cannot be read. */
@@ -139,9 +181,10 @@
         }
         this.liveListReadMs = Math.max(sentMs, this.liveListReadMs ?? sentMs);
         this.liveMachines = machines.value;
-        this.otherEntries = machines.value.filter(machine =>
-            machine.role === MachineRole.Entry && machine.machineId !== this.environment.identity.processId
-        );
+        const entryMachines = machines.value.filter(machine => machine.role === MachineRole.Entry);
+        const { processId } = this.environment.identity;
+        this.otherEntries = entryMachines.filter(machine => machine.machineId !== processId);
+        this.partners.setMachines(this.otherEntries);
         this.liveListEmitter.fire(machines.value);
         return true;
     }
@@ -150,75 +193,190 @@
         this.store.dispose();
     }
 
-    private async beatTo(address: string): Promise<void> {
-        if (this.pending.has(address)) {
+    private isSelf(known: KnownReport): boolean {
+        return known.report.heartbeat.processId === this.environment.identity.processId;
+    }
+
+    private viewOf(known: KnownReport): PeerView {
+        const { heartbeat } = known.report;
+        const entry = this.entries.get(heartbeat.processId);
+        return {
+            state: entry?.state ?? PeerState.Alive,
+            heartbeat,
+            lastHeardMs: known.asOfMs,
+            suspicion: entry?.suspicion
+        };
+    }
+
+    /** Processes that were heard directly within two beats may speak for others. */
+    private isEligible(processId: string): boolean {
+        const { identity, timer } = this.environment;
+        const known = this.table.find(processId);
+        if (processId === identity.processId) {
+            return !known?.report.heartbeat.stopping;
+        }
+        if (!known || known.report.heartbeat.stopping) {
+            return false;
+        }
+        const limitMs = 2 * this.options.heartbeatIntervalMs + this.allowanceMs(known.report.heartbeat);
+        return timer.nowMs() - known.asOfMs <= limitMs;
+    }
+
+    private beatWith(hasNews: boolean): void {
+        if (!this.source) {
             return;
         }
-        this.pending.add(address);
+        this.exchange.setOwn(this.source.heartbeat());
+        this.updateStates();
+        for (const partner of this.partners.due(hasNews)) {
+            void this.ask(partner.candidates, partner.wanted);
+        }
+    }
+
+    /** Asks the first candidate; the next one takes over when it fails. */
+    private async ask(candidates: readonly LiveMachine[], wanted: readonly string[]): Promise<void> {
+        for (const machine of candidates) {
+            if (this.pending.has(machine.machineId) || await this.askOne(machine, wanted)) {
+                return;
+            }
+        }
+    }
+
+    private async askOne(machine: LiveMachine, wanted: readonly string[]): Promise<boolean> {
+        const { machineId, address } = machine;
+        this.pending.add(machineId);
         const sentMs = this.environment.timer.nowMs();
+        const beat = this.exchange.composeBeat(machine, wanted, this.partners.domainsFor(machine));
         const reply = await this.peerClient.call<unknown>(
             address,
             PeerMethod.Heartbeat,
-            this.heartbeatSource!(),
-            this.options.peerTimeoutMs
+            beat,
+            this.options.beatTimeoutMs
         );
-        this.pending.delete(address);
-        const beat = reply.isOk() ? beatSchema.safeParse(reply.value) : undefined;
-        if (beat?.success) {
-            this.receive(beat.data.heartbeat);
-            this.report(beat.data, sentMs);
+        this.pending.delete(machineId);
+        const answer = reply.isOk() ? beatReplySchema.safeParse(reply.value) : undefined;
+        if (!answer?.success || answer.data.processId !== machineId) {
+            this.exchange.forget(machineId);
+            this.partners.noteFailure(machineId);
+            if (reply.isErr()) {
+                this.suspicions.noteFailure(machineId, reply.error);
+            }
+            return false;
         }
+        this.partners.noteAnswer(machineId);
+        this.suspicions.noteAnswer(machineId, answer.data.silent);
+        this.receive(answer.data, machine, sentMs);
+        return true;
     }
 
-    private report(beat: Beat, sentMs: number): void {
-        const { heartbeat, keys } = beat;
-        const { processId, incarnation, address } = heartbeat;
-        const statements = [{ processId, ageMs: 0, storeLost: keys.storeLost }];
-        this.reportEmitter.fire({ processId, incarnation, address, sentMs, keys, statements });
+    private receive(reply: BeatReply, machine: LiveMachine, sentMs: number): void {
+        const statements = this.exchange.receiveReply(reply, sentMs);
+        this.updateStates();
+        this.reportEmitter.fire({
+            processId: reply.processId,
+            incarnation: reply.incarnation,
+            address: machine.address,
+            sentMs,
+            keys: reply.keys,
+            statements: [{ processId: reply.processId, ageMs: 0, storeLost: reply.keys.storeLost }, ...statements]
+        });
+    }
+
+    private composeReply(beat: Beat): BeatReply {
+        const { identity } = this.environment;
+        if (this.source) {
+            this.exchange.setOwn(this.source.heartbeat());
+        }
+        return {
+            processId: identity.processId,
+            incarnation: identity.incarnation,
+            keys: this.source!.keys(),
+            ...this.exchange.composeReply(beat, processIds => this.source!.keyStatement(processIds)),
+            silent: this.silentPeers()
+        };
     }
 
-    private receive(heartbeat: Heartbeat): void {
+    private silentPeers(): readonly string[] {
+        const { failureDomain, processId } = this.environment.identity;
         const nowMs = this.environment.timer.nowMs();
-        const entry = this.entries.get(heartbeat.processId);
-        if (!entry) {
-            this.entries.set(heartbeat.processId, { state: PeerState.Alive, heartbeat, lastHeardMs: nowMs });
-            this.tellState(this.entries.get(heartbeat.processId)!);
+        return this.table.ofDomain(failureDomain)
+            .filter(known => nowMs - known.asOfMs > 2 * this.options.heartbeatIntervalMs)
+            .map(known => known.report.heartbeat.processId)
+            .filter(id => id !== processId);
+    }
+
+    /** Takes in a heartbeat that brings something new, and passes it on soon. */
+    private takeIn(heartbeat: Heartbeat): void {
+        this.heartbeatEmitter.fire(heartbeat);
+        if (!this.newsPending && this.isDomainRelay) {
+            this.newsPending = true;
+            this.store.add(this.environment.timer.after(this.options.newsDelayMs, () => {
+                this.newsPending = false;
+                this.beatWith(true);
+            }));
         }
-        else {
-            entry.heartbeat = heartbeat;
-            entry.lastHeardMs = nowMs;
-            this.setState(entry, PeerState.Alive);
+    }
+
+    /** Longer silence is allowed to processes of which only relays tell. */
+    private allowanceMs(heartbeat: Heartbeat): number {
+        const { identity } = this.environment;
+        if (heartbeat.region !== identity.region) {
+            return 2 * (this.options.relayIntervalMs + this.options.regionIntervalMs);
         }
-        this.heartbeatEmitter.fire(heartbeat);
+        return heartbeat.failureDomain === identity.failureDomain ? 0 : 2 * this.options.relayIntervalMs;
     }
 
     private updateStates(): void {
         const nowMs = this.environment.timer.nowMs();
-        for (const entry of this.entries.values()) {
-            const silenceMs = nowMs - entry.lastHeardMs;
-            if (silenceMs >= this.options.deadAfterMs) {
-                this.setState(entry, PeerState.Dead);
+        const listed = new Set(this.otherEntries.map(machine => machine.machineId));
+        for (const known of this.table.all) {
+            if (this.isSelf(known)) {
+                continue;
             }
-            else if (silenceMs >= this.options.suspectAfterMs) {
-                this.setState(entry, PeerState.Suspected);
+            const { heartbeat } = known.report;
+            const silenceMs = nowMs - known.asOfMs - this.allowanceMs(heartbeat);
+            const isListed = this.liveListReadMs === undefined || listed.has(heartbeat.processId);
+            this.setState(known, this.judge(heartbeat, silenceMs, isListed));
+            if (!isListed && silenceMs >= this.options.deadAfterMs + this.options.liveListLagMs) {
+                this.table.remove(heartbeat.processId);
+                this.entries.delete(heartbeat.processId);
             }
         }
     }
 
-    private setState(entry: PeerEntry, state: PeerState): void {
-        if (entry.state !== state) {
-            entry.state = state;
-            this.tellState(entry);
+    private judge(heartbeat: Heartbeat, silenceMs: number, isListed: boolean): PeerEntry {
+        if (silenceMs < this.options.suspectAfterMs) {
+            return { state: PeerState.Alive };
         }
+        const suspicion = this.suspicions.judge(heartbeat.processId, isListed, this.witnesses());
+        const isDead = silenceMs >= this.options.deadAfterMs && suspicion !== Suspicion.HeardByOthers;
+        return { state: isDead ? PeerState.Dead : PeerState.Suspected, suspicion };
+    }
+
+    private witnesses(): readonly string[] {
+        const { failureDomain } = this.environment.identity;
+        const limitMs = this.environment.timer.nowMs() - 2 * this.options.heartbeatIntervalMs;
+        return this.table.ofDomain(failureDomain)
+            .filter(known => !this.isSelf(known) && known.asOfMs >= limitMs)
+            .map(known => known.report.heartbeat.processId);
     }
 
-    private tellState(entry: PeerEntry): void {
+    private setState(known: KnownReport, next: PeerEntry): void {
+        const { processId } = known.report.heartbeat;
+        const before = this.entries.get(processId);
+        this.entries.set(processId, next);
+        if (before?.state === next.state) {
+            return;
+        }
         const definition = {
             [PeerState.Alive]: EVENTS.peerAlive,
             [PeerState.Suspected]: EVENTS.peerSuspected,
             [PeerState.Dead]: EVENTS.peerDead
-        }[entry.state];
-        this.environment.log.write(definition, { peer: entry.heartbeat.processId });
-        this.peerStateEmitter.fire(entry);
+        }[next.state];
+        this.environment.log.write(definition, {
+            peer: processId,
+            ...(next.suspicion ? { suspicion: next.suspicion } : {})
+        });
+        this.peerStateEmitter.fire(this.viewOf(known));
     }
 }
--- a/packages/control/src/peer/PeerMessages.ts
+++ b/packages/control/src/peer/PeerMessages.ts
@@ -67,8 +67,60 @@
     changes: z.array(keyChangeSchema).max(10_000).readonly()
 }).readonly();
 
-/** Heartbeat with the status of the key knowledge. */
-export const beatSchema = z.object({ heartbeat: heartbeatSchema, keys: keyStatusSchema }).readonly();
+/** Heartbeat with its number; a higher one of the same incarnation is newer. */
+export const processReportSchema = z.object({ sequence: wholeNumber, heartbeat: heartbeatSchema }).readonly();
+
+/** Changed fields of a report. */
+export const reportPatchSchema = z.object({
+    processId: name,
+    baseSequence: wholeNumber,
+    sequence: wholeNumber,
+    fields: z.record(z.string(), z.unknown()).readonly()
+}).readonly();
+
+/** Report of a process, or what changed in it. */
+export const reportNewsSchema = z.object({
+    report: processReportSchema.optional(),
+    patch: reportPatchSchema.optional()
+}).readonly();
+
+const newsSchema = z.array(reportNewsSchema).max(1000).readonly();
+
+/** Question of a process to another one: what changed, and what the asking process has. */
+export const beatSchema = z.object({
+    processId: name,
+    /** Reports that the receiver may lack. */
+    news: newsSchema,
+    /** Number of the receiver's own report that is known. */
+    known: z.string().max(512),
+    /** Digests of the failure domains that the asking process wants to hear of. */
+    wanted: z.record(z.string(), z.string().max(64)).readonly()
+}).readonly();
+
+/** Processes of one failure domain as the answering process knows them. */
+export const groupSchema = z.object({
+    failureDomain: name,
+    /** Age of the oldest sign of life, but for the processes that are late. */
+    ageMs: z.number().nonnegative(),
+    late: z.record(z.string(), z.number().nonnegative()).readonly(),
+    /** All processes of the failure domain, when the digests differ. */
+    processIds: z.array(name).max(1000).readonly().optional(),
+    /** Age of the oldest answer about keys; absent when one is missing. */
+    keyAgeMs: z.number().nonnegative().optional(),
+    storeLost: z.boolean(),
+    news: newsSchema
+}).readonly();
+
+/** Answer to a beat. */
+export const beatReplySchema = z.object({
+    processId: name,
+    incarnation: name,
+    keys: keyStatusSchema,
+    news: newsSchema,
+    groups: z.array(groupSchema).max(1000).readonly(),
+    /** Processes of the own failure domain that the answering process does not hear. */
+    silent: z.array(name).max(1000).readonly()
+}).readonly();
 
 const amount = z.number().finite().nonnegative();
 
@@ -148,9 +200,24 @@
 /** Position and age of key knowledge. */
 export type KeyStatus = z.infer<typeof keyStatusSchema>;
 
-/** Heartbeat with the status of the key knowledge. */
+/** Heartbeat with its number. */
+export type ProcessReport = z.infer<typeof processReportSchema>;
+
+/** Changed fields of a report. */
+export type ReportPatch = z.infer<typeof reportPatchSchema>;
+
+/** Report of a process, or what changed in it. */
+export type ReportNews = z.infer<typeof reportNewsSchema>;
+
+/** Question of a process to another one. */
 export type Beat = z.infer<typeof beatSchema>;
 
+/** Answer to a beat. */
+export type BeatReply = z.infer<typeof beatReplySchema>;
+
+/** Processes of one failure domain as another process knows them. */
+export type Group = z.infer<typeof groupSchema>;
+
 /** Look-up that asks for a slot. */
 export type AcquireMessage = z.infer<typeof acquireSchema>;
 
--- a/packages/control/src/process/ProcessOptions.ts
+++ b/packages/control/src/process/ProcessOptions.ts
@@ -2,6 +2,14 @@
 export interface ProcessOptions {
     /** Interval between heartbeats to each peer. */
     readonly heartbeatIntervalMs: number;
+    /** Interval between beats of the relays of two failure domains. */
+    readonly relayIntervalMs: number;
+    /** Interval between beats of the relays of two regions. */
+    readonly regionIntervalMs: number;
+    /** Longest wait for the answer to a beat. */
+    readonly beatTimeoutMs: number;
+    /** Time for which a relay gathers news before it passes them on. */
+    readonly newsDelayMs: number;
     /** Silence after which a peer is suspected. */
     readonly suspectAfterMs: number;
     /** Silence after which a peer is taken as dead. */
@@ -52,6 +60,10 @@
 /** Default timing and bounds. */
 export const DEFAULT_PROCESS_OPTIONS: ProcessOptions = {
     heartbeatIntervalMs: 250,
+    relayIntervalMs: 250,
+    regionIntervalMs: 500,
+    beatTimeoutMs: 500,
+    newsDelayMs: 20,
     suspectAfterMs: 1000,
     deadAfterMs: 2000,
     liveListIntervalMs: 1000,
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -139,7 +139,11 @@
     /** Begins to serve. */
     public start(): void {
         this.environment.log.write(EVENTS.processStarted);
-        this.membership.start(() => ({ heartbeat: this.composeHeartbeat(), keys: this.keys.status }));
+        this.membership.start({
+            heartbeat: () => this.composeHeartbeat(),
+            keys: () => this.keys.status,
+            keyStatement: processIds => this.keys.statementOf(processIds)
+        });
         this.config.start();
         this.keys.start();
         this.allotments.start();
