Text by relays as line deltas, small version rows, membership tests

Cause: every process read the whole text each second and the coordinator all allotments, over the slow link too. The next relay takes over as soon as a question to the old one fails; a process that was asked itself and could not reach the store may say so, one that never tried may not (a test found that a relayed process claimed it).

--- a/packages/control/src/config/ConfigController.ts
+++ b/packages/control/src/config/ConfigController.ts
@@ -3,15 +3,23 @@
 import type { Finding } from "@skylarkpath/common/base/Finding";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import type { OperatorsText, VersionedText } from "@skylarkpath/common/model/OperatorsText";
-import { CONFIG_ROW_KEY, TableName, type TableRow } from "@skylarkpath/common/platform/TableService";
+import { type LiveMachine } from "@skylarkpath/common/platform/LiveList";
 import { parseOperatorsText } from "@skylarkpath/text/OperatorsTextParser";
 import { err, ok, type Result } from "neverthrow";
-import type { MembershipController } from "../membership/MembershipController.js";
+import { type MembershipController, PeerState } from "../membership/MembershipController.js";
 import type { PeerClient } from "../peer/PeerClient.js";
-import { emptySchema, type Heartbeat, PeerMethod, versionedTextSchema } from "../peer/PeerMessages.js";
+import {
+    type ConfigNews,
+    configNewsSchema,
+    type Heartbeat,
+    PeerMethod,
+    readConfigSchema
+} from "../peer/PeerMessages.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import { type GroupCommitWriter, WriteErrorKind } from "../store/GroupCommitWriter.js";
+import { ConfigTable } from "./ConfigTable.js";
+import { applyDelta, deltaBetween } from "./TextDelta.js";
 
 /** Text in force with its parsed form. */
 export interface ConfigInForce extends VersionedText {
@@ -32,11 +40,20 @@
     readonly winningVersion?: number;
 }
 
+const REMEMBERED_TEXTS = 8;
+const FALLBACK_READS = 10;
+
 /** Keeps the operators' text in force; its version only rises. */
 export class ConfigController implements Disposable {
     private readonly store = new DisposableStore();
     private readonly changeEmitter = this.store.add(new Emitter<ConfigInForce>());
+    private readonly table: ConfigTable;
+    /** Latest texts by version, from which deltas are computed. */
+    private readonly texts = new Map<number, string>();
     private inForce: ConfigInForce | undefined;
+    private invalidVersion = 0;
+    private readsLeft = 0;
+    private readingPeer = false;
 
     /** Tells each text that comes into force. */
     public readonly onChange = this.changeEmitter.event;
@@ -45,11 +62,17 @@
         private readonly environment: ProcessEnvironment,
         private readonly options: ProcessOptions,
         private readonly peerClient: PeerClient,
-        private readonly writer: GroupCommitWriter,
-        membership: MembershipController
+        writer: GroupCommitWriter,
+        private readonly membership: MembershipController
     ) {
+        this.table = new ConfigTable(environment.table, writer);
         this.store.add(membership.onHeartbeat(heartbeat => this.follow(heartbeat)));
-        peerClient.serve(PeerMethod.ReadConfig, emptySchema, async () => ok(this.versioned));
+        peerClient.serve(
+            PeerMethod.ReadConfig,
+            readConfigSchema,
+            async question => ok(this.newsFor(question.baseVersion))
+        );
+        peerClient.serve(PeerMethod.PushConfig, configNewsSchema, async (news, from) => this.receivePush(news, from));
     }
 
     /** Text in force, or undefined before the first one. */
@@ -64,7 +87,8 @@
 
     /** Begins to read the store. */
     public start(): void {
-        this.store.add(this.environment.timer.every(this.options.configIntervalMs, () => void this.readStore()));
+        this.readsLeft = Math.floor(this.environment.random.next() * FALLBACK_READS);
+        this.store.add(this.environment.timer.every(this.options.configIntervalMs, () => this.poll()));
         void this.readStore();
     }
 
@@ -74,40 +98,33 @@
         if (parsed.isErr()) {
             return err({ kind: ConfigErrorKind.Findings, findings: parsed.error });
         }
-        const row = await this.environment.table.read(TableName.Config, CONFIG_ROW_KEY);
-        if (row.isErr()) {
+        const stored = await this.table.read();
+        if (stored.isErr()) {
             return err({ kind: ConfigErrorKind.StoreUnavailable });
         }
-        const stored = storedText(row.value);
-        if (stored.version !== baseVersion) {
-            return this.conflict(stored.version);
+        if (stored.value.version !== baseVersion) {
+            return this.conflict(stored.value.version);
         }
-        return this.commit({ version: baseVersion + 1, text }, row.value?.version ?? 0);
+        return this.commit({ version: baseVersion + 1, text }, stored.value.rowVersion);
     }
 
     public dispose(): void {
         this.store.dispose();
     }
 
-    private get versioned(): VersionedText {
-        return { version: this.version, text: this.inForce?.text ?? "" };
-    }
-
     private async commit(next: VersionedText, rowVersion: number): Promise<Result<number, ConfigError>> {
-        const written = await this.writer.submit({
-            conditions: () => [{ table: TableName.Config, key: CONFIG_ROW_KEY, version: rowVersion }],
-            mutations: () => [{ table: TableName.Config, key: CONFIG_ROW_KEY, value: { ...next } }]
-        });
+        const written = await this.table.write(next, rowVersion);
         if (written.isOk()) {
             this.environment.log.write(EVENTS.configApplied, { version: next.version });
             this.adopt(next);
+            void this.passOn(this.membership.newsReceivers);
             return ok(next.version);
         }
         if (written.error.kind !== WriteErrorKind.Conflict) {
             return err({ kind: ConfigErrorKind.StoreUnavailable });
         }
-        const row = await this.environment.table.read(TableName.Config, CONFIG_ROW_KEY);
-        return this.conflict(row.isOk() ? storedText(row.value).version : next.version);
+        const stored = await this.table.readVersion();
+        return this.conflict(stored.isOk() ? stored.value.version : next.version);
     }
 
     private conflict(winningVersion: number): Result<number, ConfigError> {
@@ -115,47 +132,138 @@
         return err({ kind: ConfigErrorKind.Conflict, winningVersion });
     }
 
+    /** The relay of the failure domain reads the store each time, the others now and then. */
+    private poll(): void {
+        this.readsLeft--;
+        if (this.membership.isDomainRelay || this.readsLeft < 0) {
+            this.readsLeft = FALLBACK_READS;
+            void this.readStore();
+        }
+        this.readBehind();
+    }
+
     private async readStore(): Promise<void> {
-        const row = await this.environment.table.read(TableName.Config, CONFIG_ROW_KEY);
-        if (row.isOk() && row.value) {
-            this.adopt(storedText(row.value));
+        const stored = await this.table.readAbove(Math.max(this.version, this.invalidVersion));
+        if (stored.isOk() && stored.value && this.adopt(stored.value)) {
+            void this.passOn(this.mates);
         }
     }
 
+    private get mates(): readonly LiveMachine[] {
+        const { failureDomain } = this.environment.identity;
+        return this.membership.newsReceivers.filter(machine => machine.failureDomain === failureDomain);
+    }
+
+    /** A text travels from the process that committed it: over each link between regions or domains once. */
+    private async passOn(receivers: readonly LiveMachine[]): Promise<void> {
+        const news = this.newsFor(this.version - 1);
+        await Promise.all(receivers.map(async machine => {
+            const pushed = await this.push(machine.address, news);
+            if (!pushed && news.delta) {
+                await this.push(machine.address, this.newsFor(0));
+            }
+        }));
+    }
+
+    private async push(address: string, news: ConfigNews): Promise<boolean> {
+        const { peerTimeoutMs } = this.options;
+        const reply = await this.peerClient.call(address, PeerMethod.PushConfig, news, peerTimeoutMs);
+        return reply.isOk();
+    }
+
+    private receivePush(news: ConfigNews, from: string): Result<object, string> {
+        if (news.version <= this.version) {
+            return ok({});
+        }
+        if (!this.takeIn(news)) {
+            return err("The base of the text is not known here.");
+        }
+        const { failureDomain, region } = this.environment.identity;
+        const sender = this.membership.peer(from)?.heartbeat;
+        if (sender && sender.failureDomain !== failureDomain) {
+            const isRemote = sender.region !== region;
+            const receivers = this.membership.newsReceivers.filter(machine =>
+                isRemote ? machine.region === region : machine.failureDomain === failureDomain
+            );
+            void this.passOn(receivers);
+        }
+        return ok({});
+    }
+
+    private newsFor(baseVersion: number): ConfigNews {
+        const text = this.inForce?.text ?? "";
+        const base = this.texts.get(baseVersion);
+        return base !== undefined && baseVersion < this.version
+            ? { version: this.version, baseVersion, delta: deltaBetween(base, text) }
+            : { version: this.version, text };
+    }
+
+    private takeIn(news: ConfigNews): boolean {
+        const base = news.baseVersion === undefined ? undefined : this.texts.get(news.baseVersion);
+        const text = news.text ?? (news.delta && base !== undefined ? applyDelta(base, news.delta) : undefined);
+        return text !== undefined && this.adopt({ version: news.version, text });
+    }
+
     private follow(heartbeat: Heartbeat): void {
-        if (heartbeat.configVersion > this.version) {
+        const isNear = heartbeat.failureDomain === this.environment.identity.failureDomain;
+        if (heartbeat.configVersion > this.version && (isNear || this.membership.isDomainRelay)) {
             void this.readPeer(heartbeat.address);
         }
     }
 
+    /** Asks the nearest process that is ahead, when no push has arrived. */
+    private readBehind(): void {
+        const { failureDomain, region } = this.environment.identity;
+        const distance = (heartbeat: Heartbeat): number =>
+            heartbeat.failureDomain === failureDomain ? 0 : heartbeat.region === region ? 1 : 2;
+        const ahead = this.membership.peers
+            .filter(peer => peer.state === PeerState.Alive && peer.heartbeat.configVersion > this.version)
+            .map(peer => peer.heartbeat)
+            .sort((left, right) => distance(left) - distance(right));
+        if (ahead[0]) {
+            void this.readPeer(ahead[0].address);
+        }
+    }
+
     private async readPeer(address: string): Promise<void> {
+        if (this.readingPeer) {
+            return;
+        }
+        this.readingPeer = true;
         const reply = await this.peerClient.call<unknown>(
             address,
             PeerMethod.ReadConfig,
-            {},
+            { baseVersion: this.version },
             this.options.peerTimeoutMs
         );
-        const text = reply.isOk() ? versionedTextSchema.safeParse(reply.value) : undefined;
-        if (text?.success) {
-            this.adopt(text.data);
+        this.readingPeer = false;
+        const news = reply.isOk() ? configNewsSchema.safeParse(reply.value) : undefined;
+        if (news?.success) {
+            this.takeIn(news.data);
         }
     }
 
-    private adopt(next: VersionedText): void {
+    private adopt(next: VersionedText): boolean {
         if (next.version <= this.version) {
-            return;
+            return false;
         }
         const parsed = parseOperatorsText(next.text);
         if (parsed.isErr()) {
-            this.environment.log.write(EVENTS.configInvalid, { version: next.version });
-            return;
+            this.noteInvalid(next.version);
+            return false;
         }
-        this.inForce = { ...next, parsed: parsed.value };
+        this.inForce = { version: next.version, text: next.text, parsed: parsed.value };
+        this.texts.set(next.version, next.text);
+        this.texts.delete(next.version - REMEMBERED_TEXTS);
         this.environment.log.write(EVENTS.configAdopted, { version: next.version });
         this.changeEmitter.fire(this.inForce);
+        return true;
     }
-}
 
-function storedText(row: TableRow | undefined): VersionedText {
-    return row ? row.value as unknown as VersionedText : { version: 0, text: "" };
+    private noteInvalid(version: number): void {
+        if (version > this.invalidVersion) {
+            this.invalidVersion = version;
+            this.environment.log.write(EVENTS.configInvalid, { version });
+        }
+    }
 }
--- /dev/null
+++ b/packages/control/src/config/ConfigTable.ts
@@ -0,0 +1,65 @@
+import type { VersionedText } from "@skylarkpath/common/model/OperatorsText";
+import type { StoreError } from "@skylarkpath/common/platform/StoreError";
+import { CONFIG_ROW_KEY, TableName, type TableRow, type TableService } from "@skylarkpath/common/platform/TableService";
+import { err, ok, type Result } from "neverthrow";
+import type { GroupCommitWriter, WriteError } from "../store/GroupCommitWriter.js";
+
+/** Stored text with the version of its row. */
+export interface StoredText extends VersionedText {
+    readonly rowVersion: number;
+}
+
+const VERSION_ROW_KEY = "text-version";
+
+/** Rows of the operators' text in the table service; a small row tells its version. */
+export class ConfigTable {
+    constructor(private readonly table: TableService, private readonly writer: GroupCommitWriter) {}
+
+    /** Reads the text. */
+    public async read(): Promise<Result<StoredText, StoreError>> {
+        const row = await this.table.read(TableName.Config, CONFIG_ROW_KEY);
+        return row.map(storedText);
+    }
+
+    /** Reads the text when its version is above the given one. */
+    public async readAbove(version: number): Promise<Result<StoredText | undefined, StoreError>> {
+        const stored = await this.readVersion();
+        if (stored.isErr()) {
+            return err(stored.error);
+        }
+        return stored.value.version > version ? this.read() : ok(undefined);
+    }
+
+    /** Reads the version of the text with the version of the row that tells it. */
+    public async readVersion(): Promise<
+        Result<{ readonly version: number; readonly rowVersion: number; }, StoreError>
+    > {
+        const row = await this.table.read(TableName.Config, VERSION_ROW_KEY);
+        return row.map(found => ({ version: Number(found?.value ?? 0), rowVersion: found?.version ?? 0 }));
+    }
+
+    /** Commits a text in place of the row that was read. */
+    public async write(next: VersionedText, rowVersion: number): Promise<Result<unknown, WriteError>> {
+        return this.writer.submit({
+            conditions: () => [{ table: TableName.Config, key: CONFIG_ROW_KEY, version: rowVersion }],
+            mutations: () => [
+                { table: TableName.Config, key: CONFIG_ROW_KEY, value: { ...next } },
+                { table: TableName.Config, key: VERSION_ROW_KEY, value: next.version }
+            ]
+        });
+    }
+
+    /** Condition that holds while the text has not changed since its version was read. */
+    public static unchanged(rowVersion: number): {
+        readonly table: string;
+        readonly key: string;
+        readonly version: number;
+    } {
+        return { table: TableName.Config, key: VERSION_ROW_KEY, version: rowVersion };
+    }
+}
+
+function storedText(row: TableRow | undefined): StoredText {
+    const text = row ? row.value as unknown as VersionedText : { version: 0, text: "" };
+    return { version: text.version, text: text.text, rowVersion: row?.version ?? 0 };
+}
--- /dev/null
+++ b/packages/control/src/config/TextDelta.test.ts
@@ -0,0 +1,18 @@
+import test from "ava";
+import fc from "fast-check";
+import { applyDelta, deltaBetween } from "./TextDelta.js";
+
+const SEED = 417;
+
+test("a delta turns the old text into the new one and is no longer than what changed", t => {
+    t.log(`seed ${SEED}`);
+    const lines = fc.array(fc.constantFrom("", "a", "b", "[teams.x]"), { maxLength: 12 });
+    fc.assert(
+        fc.property(lines, lines, (before, after) => {
+            const [oldText, newText] = [before.join("\n"), after.join("\n")];
+            return applyDelta(oldText, deltaBetween(oldText, newText)) === newText;
+        }),
+        { seed: SEED, numRuns: 2000 }
+    );
+    t.deepEqual(deltaBetween("a\nb\nc\nd", "a\nx\nc\nd"), { startLine: 1, removedCount: 1, lines: ["x"] });
+});
--- a/packages/control/src/keys/KeyController.ts
+++ b/packages/control/src/keys/KeyController.ts
@@ -91,7 +91,7 @@
 
     /** Begins to read the store. */
     public start(): void {
-        this.store.add(this.environment.timer.every(this.options.keyIntervalMs, () => void this.readStore()));
+        this.store.add(this.environment.timer.every(this.options.keyIntervalMs, () => this.poll()));
         void this.readStore();
     }
 
@@ -205,15 +205,25 @@
         return storing;
     }
 
+    /** The relay of the failure domain reads the store each time, the others when what they are told grows old. */
+    private poll(): void {
+        const isOld = this.freshness.storeAgeMs > this.options.keyRelayedAgeMs;
+        if (this.membership.isDomainRelay || isOld || this.ledger.unstoredKeyIds.length > 0) {
+            void this.readStore();
+        }
+    }
+
     private async readStore(): Promise<void> {
         if (this.reading) {
             return;
         }
         this.reading = true;
         const sentMs = this.environment.timer.nowMs();
+        this.freshness.noteAttempt();
         const records = await this.table.readChanged();
         this.reading = false;
         if (records.isErr()) {
+            this.freshness.noteAttemptFailed();
             return;
         }
         for (const record of records.value) {
--- a/packages/control/src/keys/KeyFreshness.ts
+++ b/packages/control/src/keys/KeyFreshness.ts
@@ -29,6 +29,8 @@
     private storeAsOfMs = -Infinity;
     private storeContactMs = -Infinity;
     private vanishedMs = -Infinity;
+    private attemptMs: number | undefined;
+    private attemptFailed = false;
     private liveProcessIds: ReadonlySet<string> = new Set();
     private joined = false;
 
@@ -48,7 +50,7 @@
 
     /** Tells that neither this process nor one that vanished can have reached the store lately. */
     public get storeLost(): boolean {
-        return !this.isStoreReached && !this.isBlocked;
+        return !this.isStoreReached && this.hasTriedStore && !this.isBlocked;
     }
 
     /** Notes a read of the store, complete up to the time it was sent. */
@@ -60,6 +62,18 @@
     /** Notes that the store was reached. */
     public noteStoreContact(): void {
         this.storeContactMs = this.timer.nowMs();
+        this.attemptMs = undefined;
+        this.attemptFailed = false;
+    }
+
+    /** Notes that a read of the store began. */
+    public noteAttempt(): void {
+        this.attemptMs ??= this.timer.nowMs();
+    }
+
+    /** Notes that a read of the store failed. */
+    public noteAttemptFailed(): void {
+        this.attemptFailed = true;
     }
 
     /** Notes knowledge from the store that another process passed on; its own age is already subtracted. */
@@ -114,6 +128,12 @@
         return this.timer.nowMs() - Math.max(this.storeAsOfMs, heardAsOfMs);
     }
 
+    /** Only a process that tried may say that it cannot reach the store. */
+    private get hasTriedStore(): boolean {
+        const pendingMs = this.timer.nowMs() - (this.attemptMs ?? this.timer.nowMs());
+        return this.attemptFailed || pendingMs >= this.options.keyStoreLostMs / 2;
+    }
+
     private get isBlocked(): boolean {
         return this.vanishedMs >= this.storeAsOfMs && this.vanishedMs > -Infinity;
     }
--- a/packages/control/src/limits/AllotmentController.ts
+++ b/packages/control/src/limits/AllotmentController.ts
@@ -3,7 +3,7 @@
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import type { OperatorsText } from "@skylarkpath/common/model/OperatorsText";
 import type { SliceAllotment, TeamAllotment, TeamEscrow } from "@skylarkpath/common/model/Slice";
-import { type JsonValue, type TableCondition, TableName } from "@skylarkpath/common/platform/TableService";
+import type { TableCondition } from "@skylarkpath/common/platform/TableService";
 import type { SchedulerFactory } from "@skylarkpath/common/scheduling/SchedulerFactory";
 import type { TeamPolicy } from "@skylarkpath/common/scheduling/TaskScheduler";
 import { err, ok } from "neverthrow";
@@ -14,6 +14,7 @@
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import type { GroupCommitWriter } from "../store/GroupCommitWriter.js";
+import { AllotmentTable } from "./AllotmentTable.js";
 import { isSame, NO_AMOUNT, underLimit } from "./Amounts.js";
 import { type DemandDelta, DemandReporter } from "./DemandReporter.js";
 import { ceilingOf, lowerEscrow } from "./Escrow.js";
@@ -41,6 +42,8 @@
     private readonly changeEmitter = this.store.add(new Emitter<void>());
     private readonly rows = new Map<string, KnownRow>();
     private readonly open = new Map<string, OpenSlice>();
+    private readonly table: AllotmentTable;
+    private readRoundVersion: number | undefined;
     private busy = false;
 
     /** Tells that allotments have changed. */
@@ -52,8 +55,9 @@
         private readonly config: ConfigController,
         private readonly peerClient: PeerClient,
         private readonly membership: MembershipController,
-        private readonly writer: GroupCommitWriter
+        writer: GroupCommitWriter
     ) {
+        this.table = new AllotmentTable(environment.table, writer);
         this.store.add(config.onChange(() => this.announce()));
         peerClient.serve(PeerMethod.PushAllotment, sliceAllotmentSchema, async allotment => {
             this.learn({ allotment });
@@ -73,6 +77,7 @@
     /** Begins to account for a slice that this process owns; returns its watched schedulers. */
     public openSlice(sliceId: string, guard: () => readonly TableCondition[]): SchedulerFactory {
         const accounts = new SliceAccounts();
+        this.readRoundVersion = undefined;
         this.open.set(sliceId, { accounts, reporter: new DemandReporter(), guard });
         void this.refresh();
         return accounts.watch(this.environment.schedulers);
@@ -131,18 +136,30 @@
             return;
         }
         this.busy = true;
+        if (this.open.size > 0) {
+            await this.readRows();
+        }
         for (const sliceId of this.open.keys()) {
-            await this.readRow(sliceId);
             await this.giveBack(sliceId);
         }
         this.busy = false;
     }
 
-    private async readRow(sliceId: string): Promise<void> {
-        const row = await this.environment.table.read(TableName.Allotments, sliceId);
-        const parsed = row.isOk() && row.value ? sliceAllotmentSchema.safeParse(row.value.value) : undefined;
-        if (row.isOk() && row.value && parsed?.success) {
-            this.learn({ allotment: parsed.data, rowVersion: row.value.version });
+    /** Reads the rows of the open slices when a round has changed any row since. */
+    private async readRows(): Promise<void> {
+        const roundVersion = await this.table.readRoundVersion();
+        if (roundVersion.isErr() || roundVersion.value === this.readRoundVersion) {
+            return;
+        }
+        this.readRoundVersion = roundVersion.value;
+        for (const sliceId of this.open.keys()) {
+            const row = await this.table.read(sliceId);
+            if (row.isErr()) {
+                this.readRoundVersion = undefined;
+            }
+            else if (row.value) {
+                this.learn(row.value);
+            }
         }
     }
 
@@ -180,18 +197,14 @@
         if (!await this.passOn(next)) {
             return;
         }
-        const { rowVersion } = row;
-        const written = await this.writer.submit({
-            conditions: () => [
-                ...slice.guard(),
-                { table: TableName.Allotments, key: sliceId, version: rowVersion }
-            ],
-            mutations: () => [{ table: TableName.Allotments, key: sliceId, value: next as unknown as JsonValue }]
-        });
+        const written = await this.table.giveBack(next, row.rowVersion, slice.guard);
         if (written.isOk()) {
             this.environment.log.write(EVENTS.allotmentGivenBack, { slice: sliceId });
             this.learn({ allotment: next, rowVersion: written.value.version });
         }
+        else {
+            this.readRoundVersion = undefined;
+        }
     }
 
     private lowered(
--- a/packages/control/src/limits/AllotmentCoordinator.ts
+++ b/packages/control/src/limits/AllotmentCoordinator.ts
@@ -1,25 +1,20 @@
 import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
-import type { OperatorsText, VersionedText } from "@skylarkpath/common/model/OperatorsText";
-import type { SliceAllotment, TeamEscrow } from "@skylarkpath/common/model/Slice";
-import { CONFIG_ROW_KEY, type JsonValue, TableName } from "@skylarkpath/common/platform/TableService";
+import type { OperatorsText } from "@skylarkpath/common/model/OperatorsText";
+import type { TeamEscrow } from "@skylarkpath/common/model/Slice";
 import type { ConfigController } from "../config/ConfigController.js";
+import { ConfigTable } from "../config/ConfigTable.js";
 import { type MembershipController, PeerState } from "../membership/MembershipController.js";
 import type { PeerClient } from "../peer/PeerClient.js";
-import { demandDeltaSchema, PeerMethod, sliceAllotmentSchema } from "../peer/PeerMessages.js";
+import { demandDeltaSchema, PeerMethod } from "../peer/PeerMessages.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import type { SliceDirectory } from "../slice/SliceDirectory.js";
 import type { GroupCommitWriter } from "../store/GroupCommitWriter.js";
 import { type AllotmentController, isLost } from "./AllotmentController.js";
+import { type AllotmentRow, AllotmentTable } from "./AllotmentTable.js";
 import { planTeam, type SliceEscrow, type TeamDemand } from "./EscrowPlanner.js";
 
-interface SliceRow {
-    readonly sliceId: string;
-    readonly rowVersion: number;
-    readonly allotment: SliceAllotment;
-}
-
 interface KnownDemand {
     readonly owner: string;
     readonly sequence: number;
@@ -28,18 +23,17 @@
 
 interface Round {
     readonly text: OperatorsText;
-    readonly configRowVersion: number;
-    readonly roundRowVersion: number;
-    readonly rows: readonly SliceRow[];
+    readonly textRowVersion: number;
+    readonly roundVersion: number;
+    readonly rows: readonly AllotmentRow[];
 }
 
-const ROUND_ROW_KEY = ".round";
-const ROW_LIMIT = 10_000;
-
 /** Moves the teams' allotments between slices towards the demand, in one transaction for each round. */
 export class AllotmentCoordinator implements Disposable {
     private readonly store = new DisposableStore();
     private readonly demands = new Map<string, KnownDemand>();
+    private readonly table: AllotmentTable;
+    private readonly configTable: ConfigTable;
     private busy = false;
     private disposed = false;
 
@@ -50,9 +44,11 @@
         private readonly membership: MembershipController,
         private readonly directory: SliceDirectory,
         private readonly peerClient: PeerClient,
-        private readonly writer: GroupCommitWriter,
+        writer: GroupCommitWriter,
         private readonly allotments: AllotmentController
     ) {
+        this.table = new AllotmentTable(environment.table, writer);
+        this.configTable = new ConfigTable(environment.table, writer);
         this.store.add(config.onChange(() => void this.rebalance()));
     }
 
@@ -91,28 +87,14 @@
     }
 
     private async readRound(): Promise<Round | undefined> {
-        const { table } = this.environment;
-        const text = await table.read(TableName.Config, CONFIG_ROW_KEY);
-        const rows = await table.scan({ table: TableName.Allotments, prefix: "", limit: ROW_LIMIT });
+        const stored = await this.configTable.readVersion();
+        const all = await this.table.readAll();
         const current = this.config.current;
-        if (text.isErr() || rows.isErr() || !current || !text.value) {
-            return undefined;
-        }
-        const stored = text.value.value as unknown as VersionedText;
-        if (stored.version !== current.version) {
+        if (stored.isErr() || all.isErr() || !current || stored.value.version !== current.version) {
             return undefined;
         }
-        const marker = rows.value.find(row => row.key === ROUND_ROW_KEY);
-        const slices = rows.value.filter(row => row.key !== ROUND_ROW_KEY).flatMap(row => {
-            const parsed = sliceAllotmentSchema.safeParse(row.value);
-            return parsed.success ? [{ sliceId: row.key, rowVersion: row.version, allotment: parsed.data }] : [];
-        });
-        return {
-            text: current.parsed,
-            configRowVersion: text.value.version,
-            roundRowVersion: marker?.version ?? 0,
-            rows: slices
-        };
+        const { rows, roundVersion } = all.value;
+        return { text: current.parsed, textRowVersion: stored.value.rowVersion, roundVersion, rows };
     }
 
     private async askOwners(): Promise<void> {
@@ -152,14 +134,15 @@
 
     private plan(round: Round): ReadonlyMap<string, Readonly<Record<string, TeamEscrow>>> {
         const sliceIds = new Set([
-            ...round.rows.map(row => row.sliceId),
+            ...round.rows.map(row => row.allotment.sliceId),
             ...this.directory.all.map(location => location.sliceId)
         ]);
+        const escrows = new Map(round.rows.map(row => [row.allotment.sliceId, row.allotment.teams]));
         const changes = new Map<string, Record<string, TeamEscrow>>();
         for (const team of round.text.teams) {
             const slices = [...sliceIds].sort().map((sliceId): SliceEscrow => ({
                 sliceId,
-                escrow: round.rows.find(row => row.sliceId === sliceId)?.allotment.teams[team.name],
+                escrow: escrows.get(sliceId)?.[team.name],
                 demand: this.demands.get(sliceId)?.teams.get(team.name),
                 lost: isLost(round.text, sliceId)
             }));
@@ -179,21 +162,7 @@
             return;
         }
         const rows = [...changes].map(([sliceId, teams]) => nextRow(sliceId, teams, round.rows));
-        const written = await this.writer.submit({
-            conditions: () => [
-                { table: TableName.Config, key: CONFIG_ROW_KEY, version: round.configRowVersion },
-                { table: TableName.Allotments, key: ROUND_ROW_KEY, version: round.roundRowVersion },
-                ...rows.map(row => ({ table: TableName.Allotments, key: row.sliceId, version: row.rowVersion }))
-            ],
-            mutations: () => [
-                { table: TableName.Allotments, key: ROUND_ROW_KEY, value: this.environment.identity.processId },
-                ...rows.map(row => ({
-                    table: TableName.Allotments,
-                    key: row.sliceId,
-                    value: row.allotment as unknown as JsonValue
-                }))
-            ]
-        });
+        const written = await this.table.commitRound(rows, round.textRowVersion, round.roundVersion);
         if (written.isOk()) {
             this.environment.log.write(EVENTS.allotmentsMoved, { slices: rows.length });
         }
@@ -203,11 +172,10 @@
 function nextRow(
     sliceId: string,
     teams: Readonly<Record<string, TeamEscrow>>,
-    rows: readonly SliceRow[]
-): SliceRow {
-    const known = rows.find(row => row.sliceId === sliceId);
+    rows: readonly AllotmentRow[]
+): AllotmentRow {
+    const known = rows.find(row => row.allotment.sliceId === sliceId);
     return {
-        sliceId,
         rowVersion: known?.rowVersion ?? 0,
         allotment: {
             sliceId,
--- /dev/null
+++ b/packages/control/src/limits/AllotmentTable.ts
@@ -0,0 +1,145 @@
+import type { SliceAllotment } from "@skylarkpath/common/model/Slice";
+import type { StoreError } from "@skylarkpath/common/platform/StoreError";
+import {
+    type CommitReceipt,
+    type JsonValue,
+    type TableCondition,
+    TableName,
+    type TableService
+} from "@skylarkpath/common/platform/TableService";
+import { err, ok, type Result } from "neverthrow";
+import { ConfigTable } from "../config/ConfigTable.js";
+import { sliceAllotmentSchema } from "../peer/PeerMessages.js";
+import type { GroupCommitWriter, WriteError } from "../store/GroupCommitWriter.js";
+
+/** Row of a slice with its version in the store. */
+export interface AllotmentRow {
+    readonly allotment: SliceAllotment;
+    readonly rowVersion: number;
+}
+
+/** All rows with what they were read under. */
+export interface AllotmentRows {
+    readonly rows: readonly AllotmentRow[];
+    readonly roundVersion: number;
+}
+
+const ROUND_ROW_KEY = ".round";
+const GIVEN_BACK_ROW_KEY = ".given-back";
+const PAGE_LENGTH = 1000;
+
+/** Rows of the allotments in the table service; two small rows tell when coordinators or owners changed any. */
+export class AllotmentTable {
+    private cached: AllotmentRows | undefined;
+    private cachedGivenBackVersion = 0;
+
+    constructor(private readonly table: TableService, private readonly writer: GroupCommitWriter) {}
+
+    /** Reads the version of the last round of a coordinator. */
+    public async readRoundVersion(): Promise<Result<number, StoreError>> {
+        const row = await this.table.read(TableName.Allotments, ROUND_ROW_KEY);
+        return row.map(found => found?.version ?? 0);
+    }
+
+    /** Reads the row of a slice. */
+    public async read(sliceId: string): Promise<Result<AllotmentRow | undefined, StoreError>> {
+        const row = await this.table.read(TableName.Allotments, sliceId);
+        return row.map(found => {
+            const parsed = sliceAllotmentSchema.safeParse(found?.value);
+            return found && parsed.success ? { allotment: parsed.data, rowVersion: found.version } : undefined;
+        });
+    }
+
+    /** Reads all rows, from memory when none has changed. */
+    public async readAll(): Promise<Result<AllotmentRows, StoreError>> {
+        const round = await this.readRoundVersion();
+        const givenBack = await this.table.read(TableName.Allotments, GIVEN_BACK_ROW_KEY);
+        if (round.isErr() || givenBack.isErr()) {
+            return err(round.isErr() ? round.error : givenBack._unsafeUnwrapErr());
+        }
+        const givenBackVersion = givenBack.value?.version ?? 0;
+        if (this.cached?.roundVersion === round.value && this.cachedGivenBackVersion === givenBackVersion) {
+            return ok(this.cached);
+        }
+        const rows = await this.scan();
+        return rows.map(found => {
+            this.cachedGivenBackVersion = givenBackVersion;
+            this.cached = { rows: found, roundVersion: round.value };
+            return this.cached;
+        });
+    }
+
+    /** Commits a round under the text and the round that it was planned from. */
+    public commitRound(
+        rows: readonly AllotmentRow[],
+        textRowVersion: number,
+        roundVersion: number
+    ): Promise<Result<CommitReceipt, WriteError>> {
+        return this.writer.submit({
+            conditions: () => [
+                ConfigTable.unchanged(textRowVersion),
+                { table: TableName.Allotments, key: ROUND_ROW_KEY, version: roundVersion },
+                ...rows.map(conditionOf)
+            ],
+            mutations: () => [
+                { table: TableName.Allotments, key: ROUND_ROW_KEY, value: rows.length },
+                ...rows.map(mutationOf)
+            ]
+        });
+    }
+
+    /** Commits a lowered grant of an owner while it owns the slice. */
+    public giveBack(
+        next: SliceAllotment,
+        rowVersion: number,
+        guard: () => readonly TableCondition[]
+    ): Promise<Result<CommitReceipt, WriteError>> {
+        const row = { allotment: next, rowVersion };
+        return this.writer.submit({
+            conditions: () => [...guard(), conditionOf(row)],
+            mutations: () => [
+                { table: TableName.Allotments, key: GIVEN_BACK_ROW_KEY, value: next.sliceId },
+                mutationOf(row)
+            ]
+        });
+    }
+
+    private async scan(): Promise<Result<readonly AllotmentRow[], StoreError>> {
+        const rows: AllotmentRow[] = [];
+        let afterKey: string | undefined;
+        for (;;) {
+            const page = await this.table.scan({
+                table: TableName.Allotments,
+                prefix: "",
+                afterKey,
+                limit: PAGE_LENGTH
+            });
+            if (page.isErr()) {
+                return err(page.error);
+            }
+            for (const row of page.value) {
+                const parsed = sliceAllotmentSchema.safeParse(row.value);
+                if (parsed.success) {
+                    rows.push({ allotment: parsed.data, rowVersion: row.version });
+                }
+            }
+            if (page.value.length < PAGE_LENGTH) {
+                return ok(rows);
+            }
+            afterKey = page.value.at(-1)!.key;
+        }
+    }
+}
+
+function conditionOf(row: AllotmentRow): TableCondition {
+    return { table: TableName.Allotments, key: row.allotment.sliceId, version: row.rowVersion };
+}
+
+function mutationOf(row: AllotmentRow): {
+    readonly table: string;
+    readonly key: string;
+    readonly value: JsonValue;
+} {
+    const value = row.allotment as unknown as JsonValue;
+    return { table: TableName.Allotments, key: row.allotment.sliceId, value };
+}
--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -215,7 +215,7 @@
         if (processId === identity.processId) {
             return !known?.report.heartbeat.stopping;
         }
-        if (!known || known.report.heartbeat.stopping) {
+        if (!known || known.report.heartbeat.stopping || this.partners.hasFailed(processId)) {
             return false;
         }
         const limitMs = 2 * this.options.heartbeatIntervalMs + this.allowanceMs(known.report.heartbeat);
@@ -228,7 +228,7 @@
         }
         this.exchange.setOwn(this.source.heartbeat());
         this.updateStates();
-        for (const partner of this.partners.due(hasNews)) {
+        for (const partner of this.partners.due(hasNews, this.silentPeers().length > 0)) {
             void this.ask(partner.candidates, partner.wanted);
         }
     }
@@ -264,7 +264,7 @@
             return false;
         }
         this.partners.noteAnswer(machineId);
-        this.suspicions.noteAnswer(machineId, answer.data.silent);
+        this.suspicions.noteAnswer(machineId, sentMs, answer.data.silent);
         this.receive(answer.data, machine, sentMs);
         return true;
     }
@@ -300,11 +300,18 @@
         const { failureDomain, processId } = this.environment.identity;
         const nowMs = this.environment.timer.nowMs();
         return this.table.ofDomain(failureDomain)
-            .filter(known => nowMs - known.asOfMs > 2 * this.options.heartbeatIntervalMs)
+            .filter(known => nowMs - this.directlyHeardMs(known) > 2 * this.options.heartbeatIntervalMs)
             .map(known => known.report.heartbeat.processId)
             .filter(id => id !== processId);
     }
 
+    /** In the own failure domain only answers to this process count. */
+    private directlyHeardMs(known: KnownReport): number {
+        const { processId, failureDomain } = known.report.heartbeat;
+        const isNear = failureDomain === this.environment.identity.failureDomain;
+        return isNear ? this.suspicions.lastAnsweredMs(processId) ?? known.firstMs : known.asOfMs;
+    }
+
     /** Takes in a heartbeat that brings something new, and passes it on soon. */
     private takeIn(heartbeat: Heartbeat): void {
         this.heartbeatEmitter.fire(heartbeat);
@@ -334,7 +341,7 @@
                 continue;
             }
             const { heartbeat } = known.report;
-            const silenceMs = nowMs - known.asOfMs - this.allowanceMs(heartbeat);
+            const silenceMs = nowMs - this.directlyHeardMs(known) - this.allowanceMs(heartbeat);
             const isListed = this.liveListReadMs === undefined || listed.has(heartbeat.processId);
             this.setState(known, this.judge(heartbeat, silenceMs, isListed));
             if (!isListed && silenceMs >= this.options.deadAfterMs + this.options.liveListLagMs) {
--- a/packages/control/src/membership/PartnerChoice.ts
+++ b/packages/control/src/membership/PartnerChoice.ts
@@ -52,18 +52,26 @@
         this.failedUntilMs.set(processId, this.timer.nowMs() + this.options.deadAfterMs);
     }
 
+    /** Tells whether the last question to a process failed a short while ago. */
+    public hasFailed(processId: string): boolean {
+        return (this.failedUntilMs.get(processId) ?? 0) > this.timer.nowMs();
+    }
+
     /** Notes that a process answered. */
     public noteAnswer(processId: string): void {
         this.failedUntilMs.delete(processId);
     }
 
-    /** Partners to ask now; with news, all of them. */
-    public due(hasNews: boolean): readonly Partner[] {
+    /** Partners to ask now; with news, all of them. While a peer is silent, the others are asked about it. */
+    public due(hasNews: boolean, isPeerSilent: boolean): readonly Partner[] {
         const { failureDomain, region } = this.identity;
         const relay = domainRelay(this.view, failureDomain);
         const mates = this.machines.filter(machine => machine.failureDomain === failureDomain).map(machine => ({
             candidates: [machine],
-            wanted: machine.machineId === relay ? this.otherDomains() : []
+            wanted: [
+                ...(machine.machineId === relay ? this.otherDomains() : []),
+                ...(isPeerSilent ? [failureDomain] : [])
+            ]
         }));
         const beyond = [
             ...(this.isDomainRelay ? this.otherDomainPartners() : []),
@@ -127,8 +135,7 @@
     }
 
     private preferred(machines: readonly LiveMachine[]): readonly LiveMachine[] {
-        const nowMs = this.timer.nowMs();
-        const hasFailed = (machine: LiveMachine): boolean => (this.failedUntilMs.get(machine.machineId) ?? 0) > nowMs;
+        const hasFailed = (machine: LiveMachine): boolean => this.hasFailed(machine.machineId);
         return [...machines.filter(machine => !hasFailed(machine)), ...machines.filter(hasFailed)];
     }
 
--- a/packages/control/src/membership/ReportTable.ts
+++ b/packages/control/src/membership/ReportTable.ts
@@ -6,6 +6,8 @@
     readonly report: ProcessReport;
     /** Monotonic time up to which the process is known to have lived. */
     readonly asOfMs: number;
+    /** Monotonic time at which this incarnation was first heard of. */
+    readonly firstMs: number;
 }
 
 const DIGEST_LENGTH = 12;
@@ -38,7 +40,12 @@
         if (known && !isNewer(report, known, asOfMs)) {
             return false;
         }
-        this.reports.set(report.heartbeat.processId, { report, asOfMs: Math.max(asOfMs, known?.asOfMs ?? -Infinity) });
+        const isSame = known?.report.heartbeat.incarnation === report.heartbeat.incarnation;
+        this.reports.set(report.heartbeat.processId, {
+            report,
+            asOfMs: Math.max(asOfMs, known?.asOfMs ?? -Infinity),
+            firstMs: isSame ? known!.firstMs : asOfMs
+        });
         this.digests.delete(report.heartbeat.failureDomain);
         return true;
     }
--- a/packages/control/src/membership/SuspicionTracker.ts
+++ b/packages/control/src/membership/SuspicionTracker.ts
@@ -14,6 +14,7 @@
 
 /** Collects signs that tell a paused process from a cut link and from a dead VM. */
 export class SuspicionTracker {
+    private readonly answeredMs = new Map<string, number>();
     private readonly failures = new Map<string, PeerErrorKind>();
     /** Processes that each live peer of the failure domain does not hear. */
     private readonly silentAt = new Map<string, ReadonlySet<string>>();
@@ -23,12 +24,18 @@
         this.failures.set(processId, error.kind);
     }
 
-    /** Notes a direct answer with the processes that its sender does not hear. */
-    public noteAnswer(processId: string, silent: readonly string[]): void {
+    /** Notes a direct answer to a question of that time, with the processes that its sender does not hear. */
+    public noteAnswer(processId: string, sentMs: number, silent: readonly string[]): void {
+        this.answeredMs.set(processId, sentMs);
         this.failures.delete(processId);
         this.silentAt.set(processId, new Set(silent));
     }
 
+    /** Time of the last question that a process answered. */
+    public lastAnsweredMs(processId: string): number | undefined {
+        return this.answeredMs.get(processId);
+    }
+
     /** Judges a silent process; only peers that answer count as witnesses. */
     public judge(processId: string, isListed: boolean, witnesses: readonly string[]): Suspicion {
         if (!isListed) {
--- a/packages/control/src/peer/PeerMessages.ts
+++ b/packages/control/src/peer/PeerMessages.ts
@@ -153,8 +153,20 @@
     teams: z.record(z.string(), z.object({ wanted: allotmentSchema, quantum: allotmentSchema }).readonly()).readonly()
 }).readonly();
 
-/** Versioned operators' text. */
-export const versionedTextSchema = z.object({ version: wholeNumber, text: z.string() }).readonly();
+/** Question for the operators' text by a process that has a version. */
+export const readConfigSchema = z.object({ baseVersion: wholeNumber }).readonly();
+
+/** Operators' text, whole or as a change of the base version. */
+export const configNewsSchema = z.object({
+    version: wholeNumber,
+    text: z.string().max(8_000_000).optional(),
+    baseVersion: wholeNumber.optional(),
+    delta: z.object({
+        startLine: wholeNumber,
+        removedCount: wholeNumber,
+        lines: z.array(z.string()).max(200_000).readonly()
+    }).readonly().optional()
+}).readonly();
 
 /** Request that was committed and now waits at its slice. */
 export const submitSchema = z.object({ requestId: name }).readonly();
@@ -194,6 +206,9 @@
 /** Slice that a process owns. */
 export type OwnedSliceNews = z.infer<typeof ownedSliceSchema>;
 
+/** Operators' text, whole or as a change. */
+export type ConfigNews = z.infer<typeof configNewsSchema>;
+
 /** Change of the keys. */
 export type KeyChange = z.infer<typeof keyChangeSchema>;
 
@@ -228,6 +243,7 @@
 export enum PeerMethod {
     Heartbeat = "membership.heartbeat",
     ReadConfig = "config.read",
+    PushConfig = "config.push",
     ReadKeys = "keys.read",
     PushKeys = "keys.push",
     PushAllotment = "limits.push",
--- a/packages/control/src/process/ProcessOptions.ts
+++ b/packages/control/src/process/ProcessOptions.ts
@@ -23,6 +23,8 @@
     readonly keyAgeLimitMs: number;
     /** Silence of the store after which a process says that it has lost the store. */
     readonly keyStoreLostMs: number;
+    /** Age of relayed key knowledge past which a process reads the store itself. */
+    readonly keyRelayedAgeMs: number;
     /** Longest wait of a new process for an answer of every live process. */
     readonly keyJoinLimitMs: number;
     /** Longest wait for the acknowledgements of a withdrawal. */
@@ -72,6 +74,7 @@
     keyIntervalMs: 500,
     keyAgeLimitMs: 4000,
     keyStoreLostMs: 1200,
+    keyRelayedAgeMs: 1500,
     keyJoinLimitMs: 5000,
     withdrawalTimeoutMs: 3000,
     rejoinSpreadMs: 2000,
--- a/packages/proof/src/members/FaultyDeployment.ts
+++ b/packages/proof/src/members/FaultyDeployment.ts
@@ -84,6 +84,13 @@
         this.cutOneWay(right, left);
     }
 
+    /** Cuts the link between two processes both ways. */
+    public cutProcesses(left: string, right: string): void {
+        const [leftAddress, rightAddress] = [left, right].map(id => this.deployment.machine(id).address);
+        this.cutLinks.add(`${leftAddress}>${rightAddress}`);
+        this.cutLinks.add(`${rightAddress}>${leftAddress}`);
+    }
+
     /** Restores all links. */
     public heal(): void {
         this.cutLinks.clear();
@@ -117,7 +124,7 @@
     private isCut(from: string, to: string): boolean {
         const left = this.deployment.domainOf(from)?.failureDomain;
         const right = this.deployment.domainOf(to)?.failureDomain;
-        return this.cutLinks.has(`${left}>${right}`);
+        return this.cutLinks.has(`${left}>${right}`) || this.cutLinks.has(`${from}>${to}`);
     }
 
     private wrap(environment: ProcessEnvironment): ProcessEnvironment {
