--- a/packages/adapters/src/JsonRpcClient.ts
+++ b/packages/adapters/src/JsonRpcClient.ts
@@ -12,8 +12,14 @@
     readonly connectTimeoutMs: number;
     /** Longest reply that is read. */
     readonly maxReplyBytes: number;
-    /** Returns headers that authenticate a body. */
-    readonly sign?: (body: string) => Readonly<Record<string, string>>;
+    /** Returns headers that authenticate a body for a receiver. */
+    readonly sign?: (body: string, address: string) => Readonly<Record<string, string>>;
+    /** Tells whether a reply comes from somebody who may answer the request with these headers. */
+    readonly verifyReply?: (
+        body: string,
+        header: (name: string) => string | undefined,
+        requestHeaders: Readonly<Record<string, string>>
+    ) => boolean;
 }
 
 /** Default options of a JSON-RPC client. */
@@ -41,17 +47,23 @@
         timeoutMs: number
     ): Promise<Result<JsonValue, RpcFailure>> {
         const body = JSON.stringify(createJSONRPCRequest(this.nextId++, method, parameters));
+        const signature = this.options.sign?.(body, address) ?? {};
         try {
             const response = await this.poolOf(address).request({
                 path,
                 method: "POST",
-                headers: { "content-type": "application/json", ...this.options.sign?.(body) },
+                headers: { "content-type": "application/json", ...signature },
                 body,
                 headersTimeout: timeoutMs,
                 bodyTimeout: timeoutMs,
                 signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)))
             });
-            return readReply(response.statusCode, await response.body.text());
+            const text = await response.body.text();
+            const header = (name: string): string | undefined => response.headers[name]?.toString();
+            if (response.statusCode === 200 && this.options.verifyReply?.(text, header, signature) === false) {
+                return err({ kind: RpcFailureKind.ReplyLost, message: `${address}: the reply is not authenticated.` });
+            }
+            return readReply(response.statusCode, text);
         }
         catch (error) {
             return err(toFailure(address, error));
--- a/packages/adapters/src/JsonRpcEndpoint.ts
+++ b/packages/adapters/src/JsonRpcEndpoint.ts
@@ -10,6 +10,11 @@
     readonly maxBodyBytes: number;
     /** Tells whether a body comes from somebody who may call. */
     readonly verify?: (body: string, header: (name: string) => string | undefined) => boolean;
+    /** Returns headers that authenticate a reply. */
+    readonly signReply?: (
+        body: string,
+        requestHeader: (name: string) => string | undefined
+    ) => Readonly<Record<string, string>>;
 }
 
 /** Default options of a JSON-RPC endpoint. */
@@ -35,7 +40,9 @@
                 return context.text("The message is not authenticated.", 401);
             }
             const reply = await this.server.receiveJSON(body);
-            return context.json(reply ?? {});
+            const replyBody = JSON.stringify(reply ?? {});
+            const signature = this.options.signReply?.(replyBody, name => context.req.header(name));
+            return context.body(replyBody, 200, { "content-type": "application/json", ...signature });
         });
     }
 }
--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -2,7 +2,7 @@
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import { type LiveMachine, MachineRole } from "@skylarkpath/common/platform/LiveList";
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import type { PeerClient } from "../peer/PeerClient.js";
 import {
     type Beat,
@@ -113,7 +113,7 @@
         this.store.add(this.exchange.onChange(heartbeat => this.takeIn(heartbeat)));
         peerClient.serve(PeerMethod.Heartbeat, beatSchema, async beat => {
             this.exchange.receiveNews(beat.news, timer.nowMs());
-            return ok(this.composeReply(beat));
+            return this.source ? ok(this.composeReply(beat, this.source)) : err("The process has not started yet.");
         });
     }
 
@@ -282,16 +282,14 @@
         });
     }
 
-    private composeReply(beat: Beat): BeatReply {
+    private composeReply(beat: Beat, source: HeartbeatSource): BeatReply {
         const { identity } = this.environment;
-        if (this.source) {
-            this.exchange.setOwn(this.source.heartbeat());
-        }
+        this.exchange.setOwn(source.heartbeat());
         return {
             processId: identity.processId,
             incarnation: identity.incarnation,
-            keys: this.source!.keys(),
-            ...this.exchange.composeReply(beat, processIds => this.source!.keyStatement(processIds)),
+            keys: source.keys(),
+            ...this.exchange.composeReply(beat, processIds => source.keyStatement(processIds)),
             silent: this.silentPeers()
         };
     }
--- a/packages/control/src/peer/PeerClient.ts
+++ b/packages/control/src/peer/PeerClient.ts
@@ -8,22 +8,31 @@
 } from "@skylarkpath/common/peer/PeerTransport";
 import type { JsonValue } from "@skylarkpath/common/platform/TableService";
 import type { HybridClock } from "@skylarkpath/common/time/HybridClock";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import { err, ok, type Result } from "neverthrow";
 import type { z } from "zod";
 import { envelopeSchema, type PeerMethod } from "./PeerMessages.js";
+import { DEFAULT_PEER_RATE_OPTIONS, PeerRateLimit } from "./PeerRateLimit.js";
 
 /** Serves a typed message of another process; an error text is passed on as a refusal. */
 export type MessageHandler<T> = (message: T, from: string) => Promise<Result<object, string>>;
 
+const MAX_CLOCK_LEAD_MS = 300_000;
+
 /** Sends and serves typed messages between processes; each carries the hybrid time. */
 export class PeerClient {
+    private readonly rateLimit: PeerRateLimit;
+
     constructor(
         private readonly processId: string,
         private readonly transport: PeerTransport,
         private readonly methods: PeerMethods,
         private readonly clock: HybridClock,
-        private readonly log: EventLog
-    ) {}
+        private readonly log: EventLog,
+        private readonly timer: TimerService
+    ) {
+        this.rateLimit = new PeerRateLimit(timer, DEFAULT_PEER_RATE_OPTIONS);
+    }
 
     /** Calls a method of another process. */
     public async call<T>(
@@ -49,6 +58,9 @@
             if (envelope.isErr()) {
                 return this.refuse(method, envelope.error);
             }
+            if (!this.rateLimit.take(envelope.value.from)) {
+                return this.refuse(method, "The process sends too many messages.");
+            }
             const message = schema.safeParse(envelope.value.body);
             if (!message.success) {
                 return this.refuse(method, message.error.issues.map(issue => issue.message).join("; "));
@@ -67,6 +79,9 @@
         if (!envelope.success) {
             return err("The message has no valid frame.");
         }
+        if (envelope.data.time.wallClockMs > this.timer.wallClockMs() + MAX_CLOCK_LEAD_MS) {
+            return err("The clock of the sender is too far ahead.");
+        }
         this.clock.observe(envelope.data.time);
         return ok({ from: envelope.data.from, body: envelope.data.body });
     }
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -63,7 +63,8 @@
             environment.transport,
             environment.methods,
             environment.clock,
-            log
+            log,
+            timer
         );
         this.writer = new GroupCommitWriter(table, timer, ownerNameOf(identity), options, log);
         this.requestStore = new RequestStore(table, environment.objects, this.writer, options.inlineLimitBytes);
--- a/packages/skylarkd/src/SkylarkServer.ts
+++ b/packages/skylarkd/src/SkylarkServer.ts
@@ -64,11 +64,13 @@
         const signer = new PeerSigner(this.secrets.clusterKey);
         const endpoint = new JsonRpcEndpoint({
             ...DEFAULT_JSON_RPC_ENDPOINT_OPTIONS,
-            verify: (body, header) => signer.verify(body, header)
+            verify: (body, header) => signer.verify(body, header),
+            signReply: (body, requestHeader) => signer.signReply(body, requestHeader)
         });
         const peerApplication = new Hono();
         endpoint.mount(peerApplication, PEER_PATH);
         const peerListener = await this.listen(peerApplication, settings.listen.peers);
+        signer.setOwnAddress(peerListener.address);
         const environment: ProcessEnvironment = {
             identity: this.identityAt(peerListener.address, hasher.randomToken()),
             timer,
@@ -128,7 +130,11 @@
         const { platform, timing } = this.settings;
         const client = this.addClient(new JsonRpcClient());
         const peerClient = this.addClient(
-            new JsonRpcClient({ ...DEFAULT_JSON_RPC_CLIENT_OPTIONS, sign: body => signer.sign(body) })
+            new JsonRpcClient({
+                ...DEFAULT_JSON_RPC_CLIENT_OPTIONS,
+                sign: (body, address) => signer.sign(body, address),
+                verifyReply: (body, header, request) => signer.verifyReply(body, header, request)
+            })
         );
         return {
             table: new HttpTableService(client, hostOf(platform.tableServiceUrl), timing.storeTimeoutMs),
