--- a/packages/control/src/process/ProcessOptions.ts
+++ b/packages/control/src/process/ProcessOptions.ts
@@ -2,6 +2,14 @@
 export interface ProcessOptions {
     /** Interval between heartbeats to each peer. */
     readonly heartbeatIntervalMs: number;
+    /** Interval between beats of the relays of two failure domains. */
+    readonly relayIntervalMs: number;
+    /** Interval between beats of the relays of two regions. */
+    readonly regionIntervalMs: number;
+    /** Longest wait for the answer to a beat. */
+    readonly beatTimeoutMs: number;
+    /** Time for which a relay gathers news before it passes them on. */
+    readonly newsDelayMs: number;
     /** Silence after which a peer is suspected. */
     readonly suspectAfterMs: number;
     /** Silence after which a peer is taken as dead. */
@@ -15,6 +23,8 @@
     readonly keyAgeLimitMs: number;
     /** Silence of the store after which a process says that it has lost the store. */
     readonly keyStoreLostMs: number;
+    /** Age of relayed key knowledge past which a process reads the store itself. */
+    readonly keyRelayedAgeMs: number;
     /** Longest wait of a new process for an answer of every live process. */
     readonly keyJoinLimitMs: number;
     /** Longest wait for the acknowledgements of a withdrawal. */
@@ -52,6 +62,10 @@
 /** Default timing and bounds. */
 export const DEFAULT_PROCESS_OPTIONS: ProcessOptions = {
     heartbeatIntervalMs: 250,
+    relayIntervalMs: 250,
+    regionIntervalMs: 500,
+    beatTimeoutMs: 500,
+    newsDelayMs: 20,
     suspectAfterMs: 1000,
     deadAfterMs: 2000,
     liveListIntervalMs: 1000,
@@ -60,6 +74,7 @@
     keyIntervalMs: 500,
     keyAgeLimitMs: 4000,
     keyStoreLostMs: 1200,
+    keyRelayedAgeMs: 1500,
     keyJoinLimitMs: 5000,
     withdrawalTimeoutMs: 3000,
     rejoinSpreadMs: 2000,
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -68,7 +68,8 @@
             environment.transport,
             environment.methods,
             environment.clock,
-            log
+            log,
+            timer
         );
         this.writer = new GroupCommitWriter(table, timer, ownerNameOf(identity), options, environment.random, log);
         this.requestStore = new RequestStore(table, environment.objects, this.writer, options.inlineLimitBytes);
@@ -156,7 +157,11 @@
     public start(): void {
         this.environment.log.write(EVENTS.processStarted);
         this.startedMs = this.environment.timer.nowMs();
-        this.membership.start(() => ({ heartbeat: this.composeHeartbeat(), keys: this.keys.status }));
+        this.membership.start({
+            heartbeat: () => this.composeHeartbeat(),
+            keys: () => this.keys.status,
+            keyStatement: processIds => this.keys.statementOf(processIds)
+        });
         this.config.start();
         this.keys.start();
         this.allotments.start();
--- a/packages/skylarkd/src/SkylarkServer.ts
+++ b/packages/skylarkd/src/SkylarkServer.ts
@@ -64,6 +64,7 @@
         const peerApplication = new Hono();
         endpoint.mount(peerApplication, PEER_PATH);
         const peers = await this.listen(peerApplication, this.settings.listen.peers);
+        this.signer.setOwnAddress(peers.address);
         const timer = new SystemTimer();
         const clock = new HybridClock(timer);
         const timeline = this.createTimeline(clock);
@@ -100,7 +101,8 @@
     private createPeerEndpoint(): JsonRpcEndpoint {
         return new JsonRpcEndpoint({
             ...DEFAULT_JSON_RPC_ENDPOINT_OPTIONS,
-            verify: (body, header) => this.signer.verify(body, header)
+            verify: (body, header) => this.signer.verify(body, header),
+            signReply: (body, requestHeader) => this.signer.signReply(body, requestHeader)
         });
     }
 
@@ -139,7 +141,11 @@
         const clientOptions = { ...DEFAULT_JSON_RPC_CLIENT_OPTIONS, links };
         const client = this.addClient(new JsonRpcClient(clientOptions));
         const peerClient = this.addClient(
-            new JsonRpcClient({ ...clientOptions, sign: body => this.signer.sign(body) })
+            new JsonRpcClient({
+                ...clientOptions,
+                sign: (body, address) => this.signer.sign(body, address),
+                verifyReply: (body, header, request) => this.signer.verifyReply(body, header, request)
+            })
         );
         return {
             table: new HttpTableService(client, hostOf(platform.tableServiceUrl), timing.storeTimeoutMs),
