Mutant of the configuration rule follows the relayed text

Cause: a process now reads the store only for versions above its own, so that a build that adopts lower versions is never offered one; the mutant found no violation. Conclusion: the mutant brings the first text back itself.

--- a/packages/proof/src/mutants/AllMutants.ts
+++ b/packages/proof/src/mutants/AllMutants.ts
@@ -11,13 +11,7 @@
 import { TeamLimitRule } from "../rules/TeamLimitRule.js";
 import { WholeAnswerRule } from "../rules/WholeAnswerRule.js";
 import { WorkerCapacityRule } from "../rules/WorkerCapacityRule.js";
-import {
-    withDeniedDispatch,
-    withFirstText,
-    withoutLeaving,
-    withoutRowsOf,
-    withStaleAnswers
-} from "./BrokenEnvironments.js";
+import { withDeniedDispatch, withoutLeaving, withoutRowsOf, withStaleAnswers } from "./BrokenEnvironments.js";
 import { adoptFirstVersionOnly, adoptLowerVersions, ignoreWithdrawals, takeKeysForDepot } from "./BrokenProcesses.js";
 import { EXAGGERATED_LIMITS, EXAGGERATED_WORKERS } from "./BrokenSchedulers.js";
 import type { Mutant } from "./Mutant.js";
@@ -96,7 +90,7 @@
         name: "lower versions of the text are adopted",
         rule: new ConfigRule(),
         script: scripts.NEW_TEXT,
-        broken: { changeEnvironment: withFirstText, changeProcess: adoptLowerVersions }
+        broken: { changeProcess: adoptLowerVersions }
     },
     {
         name: "new versions of the text are not adopted",
--- a/packages/proof/src/mutants/BrokenEnvironments.ts
+++ b/packages/proof/src/mutants/BrokenEnvironments.ts
@@ -2,13 +2,11 @@
 import {
     type TableCondition,
     type TableMutation,
-    TableName,
-    type TableRow,
     type TableTransaction
 } from "@skylarkpath/common/platform/TableService";
 import { type TargetAnswer, TargetErrorKind } from "@skylarkpath/common/platform/TargetService";
 import type { ProcessEnvironment } from "@skylarkpath/control/process/ProcessEnvironment";
-import { err, ok } from "neverthrow";
+import { err } from "neverthrow";
 
 /** Exchanges parts of the environment of a process. */
 export type EnvironmentChange = (environment: ProcessEnvironment) => ProcessEnvironment;
@@ -28,21 +26,6 @@
     };
 }
 
-/** The config table always shows its first text. */
-export const withFirstText: EnvironmentChange = environment => {
-    const { table } = environment;
-    let first: TableRow | undefined;
-    const read: typeof table.read = async (name, key) => {
-        const row = await table.read(name, key);
-        if (name !== TableName.Config || row.isErr()) {
-            return row;
-        }
-        first ??= row.value;
-        return ok(first);
-    };
-    return { ...environment, table: { ...table, read } };
-};
-
 /** Each answer but the first is that of the attempt before. */
 export const withStaleAnswers: EnvironmentChange = environment => {
     const { targets } = environment;
--- a/packages/proof/src/mutants/BrokenProcesses.ts
+++ b/packages/proof/src/mutants/BrokenProcesses.ts
@@ -8,12 +8,14 @@
 
 interface AdoptingConfig {
     inForce: unknown;
-    adopt(next: VersionedText): void;
+    adopt(next: VersionedText): boolean;
 }
 
 /** Exchanges parts of a process after it was composed. */
 export type ProcessChange = (process: SkylarkProcess) => void;
 
+const RETURN_DELAY_MS = 500;
+
 /** Every key is taken for one of another team. */
 export const takeKeysForDepot: ProcessChange = process => {
     process.keys.verify = () => ok("depot");
@@ -25,13 +27,21 @@
     ledger.isWithdrawn = () => false;
 };
 
-/** Lower versions of the text are adopted as well. */
+/** Lower versions of the text are adopted as well: the first text comes back some time after a later one. */
 export const adoptLowerVersions: ProcessChange = process => {
     const config = process.config as unknown as AdoptingConfig;
     const adopt = config.adopt.bind(config);
+    let first: VersionedText | undefined;
     config.adopt = next => {
-        config.inForce = undefined;
-        adopt(next);
+        const isAdopted = adopt(next);
+        first ??= next;
+        if (isAdopted && next.version > first.version) {
+            process.environment.timer.after(RETURN_DELAY_MS, () => {
+                config.inForce = undefined;
+                adopt(first!);
+            });
+        }
+        return isAdopted;
     };
 };
 
@@ -40,8 +50,6 @@
     const config = process.config as unknown as AdoptingConfig;
     const adopt = config.adopt.bind(config);
     config.adopt = next => {
-        if (next.version === 1) {
-            adopt(next);
-        }
+        return next.version === 1 && adopt(next);
     };
 };
