--- /dev/null
+++ b/packages/bench/src/demo/DemoReport.ts
@@ -0,0 +1,110 @@
+import { OutcomeState } from "@skylarkpath/common/model/Request";
+import { HistoryEventKind } from "@skylarkpath/proof/history/HistoryEvent";
+import { computePercentiles } from "../load/LoadSummary.js";
+import type { DemoResult, PackingSample } from "./DemoRun.js";
+
+interface TeamRow {
+    sent: number;
+    accepted: number;
+    done: number;
+    notRun: number;
+    unknown: number;
+    noReply: number;
+    readonly waitingMs: number[];
+}
+
+const COLUMN_WIDTH = 10;
+const NAME_WIDTH = 24;
+const HEADER = ["team", "sent", "accepted", "done", "not-run", "unknown", "no reply", "wait p50", "wait p99"];
+
+/** Renders a table by team, with waiting times in milliseconds and the packing of the fleet. */
+export function renderDemo(result: DemoResult): string {
+    const rows = [...collectRows(result)].map(([team, row]) => {
+        const { p50Ms, p99Ms } = computePercentiles(row.waitingMs);
+        return [
+            team,
+            row.sent,
+            row.accepted,
+            row.done,
+            row.notRun,
+            row.unknown,
+            row.noReply,
+            p50Ms.toFixed(0),
+            p99Ms.toFixed(0)
+        ];
+    });
+    return `${[HEADER, ...rows].map(renderRow).join("\n")}\n${renderPacking(result.packing)}\n`;
+}
+
+function collectRows(result: DemoResult): ReadonlyMap<string, TeamRow> {
+    const { history, teamOfSubmission } = result;
+    const rows = new Map<string, TeamRow>();
+    const startedMs = collectStarts(result);
+    const finalStates = new Map<string, OutcomeState>();
+    const accepted = new Set<string>();
+    const requestIds = new Map<string, string>();
+    for (const told of history.of(HistoryEventKind.Told)) {
+        finalStates.set(told.submissionId, told.outcome.state);
+        if (told.outcome.state === OutcomeState.Accepted || told.outcome.state === OutcomeState.Running) {
+            accepted.add(told.submissionId);
+        }
+        if (told.requestId !== undefined) {
+            requestIds.set(told.submissionId, told.requestId);
+        }
+    }
+    for (const { submission, atMs } of history.of(HistoryEventKind.Submitted)) {
+        const { submissionId } = submission;
+        const row = rowOf(rows, teamOfSubmission.get(submissionId) ?? "");
+        row.sent++;
+        row.accepted += Number(accepted.has(submissionId));
+        countState(row, finalStates.get(submissionId));
+        const startMs = startedMs.get(requestIds.get(submissionId) ?? "");
+        if (startMs !== undefined) {
+            row.waitingMs.push(startMs - atMs);
+        }
+    }
+    return rows;
+}
+
+/** Finds when the first task or attempt of each request began. */
+function collectStarts({ history }: DemoResult): ReadonlyMap<string, number> {
+    const started = new Map<string, number>();
+    const begins = [...history.of(HistoryEventKind.TaskChanged), ...history.of(HistoryEventKind.AttemptChanged)];
+    for (const event of begins) {
+        const known = started.get(event.requestId) ?? Infinity;
+        started.set(event.requestId, Math.min(known, event.atMs));
+    }
+    return started;
+}
+
+function countState(row: TeamRow, state: OutcomeState | undefined): void {
+    row.done += Number(state === OutcomeState.Done);
+    row.notRun += Number(state === OutcomeState.NotRun);
+    row.unknown += Number(state === OutcomeState.Unknown);
+    row.noReply += Number(state === undefined);
+}
+
+function rowOf(rows: Map<string, TeamRow>, team: string): TeamRow {
+    const row = rows.get(team)
+        ?? { sent: 0, accepted: 0, done: 0, notRun: 0, unknown: 0, noReply: 0, waitingMs: [] };
+    rows.set(team, row);
+    return row;
+}
+
+function renderPacking(samples: readonly PackingSample[]): string {
+    const parts = samples.map(({ used, capacity }) =>
+        Math.max(used.processorMillicores / capacity.processorMillicores, used.memoryBytes / capacity.memoryBytes)
+    );
+    const mean = parts.reduce((total, part) => total + part, 0) / Math.max(1, parts.length);
+    return `packing of the fleet, scarcest resource: mean ${percent(mean)}, highest ${percent(Math.max(0, ...parts))}`;
+}
+
+function percent(part: number): string {
+    return `${(100 * part).toFixed(1)}%`;
+}
+
+function renderRow(cells: readonly (string | number)[]): string {
+    return cells.map((cell, place) =>
+        place === 0 ? String(cell).padEnd(NAME_WIDTH) : String(cell).padStart(COLUMN_WIDTH)
+    ).join("");
+}
--- /dev/null
+++ b/packages/bench/src/demo/DemoRun.ts
@@ -0,0 +1,228 @@
+import type { OperatorsText } from "@skylarkpath/common/model/OperatorsText";
+import { addResources, NO_RESOURCES, type Resources } from "@skylarkpath/common/model/Resources";
+import { createSeededRandom, type RandomSource } from "@skylarkpath/common/random/RandomSource";
+import { FaultInjector } from "@skylarkpath/proof/histories/FaultInjector";
+import { composePayload, servingBehaviorOf, taskBehaviorOf } from "@skylarkpath/proof/histories/RequestPayload";
+import { StepKind } from "@skylarkpath/proof/histories/ScriptStep";
+import { Callers } from "@skylarkpath/proof/history/Callers";
+import { History } from "@skylarkpath/proof/history/History";
+import { HistoryEventKind, type Submission } from "@skylarkpath/proof/history/HistoryEvent";
+import { HistoryRecorder } from "@skylarkpath/proof/history/HistoryRecorder";
+import { type HeldKey, Operators } from "@skylarkpath/proof/history/Operators";
+import { linkStore, OPEN_STORE_LINK } from "@skylarkpath/proof/host/StoreLinks";
+import { DEFAULT_DEPLOYMENT_OPTIONS, VirtualDeployment } from "@skylarkpath/proof/VirtualDeployment";
+import { parseOperatorsText } from "@skylarkpath/text/OperatorsTextParser";
+import { readFileSync } from "node:fs";
+import type { DemoDefinition, DemoStream } from "./DemoTraffic.js";
+
+/** Use of the fleet at one time. */
+export interface PackingSample {
+    readonly used: Resources;
+    readonly capacity: Resources;
+}
+
+/** What a demo run has seen. */
+export interface DemoResult {
+    readonly history: History;
+    readonly teamOfSubmission: ReadonlyMap<string, string>;
+    readonly packing: readonly PackingSample[];
+}
+
+/** Tells what happens, with the virtual time. */
+export type Narrator = (atMs: number, line: string) => void;
+
+const LOAD_MS = 40_000;
+const KILL_AT_MS = 8000;
+const REPLACE_AFTER_MS = 6000;
+const CUT_AT_MS = 18_000;
+const CUT_DURATION_MS = 10_000;
+const SAMPLE_INTERVAL_MS = 500;
+const ASK_INTERVAL_MS = 10_000;
+const DRAIN_LIMIT_MS = 180_000;
+const START_MS = 1500;
+const SETTLE_MS = 6000;
+const MILLISECONDS_PER_MINUTE = 60_000;
+
+/** Runs one deployment of the demo on a virtual timer. */
+export class DemoRun {
+    private readonly history: History;
+    private readonly deployment: VirtualDeployment;
+    private readonly callers: Callers;
+    private readonly operators: Operators;
+    private readonly random: RandomSource;
+    private readonly submissions: Submission[] = [];
+    private readonly teamOfSubmission = new Map<string, string>();
+    private readonly keys = new Map<string, HeldKey>();
+    private readonly packing: PackingSample[] = [];
+    private faults: FaultInjector | undefined;
+
+    constructor(
+        private readonly definition: DemoDefinition,
+        private readonly seed: number,
+        private readonly narrate: Narrator
+    ) {
+        this.random = createSeededRandom(seed);
+        this.history = new History({ nowMs: (): number => this.deployment?.timer.nowMs() ?? 0 });
+        this.deployment = this.createDeployment();
+        this.callers = new Callers(this.history, this.deployment);
+        this.operators = new Operators(this.history, this.deployment);
+    }
+
+    /** Runs the load with its faults and waits until all accepted requests have ended. */
+    public async run(): Promise<DemoResult> {
+        const { timer } = this.deployment;
+        const text = await this.setUp();
+        this.scheduleFaults();
+        for (const stream of this.definition.streams) {
+            this.scheduleStream(stream, text);
+        }
+        timer.every(SAMPLE_INTERVAL_MS, () => this.samplePacking());
+        await timer.advance(LOAD_MS);
+        this.narrateNow("the load ends; accepted requests go on");
+        await this.drain();
+        this.history.record({ kind: HistoryEventKind.Quiesced });
+        return { history: this.history, teamOfSubmission: this.teamOfSubmission, packing: this.packing };
+    }
+
+    private createDeployment(): VirtualDeployment {
+        return new VirtualDeployment({
+            ...DEFAULT_DEPLOYMENT_OPTIONS,
+            topology: this.definition.topology,
+            seed: this.seed,
+            taskBehaviorOf,
+            servingBehaviorOf,
+            beforeStart: deployment => {
+                this.faults = new FaultInjector(this.history, deployment, this.seed);
+                new HistoryRecorder(this.history, deployment);
+            },
+            changeEnvironment: environment => {
+                const linkNow = () => this.faults?.storeLinkOf(environment.identity.processId) ?? OPEN_STORE_LINK;
+                return linkStore(environment, linkNow);
+            }
+        });
+    }
+
+    private async setUp(): Promise<OperatorsText> {
+        const { timer } = this.deployment;
+        const content = readFileSync(
+            new URL(`../../../../examples/${this.definition.textFile}`, import.meta.url),
+            "utf8"
+        );
+        const processId = this.firstProcessId;
+        await timer.advance(START_MS);
+        await timer.advanceUntil(this.operators.apply(processId, content, 0));
+        const text = parseOperatorsText(content)._unsafeUnwrap();
+        for (const team of text.teams) {
+            const key = await timer.advanceUntil(this.operators.grant(processId, team.name));
+            this.keys.set(team.name, key!);
+        }
+        await timer.advance(SETTLE_MS);
+        this.narrateNow(`${this.deployment.processes.length} processes serve; the text is in force`);
+        return text;
+    }
+
+    private get firstProcessId(): string {
+        return this.deployment.processes[0]!.machine.machineId;
+    }
+
+    private scheduleFaults(): void {
+        const { timer } = this.deployment;
+        const { killedProcess, cutFailureDomain, topology } = this.definition;
+        timer.after(KILL_AT_MS, () => {
+            this.narrateNow(`entry ${killedProcess} is killed`);
+            const machine = this.deployment.machine(killedProcess);
+            this.deployment.kill(killedProcess);
+            timer.after(REPLACE_AFTER_MS, () => {
+                this.deployment.startProcess(machine, killedProcess);
+                this.narrateNow(`a new VM takes the place of ${killedProcess}`);
+            });
+        });
+        timer.after(CUT_AT_MS, () => {
+            this.narrateNow(`failure domain ${cutFailureDomain} is cut off from the others and from the platform`);
+            const lasting = { silent: true, durationMs: CUT_DURATION_MS };
+            for (const { failureDomain } of topology.domains) {
+                if (failureDomain !== cutFailureDomain) {
+                    const cut = { from: cutFailureDomain, to: failureDomain, oneWay: false, ...lasting };
+                    this.faults!.begin({ kind: StepKind.CutDomains, ...cut });
+                }
+            }
+            this.faults!.begin({ kind: StepKind.CutStore, failureDomain: cutFailureDomain, ...lasting });
+        });
+        timer.after(CUT_AT_MS + CUT_DURATION_MS, () => this.narrateNow(`the links of ${cutFailureDomain} are back`));
+    }
+
+    private scheduleStream(stream: DemoStream, text: OperatorsText): void {
+        const { timer } = this.deployment;
+        const queue = text.queues.find(candidate => candidate.name === stream.queue)!;
+        let atMs = 0;
+        for (;;) {
+            atMs += -Math.log(1 - this.random.next()) * MILLISECONDS_PER_MINUTE / stream.requestsPerMinute;
+            if (atMs >= LOAD_MS) {
+                return;
+            }
+            timer.after(atMs, () => void this.submit(stream, queue));
+        }
+    }
+
+    private async submit(stream: DemoStream, queue: OperatorsText["queues"][number]): Promise<void> {
+        const entries = this.deployment.processes.filter(({ process }) => process.isReady);
+        const entry = entries[this.submissions.length % entries.length];
+        if (!entry) {
+            return;
+        }
+        const submissionId = `r${this.submissions.length}`;
+        const payload = composePayload({ name: submissionId, durationMs: stream.durationMs, fails: false });
+        const submission: Submission = {
+            submissionId,
+            processId: entry.machine.machineId,
+            queue: queue.name,
+            queueKind: queue.kind,
+            queueIdempotent: queue.idempotent,
+            queueOpen: queue.open,
+            key: this.keys.get(stream.team)!.key,
+            idempotencyKey: queue.idempotent ? undefined : submissionId,
+            payload,
+            taskCount: stream.tasks?.count ?? 0,
+            processorMillicores: stream.tasks?.processorMillicores ?? 0
+        };
+        this.submissions.push(submission);
+        this.teamOfSubmission.set(submissionId, stream.team);
+        const tasks = stream.tasks && { ...stream.tasks, declaredDurationMs: stream.durationMs };
+        await this.callers.submit({ submission, body: { queue: queue.name, payload, tasks } });
+    }
+
+    private async drain(): Promise<void> {
+        const { timer } = this.deployment;
+        const endMs = timer.nowMs() + DRAIN_LIMIT_MS;
+        do {
+            await timer.advance(ASK_INTERVAL_MS);
+            const open = this.openSubmissions();
+            const processId = this.firstProcessId;
+            await timer.advanceUntil(
+                Promise.all(open.map(submission => this.callers.ask(submission, processId, submission.key)))
+            );
+        }
+        while (this.openSubmissions().length > 0 && timer.nowMs() < endMs);
+    }
+
+    private openSubmissions(): readonly Submission[] {
+        const last = new Map(this.history.of(HistoryEventKind.Told).map(event => [event.submissionId, event]));
+        return this.submissions.filter(({ submissionId }) => {
+            const state = last.get(submissionId)?.outcome.state;
+            return state === "accepted" || state === "running";
+        });
+    }
+
+    private samplePacking(): void {
+        const { workers, workerCapacity } = this.deployment;
+        const used = [...workers.values()]
+            .map(worker => worker.committed)
+            .reduce(addResources, NO_RESOURCES);
+        const capacity = [...workers.values()].map(() => workerCapacity).reduce(addResources, NO_RESOURCES);
+        this.packing.push({ used, capacity });
+    }
+
+    private narrateNow(line: string): void {
+        this.narrate(this.deployment.timer.nowMs(), line);
+    }
+}
--- /dev/null
+++ b/packages/bench/src/demo/DemoTraffic.ts
@@ -0,0 +1,81 @@
+import { AARWALD_TOPOLOGY, KALLIO_TOPOLOGY, type Topology } from "@skylarkpath/proof/Topology";
+
+/** Stream of requests of one team to one queue. */
+export interface DemoStream {
+    readonly queue: string;
+    readonly team: string;
+    readonly requestsPerMinute: number;
+    readonly durationMs: number;
+    /** Batch and gang jobs only. */
+    readonly tasks?: { readonly count: number; readonly processorMillicores: number; readonly memoryBytes: number; };
+}
+
+/** Deployment that the demo runs. */
+export interface DemoDefinition {
+    readonly name: string;
+    readonly textFile: string;
+    readonly topology: Topology;
+    /** Process that is killed and failure domain that is cut off on the way. */
+    readonly killedProcess: string;
+    readonly cutFailureDomain: string;
+    readonly streams: readonly DemoStream[];
+}
+
+const GIBIBYTE = 1024 ** 3;
+
+/** Aarwald: fatigue-cycle gangs, posture batches, height checks and certifications. */
+export const AARWALD_DEMO: DemoDefinition = {
+    name: "Aarwald Ergonomics Trials AG",
+    textFile: "aarwald.toml",
+    topology: AARWALD_TOPOLOGY,
+    killedProcess: "ch-north-a-entry-0",
+    cutFailureDomain: "ch-west-a",
+    streams: [
+        { queue: "height-check", team: "laboratory", requestsPerMinute: 300, durationMs: 40 },
+        { queue: "certification", team: "certification-office", requestsPerMinute: 20, durationMs: 300 },
+        { queue: "desk-offers", team: "procurement", requestsPerMinute: 60, durationMs: 120 },
+        {
+            queue: "fatigue-cycles",
+            team: "fatigue-analysis",
+            requestsPerMinute: 12,
+            durationMs: 6000,
+            tasks: { count: 8, processorMillicores: 4000, memoryBytes: 12 * GIBIBYTE }
+        },
+        {
+            queue: "posture-sensors",
+            team: "posture-trials",
+            requestsPerMinute: 60,
+            durationMs: 2500,
+            tasks: { count: 4, processorMillicores: 1500, memoryBytes: 5 * GIBIBYTE }
+        }
+    ]
+};
+
+/** Kallio: overnight diagnostics, battery summaries, part look-ups and battery orders. */
+export const KALLIO_DEMO: DemoDefinition = {
+    name: "Trukkihuolto Kallio Oy",
+    textFile: "kallio.toml",
+    topology: KALLIO_TOPOLOGY,
+    killedProcess: "vantaa-entry-0",
+    cutFailureDomain: "oulu",
+    streams: [
+        { queue: "part-lookup", team: "workshop", requestsPerMinute: 240, durationMs: 40 },
+        { queue: "part-lookup", team: "dispatch", requestsPerMinute: 120, durationMs: 40 },
+        { queue: "part-lookup", team: "customer-depots", requestsPerMinute: 60, durationMs: 40 },
+        { queue: "battery-orders", team: "batteries", requestsPerMinute: 20, durationMs: 200 },
+        {
+            queue: "diagnostics-reports",
+            team: "diagnostics",
+            requestsPerMinute: 60,
+            durationMs: 3000,
+            tasks: { count: 6, processorMillicores: 2000, memoryBytes: 6 * GIBIBYTE }
+        },
+        {
+            queue: "battery-summaries",
+            team: "batteries",
+            requestsPerMinute: 30,
+            durationMs: 1500,
+            tasks: { count: 2, processorMillicores: 1000, memoryBytes: 2 * GIBIBYTE }
+        }
+    ]
+};
--- a/packages/standins/src/memory/MemoryWorker.ts
+++ b/packages/standins/src/memory/MemoryWorker.ts
@@ -106,6 +106,17 @@
         return [...this.tasks.values()].map(held => held.task);
     }
 
+    /** What running tasks hold. */
+    public get committed(): Resources {
+        let total = NO_RESOURCES;
+        for (const held of this.tasks.values()) {
+            if (isRunning(held)) {
+                total = addResources(total, held.task.resources);
+            }
+        }
+        return total;
+    }
+
     /** Refuses new tasks from now on. */
     public leave(): void {
         this.leaving = true;
@@ -195,7 +206,7 @@
         if (this.tasks.has(task.taskId)) {
             return WorkerRefusal.DuplicateTask;
         }
-        const free = subtractResources(this.options.capacity, this.committed());
+        const free = subtractResources(this.options.capacity, this.committed);
         if (this.checks.capacity && !fitsInto(task.resources, free)) {
             return WorkerRefusal.OverCapacity;
         }
@@ -275,16 +286,6 @@
         this.tell(held);
     }
 
-    private committed(): Resources {
-        let total = NO_RESOURCES;
-        for (const held of this.tasks.values()) {
-            if (isRunning(held)) {
-                total = addResources(total, held.task.resources);
-            }
-        }
-        return total;
-    }
-
     private tell(held: HeldTask): void {
         this.taskEventEmitter.fire({
             workerId: this.options.workerId,
