Measure four ways to place look-ups; shed by the long service time when others wait

Cause: under overload half of the slots went to look-ups that ended after their deadline. Conclusion: the slice owner forwards; slot grants and sampled load stay in the bench.

--- /dev/null
+++ b/packages/bench/src/decisions/lookupComparison.ts
@@ -0,0 +1,89 @@
+import { logNormal } from "./Distribution.js";
+import { GrantPlacement } from "./GrantPlacement.js";
+import { type LookupPlacement, LookupRun, type LookupRunContext } from "./LookupRun.js";
+import type { LookupShape } from "./LookupWorkload.js";
+import type { MeasuredRow } from "./report.js";
+import { SampledPlacement } from "./SampledPlacement.js";
+import { SchedulerPlacement, type SlotShare } from "./SchedulerPlacement.js";
+
+interface NamedPlacement {
+    readonly name: string;
+    readonly create: (context: LookupRunContext) => LookupPlacement;
+}
+
+const HOP_MS = 1;
+const SERVICE_SIGMA = 0.8;
+const MEDIAN_SERVICE_MS = 40;
+const MEAN_SERVICE_MS = MEDIAN_SERVICE_MS * Math.exp(SERVICE_SIGMA ** 2 / 2);
+const MICROSECONDS_PER_MILLISECOND = 1000;
+
+const IDEAL: NamedPlacement = {
+    name: "ideal central queue",
+    create: context => new SchedulerPlacement(context, allSlots(context), { requestMs: 0, decisionMs: 0 })
+};
+
+const PLACEMENTS: readonly NamedPlacement[] = [
+    IDEAL,
+    {
+        name: "owner forwards",
+        create: context => new SchedulerPlacement(context, allSlots(context), { requestMs: HOP_MS, decisionMs: 0 })
+    },
+    {
+        name: "owner decides, entry sends",
+        create: context => new SchedulerPlacement(context, allSlots(context), { requestMs: HOP_MS, decisionMs: HOP_MS })
+    },
+    { name: "slot grants", create: context => new GrantPlacement(context) },
+    { name: "sampled load", create: context => new SampledPlacement(context) }
+];
+
+/** Compares the ways to place look-ups over one failure domain's executors. */
+export function compareLookups(): readonly MeasuredRow[] {
+    const rows: MeasuredRow[] = [];
+    for (const [load, burstFactor] of [[0.7, 1], [0.9, 1], [0.9, 2], [0.95, 3], [1.2, 1]] as const) {
+        rows.push(...compare(createShape(load, burstFactor)));
+    }
+    return rows;
+}
+
+function compare(shape: LookupShape): readonly MeasuredRow[] {
+    let idealP99Ms = 0;
+    return PLACEMENTS.map(({ name, create }) => {
+        const result = new LookupRun(shape).run(create);
+        const p99Ms = result.waitMicroseconds.getValueAtPercentile(99) / MICROSECONDS_PER_MILLISECOND;
+        idealP99Ms = name === IDEAL.name ? p99Ms : idealP99Ms;
+        return {
+            load: shape.name,
+            placement: name,
+            waitP50Ms: result.waitMicroseconds.getValueAtPercentile(50) / MICROSECONDS_PER_MILLISECOND,
+            waitP99Ms: p99Ms,
+            ...(idealP99Ms > 0 ? { againstIdeal: p99Ms / idealP99Ms } : {}),
+            inTime: result.finishedCount - result.lateCount,
+            shed: result.shedCount,
+            late: result.lateCount,
+            mostSlotsInUse: result.mostInUse
+        };
+    });
+}
+
+function createShape(load: number, burstFactor: number): LookupShape {
+    return {
+        name: `load ${load}, burst ${burstFactor}`,
+        seed: 5003,
+        durationMs: 120_000,
+        targets: 10,
+        slotsPerTarget: 8,
+        entries: 8,
+        teams: ["depots", "technicians", "dispatch", "customers", "office", "night"],
+        load,
+        burstFactor,
+        meanServiceMs: MEAN_SERVICE_MS,
+        serviceMs: logNormal(MEDIAN_SERVICE_MS, SERVICE_SIGMA)
+    };
+}
+
+function allSlots({ shape }: LookupRunContext): readonly SlotShare[] {
+    return [...Array(shape.targets).keys()].map(target => ({
+        targetId: `target${target}`,
+        slots: shape.slotsPerTarget
+    }));
+}
--- a/packages/bench/src/decisions/main.ts
+++ b/packages/bench/src/decisions/main.ts
@@ -1,4 +1,5 @@
 import { writeFileSync } from "node:fs";
+import { compareLookups } from "./lookupComparison.js";
 import { type MeasuredRow, printTable } from "./report.js";
 import { compareTasks } from "./taskComparison.js";
 import { measureScale } from "./taskScale.js";
@@ -7,6 +8,7 @@
 
 const sections: readonly (readonly [string, () => readonly MeasuredRow[]])[] = [
     ["Size of a slice of the future", measureScale],
+    ["Look-ups of one failure domain", compareLookups],
     ["Tasks of today", compareTasks]
 ];
 
--- a/packages/decisions/src/SliceLookupScheduler.test.ts
+++ b/packages/decisions/src/SliceLookupScheduler.test.ts
@@ -68,3 +68,71 @@
     t.is(scheduler.slotsInUse("technicians"), 1);
     t.false(scheduler.withdraw("next"));
 });
+
+test("serves a tight deadline alone and gives the slot to one that can make it when several wait", t => {
+    const scheduler = createScheduler(1, 1);
+    for (let count = 0; count < 100; count++) {
+        submit(scheduler, `taught${count}`, 1_000_000);
+        scheduler.decide(count);
+        scheduler.finished(`taught${count}`, count % 5 === 0 ? 300 : 50, true);
+    }
+    submit(scheduler, "alone", 1200);
+    t.deepEqual(scheduler.decide(1000), [{ lookupId: "alone", targetId: "t0" }]);
+    submit(scheduler, "tight", 1400);
+    submit(scheduler, "loose", 9000);
+    scheduler.finished("alone", 50, true);
+    t.deepEqual(scheduler.decide(1200), [
+        { lookupId: "tight", shed: ShedReason.Overloaded },
+        { lookupId: "loose", targetId: "t0" }
+    ]);
+});
+
+test("uses fewer slots of a target that is much slower than its peers, and all again when it recovered", t => {
+    const scheduler = createScheduler(4, 4);
+    let next = 0;
+    const runRound = (slowMs: number): number => {
+        for (let count = 0; count < 16; count++) {
+            submit(scheduler, `l${next++}`, 1_000_000);
+        }
+        const onSlow: string[] = [];
+        for (const decision of scheduler.decide(next)) {
+            const isSlow = "targetId" in decision && decision.targetId === "t0";
+            scheduler.finished(decision.lookupId, isSlow ? slowMs : 20, true);
+            onSlow.push(...(isSlow ? [decision.lookupId] : []));
+        }
+        return onSlow.length;
+    };
+    t.is(runRound(20), 4);
+    for (let round = 0; round < 30; round++) {
+        runRound(400);
+    }
+    t.is(runRound(400), 1);
+    for (let round = 0; round < 200; round++) {
+        runRound(20);
+    }
+    t.is(runRound(20), 4);
+});
+
+test("sheds early what cannot be reached in time and bounds the queue by share", t => {
+    const scheduler = new SliceLookupScheduler(createSeededRandom(SEED), { maxWaiting: 100 });
+    scheduler.upsertTarget({ targetId: "t0", slots: 1, queues: [], schedulable: true });
+    scheduler.setTeams(new Map([["depots", { share: 1, slots: 1 }], ["technicians", { share: 1, slots: 1 }]]));
+    submit(scheduler, "taught", 1_000_000);
+    scheduler.decide(0);
+    scheduler.finished("taught", 100, true);
+    submit(scheduler, "running", 1_000_000);
+    scheduler.decide(0);
+    for (let count = 0; count < 60; count++) {
+        submit(scheduler, `soon${count}`, 1000);
+    }
+    const shed = scheduler.decide(0);
+    t.true(shed.length > 20 && shed.length < 50);
+    t.true(shed.every(decision => "shed" in decision && decision.shed === ShedReason.Overloaded));
+    submit(scheduler, "modest", 900_000, "depots");
+    for (let count = 0; count < 200; count++) {
+        submit(scheduler, `flood${count}`, 1_000_000);
+    }
+    const bounded = scheduler.decide(0);
+    t.true(bounded.length > 100);
+    t.false(bounded.some(decision => decision.lookupId === "modest"));
+});
--- a/packages/decisions/src/SliceLookupScheduler.ts
+++ b/packages/decisions/src/SliceLookupScheduler.ts
@@ -246,7 +246,9 @@
         if (nowMs - lookup.submittedAtMs >= this.options.noTargetGraceMs && !this.targets.isAnswered(lookup.queue)) {
             return ShedReason.NoTarget;
         }
-        if (nowMs + queue.queue.serviceMs(this.options.shedQuantile) <= lookup.deadlineAtMs) {
+        const { lenientShedQuantile, strictShedQuantile } = this.options;
+        const quantile = this.waiting.size > 1 ? strictShedQuantile : lenientShedQuantile;
+        if (nowMs + queue.queue.serviceMs(quantile) <= lookup.deadlineAtMs) {
             return undefined;
         }
         return queue.team.isAtLimit ? ShedReason.LimitReached : ShedReason.Overloaded;
--- a/packages/decisions/src/lookups/LookupOptions.ts
+++ b/packages/decisions/src/lookups/LookupOptions.ts
@@ -6,8 +6,10 @@
     readonly noTargetGraceMs: number;
     /** Time between two searches for look-ups that can no longer meet their deadline. */
     readonly shedIntervalMs: number;
-    /** Quantile of the service time that has to fit before the deadline. */
-    readonly shedQuantile: number;
+    /** Quantile of the service time that has to fit before the deadline of a look-up that waits alone. */
+    readonly lenientShedQuantile: number;
+    /** Quantile that has to fit when others wait for the slot too. */
+    readonly strictShedQuantile: number;
     /** Factor by which the predicted wait must exceed the time left, to be shed when submitted. */
     readonly predictedWaitMargin: number;
     /** Latency, relative to the mean of all targets, above which a target gets fewer slots. */
@@ -19,7 +21,8 @@
     maxWaiting: 20_000,
     noTargetGraceMs: 250,
     shedIntervalMs: 5,
-    shedQuantile: 0.1,
+    lenientShedQuantile: 0.1,
+    strictShedQuantile: 0.9,
     predictedWaitMargin: 2,
     slowLatencyRatio: 2
 };
