--- a/packages/decisions/src/SchedulerProperties.test.ts
+++ b/packages/decisions/src/SchedulerProperties.test.ts
@@ -19,6 +19,7 @@
     readonly kind: GroupKind;
     readonly urgent: boolean;
     readonly cores: number;
+    readonly gibibytes: number;
     readonly count: number;
     readonly checkpointable: boolean;
 }
@@ -34,6 +35,7 @@
     kind: fc.constantFrom(GroupKind.Batch, GroupKind.Gang, GroupKind.Service),
     urgent: fc.boolean(),
     cores: fc.integer({ min: 1, max: 10 }),
+    gibibytes: fc.integer({ min: 1, max: 10 }),
     count: fc.integer({ min: 1, max: 9 }),
     checkpointable: fc.boolean()
 });
@@ -72,8 +74,8 @@
     { weight: 4, arbitrary: fc.record({ kind: fc.constant("wait"), durationMs: fc.integer({ min: 1, max: 4000 }) }) }
 );
 
-function createResources(cores: number): Resources {
-    return { processorMillicores: cores * 1000, memoryBytes: cores * 2 ** 30, accelerators: cores >> 2 };
+function createResources(cores: number, gibibytes = cores): Resources {
+    return { processorMillicores: cores * 1000, memoryBytes: gibibytes * 2 ** 30, accelerators: cores >> 2 };
 }
 
 function submit(model: SchedulerModel, group: number, shape: GroupShape, nowMs: number): void {
@@ -86,7 +88,7 @@
         team: `team${shape.team}`,
         kind: shape.kind,
         urgent: shape.urgent,
-        resources: createResources(shape.cores),
+        resources: createResources(shape.cores, shape.gibibytes),
         taskIds: [...Array(shape.count).keys()].map(task => `${groupId}-${task}`),
         profile: `profile${shape.team}`,
         declaredDurationMs: 1000,
--- a/packages/decisions/src/SchedulingFaults.test.ts
+++ b/packages/decisions/src/SchedulingFaults.test.ts
@@ -135,3 +135,27 @@
     model.end("batch-0", TaskEnd.Succeeded, 500);
     t.deepEqual(model.decide(500), ["service-0"]);
 });
+
+test("a task found on two workers is counted on both until it ended", t => {
+    const { model, scheduler } = createFixture(2, 4);
+    scheduler.submit(createGroup("g", 1, { resources: cores(3) }));
+    scheduler.adopt("g-0", "g", "w0", 0);
+    scheduler.adopt("g-0", "g", "w1", 0);
+    t.is(scheduler.usage("a").processorMillicores, 6000);
+    scheduler.submit(createGroup("next", 2, { resources: cores(4), submittedAtMs: 1 }));
+    t.is(scheduler.decide(1).length, 0);
+    scheduler.taskEnded("g-0", TaskEnd.Succeeded, 2);
+    t.is(scheduler.usage("a").processorMillicores, 0);
+    t.is(scheduler.decide(2).length, 2);
+    t.deepEqual(model.faults, []);
+});
+
+test("a task adopted on a worker that is not known yet takes its room when the worker appears", t => {
+    const { model, scheduler } = createFixture(0, 0);
+    scheduler.submit(createGroup("g", 2, { resources: cores(3) }));
+    scheduler.adopt("g-0", "g", "w0", 0);
+    model.setWorker("w0", cores(4));
+    t.is(scheduler.decide(0).length, 0);
+    scheduler.taskEnded("g-0", TaskEnd.Succeeded, 1);
+    t.is(scheduler.decide(1).length, 1);
+});
