--- a/packages/bench/src/decisions/TimedScheduler.ts
+++ b/packages/bench/src/decisions/TimedScheduler.ts
@@ -25,7 +25,8 @@
     private spentMs = 0;
     private started = 0;
 
-    constructor(private readonly scheduler: TaskScheduler) {}
+    /** Without `measuresCalls` only the elapsed time of decisions is measured, which costs next to nothing. */
+    constructor(private readonly scheduler: TaskScheduler, private readonly measuresCalls = true) {}
 
     /** Processor time spent in all calls, that of garbage collection and of measuring included. */
     public get totalMs(): number {
@@ -56,7 +57,7 @@
     }
 
     public submit(group: TaskGroup): void {
-        const before = process.cpuUsage();
+        const before = this.begin();
         this.scheduler.submit(group);
         this.addSpent(before);
     }
@@ -66,20 +67,20 @@
     }
 
     public withdraw(groupId: string): readonly string[] {
-        const before = process.cpuUsage();
+        const before = this.begin();
         const running = this.scheduler.withdraw(groupId);
         this.addSpent(before);
         return running;
     }
 
     public taskEnded(taskId: string, end: TaskEnd, nowMs: number): void {
-        const before = process.cpuUsage();
+        const before = this.begin();
         this.scheduler.taskEnded(taskId, end, nowMs);
         this.addSpent(before);
     }
 
     public decide(nowMs: number): readonly Decision[] {
-        const usageBefore = process.cpuUsage();
+        const usageBefore = this.begin();
         const before = performance.now();
         const decisions = this.scheduler.decide(nowMs);
         const tookMs = performance.now() - before;
@@ -99,7 +100,14 @@
         return this.scheduler.usage(team);
     }
 
-    private addSpent(before: NodeJS.CpuUsage): void {
+    private begin(): NodeJS.CpuUsage | undefined {
+        return this.measuresCalls ? process.cpuUsage() : undefined;
+    }
+
+    private addSpent(before: NodeJS.CpuUsage | undefined): void {
+        if (before === undefined) {
+            return;
+        }
         const { user, system } = process.cpuUsage(before);
         this.spentMs += (user + system) / MICROSECONDS_PER_MILLISECOND;
     }
--- /dev/null
+++ b/packages/bench/src/decisions/memoryUse.ts
@@ -0,0 +1,87 @@
+import { createSeededRandom } from "@skylarkpath/common/random/RandomSource";
+import { GroupKind } from "@skylarkpath/common/scheduling/TaskScheduler";
+import { SliceTaskScheduler } from "@skylarkpath/decisions/SliceTaskScheduler";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import type { MeasuredRow } from "./report.js";
+import { size } from "./taskShapes.js";
+
+interface MemoryShape {
+    readonly workers: number;
+    readonly teams: number;
+    readonly tasks: number;
+    readonly coresPerWorker: number;
+}
+
+const SEED = 6001;
+const TASKS_PER_GROUP = 8;
+const FUTURE_TASKS = 31_000;
+
+/** Measures the memory of a scheduler and its slope by worker, task and team. */
+export function measureMemory(): readonly MeasuredRow[] {
+    const base: MemoryShape = { workers: 1_700, teams: 230, tasks: FUTURE_TASKS, coresPerWorker: 64 };
+    const all = measure(base);
+    const idle = measure({ ...base, tasks: 0, coresPerWorker: 0 });
+    return [
+        { what: "scheduler of a slice of the future", bytes: all },
+        { what: "each worker", bytes: slope(all, measure({ ...base, workers: 3_400 }), 1_700) },
+        { what: "each running task", bytes: slope(all, measure({ ...base, tasks: 2 * FUTURE_TASKS }), FUTURE_TASKS) },
+        { what: "each waiting task", bytes: slope(idle, measure({ ...base, coresPerWorker: 0 }), FUTURE_TASKS) },
+        { what: "each team", bytes: slope(all, measure({ ...base, teams: 1_150 }), 920) }
+    ];
+}
+
+function slope(small: number, large: number, count: number): number {
+    return Math.round((large - small) / count);
+}
+
+function measure(shape: MemoryShape): number {
+    const before = heapUsed();
+    const scheduler = fill(shape);
+    const after = heapUsed();
+    scheduler.explain("none", 0);
+    return after - before;
+}
+
+function fill(shape: MemoryShape): SliceTaskScheduler {
+    const scheduler = new SliceTaskScheduler(createSeededRandom(SEED));
+    for (let worker = 0; worker < shape.workers; worker++) {
+        const capacity = size(shape.coresPerWorker, 4 * shape.coresPerWorker);
+        scheduler.upsertWorker({
+            workerId: `worker${worker}`,
+            rack: `rack${worker % 40}`,
+            capacity,
+            schedulable: true
+        });
+    }
+    const resources = size(1_000_000, 4_000_000);
+    const policy = { share: 1, allotment: { resources, slots: 0 } };
+    scheduler.setTeams(new Map([...Array(shape.teams).keys()].map(team => [`team${team}`, policy])));
+    for (let group = 0; group < shape.tasks / TASKS_PER_GROUP; group++) {
+        scheduler.submit({
+            groupId: `group${group}`,
+            team: `team${group % shape.teams}`,
+            kind: GroupKind.Batch,
+            urgent: false,
+            resources: size(0.5, 1),
+            taskIds: [...Array(TASKS_PER_GROUP).keys()].map(task => `group${group}-${task}`),
+            profile: `profile${group % 50}`,
+            declaredDurationMs: 1000,
+            checkpointable: false,
+            submittedAtMs: 0
+        });
+    }
+    do {
+        scheduler.decide(0);
+    }
+    while (scheduler.hasMore());
+    return scheduler;
+}
+
+function heapUsed(): number {
+    setFlagsFromString("--expose-gc");
+    const collect = runInNewContext("gc") as () => void;
+    collect();
+    collect();
+    return process.memoryUsage().heapUsed;
+}
--- a/packages/bench/src/decisions/taskComparison.ts
+++ b/packages/bench/src/decisions/taskComparison.ts
@@ -2,11 +2,12 @@
 import { BASELINES, type Contender, PROJECT_CONTENDER } from "./baselines.js";
 import type { MeasuredRow } from "./report.js";
 import { TaskRun, type TaskRunResult } from "./TaskRun.js";
-import { REPORTS_SHAPE, SATURATED_SHAPE, TRIALS_SHAPE } from "./taskShapes.js";
+import { FUTURE_SHAPE, REPORTS_SHAPE, SATURATED_SHAPE, TRIALS_SHAPE } from "./taskShapes.js";
 import type { TaskWorkloadShape } from "./TaskWorkload.js";
 import { TimedScheduler } from "./TimedScheduler.js";
 
 const WARM_UP_MS = 10 * 60_000;
+const FUTURE_WARM_UP_MS = 60_000;
 const RANDOM_SEED = 99;
 
 /** Compares the schedulers on the workloads of today. */
@@ -20,10 +21,15 @@
     return rows;
 }
 
+/** Runs a slice of the future; baselines that scan all workers are left out. */
+export function runFuture(): readonly MeasuredRow[] {
+    return [measure(FUTURE_SHAPE, PROJECT_CONTENDER, FUTURE_WARM_UP_MS)];
+}
+
 /** Measures one scheduler on one workload. */
-export function measure(shape: TaskWorkloadShape, contender: Contender): MeasuredRow {
+export function measure(shape: TaskWorkloadShape, contender: Contender, warmUpMs = WARM_UP_MS): MeasuredRow {
     const scheduler = new TimedScheduler(contender.create(createSeededRandom(RANDOM_SEED)));
-    const result = new TaskRun(shape, scheduler, { warmUpMs: WARM_UP_MS }).run();
+    const result = new TaskRun(shape, scheduler, { warmUpMs }).run();
     return {
         workload: shape.name,
         contender: contender.name,
--- a/packages/bench/src/decisions/taskShapes.ts
+++ b/packages/bench/src/decisions/taskShapes.ts
@@ -84,6 +84,40 @@
     ]
 };
 
+/** A slice of the future in which every team has a third more work than its share. */
+export const FUTURE_SHAPE: TaskWorkloadShape = {
+    name: "future slice, saturated",
+    seed: 4001,
+    durationMs: 150_000,
+    workersPerRack: 40,
+    workers: [{ count: 1530, capacity: size(16, 64) }, { count: 170, capacity: size(16, 64, 8) }],
+    teams: [...Array(230).keys()].map(team => ({
+        name: `team${team}`,
+        share: 1 + team % 5,
+        demand: 1 + team % 5,
+        allotted: 1
+    })),
+    streams: [
+        createBatch({
+            groupsPerSecond: 300,
+            sizes: [size(0.25, 1), size(0.5, 1), size(0.5, 2), size(1, 3), size(1, 6), size(2, 4)]
+        }),
+        {
+            name: "gang",
+            kind: GroupKind.Gang,
+            urgent: false,
+            groupsPerSecond: 1,
+            tasksPerGroup: oneOf([8, 16, 32]),
+            sizes: [size(1, 4), size(2, 8)],
+            durationMs: logNormal(20_000, 0.3),
+            declaredFactor: WRONG_BY_TEN,
+            checkpointable: true,
+            deadlineAfterMs: 90_000
+        },
+        createUrgent(2)
+    ]
+};
+
 function createBatch(changes: Partial<GroupStream>): GroupStream {
     return {
         name: "batch",
--- a/packages/common/src/scheduling/TaskScheduler.ts
+++ b/packages/common/src/scheduling/TaskScheduler.ts
@@ -106,6 +106,8 @@
     taskEnded(taskId: string, end: TaskEnd, nowMs: number): void;
     /** Returns what to do now; every start is committed in the scheduler's state already. */
     decide(nowMs: number): readonly Decision[];
+    /** The last decision stopped at its bound of starts; more can start at once. */
+    hasMore?(): boolean;
     explain(groupId: string, nowMs: number): WaitExplanation | undefined;
     /** What a team has running here. */
     usage(team: string): Resources;
--- a/packages/decisions/src/SliceTaskScheduler.ts
+++ b/packages/decisions/src/SliceTaskScheduler.ts
@@ -56,7 +56,7 @@
         const finder = new VictimFinder(state.fleet, random, options.preemptionCandidates);
         this.gangs = new GangPlanner(state, planner, options);
         this.preemptor = new Preemptor(state, finder, options);
-        this.placer = new Placer(state, queue => this.preemptor.addBlocked(queue));
+        this.placer = new Placer(state, options.maxStartsPerDecision, queue => this.preemptor.addBlocked(queue));
         this.backfiller = new Backfiller(state, state.teams.ordinaryLine);
         this.keeper = new PlaceKeeper(state, planner, state.teams.ordinaryLine, options);
         this.feasibility = new Feasibility(state, options);
@@ -148,6 +148,10 @@
         return this.state.takeDecisions();
     }
 
+    public hasMore(): boolean {
+        return this.placer.isExhausted;
+    }
+
     public explain(groupId: string, nowMs: number): WaitExplanation | undefined {
         const group = this.state.groups.get(groupId);
         return group === undefined ? undefined : this.explainer.explain(group, nowMs);
--- a/packages/decisions/src/tasks/Placer.ts
+++ b/packages/decisions/src/tasks/Placer.ts
@@ -14,13 +14,24 @@
     /** Failures of the task to place. */
     private failures: TaskFailures | undefined;
     private nowMs = 0;
+    private startsLeft = 0;
     private spread: ReplicaSpread | undefined;
     private maxInRack = 0;
 
-    constructor(private readonly state: SliceState, private readonly onUrgentBlocked: (queue: ShapeQueue) => void) {}
+    constructor(
+        private readonly state: SliceState,
+        private readonly maxStarts: number,
+        private readonly onUrgentBlocked: (queue: ShapeQueue) => void
+    ) {}
+
+    /** The bound of starts was reached. */
+    public get isExhausted(): boolean {
+        return this.startsLeft <= 0;
+    }
 
     /** Lets the queues be tried again that were put off. */
     public begin(): void {
+        this.startsLeft = this.maxStarts;
         if (this.deferred.length > 0) {
             unparkAll(this.deferred);
         }
@@ -29,8 +40,10 @@
     /** Starts what can start in one priority class. */
     public placeAll(line: PriorityLine, nowMs: number): void {
         this.nowMs = nowMs;
-        for (let shapeLine = line.peek(); shapeLine !== undefined; shapeLine = line.peek()) {
+        let shapeLine = line.peek();
+        while (shapeLine !== undefined && this.startsLeft > 0) {
             this.placeNext(shapeLine.peek()!);
+            shapeLine = line.peek();
         }
     }
 
@@ -90,6 +103,7 @@
 
     private start(queue: ShapeQueue, worker: WorkerNode): void {
         const group = queue.peek()!;
+        this.startsLeft--;
         this.state.startNext(group, worker, this.nowMs);
         if (group.waitingCount === 0) {
             queue.shapeLine.line.remove(group);
--- a/packages/decisions/src/tasks/TaskOptions.ts
+++ b/packages/decisions/src/tasks/TaskOptions.ts
@@ -1,5 +1,7 @@
 /** Settings of a task scheduler. */
 export interface TaskOptions {
+    /** Tasks that one decision starts, apart from gangs; bounds its processor time. */
+    readonly maxStartsPerDecision: number;
     /** Distinct workers on which a task fails before its group is rejected. */
     readonly maxFailedWorkers: number;
     /** Attempts of a task that fails, when there are fewer workers than that. */
@@ -44,6 +46,7 @@
 
 /** Settings in force unless others are given. */
 export const DEFAULT_TASK_OPTIONS: TaskOptions = {
+    maxStartsPerDecision: 250,
     maxFailedWorkers: 3,
     maxAttempts: 3,
     maxFailedWorkersOfGroup: 5,
