--- a/packages/decisions/src/tasks/Preemptor.ts
+++ b/packages/decisions/src/tasks/Preemptor.ts
@@ -59,6 +59,10 @@
         let missing = queue.waitingCount - this.countClaims(queue);
         if (queue.isEmpty) {
             this.blocked.delete(queue);
+            return left;
+        }
+        if (nowMs - queue.peek()!.group.submittedAtMs < this.options.preemptionPatienceMs) {
+            return left;
         }
         while (missing > 0 && left > 0) {
             left--;
@@ -73,7 +77,7 @@
     }
 
     private findVictims(queue: ShapeQueue, nowMs: number): VictimChoice | undefined {
-        const { team } = queue.line;
+        const { team } = queue;
         const demand = queue.shape.resources;
         if (!team.couldHold(demand)) {
             return undefined;
@@ -91,7 +95,7 @@
     private claim(queue: ShapeQueue, choice: VictimChoice, nowMs: number): void {
         const { worker, victims } = choice;
         this.claims.add({ queue, worker, victims, nextStepAtMs: nowMs + this.options.throttleMs });
-        this.state.fleet.setReservation(worker, {
+        this.state.reserve(worker, {
             group: queue.peek()!,
             places: new Map([[worker, 1]]),
             startAtMs: Number.NEGATIVE_INFINITY
@@ -110,7 +114,7 @@
         else if (worker.fits(queue.shape.resources) && group.team.hasRoom(queue.shape.resources, 1)) {
             this.state.startNext(group, worker, nowMs);
             if (group.waitingCount === 0) {
-                queue.line.remove(group);
+                queue.shapeLine.line.remove(group);
             }
             this.drop(claim);
         }
@@ -152,8 +156,7 @@
 
     private drop(claim: Claim): void {
         this.claims.delete(claim);
-        this.state.fleet.setReservation(claim.worker, undefined);
-        this.state.roomGained(claim.worker);
+        this.state.unreserve(claim.worker);
     }
 
     private countClaims(queue: ShapeQueue): number {
@@ -167,7 +170,7 @@
     private countClaimsOf(team: TeamAccount): number {
         let count = 0;
         for (const claim of this.claims) {
-            count += claim.queue.line.team === team ? 1 : 0;
+            count += claim.queue.team === team ? 1 : 0;
         }
         return count;
     }
