--- a/packages/proof/src/recovery/RecoveryBench.ts
+++ b/packages/proof/src/recovery/RecoveryBench.ts
@@ -4,8 +4,13 @@
 import type { RequestReply } from "@skylarkpath/control/entry/RequestReply";
 import type { AttemptEvent } from "@skylarkpath/standins/memory/MemoryTarget";
 import type { WorkerTaskEvent } from "@skylarkpath/standins/memory/MemoryWorker";
+import { FaultyDeployment } from "../members/FaultyDeployment.js";
 import { SMALL_TOPOLOGY, type Topology } from "../Topology.js";
-import { DEFAULT_DEPLOYMENT_OPTIONS, VirtualDeployment, type VirtualDeploymentOptions } from "../VirtualDeployment.js";
+import {
+    DEFAULT_DEPLOYMENT_OPTIONS,
+    type VirtualDeployment,
+    type VirtualDeploymentOptions
+} from "../VirtualDeployment.js";
 
 /** Request body of a caller in a test. */
 export interface TestBody {
@@ -71,7 +76,11 @@
     public readonly taskEvents: WorkerTaskEvent[] = [];
     public readonly attemptEvents: AttemptEvent[] = [];
 
-    private constructor(public readonly deployment: VirtualDeployment, public readonly key: string) {
+    public readonly deployment: VirtualDeployment;
+
+    private constructor(public readonly faulty: FaultyDeployment, public readonly key: string) {
+        this.deployment = faulty.deployment;
+        const { deployment } = this;
         for (const worker of deployment.workers.values()) {
             worker.onTaskEvent(event => this.taskEvents.push(event));
         }
@@ -82,11 +91,9 @@
 
     /** Starts a deployment with a text in force and waits until every slice is owned. */
     public static async start(options: BenchOptions = {}, text = RECOVERY_TEXT): Promise<RecoveryBench> {
-        const deployment = new VirtualDeployment({
-            ...DEFAULT_DEPLOYMENT_OPTIONS,
-            topology: SMALL_TOPOLOGY,
-            ...options
-        });
+        const { topology = SMALL_TOPOLOGY, seed = DEFAULT_DEPLOYMENT_OPTIONS.seed } = options;
+        const faulty = new FaultyDeployment(topology, seed, {}, { ...DEFAULT_DEPLOYMENT_OPTIONS, ...options });
+        const { deployment } = faulty;
         const first = deployment.processes[0]!.process;
         await deployment.timer.advance(START_MS);
         const applied = await deployment.timer.advanceUntil(first.config.apply(text, 0));
@@ -95,7 +102,7 @@
         }
         const granted = await deployment.timer.advanceUntil(first.keys.grant("dispatch"));
         await deployment.timer.advance(SETTLE_MS);
-        return new RecoveryBench(deployment, granted._unsafeUnwrap().key);
+        return new RecoveryBench(faulty, granted._unsafeUnwrap().key);
     }
 
     /** Submits a request at an entry. */
