--- a/packages/control/src/entry/RequestController.ts
+++ b/packages/control/src/entry/RequestController.ts
@@ -23,8 +23,9 @@
 import { JobHandler } from "./JobHandler.js";
 import { LookupHandler } from "./LookupHandler.js";
 import { OrderHandler } from "./OrderHandler.js";
+import { OutcomeWriter } from "./OutcomeWriter.js";
 import { chainFilters, type RequestContext, type RequestHandler } from "./RequestContext.js";
-import { notRun, type RequestReply, requestUnknown } from "./RequestReply.js";
+import { type RequestReply, requestUnknown, unseen } from "./RequestReply.js";
 import { SlotClient } from "./SlotClient.js";
 
 interface RememberedLookup {
@@ -73,7 +74,8 @@
         const slots = new SlotClient(environment, peerClient, directory);
         this.lookups = new LookupHandler(environment, directory, slots);
         this.jobs = new JobHandler(environment, options, peerClient, directory, requests);
-        this.orders = new OrderHandler(environment, directory, requests, slots, this.lookups, this.jobs);
+        const outcomes = new OutcomeWriter(environment, requests);
+        this.orders = new OrderHandler(environment, directory, requests, slots, this.lookups, this.jobs, outcomes);
         this.chain = chainFilters(
             [
                 createAdmissionFilter(isAdmitting),
@@ -88,7 +90,7 @@
 
     /** Requests of callers that are being served. */
     public get inProgressCount(): number {
-        return this.inProgress;
+        return this.inProgress + this.orders.openCount;
     }
 
     /** Submits a request; resolves with its final outcome for look-ups, with its acceptance for jobs. */
@@ -195,10 +197,10 @@
     /** Team of the key, or the refusal; without a key only requests of open queues are seen. */
     private teamOf(question: RequestQuestion): string | RequestReply {
         if (question.key === undefined) {
-            return notRun(OutcomeReason.KeyMissing, "A team key is needed to see a request.");
+            return unseen(OutcomeReason.KeyMissing, "A team key is needed to see a request.");
         }
         const team = this.keys.verify(question.key, 0);
-        return team.isOk() ? team.value : notRun(team.error);
+        return team.isOk() ? team.value : unseen(team.error, "The key cannot be used; nothing is told of the request.");
     }
 
     private async askOwner(requestId: string, maySee: TeamCheck): Promise<RequestReply | undefined> {
--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -73,6 +73,9 @@
     suspicion?: Suspicion;
 }
 
+/** Hops of a sign of life from one process over two relays to another one. */
+const HOPS_OF_RELAYS = 3;
+
 /** Knows the live list and the other processes: directly in the failure domain, by relays beyond it. */
 export class MembershipController implements Disposable {
     private readonly store = new DisposableStore();
@@ -326,9 +329,9 @@
     private allowanceMs(heartbeat: Heartbeat): number {
         const { identity } = this.environment;
         if (heartbeat.region !== identity.region) {
-            return 2 * (this.options.relayIntervalMs + this.options.regionIntervalMs);
+            return HOPS_OF_RELAYS * (this.options.relayIntervalMs + this.options.regionIntervalMs);
         }
-        return heartbeat.failureDomain === identity.failureDomain ? 0 : 2 * this.options.relayIntervalMs;
+        return heartbeat.failureDomain === identity.failureDomain ? 0 : HOPS_OF_RELAYS * this.options.relayIntervalMs;
     }
 
     private updateStates(): void {
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -8,7 +8,7 @@
 import { KeyController } from "../keys/KeyController.js";
 import { AllotmentController } from "../limits/AllotmentController.js";
 import { AllotmentCoordinator } from "../limits/AllotmentCoordinator.js";
-import { MembershipController } from "../membership/MembershipController.js";
+import { MembershipController, PeerState } from "../membership/MembershipController.js";
 import { PeerClient } from "../peer/PeerClient.js";
 import {
     acquireSchema,
@@ -38,6 +38,7 @@
     private readonly coordinator: AllotmentCoordinator;
     private readonly ownership: OwnershipController;
     private stopping = false;
+    private startedMs = 0;
 
     /** Calls to other processes. */
     public readonly peerClient: PeerClient;
@@ -66,7 +67,7 @@
             log,
             timer
         );
-        this.writer = new GroupCommitWriter(table, timer, ownerNameOf(identity), options, log);
+        this.writer = new GroupCommitWriter(table, timer, ownerNameOf(identity), options, environment.random, log);
         this.requestStore = new RequestStore(table, environment.objects, this.writer, options.inlineLimitBytes);
         this.membership = this.store.add(new MembershipController(environment, options, this.peerClient));
         this.config = this.store.add(
@@ -140,6 +141,7 @@
     /** Begins to serve. */
     public start(): void {
         this.environment.log.write(EVENTS.processStarted);
+        this.startedMs = this.environment.timer.nowMs();
         this.membership.start({
             heartbeat: () => this.composeHeartbeat(),
             keys: () => this.keys.status,
@@ -198,7 +200,8 @@
             { ...this.environment, schedulers },
             this.options,
             this.requestStore,
-            () => this.countServices()
+            () => this.countServices(),
+            ownerName => this.isProcessAlive(ownerName)
         );
         this.slices.set(slice.sliceId, controller);
         controller.onStale(() => this.ownership.resign(slice.sliceId));
@@ -207,7 +210,9 @@
         }
         controller.updatePolicies(this.allotments.policiesOf(slice.sliceId));
         controller.start();
-        controller.updateMachines(this.machinesOf(this.membership.machines));
+        if (this.membership.hasLiveList) {
+            controller.updateMachines(this.machinesOf(this.membership.machines));
+        }
         this.membership.beat();
         this.directory.takeIn(this.composeHeartbeat());
     }
@@ -229,6 +234,19 @@
         return machines.filter(machine => machine.failureDomain === failureDomain);
     }
 
+    /** A process is alive unless it is silent for too long or was replaced by another incarnation. */
+    private isProcessAlive(ownerName: string): boolean {
+        if (ownerName === ownerNameOf(this.environment.identity)) {
+            return true;
+        }
+        const peer = this.membership.peers.find(view => ownerNameOf(view.heartbeat) === ownerName);
+        return peer ? peer.state !== PeerState.Dead : this.ageMs < this.options.deadAfterMs;
+    }
+
+    private get ageMs(): number {
+        return this.environment.timer.nowMs() - this.startedMs;
+    }
+
     private countServices(): Readonly<Record<string, number>> {
         const counts: Record<string, number> = {};
         const own = this.ownedSlices.map(slice => slice.runningServices);
--- a/packages/decisions/src/SliceTaskScheduler.ts
+++ b/packages/decisions/src/SliceTaskScheduler.ts
@@ -13,12 +13,13 @@
 import { GroupState } from "./groups/GroupState.js";
 import type { RunningTask } from "./groups/RunningTask.js";
 import { WorkerHealth } from "./health/WorkerHealth.js";
-import { RunTimeEstimator } from "./learning/RunTimeEstimator.js";
+import { RunTimeEstimator, typicalRunTimeMs } from "./learning/RunTimeEstimator.js";
 import { Backfiller } from "./tasks/Backfiller.js";
 import { Explainer } from "./tasks/Explainer.js";
 import { FailureJudge } from "./tasks/FailureJudge.js";
 import { Feasibility } from "./tasks/Feasibility.js";
 import { GangPlanner } from "./tasks/GangPlanner.js";
+import { PlaceKeeper } from "./tasks/PlaceKeeper.js";
 import { Placer } from "./tasks/Placer.js";
 import { Preemptor } from "./tasks/Preemptor.js";
 import { ReservationPlanner } from "./tasks/ReservationPlanner.js";
@@ -26,6 +27,7 @@
 import { SliceState } from "./tasks/SliceState.js";
 import { DEFAULT_TASK_OPTIONS, type TaskOptions } from "./tasks/TaskOptions.js";
 import { VictimFinder } from "./tasks/VictimFinder.js";
+import type { PriorityLine } from "./teams/PriorityLine.js";
 
 const PATIENCE_WITHOUT_DEADLINE_MS = 24 * 3_600_000;
 
@@ -36,23 +38,27 @@
     private readonly health = new WorkerHealth(() => this.state.fleet.workerCount);
     private readonly placer: Placer;
     private readonly gangs: GangPlanner;
+    private readonly keeper: PlaceKeeper;
     private readonly backfiller: Backfiller;
     private readonly preemptor: Preemptor;
     private readonly feasibility: Feasibility;
     private readonly judge: FailureJudge;
     private readonly delays: RetryDelays;
     private readonly explainer: Explainer;
+    private readonly options: TaskOptions;
     private sharesStale = false;
 
     constructor(random: RandomSource, changedOptions: Partial<TaskOptions> = {}) {
         const options = { ...DEFAULT_TASK_OPTIONS, ...changedOptions };
-        const { state, estimator } = this;
-        const planner = new ReservationPlanner(state.fleet, estimator, random);
+        this.options = options;
+        const { state } = this;
+        const planner = new ReservationPlanner(state.fleet, random);
         const finder = new VictimFinder(state.fleet, random, options.preemptionCandidates);
-        this.gangs = new GangPlanner(state, planner, estimator, options);
+        this.gangs = new GangPlanner(state, planner, options);
         this.preemptor = new Preemptor(state, finder, options);
         this.placer = new Placer(state, queue => this.preemptor.addBlocked(queue));
-        this.backfiller = new Backfiller(state, estimator, state.teams.ordinaryLine);
+        this.backfiller = new Backfiller(state, state.teams.ordinaryLine);
+        this.keeper = new PlaceKeeper(state, planner, state.teams.ordinaryLine, options);
         this.feasibility = new Feasibility(state, options);
         this.judge = new FailureJudge(this.health, () => state.fleet.workerCount, options);
         this.delays = new RetryDelays(options.retryDelayMs, options.maxRetryDelayMs);
@@ -128,12 +134,17 @@
     public decide(nowMs: number): readonly Decision[] {
         const { teams } = this.state;
         this.begin(nowMs);
-        this.placer.placeAll(teams.urgentLine, nowMs);
+        this.placeFirst(teams.urgentLine, nowMs);
+        this.placer.reportUrgent(teams.urgentLine);
         this.preemptor.run(nowMs);
-        this.placer.placeAll(teams.serviceLine, nowMs);
+        this.placeFirst(teams.serviceLine, nowMs);
         this.gangs.run(nowMs);
+        this.keeper.run(nowMs);
         this.placer.placeAll(teams.ordinaryLine, nowMs);
-        this.backfiller.run(nowMs);
+        const gains = this.state.takeReservedGains();
+        if (this.options.backfill) {
+            this.backfiller.run(gains, nowMs);
+        }
         return this.state.takeDecisions();
     }
 
@@ -146,11 +157,20 @@
         return this.state.teams.find(team)?.usage ?? NO_RESOURCES;
     }
 
+    /** Places work that goes before gangs, on their reserved workers too. */
+    private placeFirst(line: PriorityLine, nowMs: number): void {
+        this.placer.placeAll(line, nowMs);
+        if (this.state.fleet.reservedWorkerCount > 0) {
+            this.placer.placeOnReserved(line);
+        }
+    }
+
     private begin(nowMs: number): void {
         if (this.sharesStale) {
             this.sharesStale = false;
             this.state.teams.updateShares(this.state.fleet.capacity);
         }
+        this.state.teams.forgetFairLevel();
         this.state.fleet.updateScarcest();
         this.health.advance(nowMs);
         this.delays.advance(nowMs, group => this.enqueue(group));
@@ -161,7 +181,7 @@
     private learn(task: RunningTask, end: TaskEnd, nowMs: number): void {
         if (end === TaskEnd.Succeeded) {
             task.group.hasSucceeded = true;
-            this.estimator.observe(task.group.group.profile, nowMs - task.startedAtMs);
+            task.group.runTimes.add(nowMs - task.startedAtMs);
             this.health.taskSucceeded(task.worker.workerId);
         }
         else if (end === TaskEnd.Failed) {
@@ -191,10 +211,11 @@
         const state = new GroupState(
             group,
             this.state.teams.obtain(group.team),
-            this.state.shapes.obtain(group.resources)
+            this.state.shapes.obtain(group.resources),
+            this.estimator.obtain(group.profile)
         );
         const deadlineAtMs = group.deadlineAtMs ?? group.submittedAtMs + PATIENCE_WITHOUT_DEADLINE_MS;
-        state.orderKeyMs = deadlineAtMs - this.estimator.typicalMs(group);
+        state.orderKeyMs = deadlineAtMs - typicalRunTimeMs(state);
         this.state.groups.set(group.groupId, state);
         return state;
     }
--- a/packages/decisions/src/groups/ShapeRegistry.ts
+++ b/packages/decisions/src/groups/ShapeRegistry.ts
@@ -1,12 +1,17 @@
 import type { Resources } from "@skylarkpath/common/model/Resources";
 import type { WorkerNode } from "../fleet/WorkerNode.js";
 import { Shape } from "./Shape.js";
-import type { ShapeQueue } from "./ShapeQueue.js";
+
+const MAX_CANDIDATES = 16;
 
 /** Task sizes in use, and those that wait until a worker has room. */
 export class ShapeRegistry {
     private readonly shapes = new Map<string, Shape>();
     private readonly blocked = new Set<Shape>();
+    /** Shapes of which the workers with room are known. */
+    private readonly searchable = new Set<Shape>();
+
+    constructor(private readonly onChanged: (shape: Shape) => void) {}
 
     /** Shapes that wait until a worker has room. */
     public get blockedShapes(): ReadonlySet<Shape> {
@@ -30,27 +35,33 @@
         shape.groupCount--;
         if (shape.groupCount === 0) {
             this.shapes.delete(shape.key);
-            this.unblock(shape);
+            this.blocked.delete(shape);
+            this.searchable.delete(shape);
+            this.onChanged(shape);
         }
     }
 
     /** Remembers that no worker has room for a shape. */
     public block(shape: Shape): void {
         shape.blocked = true;
+        shape.candidates = [];
+        this.searchable.delete(shape);
         this.blocked.add(shape);
-    }
-
-    /** Parks a queue until a worker has room for its shape. */
-    public park(queue: ShapeQueue): void {
-        queue.line.park(queue);
-        queue.shape.parkedQueues.push(queue);
+        this.onChanged(shape);
     }
 
     /** Lets the shapes that fit a worker be searched again. */
     public roomGained(worker: WorkerNode): void {
+        for (const shape of this.searchable) {
+            if (worker.fits(shape.resources)) {
+                addCandidate(shape, worker);
+            }
+        }
         for (const shape of this.blocked) {
             if (worker.fits(shape.resources)) {
                 this.unblock(shape);
+                addCandidate(shape, worker);
+                this.searchable.add(shape);
             }
         }
     }
@@ -58,14 +69,19 @@
     private unblock(shape: Shape): void {
         shape.blocked = false;
         this.blocked.delete(shape);
-        unparkAll(shape.parkedQueues);
+        this.onChanged(shape);
     }
 }
 
-/** Takes all parked queues back into their lines and empties the list. */
-export function unparkAll(queues: ShapeQueue[]): void {
-    for (const queue of queues) {
-        queue.line.unpark(queue);
+/** Too many candidates are given up for a search of all workers. */
+function addCandidate(shape: Shape, worker: WorkerNode): void {
+    if (shape.candidates === undefined) {
+        return;
+    }
+    if (shape.candidates.length >= MAX_CANDIDATES) {
+        shape.candidates = undefined;
+    }
+    else if (!shape.candidates.includes(worker)) {
+        shape.candidates.push(worker);
     }
-    queues.length = 0;
 }
--- a/packages/decisions/src/tasks/SliceState.ts
+++ b/packages/decisions/src/tasks/SliceState.ts
@@ -4,17 +4,23 @@
 import type { WorkerNode } from "../fleet/WorkerNode.js";
 import type { GroupState } from "../groups/GroupState.js";
 import { RunningTask } from "../groups/RunningTask.js";
-import { ShapeRegistry, unparkAll } from "../groups/ShapeRegistry.js";
+import { unparkAll } from "../groups/ShapeQueue.js";
+import { ShapeRegistry } from "../groups/ShapeRegistry.js";
 import { TeamRegistry } from "../teams/TeamRegistry.js";
+import type { Reservation } from "./Reservation.js";
+
+const NO_WORKERS: readonly WorkerNode[] = [];
 
 /** What the task scheduler of a slice knows: fleet, teams, groups and running tasks. */
 export class SliceState {
     public readonly fleet = new Fleet();
     public readonly teams = new TeamRegistry();
-    public readonly shapes = new ShapeRegistry();
+    public readonly shapes = new ShapeRegistry(shape => this.teams.shapeChanged(shape));
     public readonly groups = new Map<string, GroupState>();
     public readonly running = new Map<string, RunningTask>();
     private roomVersion = 0;
+    /** Reserved workers that gained room since the last backfill. */
+    private reservedGains: WorkerNode[] = [];
     /** Decisions to hand out next. */
     private decisions: Decision[] = [];
 
@@ -26,9 +32,42 @@
     /** Lets waiting work be tried on a worker that gained room. */
     public roomGained(worker: WorkerNode): void {
         this.roomVersion++;
-        if (worker.takesTasks && worker.reservation === undefined) {
+        if (!worker.takesTasks) {
+            return;
+        }
+        if (worker.reservation === undefined) {
             this.shapes.roomGained(worker);
         }
+        else {
+            this.reservedGains.push(worker);
+        }
+    }
+
+    /** Keeps a worker for a reservation. */
+    public reserve(worker: WorkerNode, reservation: Reservation): void {
+        this.fleet.setReservation(worker, reservation);
+        this.reservedGains.push(worker);
+    }
+
+    /** Opens a reserved worker to all again. */
+    public unreserve(worker: WorkerNode): void {
+        this.fleet.setReservation(worker, undefined);
+        this.roomGained(worker);
+    }
+
+    /** Returns the reserved workers that gained room, without taking them. */
+    public peekReservedGains(): readonly WorkerNode[] {
+        return this.reservedGains;
+    }
+
+    /** Returns the reserved workers that gained room since the last call. */
+    public takeReservedGains(): readonly WorkerNode[] {
+        if (this.reservedGains.length === 0) {
+            return NO_WORKERS;
+        }
+        const gains = this.reservedGains;
+        this.reservedGains = [];
+        return gains;
     }
 
     /** Counts a task as running on a worker. */
@@ -40,8 +79,9 @@
         worker.running.add(task);
         group.spread?.add(worker);
         this.fleet.take(worker, group.shape.resources);
+        this.teams.beginChange(group.team);
         group.team.take(group.shape.resources, this.fleet.capacity);
-        this.teams.teamChanged(group.team);
+        this.teams.endChange(group.team);
         return task;
     }
 
@@ -64,8 +104,9 @@
         for (let part: RunningTask | undefined = task; part !== undefined; part = part.duplicate) {
             this.releasePart(part);
         }
-        this.teams.teamChanged(task.group.team);
-        unparkAll(task.group.team.parkedQueues);
+        if (task.group.team.parkedQueues.length > 0) {
+            unparkAll(task.group.team.parkedQueues);
+        }
         this.forgetWhenDone(task.group);
     }
 
@@ -102,7 +143,9 @@
         part.worker.running.delete(part);
         part.group.spread?.remove(part.worker);
         this.fleet.give(part.worker, part.group.shape.resources);
+        this.teams.beginChange(part.group.team);
         part.group.team.give(part.group.shape.resources, this.fleet.capacity);
+        this.teams.endChange(part.group.team);
         this.roomGained(part.worker);
     }
 }
