Capacity probe of real processes and bytes between processes by purpose

Cause: docs/CAPACITY.md needs slopes measured on real processes, and the slow link is paid by volume.

--- a/packages/adapters/src/JsonRpcClient.ts
+++ b/packages/adapters/src/JsonRpcClient.ts
@@ -15,6 +15,8 @@
     readonly maxReplyBytes: number;
     /** Models the links to other machines. */
     readonly links?: LinkModel;
+    /** Told the size of each call and of its reply. */
+    readonly onExchange?: (address: string, method: string, requestBytes: number, replyBytes: number) => void;
     /** Returns headers that authenticate a body for a receiver. */
     readonly sign?: (body: string, address: string) => Readonly<Record<string, string>>;
     /** Tells whether a reply comes from somebody who may answer the request with these headers. */
@@ -52,13 +54,13 @@
         const body = JSON.stringify(createJSONRPCRequest(this.nextId++, method, parameters));
         const { links } = this.options;
         if (!links) {
-            return this.send(address, path, body, timeoutMs);
+            return this.send(address, path, method, body, timeoutMs);
         }
         if (!(await links.pass(address, body.length, LinkDirection.Out))) {
             await pause(Math.min(timeoutMs, this.options.connectTimeoutMs));
             return err({ kind: RpcFailureKind.Unreachable, message: `${address}: the link is cut.` });
         }
-        const reply = await this.send(address, path, body, timeoutMs);
+        const reply = await this.send(address, path, method, body, timeoutMs);
         const replyBytes = reply.isOk() ? JSON.stringify(reply.value)?.length ?? 0 : 0;
         if (!(await links.pass(address, replyBytes, LinkDirection.Back))) {
             await pause(timeoutMs);
@@ -70,6 +72,7 @@
     private async send(
         address: string,
         path: string,
+        method: string,
         body: string,
         timeoutMs: number
     ): Promise<Result<JsonValue, RpcFailure>> {
@@ -85,6 +88,7 @@
                 signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)))
             });
             const text = await response.body.text();
+            this.options.onExchange?.(address, method, body.length, text.length);
             const header = (name: string): string | undefined => response.headers[name]?.toString();
             if (response.statusCode === 200 && this.options.verifyReply?.(text, header, signature) === false) {
                 return err({ kind: RpcFailureKind.ReplyLost, message: `${address}: the reply is not authenticated.` });
--- a/packages/adapters/src/JsonRpcEndpoint.ts
+++ b/packages/adapters/src/JsonRpcEndpoint.ts
@@ -15,6 +15,8 @@
         body: string,
         requestHeader: (name: string) => string | undefined
     ) => Readonly<Record<string, string>>;
+    /** Told the size of each call and of its reply. */
+    readonly onExchange?: (requestBytes: number, replyBytes: number) => void;
 }
 
 /** Default options of a JSON-RPC endpoint. */
@@ -41,6 +43,7 @@
             }
             const reply = await this.server.receiveJSON(body);
             const replyBody = JSON.stringify(reply ?? {});
+            this.options.onExchange?.(body.length, replyBody.length);
             const signature = this.options.signReply?.(replyBody, name => context.req.header(name));
             return context.body(replyBody, 200, { "content-type": "application/json", ...signature });
         });
--- /dev/null
+++ b/packages/bench/src/capacity/ClusterProbe.ts
@@ -0,0 +1,157 @@
+import { createSeededRandom } from "@skylarkpath/common/random/RandomSource";
+import type { Topology } from "@skylarkpath/proof/Topology";
+import { request } from "undici";
+import { ClusterClient } from "../cluster/ClusterClient.js";
+import { LocalCluster, pause } from "../cluster/LocalCluster.js";
+import { composeBenchText, LOAD_TEAMS } from "../load/BenchText.js";
+import { LoadRun } from "../load/LoadRun.js";
+import { drawArrivals } from "../load/RequestMix.js";
+import { type ProcessUsage, readUsage } from "./ProcessUsage.js";
+
+/** What is running while a probe measures. */
+export interface ProbeLoad {
+    /** Long-running tasks that are started first. */
+    readonly tasks: number;
+    /** Requests of all kinds while the probe measures. */
+    readonly arrivalsPerSecond: number;
+}
+
+/** Cost of one process while a probe measured. */
+export interface ProcessCost {
+    readonly processId: string;
+    readonly ownsSlice: boolean;
+    /** Part of one core. */
+    readonly corePart: number;
+    readonly residentBytes: number;
+    /** Bytes of messages between processes, both ways, a second. */
+    readonly peerBytesPerSecond: number;
+}
+
+/** Result of a probe. */
+export interface ProbeResult {
+    readonly processes: readonly ProcessCost[];
+    readonly storeCommitsPerSecond: number;
+    readonly storeReadsPerSecond: number;
+    readonly requestsDone: number;
+}
+
+interface Snapshot {
+    readonly usage: ProcessUsage;
+    readonly peerBytes: number;
+}
+
+const SETTLE_MS = 4000;
+const LONG_TASK_MS = 3_600_000;
+const TASKS_PER_JOB = 50;
+const TASKS_SETTLE_MS = 4000;
+const MILLISECONDS_PER_SECOND = 1000;
+const PEER_BYTES_METRIC = /^skylarkpath_peer_bytes_total\{[^}]*\} (\d+)/gm;
+const TASK_SIZE = { processorMillicores: 100, memoryBytes: 1024 ** 2 };
+
+/** Starts a cluster, loads it, and measures what each process costs. */
+export async function probeCluster(topology: Topology, load: ProbeLoad, measureMs: number): Promise<ProbeResult> {
+    const cluster = await LocalCluster.start(topology);
+    const client = new ClusterClient(cluster.plan);
+    try {
+        const keys = await prepare(cluster, client, topology);
+        await startTasks(cluster, client, keys, load.tasks);
+        const before = await snapshotAll(cluster);
+        const storeBefore = (await cluster.report()).table;
+        const startMs = performance.now();
+        const done = await runLoad(cluster, client, keys, load.arrivalsPerSecond, measureMs);
+        const elapsedMs = performance.now() - startMs;
+        const after = await snapshotAll(cluster);
+        const storeAfter = (await cluster.report()).table;
+        const owners = await ownersOf(cluster, client);
+        const perSecond = (count: number): number => count * MILLISECONDS_PER_SECOND / elapsedMs;
+        return {
+            processes: [...after].map(([processId, snapshot]) => ({
+                processId,
+                ownsSlice: owners.has(processId),
+                corePart: (snapshot.usage.processorMs - before.get(processId)!.usage.processorMs) / elapsedMs,
+                residentBytes: snapshot.usage.residentBytes,
+                peerBytesPerSecond: perSecond(snapshot.peerBytes - before.get(processId)!.peerBytes)
+            })),
+            storeCommitsPerSecond: perSecond(storeAfter.commits - storeBefore.commits),
+            storeReadsPerSecond: perSecond(storeAfter.reads - storeBefore.reads),
+            requestsDone: done
+        };
+    }
+    finally {
+        await client.close();
+        await cluster.stop();
+    }
+}
+
+async function prepare(
+    cluster: LocalCluster,
+    client: ClusterClient,
+    topology: Topology
+): Promise<ReadonlyMap<string, string>> {
+    await cluster.waitListening();
+    await pause(MILLISECONDS_PER_SECOND);
+    const first = cluster.plan.entries[0]!;
+    await client.applyText(first, composeBenchText(topology), 0);
+    await cluster.waitReady();
+    const keys = new Map<string, string>();
+    for (const team of Object.keys(LOAD_TEAMS)) {
+        keys.set(team, (await client.grantKey(first, team)).key);
+    }
+    await pause(SETTLE_MS);
+    return keys;
+}
+
+async function startTasks(
+    cluster: LocalCluster,
+    client: ClusterClient,
+    keys: ReadonlyMap<string, string>,
+    count: number
+): Promise<void> {
+    const entry = cluster.plan.entries[0]!;
+    const teams = [...keys];
+    for (let started = 0; started < count; started += TASKS_PER_JOB) {
+        const [, key] = teams[(started / TASKS_PER_JOB) % teams.length]!;
+        const tasks = { ...TASK_SIZE, count: Math.min(TASKS_PER_JOB, count - started) };
+        await client.submit(entry, { queue: "diagnostics-report", payload: `run=${LONG_TASK_MS}`, tasks }, { key });
+    }
+    if (count > 0) {
+        await pause(TASKS_SETTLE_MS);
+    }
+}
+
+async function runLoad(
+    cluster: LocalCluster,
+    client: ClusterClient,
+    keys: ReadonlyMap<string, string>,
+    arrivalsPerSecond: number,
+    measureMs: number
+): Promise<number> {
+    if (arrivalsPerSecond === 0) {
+        await pause(measureMs);
+        return 0;
+    }
+    const rates = { arrivalsPerSecond, durationMs: measureMs, teams: [...keys.keys()] };
+    const arrivals = drawArrivals(rates, createSeededRandom(1)).filter(arrival => arrival.body.tasks === undefined);
+    const load = new LoadRun(client, keys, () => cluster.plan.entries, MILLISECONDS_PER_SECOND);
+    const traces = await load.run(arrivals);
+    return traces.filter(trace => trace.state === "done").length;
+}
+
+async function snapshotAll(cluster: LocalCluster): Promise<ReadonlyMap<string, Snapshot>> {
+    const snapshots = await Promise.all(cluster.plan.entries.map(async entry => {
+        const { machineId } = entry.machine;
+        const reply = await request(`http://${entry.operatorsAddress}/metrics`);
+        const metrics = await reply.body.text();
+        const peerBytes = [...metrics.matchAll(PEER_BYTES_METRIC)].reduce(
+            (total, match) => total + Number(match[1]),
+            0
+        );
+        return [machineId, { usage: readUsage(cluster.systemIdOf(machineId)!), peerBytes }] as const;
+    }));
+    return new Map(snapshots);
+}
+
+async function ownersOf(cluster: LocalCluster, client: ClusterClient): Promise<ReadonlySet<string>> {
+    const { slices } = await client.status(cluster.plan.entries[0]!);
+    return new Set(slices.map(slice => slice.owner.split("/")[0]!));
+}
--- a/packages/skylarkd/src/SkylarkServer.ts
+++ b/packages/skylarkd/src/SkylarkServer.ts
@@ -26,7 +26,7 @@
 import { mountHealth } from "./http/HealthApi.js";
 import { OperatorApi } from "./http/OperatorApi.js";
 import { WinstonSink } from "./log/WinstonSink.js";
-import { ProcessMetrics } from "./metrics/ProcessMetrics.js";
+import { LinkKind, ProcessMetrics } from "./metrics/ProcessMetrics.js";
 import { createLinkModel } from "./ModelledLinks.js";
 
 /** Addresses that a server listens on, as `IP:PORT`. */
@@ -102,7 +102,9 @@
         return new JsonRpcEndpoint({
             ...DEFAULT_JSON_RPC_ENDPOINT_OPTIONS,
             verify: (body, header) => this.signer.verify(body, header),
-            signReply: (body, requestHeader) => this.signer.signReply(body, requestHeader)
+            signReply: (body, requestHeader) => this.signer.signReply(body, requestHeader),
+            onExchange: (requestBytes, replyBytes) =>
+                this.metrics.countPeerBytes("served", LinkKind.Served, requestBytes + replyBytes)
         });
     }
 
@@ -143,6 +145,8 @@
         const peerClient = this.addClient(
             new JsonRpcClient({
                 ...clientOptions,
+                onExchange: (address, method, requestBytes, replyBytes) =>
+                    this.metrics.countPeerBytes(method, this.linkTo(address), requestBytes + replyBytes),
                 sign: (body, address) => this.signer.sign(body, address),
                 verifyReply: (body, header, request) => this.signer.verifyReply(body, header, request)
             })
@@ -157,6 +161,14 @@
         };
     }
 
+    private linkTo(address: string): LinkKind {
+        const machine = this.process?.membership.entryMachines.find(candidate => candidate.address === address);
+        if (!machine || machine.failureDomain === this.settings.failureDomain) {
+            return LinkKind.FailureDomain;
+        }
+        return machine.region === this.settings.region ? LinkKind.Region : LinkKind.BetweenRegions;
+    }
+
     private addClient(client: JsonRpcClient): JsonRpcClient {
         this.clients.push(client);
         return client;
--- a/packages/skylarkd/src/metrics/ProcessMetrics.ts
+++ b/packages/skylarkd/src/metrics/ProcessMetrics.ts
@@ -4,11 +4,21 @@
 
 const DURATION_BUCKETS_SECONDS = [0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10];
 
+/** Link that a message between processes crosses. */
+export enum LinkKind {
+    FailureDomain = "failure-domain",
+    Region = "region",
+    BetweenRegions = "between-regions",
+    /** Called by another process, whose place is not looked up. */
+    Served = "served"
+}
+
 /** Metrics of one process. */
 export class ProcessMetrics {
     private readonly registry = new Registry();
     private readonly events: Counter<"name">;
     private readonly durations: Histogram<"outcome">;
+    private readonly peerBytes: Counter<"purpose" | "link">;
 
     constructor() {
         collectDefaultMetrics({ register: this.registry });
@@ -18,6 +28,12 @@
             labelNames: ["name"],
             registers: [this.registry]
         });
+        this.peerBytes = new Counter({
+            name: "skylarkpath_peer_bytes_total",
+            help: "Bytes of messages between processes and their replies, without headers, by purpose and link",
+            labelNames: ["purpose", "link"],
+            registers: [this.registry]
+        });
         this.durations = new Histogram({
             name: "skylarkpath_request_duration_seconds",
             help: "Time from the arrival of a submitted request to its reply",
@@ -27,6 +43,11 @@
         });
     }
 
+    /** Counts the bytes of a message between processes and of its reply. */
+    public countPeerBytes(purpose: string, link: LinkKind, sizeBytes: number): void {
+        this.peerBytes.inc({ purpose, link }, sizeBytes);
+    }
+
     /** Counts an event. */
     public countEvent(definition: EventDefinition): void {
         this.events.inc({ name: definition.name });
