--- a/packages/skylark/src/SkylarkCli.test.ts
+++ b/packages/skylark/src/SkylarkCli.test.ts
@@ -162,6 +162,12 @@
     t.is(exitCode, ExitCode.Conflict);
     t.regex(errors, /conflict: version 9 won; .* version 7/);
     t.regex(output, /^-share = 5\n\+share = 3$/m);
+    const same = await serve(t, {
+        "GET /v1/config": { status: 200, body: { version: 9, text: GOOD_TEXT } },
+        "PUT /v1/config": { status: 409, body: problem }
+    });
+    const unchanged = await runOn(same, "config", "apply", "good.toml", "--base", "7");
+    t.is(unchanged.output, "good.toml is the same as version 9\n");
 });
 
 test("config apply sends nothing for a text with findings and prints those of the server", async t => {
@@ -196,7 +202,7 @@
     const second = await serve(t, { "GET /v1/config": { status: 200, body: { version: 4, text: GOOD_TEXT } } });
     const servers = `${UNREACHABLE},${first.url}/,${second.url}`;
     const shown = await run(["config", "show"], { SKYLARK_SERVER: servers });
-    t.deepEqual(shown, { exitCode: ExitCode.Ok, output: `# version 4\n${GOOD_TEXT}`, errors: "" });
+    t.deepEqual(shown, { exitCode: ExitCode.Ok, output: GOOD_TEXT, errors: "version 4\n" });
     t.deepEqual([first.calls.length, second.calls.length], [1, 1]);
 });
 
@@ -258,13 +264,15 @@
 test("the time line is printed as text, as JSON and as a trace", async t => {
     const event = { number: 12, name: "taskStarted", time: { wallClockMs: 1_000, counter: 2 }, processId: "vantaa-1" };
     const events = [
-        { ...event, requestId: "r1", fields: { worker: "w\n1" } },
+        { ...event, requestId: "r1", fields: { worker: "w\n1", requestId: "r1" } },
         { ...event, processId: "oulu-1", time: { wallClockMs: 1_005, counter: 0 }, requestId: "r1", fields: {} }
     ];
     const timeline = { events, notReached: ["oulu-2"] };
     const server = await serve(t, {
-        "GET /v1/timeline?requestId=r1&sinceMs=600000": { status: 200, body: timeline }
+        "GET /v1/timeline?requestId=r1&sinceMs=600000": { status: 200, body: timeline },
+        "GET /v1/timeline": { status: 200, body: { events: [], notReached: [] } }
     });
+    t.deepEqual(await runOn(server, "timeline"), { exitCode: ExitCode.Ok, output: "", errors: "" });
     const query = ["timeline", "--request", "r1", "--since", "10m"];
     const { output, errors } = await runOn(server, ...query);
     t.is(output.split("\n")[0], "1970-01-01T00:00:01.000Z+2 vantaa-1 12 taskStarted request=r1 worker=\"w\\n1\"");
--- a/packages/skylark/src/commands/ConfigApplyCommand.ts
+++ b/packages/skylark/src/commands/ConfigApplyCommand.ts
@@ -77,8 +77,10 @@
     }
 
     private printConflict(winningVersion: number, comparedVersion: number, difference: string): void {
-        const compared = `difference of version ${comparedVersion} to ${this.file}:`;
-        this.printData({ winningVersion, comparedVersion, difference }, () => `${compared}\n${difference}`);
+        const compared = difference === ""
+            ? `${this.file} is the same as version ${comparedVersion}`
+            : `difference of version ${comparedVersion} to ${this.file}:\n${difference}`;
+        this.printData({ winningVersion, comparedVersion, difference }, () => compared);
         this.printError(`conflict: version ${winningVersion} won; the text was edited from version ${this.base}`);
     }
 }
--- a/packages/skylark/src/commands/ConfigShowCommand.ts
+++ b/packages/skylark/src/commands/ConfigShowCommand.ts
@@ -3,18 +3,24 @@
 import { ExitCode } from "../ExitCode.js";
 import { ServerCommand } from "./ServerCommand.js";
 
-/** Prints the text in force. */
+/** Prints the text in force as it was applied, so that it can be edited and applied again. */
 export class ConfigShowCommand extends ServerCommand {
     public static override readonly paths = [["config", "show"]];
-    public static override readonly usage = Command.Usage({ description: "Print the text in force" });
+    public static override readonly usage = Command.Usage({
+        description: "Print the text in force; its version goes to the standard error"
+    });
 
     protected async run(client: OperatorsClient): Promise<ExitCode> {
         const config = await client.readConfig();
         if (config.isErr()) {
             return this.fail(config.error);
         }
-        const { version, text } = config.value;
-        this.printData(config.value, () => `# version ${version}\n${text.trimEnd()}`);
+        if (this.json) {
+            this.printJson(config.value);
+            return ExitCode.Ok;
+        }
+        this.context.stdout.write(config.value.text);
+        this.context.stderr.write(`version ${config.value.version}\n`);
         return ExitCode.Ok;
     }
 }
--- a/packages/skylark/src/commands/ServerCommand.ts
+++ b/packages/skylark/src/commands/ServerCommand.ts
@@ -50,14 +50,24 @@
     /** Runs the command and returns its exit code. */
     protected abstract run(client: OperatorsClient): Promise<ExitCode>;
 
-    /** Prints text of the command's result. */
-    protected print(text: string): void {
-        this.context.stdout.write(`${text}\n`);
+    /** Prints lines of the command's result; nothing for an empty text. */
+    protected printText(text: string): void {
+        this.context.stdout.write(text === "" ? "" : `${text}\n`);
     }
 
     /** Prints the data as JSON or as text, as the call asks. */
     protected printData(data: object, renderText: () => string): void {
-        this.print(this.json ? JSON.stringify(data, undefined, JSON_INDENT) : renderText());
+        if (this.json) {
+            this.printJson(data);
+        }
+        else {
+            this.printText(renderText());
+        }
+    }
+
+    /** Prints the data as JSON. */
+    protected printJson(data: object): void {
+        this.printText(JSON.stringify(data, undefined, JSON_INDENT));
     }
 
     /** Prints what went wrong. */
--- a/packages/skylark/src/commands/TimelineCommand.ts
+++ b/packages/skylark/src/commands/TimelineCommand.ts
@@ -40,7 +40,7 @@
             return this.fail(timeline.error);
         }
         if (this.format === TimelineFormat.Trace) {
-            this.print(JSON.stringify(createTrace(timeline.value)));
+            this.printText(JSON.stringify(createTrace(timeline.value)));
         }
         else {
             this.printData(timeline.value, () => renderTimeline(timeline.value));
--- a/packages/skylark/src/output/TimelineText.ts
+++ b/packages/skylark/src/output/TimelineText.ts
@@ -3,21 +3,24 @@
 import { escapeControlCharacters } from "@skylarkpath/text/ControlCharacters";
 import { renderTime } from "./Time.js";
 
+const REQUEST_FIELD = "requestId";
+
 /** Renders events one a line. */
 export function renderTimeline(timeline: TimelineReply): string {
     return timeline.events.map(event => escapeControlCharacters(renderEvent(event))).join("\n");
 }
 
 function renderEvent(event: TimelineEvent): string {
+    const requestId = event.requestId ?? event.fields[REQUEST_FIELD];
     const fields = Object.entries(event.fields)
-        .filter(([, value]) => value !== undefined)
+        .filter(([name, value]) => value !== undefined && name !== REQUEST_FIELD)
         .map(([name, value]) => `${name}=${typeof value === "string" ? JSON.stringify(value) : value}`);
     return [
         `${renderTime(event.time.wallClockMs)}+${event.time.counter}`,
         event.processId,
         event.number,
         event.name,
-        ...(event.requestId === undefined ? [] : [`request=${event.requestId}`]),
+        ...(requestId === undefined ? [] : [`request=${requestId}`]),
         ...fields
     ].join(" ");
 }
