--- a/packages/decisions/src/SchedulingFaults.test.ts
+++ b/packages/decisions/src/SchedulingFaults.test.ts
@@ -90,12 +90,15 @@
 });
 
 test("230 teams get equal parts of a full fleet", t => {
-    const { model } = createFixture(115, 4);
+    const { model, scheduler } = createFixture(115, 4);
     for (let team = 0; team < 230; team++) {
         model.setTeam(`team${team}`, cores(460));
         model.submit(createGroup(`g${team}`, team === 0 ? 200 : 4, { team: `team${team}` }));
     }
-    t.is(model.decide(0).length, 460);
+    t.is(model.decide(0).length, 250);
+    t.true(scheduler.hasMore());
+    t.is(model.decide(0).length, 210);
+    t.false(scheduler.hasMore());
     const used = [...Array(230).keys()].map(team => model.usageOf(`team${team}`).processorMillicores);
     t.deepEqual(new Set(used), new Set([2000]));
 });
@@ -135,3 +138,27 @@
     model.end("batch-0", TaskEnd.Succeeded, 500);
     t.deepEqual(model.decide(500), ["service-0"]);
 });
+
+test("a task found on two workers is counted on both until it ended", t => {
+    const { model, scheduler } = createFixture(2, 4);
+    scheduler.submit(createGroup("g", 1, { resources: cores(3) }));
+    scheduler.adopt("g-0", "g", "w0", 0);
+    scheduler.adopt("g-0", "g", "w1", 0);
+    t.is(scheduler.usage("a").processorMillicores, 6000);
+    scheduler.submit(createGroup("next", 2, { resources: cores(4), submittedAtMs: 1 }));
+    t.is(scheduler.decide(1).length, 0);
+    scheduler.taskEnded("g-0", TaskEnd.Succeeded, 2);
+    t.is(scheduler.usage("a").processorMillicores, 0);
+    t.is(scheduler.decide(2).length, 2);
+    t.deepEqual(model.faults, []);
+});
+
+test("a task adopted on a worker that is not known yet takes its room when the worker appears", t => {
+    const { model, scheduler } = createFixture(0, 0);
+    scheduler.submit(createGroup("g", 2, { resources: cores(3) }));
+    scheduler.adopt("g-0", "g", "w0", 0);
+    model.setWorker("w0", cores(4));
+    t.is(scheduler.decide(0).length, 0);
+    scheduler.taskEnded("g-0", TaskEnd.Succeeded, 1);
+    t.is(scheduler.decide(1).length, 1);
+});
