--- a/packages/common/src/platform/TableService.ts
+++ b/packages/common/src/platform/TableService.ts
@@ -70,3 +70,6 @@
 
 /** Key of the one row of the config table that holds the operators' text. */
 export const CONFIG_ROW_KEY = "text";
+
+/** Key of the row of the config table that tells the version of the text. */
+export const TEXT_VERSION_ROW_KEY = "text-version";
--- a/packages/control/src/config/ConfigTable.ts
+++ b/packages/control/src/config/ConfigTable.ts
@@ -1,6 +1,12 @@
 import type { VersionedText } from "@skylarkpath/common/model/OperatorsText";
 import type { StoreError } from "@skylarkpath/common/platform/StoreError";
-import { CONFIG_ROW_KEY, TableName, type TableRow, type TableService } from "@skylarkpath/common/platform/TableService";
+import {
+    CONFIG_ROW_KEY,
+    TableName,
+    type TableRow,
+    type TableService,
+    TEXT_VERSION_ROW_KEY
+} from "@skylarkpath/common/platform/TableService";
 import { err, ok, type Result } from "neverthrow";
 import type { GroupCommitWriter, WriteError } from "../store/GroupCommitWriter.js";
 
@@ -9,8 +15,6 @@
     readonly rowVersion: number;
 }
 
-const VERSION_ROW_KEY = "text-version";
-
 /** Rows of the operators' text in the table service; a small row tells its version. */
 export class ConfigTable {
     constructor(private readonly table: TableService, private readonly writer: GroupCommitWriter) {}
@@ -34,7 +38,7 @@
     public async readVersion(): Promise<
         Result<{ readonly version: number; readonly rowVersion: number; }, StoreError>
     > {
-        const row = await this.table.read(TableName.Config, VERSION_ROW_KEY);
+        const row = await this.table.read(TableName.Config, TEXT_VERSION_ROW_KEY);
         return row.map(found => ({ version: Number(found?.value ?? 0), rowVersion: found?.version ?? 0 }));
     }
 
@@ -44,7 +48,7 @@
             conditions: () => [{ table: TableName.Config, key: CONFIG_ROW_KEY, version: rowVersion }],
             mutations: () => [
                 { table: TableName.Config, key: CONFIG_ROW_KEY, value: { ...next } },
-                { table: TableName.Config, key: VERSION_ROW_KEY, value: next.version }
+                { table: TableName.Config, key: TEXT_VERSION_ROW_KEY, value: next.version }
             ]
         });
     }
@@ -55,7 +59,7 @@
         readonly key: string;
         readonly version: number;
     } {
-        return { table: TableName.Config, key: VERSION_ROW_KEY, version: rowVersion };
+        return { table: TableName.Config, key: TEXT_VERSION_ROW_KEY, version: rowVersion };
     }
 }
 
