--- a/packages/decisions/src/groups/GroupState.ts
+++ b/packages/decisions/src/groups/GroupState.ts
@@ -9,6 +9,8 @@
 import type { Shape } from "./Shape.js";
 import { TaskFailures } from "./TaskFailures.js";
 
+const NO_IDS: ReadonlySet<string> = new Set();
+
 /** Group with its waiting and running tasks. */
 export class GroupState implements HeapElement, FailureSource {
     public heapIndex = NOT_IN_HEAP;
@@ -25,12 +27,13 @@
     public preemptionCount = 0;
     /** Where the replicas of a service run. */
     public readonly spread: ReplicaSpread | undefined;
-    private readonly failures = new Map<string, TaskFailures>();
-    private readonly failedWorkers = new Set<string>();
+    /** Collections that few groups need are created when first used. */
+    private failures: Map<string, TaskFailures> | undefined;
+    private failedWorkers: Set<string> | undefined;
     /** Tasks that wait for a delay after a failure. */
-    private readonly delayedIds = new Set<string>();
+    private delayedIds: Set<string> | undefined;
     private readonly waitingIds = new Set<string>();
-    private readonly finishedIds = new Set<string>();
+    private finishedIds: Set<string> | undefined;
     /** Waiting tasks, next one last; may hold ids that no longer wait. */
     private waitingOrder: string[] = [];
 
@@ -57,21 +60,21 @@
     }
 
     public get delayedCount(): number {
-        return this.delayedIds.size;
+        return this.delayedIds?.size ?? 0;
     }
 
     /** Nothing waits and nothing runs. */
     public get isDone(): boolean {
-        return this.waitingIds.size === 0 && this.delayedIds.size === 0 && this.running.size === 0;
+        return this.waitingIds.size === 0 && this.delayedCount === 0 && this.running.size === 0;
     }
 
     /** Distinct workers on which tasks of the group failed. */
     public get failedWorkerCount(): number {
-        return this.failedWorkers.size;
+        return this.failedWorkers?.size ?? 0;
     }
 
     public get failedWorkerIds(): ReadonlySet<string> {
-        return this.failedWorkers;
+        return this.failedWorkers ?? NO_IDS;
     }
 
     /** Makes the tasks wait that are neither waiting, running nor finished; returns how many. */
@@ -111,18 +114,19 @@
 
     /** Stops a task from waiting; returns whether it was. */
     public removeWaiting(taskId: string): boolean {
-        const delayed = this.delayedIds.delete(taskId);
+        const delayed = this.delayedIds?.delete(taskId) ?? false;
         return this.waitingIds.delete(taskId) || delayed;
     }
 
     /** Keeps a task from starting until its delay is over. */
     public delay(taskId: string): void {
+        this.delayedIds ??= new Set();
         this.delayedIds.add(taskId);
     }
 
     /** Makes a delayed task wait; returns false when it no longer is delayed. */
     public endDelay(taskId: string): boolean {
-        const delayed = this.delayedIds.delete(taskId);
+        const delayed = this.delayedIds?.delete(taskId) ?? false;
         if (delayed) {
             this.requeue(taskId, false);
         }
@@ -131,6 +135,8 @@
 
     /** Remembers that a task failed on a worker and returns all of its failures. */
     public addFailure(taskId: string, workerId: string, nowMs: number): TaskFailures {
+        this.failures ??= new Map();
+        this.failedWorkers ??= new Set();
         let failures = this.failures.get(taskId);
         if (failures === undefined) {
             failures = new TaskFailures();
@@ -143,7 +149,7 @@
 
     /** Failures of a task, if any. */
     public failuresOf(taskId: string): TaskFailures | undefined {
-        return this.failures.size === 0 ? undefined : this.failures.get(taskId);
+        return this.failures?.get(taskId);
     }
 
     /** Makes a task wait again, ahead of the others or behind them. */
@@ -162,8 +168,9 @@
 
     /** Remembers a finished task, so that it does not wait again; replicas of services may. */
     public markFinished(taskId: string): void {
-        this.failures.delete(taskId);
-        if (!this.isService) {
+        this.failures?.delete(taskId);
+        if (!this.isService && (this.waitingIds.size > 0 || this.delayedCount > 0 || this.running.size > 1)) {
+            this.finishedIds ??= new Set();
             this.finishedIds.add(taskId);
         }
     }
@@ -171,11 +178,13 @@
     /** Drops all waiting tasks. */
     public clearWaiting(): void {
         this.waitingIds.clear();
-        this.delayedIds.clear();
+        this.delayedIds?.clear();
         this.waitingOrder = [];
     }
 
     private isKnown(taskId: string): boolean {
-        return this.waitingIds.has(taskId) || this.delayedIds.has(taskId) || this.finishedIds.has(taskId);
+        return this.waitingIds.has(taskId)
+            || this.delayedIds?.has(taskId) === true
+            || this.finishedIds?.has(taskId) === true;
     }
 }
