--- a/packages/bench/src/decisions/taskComparison.ts
+++ b/packages/bench/src/decisions/taskComparison.ts
@@ -48,7 +48,7 @@
 
 function waits(result: TaskRunResult): Record<string, number> {
     const row: Record<string, number> = {};
-    for (const stream of ["service", "batch", "gang", "urgent"]) {
+    for (const stream of ["service", "batch", "short", "gang", "urgent"]) {
         const histogram = result.waitsMs.get(stream);
         if (histogram !== undefined) {
             row[`${stream}P50Ms`] = histogram.getValueAtPercentile(50);
--- a/packages/bench/src/decisions/taskShapes.ts
+++ b/packages/bench/src/decisions/taskShapes.ts
@@ -36,7 +36,17 @@
     teams: TODAY_TEAMS,
     streams: [
         createServices(0.05),
-        createBatch({ groupsPerSecond: 1.35, sizes: [size(1, 4), size(2, 4), size(2, 12), size(4, 8)] }),
+        createBatch({
+            groupsPerSecond: 0.72,
+            sizes: [size(1, 4), size(2, 4), size(2, 12), size(4, 8)],
+            durationMs: logNormal(30_000, 0.5)
+        }),
+        createBatch({
+            name: "short",
+            groupsPerSecond: 1.7,
+            sizes: [size(1, 4), size(2, 4), size(1, 6)],
+            durationMs: logNormal(3_000, 0.5)
+        }),
         {
             name: "gang",
             kind: GroupKind.Gang,
