--- /dev/null
+++ b/packages/proof/src/histories/HistoryRun.test.ts
@@ -0,0 +1,36 @@
+import { rangeOf } from "@skylarkpath/common/base/Ranges";
+import test from "ava";
+import type { History } from "../history/History.js";
+import { ALL_RULES } from "../rules/HistoryChecker.js";
+import { describeViolation } from "./HistoryReport.js";
+import { HistoryRun } from "./HistoryRun.js";
+import { composeScript } from "./ScriptComposer.js";
+
+const FIRST_SEED = 1;
+const SEED_COUNT = 40;
+/** Rules that KNOWN-RED.txt names; they are expected to find violations. */
+const KNOWN_RED = new Set<string>(["task-at-most-once", "ends"]);
+
+const histories: { readonly seed: number; readonly history: History; }[] = [];
+
+test.before(async () => {
+    for (const place of rangeOf(SEED_COUNT)) {
+        const seed = FIRST_SEED + place;
+        histories.push({ seed, history: await new HistoryRun(composeScript(seed)).run() });
+    }
+});
+
+for (const rule of ALL_RULES) {
+    const declare = KNOWN_RED.has(rule.name) ? test.failing : test;
+    declare(`${rule.name} holds in the histories of seeds ${FIRST_SEED} to ${FIRST_SEED + SEED_COUNT - 1}`, t => {
+        const found = histories.flatMap(({ history, seed }) =>
+            rule.check(history).map(violation => `seed ${seed}: ${describeViolation(history, violation)}`)
+        );
+        t.is(found.join("\n"), "");
+    });
+}
+
+test("a history repeats exactly from its seed", async t => {
+    const again = await new HistoryRun(composeScript(FIRST_SEED)).run();
+    t.deepEqual(again.events, histories[0]!.history.events);
+});
--- a/packages/proof/src/histories/ScriptComposer.ts
+++ b/packages/proof/src/histories/ScriptComposer.ts
@@ -53,8 +53,8 @@
     random => ({ kind: StepKind.StoreSlow, delayMs: between(random, 20, 1500), durationMs: durationOf(random) }),
     random => ({ kind: StepKind.StoreRepliesLost, part: random.next(), durationMs: durationOf(random) }),
     random => ({ kind: StepKind.LiveListUnavailable, durationMs: durationOf(random) }),
-    random => ({ kind: StepKind.LeaveWorker, machineId: pick(random, WORKER_IDS) }),
-    random => ({ kind: StepKind.LeaveTarget, machineId: pick(random, TARGET_IDS) }),
+    random => ({ kind: StepKind.LeaveWorker, machineId: pick(random, WORKER_IDS.filter(mayLeave)) }),
+    random => ({ kind: StepKind.LeaveTarget, machineId: pick(random, TARGET_IDS.filter(mayLeave)) }),
     random => ({ kind: StepKind.RestartWorker, machineId: pick(random, WORKER_IDS) }),
     composeEdit,
     composeEdit,
@@ -75,6 +75,11 @@
     return { seed, clockRates, steps };
 }
 
+/** One machine of each kind stays in each failure domain; the platform replaces what leaves. */
+function mayLeave(machineId: string): boolean {
+    return machineId.endsWith("-0");
+}
+
 function composeDomainCut(random: RandomSource): ScriptAction {
     const [from, to] = chance(random, 0.5) ? DOMAINS : [...DOMAINS].reverse();
     return {
--- a/packages/proof/src/host/HostTimer.ts
+++ b/packages/proof/src/host/HostTimer.ts
@@ -21,7 +21,7 @@
 
     public after(delayMs: number, callback: () => void): Disposable {
         let waiting: Disposable | undefined;
-        const timeout = this.timer.after(delayMs / this.clockRate, () => {
+        const timeout = this.timer.after(Math.ceil(delayMs / this.clockRate), () => {
             waiting = this.gate.run(callback);
         });
         return toDisposable(() => {
--- a/packages/proof/src/mutants/AllMutants.ts
+++ b/packages/proof/src/mutants/AllMutants.ts
@@ -2,21 +2,28 @@
 import { DEFAULT_WORKER_CHECKS } from "@skylarkpath/standins/memory/MemoryWorker";
 import { AtMostOnceRule } from "../rules/AtMostOnceRule.js";
 import { ConfigRule } from "../rules/ConfigRule.js";
+import { EndsRule } from "../rules/EndsRule.js";
 import { GracefulStopRule } from "../rules/GracefulStopRule.js";
+import { HandOverRule } from "../rules/HandOverRule.js";
 import { LeavingRule } from "../rules/LeavingRule.js";
 import { NeverLostRule } from "../rules/NeverLostRule.js";
 import { NotRunRule } from "../rules/NotRunRule.js";
 import { OnePlaceRule } from "../rules/OnePlaceRule.js";
+import { TaskOnceRule } from "../rules/TaskOnceRule.js";
 import { TeamKeyRule } from "../rules/TeamKeyRule.js";
 import { TeamLimitRule } from "../rules/TeamLimitRule.js";
 import { WholeAnswerRule } from "../rules/WholeAnswerRule.js";
 import { WorkerCapacityRule } from "../rules/WorkerCapacityRule.js";
 import {
+    takeAsFailed,
+    takeAsRunning,
     withDeniedDispatch,
     withFirstText,
     withoutLeaving,
+    withoutRenewals,
     withoutRowsOf,
     withoutWithdrawals,
+    withReportsChanged,
     withStaleAnswers
 } from "./BrokenEnvironments.js";
 import { adoptFirstVersionOnly, adoptLowerVersions, takeKeysForDepot } from "./BrokenProcesses.js";
@@ -80,6 +87,12 @@
         script: scripts.REPEATED_ORDER,
         broken: { changeEnvironment: withoutRowsOf([TableName.Requests, TableName.Idempotency]) }
     },
+    {
+        name: "a task that succeeded is taken as failed",
+        rule: new TaskOnceRule(),
+        script: scripts.ONE_CERTIFICATION,
+        broken: { changeEnvironment: withReportsChanged(takeAsFailed) }
+    },
     {
         name: "the live list is read without the leaving machines",
         rule: new LeavingRule(),
@@ -93,6 +106,12 @@
         script: scripts.STOP_IN_PROGRESS,
         broken: { stopProcess: async process => process.dispose() }
     },
+    {
+        name: "leases are not renewed",
+        rule: new HandOverRule(),
+        script: scripts.STOP_OF_ENTRY,
+        broken: { changeEnvironment: withoutRenewals }
+    },
     {
         name: "lower versions of the text are adopted",
         rule: new ConfigRule(),
@@ -110,5 +129,11 @@
         rule: new NeverLostRule(),
         script: scripts.ONE_BATCH,
         broken: { changeEnvironment: withoutRowsOf([TableName.Requests]) }
+    },
+    {
+        name: "the ends of tasks are not noticed",
+        rule: new EndsRule(),
+        script: scripts.ONE_BATCH,
+        broken: { changeEnvironment: withReportsChanged(takeAsRunning) }
     }
 ];
--- a/packages/proof/src/mutants/BrokenEnvironments.ts
+++ b/packages/proof/src/mutants/BrokenEnvironments.ts
@@ -7,6 +7,7 @@
     type TableTransaction
 } from "@skylarkpath/common/platform/TableService";
 import { type TargetAnswer, TargetErrorKind } from "@skylarkpath/common/platform/TargetService";
+import { WorkerCommandKind, type WorkerTaskReport, WorkerTaskState } from "@skylarkpath/common/platform/WorkerService";
 import type { ProcessEnvironment } from "@skylarkpath/control/process/ProcessEnvironment";
 import { err, ok } from "neverthrow";
 
@@ -76,6 +77,40 @@
     return { ...environment, targets: { ...targets, dispatch } };
 };
 
+/** Commands to workers lack the renewals of leases. */
+export const withoutRenewals: EnvironmentChange = environment => {
+    const { workers } = environment;
+    const exchange: typeof workers.exchange = (address, batch) => {
+        const commands = batch.commands.map(command =>
+            command.kind === WorkerCommandKind.Renew ? { ...command, taskIds: [] } : command
+        );
+        return workers.exchange(address, { ...batch, commands });
+    };
+    return { ...environment, workers: { exchange } };
+};
+
+/** Replies of workers report tasks under another state. */
+export function withReportsChanged(change: (report: WorkerTaskReport) => WorkerTaskReport): EnvironmentChange {
+    return environment => {
+        const { workers } = environment;
+        const exchange: typeof workers.exchange = async (address, batch) => {
+            const reply = await workers.exchange(address, batch);
+            return reply.map(value => ({ ...value, reports: value.reports.map(change) }));
+        };
+        return { ...environment, workers: { exchange } };
+    };
+}
+
+/** Takes a task that succeeded for one that failed. */
+export function takeAsFailed(report: WorkerTaskReport): WorkerTaskReport {
+    return report.state === WorkerTaskState.Succeeded ? { ...report, state: WorkerTaskState.Failed } : report;
+}
+
+/** Takes every task for one that runs. */
+export function takeAsRunning(report: WorkerTaskReport): WorkerTaskReport {
+    return { ...report, state: WorkerTaskState.Running };
+}
+
 /** The live list shows no machine as leaving. */
 export const withoutLeaving: EnvironmentChange = environment => {
     const { liveList } = environment;
--- a/packages/proof/src/mutants/MutantScripts.ts
+++ b/packages/proof/src/mutants/MutantScripts.ts
@@ -112,3 +112,9 @@
 
 /** One batch job. */
 export const ONE_BATCH = script(submit(100, { ...BATCH, durationMs: 500 }));
+
+/** One batch job that must not be repeated. */
+export const ONE_CERTIFICATION = script(submit(100, { ...BATCH, queue: "certification", durationMs: 500 }));
+
+/** A planned stop of a process that owns nothing, while services run. */
+export const STOP_OF_ENTRY = script(at(500, { kind: StepKind.Stop, processId: OTHER_ENTRY, replacedAfterMs: 1000 }));
--- /dev/null
+++ b/packages/proof/src/rules/EndsRule.ts
@@ -0,0 +1,31 @@
+import type { History } from "../history/History.js";
+import { HistoryEventKind } from "../history/HistoryEvent.js";
+import type { HistoryRule, Violation } from "./HistoryRule.js";
+import { isDurable, isTaken, isVerdict, requestsOf, type SubmissionView } from "./RequestView.js";
+
+/** Every accepted request ends once faults have ended and time has passed. */
+export class EndsRule implements HistoryRule {
+    public readonly name = "ends";
+
+    public check(history: History): readonly Violation[] {
+        const quiesced = history.of(HistoryEventKind.Quiesced).at(-1);
+        if (!quiesced) {
+            return [];
+        }
+        return requestsOf(history)
+            .flatMap(request => request.submissions)
+            .filter(isUnfinished)
+            .map(view => {
+                const { payload, submissionId } = view.submitted.submission;
+                const waiting = view.told.at(-1)?.waiting ?? "nothing that is known";
+                const message = `${submissionId} never ended; it waits for ${waiting}`;
+                return { rule: this.name, atMs: quiesced.atMs, message, subjects: [payload] };
+            });
+    }
+}
+
+function isUnfinished(view: SubmissionView): boolean {
+    const last = view.told.at(-1);
+    const isOpen = last !== undefined && isTaken(last) && !view.told.some(isVerdict);
+    return isOpen && isDurable(view.submitted.submission);
+}
--- /dev/null
+++ b/packages/proof/src/rules/HandOverRule.ts
@@ -0,0 +1,47 @@
+import { WorkerTaskState } from "@skylarkpath/common/platform/WorkerService";
+import type { History } from "../history/History.js";
+import { type HistoryEvent, HistoryEventKind } from "../history/HistoryEvent.js";
+import type { HistoryRule, Violation } from "./HistoryRule.js";
+
+/** Time after a planned stop within which the leases of tasks would lapse if nobody renewed them. */
+const LEASE_WINDOW_MS = 15_000;
+
+/** A planned stop of an owner lets no lease of a running task lapse. */
+export class HandOverRule implements HistoryRule {
+    public readonly name = "hand-over";
+
+    /** Judges only stops that no fault came together with. */
+    public check(history: History): readonly Violation[] {
+        const violations: Violation[] = [];
+        let lastStopMs = -Infinity;
+        let lastFaultMs = -Infinity;
+        let openFaults = 0;
+        for (const event of history.events) {
+            if (event.kind === HistoryEventKind.StopBegan) {
+                lastStopMs = event.atMs;
+            }
+            openFaults += changeOfFaults(event);
+            if (openFaults > 0 || isFault(event)) {
+                lastFaultMs = event.atMs;
+            }
+            const isLapse = event.kind === HistoryEventKind.TaskChanged && event.state === WorkerTaskState.LeaseLapsed;
+            const followsStop = event.atMs - lastStopMs <= LEASE_WINDOW_MS;
+            if (isLapse && followsStop && event.atMs - lastFaultMs > 2 * LEASE_WINDOW_MS) {
+                const message = `the lease of ${event.taskId} lapsed after a planned stop`;
+                violations.push({ rule: this.name, atMs: event.atMs, message, subjects: [event.taskId] });
+            }
+        }
+        return violations;
+    }
+}
+
+function changeOfFaults(event: HistoryEvent): number {
+    if (event.kind === HistoryEventKind.FaultBegan) {
+        return 1;
+    }
+    return event.kind === HistoryEventKind.FaultEnded ? -1 : 0;
+}
+
+function isFault(event: HistoryEvent): boolean {
+    return event.kind === HistoryEventKind.ProcessKilled || event.kind === HistoryEventKind.FaultEnded;
+}
--- a/packages/proof/src/rules/RequestView.ts
+++ b/packages/proof/src/rules/RequestView.ts
@@ -1,8 +1,9 @@
+import { QueueKind } from "@skylarkpath/common/model/OperatorsText";
 import { isFinal, OutcomeReason, OutcomeState } from "@skylarkpath/common/model/Request";
 import { AttemptState } from "@skylarkpath/common/platform/TargetService";
 import { WorkerTaskState } from "@skylarkpath/common/platform/WorkerService";
 import type { History } from "../history/History.js";
-import { HistoryEventKind, type HistoryEventOf } from "../history/HistoryEvent.js";
+import { HistoryEventKind, type HistoryEventOf, type Submission } from "../history/HistoryEvent.js";
 
 /** A start of work at a worker or target. */
 export interface WorkStart {
@@ -51,6 +52,17 @@
     return isFinal(outcome) && !isOpen;
 }
 
+/** Tells whether a request must outlive the processes that serve it. */
+export function isDurable(submission: Submission): boolean {
+    return submission.queueKind !== QueueKind.Lookup || !submission.queueIdempotent;
+}
+
+/** Tells whether an outcome says that the request was accepted. */
+export function isTaken(event: HistoryEventOf<HistoryEventKind.Told>): boolean {
+    const { state } = event.outcome;
+    return state === OutcomeState.Accepted || state === OutcomeState.Running || state === OutcomeState.Done;
+}
+
 function collectStarts(history: History): ReadonlyMap<string, readonly WorkStart[]> {
     const starts: (WorkStart & { readonly payload: string; })[] = [];
     for (const event of history.events) {
