--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -25,9 +25,35 @@
     configInvalid: define(1204, "config-invalid", EventLevel.Error, "A stored text has findings and was not adopted."),
     keyGranted: define(1301, "key-granted", EventLevel.Info, "A team key was granted."),
     keyWithdrawn: define(1302, "key-withdrawn", EventLevel.Info, "A team key was withdrawn."),
+    withdrawalIncomplete: define(
+        1311,
+        "withdrawal-incomplete",
+        EventLevel.Warning,
+        "A withdrawal is neither in the store nor acknowledged by every live process."
+    ),
+    allotmentsMoved: define(
+        1801,
+        "allotments-moved",
+        EventLevel.Info,
+        "Grants of the teams' limits were moved between slices."
+    ),
+    allotmentGivenBack: define(1802, "allotment-given-back", EventLevel.Info, "An owner lowered grants of its slice."),
     sliceAcquired: define(1401, "slice-acquired", EventLevel.Info, "This process owns a slice."),
     sliceLost: define(1402, "slice-lost", EventLevel.Warning, "This process no longer owns a slice."),
     sliceHandedOver: define(1403, "slice-handed-over", EventLevel.Info, "A slice was handed to its successor."),
+    sliceTakenUnrecorded: define(
+        1421,
+        "slice-taken-unrecorded",
+        EventLevel.Warning,
+        "A named successor took a slice over without the store."
+    ),
+    sliceTakenFromHandOver: define(1422, "slice-received", EventLevel.Info, "A slice was received with its state."),
+    processPaused: define(
+        1423,
+        "process-paused",
+        EventLevel.Warning,
+        "The process was paused; it commands nothing before its ownership is confirmed."
+    ),
     workerFenced: define(1411, "worker-fenced", EventLevel.Info, "A worker takes commands of this epoch only."),
     workerLost: define(
         1412,
--- a/packages/common/src/model/Slice.ts
+++ b/packages/common/src/model/Slice.ts
@@ -2,7 +2,8 @@
 
 /** Process named to take a slice over, with the epoch assigned to it beforehand. */
 export interface Successor {
-    readonly processId: string;
+    /** Name of the process with its incarnation. */
+    readonly owner: string;
     readonly epoch: number;
 }
 
@@ -10,9 +11,13 @@
 export interface SliceRecord {
     readonly sliceId: string;
     readonly failureDomain: string;
+    /** Empty when the slice was left without a successor. */
     readonly owner: string;
     readonly epoch: number;
+    /** In order; a successor stays named until it has certainly ended. */
     readonly successors: readonly Successor[];
+    /** Workers that owners have used; each is recorded before its first use. */
+    readonly workers: readonly string[];
 }
 
 /** Part of a team's upper limit that one slice may spend. */
@@ -21,12 +26,21 @@
     readonly slots: number;
 }
 
-/** Allotments of all teams for one slice. */
+/** What a slice was granted of a team's upper limit. */
+export interface TeamEscrow {
+    /** Counted against the limit; only the owner of the slice lowers it. */
+    readonly granted: TeamAllotment;
+    /** Lower amount that the coordinator asks for. */
+    readonly target?: TeamAllotment;
+    /** Upper limit of the team when the grant was made. */
+    readonly limit: TeamAllotment;
+}
+
+/** Row of the table service with what one slice was granted of all teams' limits. */
 export interface SliceAllotment {
     readonly sliceId: string;
     readonly version: number;
-    readonly configVersion: number;
-    readonly teams: Readonly<Record<string, TeamAllotment>>;
+    readonly teams: Readonly<Record<string, TeamEscrow>>;
 }
 
 /** Granted team key; only the hash of its secret is kept. */
--- /dev/null
+++ b/packages/control/src/limits/AllotmentCoordinator.ts
@@ -0,0 +1,186 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { OperatorsText } from "@skylarkpath/common/model/OperatorsText";
+import type { TeamEscrow } from "@skylarkpath/common/model/Slice";
+import type { ConfigController } from "../config/ConfigController.js";
+import { ConfigTable } from "../config/ConfigTable.js";
+import { type MembershipController, PeerState } from "../membership/MembershipController.js";
+import type { PeerClient } from "../peer/PeerClient.js";
+import { demandDeltaSchema, PeerMethod } from "../peer/PeerMessages.js";
+import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
+import type { ProcessOptions } from "../process/ProcessOptions.js";
+import type { SliceDirectory } from "../slice/SliceDirectory.js";
+import type { GroupCommitWriter } from "../store/GroupCommitWriter.js";
+import { type AllotmentController, isLost } from "./AllotmentController.js";
+import { type AllotmentRow, AllotmentTable } from "./AllotmentTable.js";
+import { planTeam, type SliceEscrow, type TeamDemand } from "./EscrowPlanner.js";
+
+interface KnownDemand {
+    readonly owner: string;
+    readonly sequence: number;
+    readonly teams: ReadonlyMap<string, TeamDemand>;
+}
+
+interface Round {
+    readonly text: OperatorsText;
+    readonly textRowVersion: number;
+    readonly roundVersion: number;
+    readonly rows: readonly AllotmentRow[];
+}
+
+/** Moves the teams' allotments between slices towards the demand, in one transaction for each round. */
+export class AllotmentCoordinator implements Disposable {
+    private readonly store = new DisposableStore();
+    private readonly demands = new Map<string, KnownDemand>();
+    private readonly table: AllotmentTable;
+    private readonly configTable: ConfigTable;
+    private busy = false;
+    private disposed = false;
+
+    constructor(
+        private readonly environment: ProcessEnvironment,
+        private readonly options: ProcessOptions,
+        private readonly config: ConfigController,
+        private readonly membership: MembershipController,
+        private readonly directory: SliceDirectory,
+        private readonly peerClient: PeerClient,
+        writer: GroupCommitWriter,
+        private readonly allotments: AllotmentController
+    ) {
+        this.table = new AllotmentTable(environment.table, writer);
+        this.configTable = new ConfigTable(environment.table, writer);
+        this.store.add(config.onChange(() => void this.rebalance()));
+    }
+
+    /** Begins to rebalance while this process is the one to do so. */
+    public start(): void {
+        this.store.add(this.environment.timer.every(this.options.rebalanceIntervalMs, () => void this.rebalance()));
+    }
+
+    public dispose(): void {
+        this.disposed = true;
+        this.store.dispose();
+    }
+
+    /** The first live process coordinates; two that both believe so are kept apart by the row of the round. */
+    private get isCoordinator(): boolean {
+        const { processId } = this.environment.identity;
+        return !this.membership.peers.some(peer =>
+            peer.state === PeerState.Alive
+            && !peer.heartbeat.stopping
+            && peer.heartbeat.storeReached
+            && peer.heartbeat.processId < processId
+        );
+    }
+
+    private async rebalance(): Promise<void> {
+        if (this.busy || this.disposed || !this.isCoordinator) {
+            return;
+        }
+        this.busy = true;
+        const round = await this.readRound();
+        if (round) {
+            await this.askOwners();
+            await this.commit(round, this.plan(round));
+        }
+        this.busy = false;
+    }
+
+    private async readRound(): Promise<Round | undefined> {
+        const stored = await this.configTable.readVersion();
+        const all = await this.table.readAll();
+        const current = this.config.current;
+        if (stored.isErr() || all.isErr() || !current || stored.value.version !== current.version) {
+            return undefined;
+        }
+        const { rows, roundVersion } = all.value;
+        return { text: current.parsed, textRowVersion: stored.value.rowVersion, roundVersion, rows };
+    }
+
+    private async askOwners(): Promise<void> {
+        const sliceIds = this.directory.all.map(location => location.sliceId);
+        await Promise.all(sliceIds.map(sliceId => this.askOwner(sliceId)));
+    }
+
+    private async askOwner(sliceId: string): Promise<void> {
+        const location = this.directory.locate(sliceId)!;
+        const owner = `${location.processId}/${location.epoch}`;
+        const known = this.demands.get(sliceId);
+        const since = known?.owner === owner ? known.sequence : 0;
+        const reply = location.processId === this.environment.identity.processId
+            ? this.allotments.demandOf(sliceId, since)
+            : await this.askPeer(location.address, sliceId, since);
+        const delta = demandDeltaSchema.safeParse(reply);
+        if (!delta.success) {
+            this.demands.delete(sliceId);
+            return;
+        }
+        const teams = new Map(since > 0 ? known!.teams : []);
+        for (const [team, demand] of Object.entries(delta.data.teams)) {
+            teams.set(team, demand);
+        }
+        this.demands.set(sliceId, { owner, sequence: delta.data.sequence, teams });
+    }
+
+    private async askPeer(address: string, sliceId: string, since: number): Promise<unknown> {
+        const reply = await this.peerClient.call<unknown>(
+            address,
+            PeerMethod.ReadDemand,
+            { sliceId, since },
+            this.options.peerTimeoutMs
+        );
+        return reply.isOk() ? reply.value : undefined;
+    }
+
+    private plan(round: Round): ReadonlyMap<string, Readonly<Record<string, TeamEscrow>>> {
+        const sliceIds = new Set([
+            ...round.rows.map(row => row.allotment.sliceId),
+            ...this.directory.all.map(location => location.sliceId)
+        ]);
+        const escrows = new Map(round.rows.map(row => [row.allotment.sliceId, row.allotment.teams]));
+        const changes = new Map<string, Record<string, TeamEscrow>>();
+        for (const team of round.text.teams) {
+            const slices = [...sliceIds].sort().map((sliceId): SliceEscrow => ({
+                sliceId,
+                escrow: escrows.get(sliceId)?.[team.name],
+                demand: this.demands.get(sliceId)?.teams.get(team.name),
+                lost: isLost(round.text, sliceId)
+            }));
+            for (const [sliceId, escrow] of planTeam(team.limit, slices)) {
+                const teams = changes.get(sliceId) ?? {};
+                changes.set(sliceId, { ...teams, [team.name]: escrow });
+            }
+        }
+        return changes;
+    }
+
+    private async commit(
+        round: Round,
+        changes: ReadonlyMap<string, Readonly<Record<string, TeamEscrow>>>
+    ): Promise<void> {
+        if (changes.size === 0) {
+            return;
+        }
+        const rows = [...changes].map(([sliceId, teams]) => nextRow(sliceId, teams, round.rows));
+        const written = await this.table.commitRound(rows, round.textRowVersion, round.roundVersion);
+        if (written.isOk()) {
+            this.environment.log.write(EVENTS.allotmentsMoved, { slices: rows.length });
+        }
+    }
+}
+
+function nextRow(
+    sliceId: string,
+    teams: Readonly<Record<string, TeamEscrow>>,
+    rows: readonly AllotmentRow[]
+): AllotmentRow {
+    const known = rows.find(row => row.allotment.sliceId === sliceId);
+    return {
+        rowVersion: known?.rowVersion ?? 0,
+        allotment: {
+            sliceId,
+            version: (known?.allotment.version ?? 0) + 1,
+            teams: { ...known?.allotment.teams, ...teams }
+        }
+    };
+}
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -7,6 +7,7 @@
 import { type DescribeReply, RequestController } from "../entry/RequestController.js";
 import { KeyController } from "../keys/KeyController.js";
 import { AllotmentController } from "../limits/AllotmentController.js";
+import { AllotmentCoordinator } from "../limits/AllotmentCoordinator.js";
 import { MembershipController, PeerState } from "../membership/MembershipController.js";
 import { PeerClient } from "../peer/PeerClient.js";
 import {
@@ -17,11 +18,13 @@
     releaseSchema,
     submitSchema
 } from "../peer/PeerMessages.js";
+import { HandoverController } from "../slice/HandoverController.js";
 import { OwnershipController } from "../slice/OwnershipController.js";
 import { type OwnedSlice, SliceController } from "../slice/SliceController.js";
 import { SliceDirectory } from "../slice/SliceDirectory.js";
 import { type GroupCommitCounts, GroupCommitWriter } from "../store/GroupCommitWriter.js";
 import { RequestStore } from "../store/RequestStore.js";
+import { PauseDetector } from "./PauseDetector.js";
 import { ownerNameOf, type ProcessEnvironment } from "./ProcessEnvironment.js";
 import type { ProcessOptions } from "./ProcessOptions.js";
 
@@ -34,7 +37,10 @@
     private readonly writer: GroupCommitWriter;
     private readonly requestStore: RequestStore;
     private readonly allotments: AllotmentController;
+    private readonly coordinator: AllotmentCoordinator;
     private readonly ownership: OwnershipController;
+    private readonly handovers: HandoverController;
+    private readonly pauses: PauseDetector;
     private stopping = false;
     private startedMs = 0;
 
@@ -62,7 +68,8 @@
             environment.transport,
             environment.methods,
             environment.clock,
-            log
+            log,
+            timer
         );
         this.writer = new GroupCommitWriter(table, timer, ownerNameOf(identity), options, environment.random, log);
         this.requestStore = new RequestStore(table, environment.objects, this.writer, options.inlineLimitBytes);
@@ -70,12 +77,45 @@
         this.config = this.store.add(
             new ConfigController(environment, options, this.peerClient, this.writer, this.membership)
         );
-        this.keys = this.store.add(new KeyController(environment, options, this.writer));
-        this.allotments = this.store.add(new AllotmentController(this.config));
+        this.keys = this.store.add(
+            new KeyController(environment, options, this.peerClient, this.writer, this.membership)
+        );
+        this.allotments = this.store.add(
+            new AllotmentController(
+                environment,
+                options,
+                this.config,
+                this.peerClient,
+                this.membership,
+                this.writer
+            )
+        );
+        this.pauses = this.store.add(new PauseDetector(timer, options.suspectAfterMs));
         this.directory = this.store.add(new SliceDirectory(this.membership));
+        this.coordinator = this.store.add(
+            new AllotmentCoordinator(
+                environment,
+                options,
+                this.config,
+                this.membership,
+                this.directory,
+                this.peerClient,
+                this.writer,
+                this.allotments
+            )
+        );
         this.ownership = this.store.add(
-            new OwnershipController(sliceIds, environment, options, this.membership, this.writer)
+            new OwnershipController(
+                sliceIds,
+                environment,
+                options,
+                this.membership,
+                this.writer,
+                this.peerClient,
+                this.pauses
+            )
         );
+        this.handovers = new HandoverController(environment, options, this.peerClient, this.membership, this.ownership);
         this.requests = this.store.add(
             new RequestController(
                 environment,
@@ -85,7 +125,8 @@
                 this.requestStore,
                 this.config,
                 this.keys,
-                () => this.isReady
+                () => this.isReady,
+                this.pauses
             )
         );
         this.subscribe();
@@ -116,9 +157,15 @@
     public start(): void {
         this.environment.log.write(EVENTS.processStarted);
         this.startedMs = this.environment.timer.nowMs();
-        this.membership.start(() => this.composeHeartbeat());
+        this.membership.start({
+            heartbeat: () => this.composeHeartbeat(),
+            keys: () => this.keys.status,
+            keyStatement: processIds => this.keys.statementOf(processIds)
+        });
         this.config.start();
         this.keys.start();
+        this.allotments.start();
+        this.coordinator.start();
         this.ownership.start();
     }
 
@@ -128,14 +175,20 @@
         this.stopping = true;
         this.ownership.pause();
         this.membership.beat();
+        await Promise.all(this.ownedSlices.map(slice => this.handovers.handOver(slice)));
+        this.membership.beat();
         const endMs = this.environment.timer.nowMs() + this.options.stopLimitMs;
-        while (this.requests.inProgressCount > 0 && this.environment.timer.nowMs() < endMs) {
+        while (this.isBusy && this.environment.timer.nowMs() < endMs) {
             await sleep(this.environment.timer, STOP_CHECK_INTERVAL_MS);
         }
         this.environment.log.write(EVENTS.processStopped);
         this.dispose();
     }
 
+    private get isBusy(): boolean {
+        return this.requests.inProgressCount > 0 || !this.writer.isIdle;
+    }
+
     public dispose(): void {
         for (const slice of this.slices.values()) {
             slice.dispose();
@@ -162,13 +215,15 @@
     }
 
     private acquire(slice: OwnedSlice): void {
+        const schedulers = this.allotments.openSlice(slice.sliceId, slice.guard);
         const controller = new SliceController(
             slice,
-            this.environment,
+            { ...this.environment, schedulers },
             this.options,
             this.requestStore,
             () => this.countServices(),
-            ownerName => this.isProcessAlive(ownerName)
+            ownerName => this.isProcessAlive(ownerName),
+            this.pauses
         );
         this.slices.set(slice.sliceId, controller);
         controller.onStale(() => this.ownership.resign(slice.sliceId));
@@ -185,6 +240,7 @@
     }
 
     private lose(sliceId: string): void {
+        this.allotments.closeSlice(sliceId);
         this.slices.get(sliceId)?.dispose();
         this.slices.delete(sliceId);
     }
@@ -237,10 +293,12 @@
             address: identity.address,
             configVersion: this.config.version,
             stopping: this.stopping,
+            storeReached: this.keys.isStoreReached,
             slices: this.ownedSlices.map(controller => ({
                 sliceId: controller.slice.sliceId,
                 epoch: controller.slice.epoch,
-                services: controller.runningServices
+                services: controller.runningServices,
+                rowVersion: this.ownership.rowOf(controller.slice.sliceId)?.version
             }))
         };
     }
--- /dev/null
+++ b/packages/proof/src/members/FaultyDeployment.ts
@@ -0,0 +1,197 @@
+import type { PeerHandler, PeerTransport } from "@skylarkpath/common/peer/PeerTransport";
+import { type StoreError, StoreErrorKind } from "@skylarkpath/common/platform/StoreError";
+import type { ProcessEnvironment } from "@skylarkpath/control/process/ProcessEnvironment";
+import { type ProcessOptions } from "@skylarkpath/control/process/ProcessOptions";
+import { FaultKind } from "@skylarkpath/standins/memory/FaultGate";
+import { err, type Result } from "neverthrow";
+import type { Topology } from "../Topology.js";
+import { DEFAULT_DEPLOYMENT_OPTIONS, VirtualDeployment, type VirtualProcess } from "../VirtualDeployment.js";
+import { PausableTimer } from "./PausableTimer.js";
+
+/** Bytes of one call between processes, both ways. */
+export interface PeerTraffic {
+    readonly from: string;
+    readonly to: string;
+    readonly method: string;
+    readonly bytes: number;
+    readonly crossesRegions: boolean;
+}
+
+/** Bytes so far. */
+export interface TrafficTotals {
+    /** Between regions, messages between processes and calls of the store. */
+    readonly linkBytes: number;
+    /** Sent and received by each process, by its address. */
+    readonly byProcess: ReadonlyMap<string, number>;
+}
+
+/** Virtual deployment whose links, platform and processes fail on command. */
+export class FaultyDeployment {
+    private readonly timers = new Map<string, PausableTimer>();
+    private readonly cutFromPlatform = new Set<string>();
+    private readonly cutLinks = new Set<string>();
+    private readonly trafficSeen: PeerTraffic[] = [];
+    private readonly bytesByProcess = new Map<string, number>();
+    private readonly storeRegion: string;
+    private linkBytes = 0;
+    private storeDown = false;
+
+    public readonly deployment: VirtualDeployment;
+
+    constructor(
+        topology: Topology,
+        seed: number,
+        processOptions?: Partial<ProcessOptions>,
+        defaults: typeof DEFAULT_DEPLOYMENT_OPTIONS = DEFAULT_DEPLOYMENT_OPTIONS
+    ) {
+        this.storeRegion = topology.domains[0]!.region;
+        this.deployment = new VirtualDeployment({
+            ...defaults,
+            topology,
+            seed,
+            processOptions: { ...defaults.processOptions, ...processOptions },
+            changeEnvironment: environment => this.wrap(environment)
+        });
+        this.deployment.network.setLinkPlan((from, to) => ({
+            cut: this.isCut(from, to),
+            delayMs: this.deployment.delayBetween(from, to)
+        }));
+    }
+
+    /** Calls between processes so far. */
+    public get traffic(): readonly PeerTraffic[] {
+        return this.trafficSeen;
+    }
+
+    /** Bytes so far; the store is in the region of the first failure domain. */
+    public get totals(): TrafficTotals {
+        return { linkBytes: this.linkBytes, byProcess: new Map(this.bytesByProcess) };
+    }
+
+    /** Running processes of a failure domain. */
+    public processesOf(failureDomain: string): readonly VirtualProcess[] {
+        return this.deployment.processes.filter(running => running.machine.failureDomain === failureDomain);
+    }
+
+    /** Cuts the links from one failure domain to another. */
+    public cutOneWay(from: string, to: string): void {
+        this.cutLinks.add(`${from}>${to}`);
+    }
+
+    /** Cuts the links between two failure domains both ways. */
+    public cut(left: string, right: string): void {
+        this.cutOneWay(left, right);
+        this.cutOneWay(right, left);
+    }
+
+    /** Cuts the link between two processes both ways. */
+    public cutProcesses(left: string, right: string): void {
+        const [leftAddress, rightAddress] = [left, right].map(id => this.deployment.machine(id).address);
+        this.cutLinks.add(`${leftAddress}>${rightAddress}`);
+        this.cutLinks.add(`${rightAddress}>${leftAddress}`);
+    }
+
+    /** Restores all links. */
+    public heal(): void {
+        this.cutLinks.clear();
+        this.cutFromPlatform.clear();
+    }
+
+    /** Cuts a failure domain off from the store and the live list. */
+    public cutPlatform(failureDomain: string): void {
+        this.cutFromPlatform.add(failureDomain);
+    }
+
+    /** Stops or restores the table service for all. */
+    public setStoreDown(down: boolean): void {
+        this.storeDown = down;
+        this.deployment.table.setFaultPlan(() => ({
+            kind: this.storeDown ? FaultKind.Unavailable : FaultKind.None,
+            delayMs: 0
+        }));
+    }
+
+    /** Pauses a process; its monotonic clock goes on. */
+    public pause(processId: string): void {
+        this.timers.get(processId)!.pause();
+    }
+
+    /** Resumes a paused process. */
+    public resume(processId: string): void {
+        this.timers.get(processId)!.resume();
+    }
+
+    private isCut(from: string, to: string): boolean {
+        const left = this.deployment.domainOf(from)?.failureDomain;
+        const right = this.deployment.domainOf(to)?.failureDomain;
+        return this.cutLinks.has(`${left}>${right}`) || this.cutLinks.has(`${from}>${to}`);
+    }
+
+    private wrap(environment: ProcessEnvironment): ProcessEnvironment {
+        const { processId, failureDomain } = environment.identity;
+        const timer = new PausableTimer(environment.timer);
+        this.timers.set(processId, timer);
+        const { table, liveList, methods } = environment;
+        const readLiveList = (): ReturnType<typeof liveList.read> => liveList.read();
+        const guard =
+            <A extends readonly unknown[], T>(call: (...parameters: A) => Promise<Result<T, StoreError>>) =>
+            async (...parameters: A): Promise<Result<T, StoreError>> => {
+                const isRemote = environment.identity.region !== this.storeRegion && (call as unknown) !== readLiveList;
+                const isCut = this.cutFromPlatform.has(failureDomain);
+                const result = isCut ? err(unavailable()) : await call(...parameters);
+                const reply = result.isOk() ? result.value ?? "" : "";
+                this.count([environment.identity.address], sizeOf(parameters) + sizeOf(reply), isRemote);
+                await timer.whenRunning();
+                return result;
+            };
+        return {
+            ...environment,
+            timer,
+            table: {
+                read: guard((name, key) => table.read(name, key)),
+                scan: guard(request => table.scan(request)),
+                commit: guard(transaction => table.commit(transaction))
+            },
+            liveList: { read: guard(readLiveList) },
+            transport: this.wrapTransport(environment.transport, environment.identity.address, timer),
+            methods: { register: (name, handler) => methods.register(name, holdWhilePaused(timer, handler)) }
+        };
+    }
+
+    private count(addresses: readonly string[], bytes: number, crossesRegions: boolean): void {
+        this.linkBytes += crossesRegions ? bytes : 0;
+        for (const address of addresses) {
+            this.bytesByProcess.set(address, (this.bytesByProcess.get(address) ?? 0) + bytes);
+        }
+    }
+
+    private wrapTransport(transport: PeerTransport, from: string, timer: PausableTimer): PeerTransport {
+        return {
+            call: async (to, method, parameters, timeoutMs) => {
+                const reply = await transport.call(to, method, parameters, timeoutMs);
+                const replyBytes = reply.isOk() ? sizeOf(reply.value) : 0;
+                const crossesRegions = this.deployment.domainOf(from)?.region !== this.deployment.domainOf(to)?.region;
+                const bytes = sizeOf(parameters) + replyBytes;
+                this.count([from, to], bytes, crossesRegions);
+                this.trafficSeen.push({ from, to, method, bytes, crossesRegions });
+                await timer.whenRunning();
+                return reply;
+            }
+        };
+    }
+}
+
+function sizeOf(value: unknown): number {
+    return JSON.stringify(value).length;
+}
+
+function holdWhilePaused(timer: PausableTimer, handler: PeerHandler): PeerHandler {
+    return async (parameters, from) => {
+        await timer.whenRunning();
+        return handler(parameters, from);
+    };
+}
+
+function unavailable(): StoreError {
+    return { kind: StoreErrorKind.Unavailable, message: "The platform cannot be reached." };
+}
--- a/packages/proof/src/mutants/AllMutants.ts
+++ b/packages/proof/src/mutants/AllMutants.ts
@@ -18,15 +18,13 @@
     takeAsFailed,
     takeAsRunning,
     withDeniedDispatch,
-    withFirstText,
     withoutLeaving,
     withoutRenewals,
     withoutRowsOf,
-    withoutWithdrawals,
     withReportsChanged,
     withStaleAnswers
 } from "./BrokenEnvironments.js";
-import { adoptFirstVersionOnly, adoptLowerVersions, takeKeysForDepot } from "./BrokenProcesses.js";
+import { adoptFirstVersionOnly, adoptLowerVersions, ignoreWithdrawals, takeKeysForDepot } from "./BrokenProcesses.js";
 import { EXAGGERATED_LIMITS, EXAGGERATED_WORKERS } from "./BrokenSchedulers.js";
 import type { Mutant } from "./Mutant.js";
 import * as scripts from "./MutantScripts.js";
@@ -49,7 +47,7 @@
         name: "withdrawals of keys are not seen",
         rule: new TeamKeyRule(),
         script: scripts.WITHDRAWN_KEY,
-        broken: { changeEnvironment: withoutWithdrawals }
+        broken: { changeProcess: ignoreWithdrawals }
     },
     {
         name: "keys are taken for those of another team",
@@ -116,7 +114,7 @@
         name: "lower versions of the text are adopted",
         rule: new ConfigRule(),
         script: scripts.NEW_TEXT,
-        broken: { changeEnvironment: withFirstText, changeProcess: adoptLowerVersions }
+        broken: { changeProcess: adoptLowerVersions }
     },
     {
         name: "new versions of the text are not adopted",
--- a/packages/proof/src/mutants/BrokenEnvironments.ts
+++ b/packages/proof/src/mutants/BrokenEnvironments.ts
@@ -2,28 +2,16 @@
 import {
     type TableCondition,
     type TableMutation,
-    TableName,
-    type TableRow,
     type TableTransaction
 } from "@skylarkpath/common/platform/TableService";
 import { type TargetAnswer, TargetErrorKind } from "@skylarkpath/common/platform/TargetService";
 import { WorkerCommandKind, type WorkerTaskReport, WorkerTaskState } from "@skylarkpath/common/platform/WorkerService";
 import type { ProcessEnvironment } from "@skylarkpath/control/process/ProcessEnvironment";
-import { err, ok } from "neverthrow";
+import { err } from "neverthrow";
 
 /** Exchanges parts of the environment of a process. */
 export type EnvironmentChange = (environment: ProcessEnvironment) => ProcessEnvironment;
 
-/** Withdrawals are not seen in the store. */
-export const withoutWithdrawals: EnvironmentChange = environment => {
-    const { table } = environment;
-    const scan: typeof table.scan = async request => {
-        const rows = await table.scan(request);
-        return request.table === TableName.Keys ? rows.map(found => found.map(restoreKey)) : rows;
-    };
-    return { ...environment, table: { ...table, scan } };
-};
-
 /** Commits leave out the rows of some tables. */
 export function withoutRowsOf(tables: readonly string[]): EnvironmentChange {
     const isKept = (place: TableCondition | TableMutation): boolean =>
@@ -39,21 +27,6 @@
     };
 }
 
-/** The config table always shows its first text. */
-export const withFirstText: EnvironmentChange = environment => {
-    const { table } = environment;
-    let first: TableRow | undefined;
-    const read: typeof table.read = async (name, key) => {
-        const row = await table.read(name, key);
-        if (name !== TableName.Config || row.isErr()) {
-            return row;
-        }
-        first ??= row.value;
-        return ok(first);
-    };
-    return { ...environment, table: { ...table, read } };
-};
-
 /** Each answer but the first is that of the attempt before. */
 export const withStaleAnswers: EnvironmentChange = environment => {
     const { targets } = environment;
@@ -120,7 +93,3 @@
         liveList: { read: async () => (await liveList.read()).map(machines => machines.map(stay)) }
     };
 };
-
-function restoreKey(row: TableRow): TableRow {
-    return { ...row, value: { ...row.value as object, withdrawn: false } as TableRow["value"] };
-}
