--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -13,6 +13,7 @@
     type KeyStatus,
     PeerMethod
 } from "../peer/PeerMessages.js";
+import { LinkKind } from "../peer/TrafficCounter.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import { PartnerChoice } from "./PartnerChoice.js";
@@ -73,8 +74,8 @@
     suspicion?: Suspicion;
 }
 
-/** Hops of a sign of life from one process over two relays to another one. */
-const HOPS_OF_RELAYS = 3;
+/** Intervals of relays that a sign of life may take from one process over two relays to another one. */
+const HOPS_OF_RELAYS = 4;
 
 /** Knows the live list and the other processes: directly in the failure domain, by relays beyond it. */
 export class MembershipController implements Disposable {
@@ -155,6 +156,16 @@
         return this.partners.newsReceivers();
     }
 
+    /** Kind of the link to the process at an address. */
+    public linkKindOf(address: string): LinkKind {
+        const { failureDomain, region } = this.environment.identity;
+        const machine = this.otherEntries.find(entry => entry.address === address);
+        if (!machine || machine.failureDomain === failureDomain) {
+            return LinkKind.Domain;
+        }
+        return machine.region === region ? LinkKind.Region : LinkKind.Remote;
+    }
+
     /** Finds another process by its id. */
     public peer(processId: string): PeerView | undefined {
         const known = this.table.find(processId);
@@ -267,7 +278,7 @@
             return false;
         }
         this.partners.noteAnswer(machineId);
-        this.suspicions.noteAnswer(machineId, sentMs, answer.data.silent);
+        this.suspicions.noteAnswer(machineId, sentMs, answer.data.silent ?? []);
         this.receive(answer.data, machine, sentMs);
         return true;
     }
@@ -288,12 +299,13 @@
     private composeReply(beat: Beat, source: HeartbeatSource): BeatReply {
         const { identity } = this.environment;
         this.exchange.setOwn(source.heartbeat());
+        const silent = this.silentPeers();
         return {
             processId: identity.processId,
             incarnation: identity.incarnation,
             keys: source.keys(),
             ...this.exchange.composeReply(beat, processIds => source.keyStatement(processIds)),
-            silent: this.silentPeers()
+            ...(silent.length > 0 ? { silent } : {})
         };
     }
 
@@ -356,7 +368,8 @@
         if (silenceMs < this.options.suspectAfterMs) {
             return { state: PeerState.Alive };
         }
-        const suspicion = this.suspicions.judge(heartbeat.processId, isListed, this.witnesses());
+        const isNear = heartbeat.failureDomain === this.environment.identity.failureDomain;
+        const suspicion = this.suspicions.judge(heartbeat.processId, isListed, isNear ? this.witnesses() : []);
         const isDead = silenceMs >= this.options.deadAfterMs && suspicion !== Suspicion.HeardByOthers;
         return { state: isDead ? PeerState.Dead : PeerState.Suspected, suspicion };
     }
--- a/packages/control/src/membership/PartnerChoice.ts
+++ b/packages/control/src/membership/PartnerChoice.ts
@@ -6,6 +6,8 @@
 /** Intervals between beats by the kind of the link. */
 export interface PartnerOptions {
     readonly heartbeatIntervalMs: number;
+    /** At which the other processes of a failure domain ask their relay for what is beyond it. */
+    readonly groupIntervalMs: number;
     /** Between failure domains of a region. */
     readonly relayIntervalMs: number;
     /** Between regions. */
@@ -66,10 +68,11 @@
     public due(hasNews: boolean, isPeerSilent: boolean): readonly Partner[] {
         const { failureDomain, region } = this.identity;
         const relay = domainRelay(this.view, failureDomain);
+        const isGroupDue = this.isDue(relay ?? "", this.options.groupIntervalMs, false);
         const mates = this.machines.filter(machine => machine.failureDomain === failureDomain).map(machine => ({
             candidates: [machine],
             wanted: [
-                ...(machine.machineId === relay ? this.otherDomains() : []),
+                ...(machine.machineId === relay && isGroupDue ? this.otherDomains() : []),
                 ...(isPeerSilent ? [failureDomain] : [])
             ]
         }));
@@ -77,7 +80,9 @@
             ...(this.isDomainRelay ? this.otherDomainPartners() : []),
             ...(this.isRegionRelay ? this.otherRegionPartners() : [])
         ];
-        return [...mates, ...beyond.filter(partner => this.isDue(partner, hasNews, region))];
+        const unheard = this.unheardDomains();
+        const due = beyond.filter(partner => this.isPartnerDue(partner, hasNews, region));
+        return [...mates, ...due.map(partner => withWanted(partner, unheard))];
     }
 
     /** Failure domains of which this process tells another one. */
@@ -106,10 +111,14 @@
         return { machines: [...this.machines, own], isEligible: this.isEligible };
     }
 
-    private isDue(partner: Partner, hasNews: boolean, region: string): boolean {
+    private isPartnerDue(partner: Partner, hasNews: boolean, region: string): boolean {
         const machine = partner.candidates[0]!;
-        const name = machine.region === region ? machine.failureDomain : machine.region;
-        const intervalMs = machine.region === region ? this.options.relayIntervalMs : this.options.regionIntervalMs;
+        return machine.region === region
+            ? this.isDue(machine.failureDomain, this.options.relayIntervalMs, hasNews)
+            : this.isDue(machine.region, this.options.regionIntervalMs, hasNews);
+    }
+
+    private isDue(name: string, intervalMs: number, hasNews: boolean): boolean {
         const nowMs = this.timer.nowMs();
         if (!hasNews && nowMs - (this.askedMs.get(name) ?? -Infinity) < intervalMs) {
             return false;
@@ -118,12 +127,21 @@
         return true;
     }
 
+    /** Failure domains none of whose processes answers here; others are asked about them. */
+    private unheardDomains(): readonly string[] {
+        return this.otherDomains().filter(name =>
+            this.machines.every(machine => machine.failureDomain !== name || this.hasFailed(machine.machineId))
+        );
+    }
+
     private otherDomainPartners(): readonly Partner[] {
         const { failureDomain, region } = this.identity;
-        return this.domainsOfRegion(region).filter(name => name !== failureDomain).map(name => ({
-            candidates: this.preferred(this.machines.filter(machine => machine.failureDomain === name)),
-            wanted: [name, ...(this.isRegionRelay ? [] : this.otherDomains().filter(other => other !== name))]
-        }));
+        const speaker = regionRelay(this.view, region);
+        const others = this.otherDomains().filter(name => this.regionOf(name) !== region);
+        return this.domainsOfRegion(region).filter(name => name !== failureDomain).map(name => {
+            const candidates = this.preferred(this.machines.filter(machine => machine.failureDomain === name));
+            return { candidates, wanted: [name, ...(candidates[0]?.machineId === speaker ? others : [])] };
+        });
     }
 
     private otherRegionPartners(): readonly Partner[] {
@@ -154,3 +172,7 @@
         return this.machines.find(machine => machine.failureDomain === failureDomain)?.region;
     }
 }
+
+function withWanted(partner: Partner, more: readonly string[]): Partner {
+    return { ...partner, wanted: [...new Set([...partner.wanted, ...more])] };
+}
--- a/packages/control/src/membership/ReportExchange.ts
+++ b/packages/control/src/membership/ReportExchange.ts
@@ -54,11 +54,13 @@
         const reports = tells.flatMap(name => this.reportsOf(name));
         const own = tells.includes(this.identity.failureDomain) || !this.own ? [] : [this.own];
         const known = this.table.find(machine.machineId)?.report;
+        const news = this.told.newsFor(machine.machineId, [...own, ...reports], false);
+        const digests = Object.fromEntries(wanted.map(name => [name, this.table.digestOf(name)]));
         return {
             processId: this.identity.processId,
-            news: this.told.newsFor(machine.machineId, [...own, ...reports], false),
-            known: known ? nameOf(known) : "",
-            wanted: Object.fromEntries(wanted.map(name => [name, this.table.digestOf(name)]))
+            ...(news.length > 0 ? { news } : {}),
+            ...(known ? { known: nameOf(known) } : {}),
+            ...(wanted.length > 0 ? { wanted: digests } : {})
         };
     }
 
@@ -66,11 +68,12 @@
     public composeReply(beat: Beat, statementOf: StatementSource): Pick<BeatReply, "news" | "groups"> {
         const own = this.own ? [this.own] : [];
         const lacksOwn = own.some(report => nameOf(report) !== beat.known);
+        const groups = Object.entries(beat.wanted ?? {}).map(([name, digest]) =>
+            [name, this.composeGroup(name, digest, beat.processId, statementOf)] as const
+        );
         return {
-            news: lacksOwn ? this.told.newsFor(beat.processId, own, true) : [],
-            groups: Object.entries(beat.wanted).map(([name, digest]) =>
-                this.composeGroup(name, digest, beat.processId, statementOf)
-            )
+            ...(lacksOwn ? { news: this.told.newsFor(beat.processId, own, true) } : {}),
+            ...(groups.length > 0 ? { groups: Object.fromEntries(groups) } : {})
         };
     }
 
@@ -78,12 +81,12 @@
     public receiveReply(reply: BeatReply, sentMs: number): readonly ProcessStatement[] {
         this.receiveNews(reply.news, sentMs);
         this.table.touch(reply.processId, sentMs);
-        return reply.groups.flatMap(group => this.receiveGroup(group, sentMs));
+        return Object.entries(reply.groups ?? {}).flatMap(([name, group]) => this.receiveGroup(name, group, sentMs));
     }
 
     /** Takes in reports that another process pushed. */
-    public receiveNews(news: readonly ReportNews[], asOfMs: number): void {
-        for (const entry of news) {
+    public receiveNews(news: readonly ReportNews[] | undefined, asOfMs: number): void {
+        for (const entry of news ?? []) {
             const report = entry.report ?? (entry.patch && this.applyPatch(entry.patch));
             const isOther = report && report.heartbeat.processId !== this.identity.processId;
             if (isOther && this.table.update(report, asOfMs)) {
@@ -126,24 +129,23 @@
         const processIds = members.map(idOf);
         const statement = statementOf(processIds);
         return {
-            failureDomain,
             ageMs: Math.max(0, ...ages),
-            late: Object.fromEntries(late),
+            ...(late.length > 0 ? { late: Object.fromEntries(late) } : {}),
             ...(differs ? { processIds } : {}),
             ...(statement ? { keyAgeMs: statement.ageMs } : {}),
-            storeLost: statement?.storeLost ?? false,
-            news: differs ? this.told.newsFor(receiver, members.map(known => known.report), true) : []
+            ...(statement?.storeLost ? { storeLost: true } : {}),
+            ...(differs ? { news: this.told.newsFor(receiver, members.map(known => known.report), true) } : {})
         };
     }
 
-    private receiveGroup(group: Group, sentMs: number): readonly ProcessStatement[] {
+    private receiveGroup(failureDomain: string, group: Group, sentMs: number): readonly ProcessStatement[] {
         this.receiveNews(group.news, sentMs - group.ageMs);
-        const members = group.processIds ?? this.table.ofDomain(group.failureDomain).map(idOf);
+        const members = group.processIds ?? this.table.ofDomain(failureDomain).map(idOf);
         const others = members.filter(processId => processId !== this.identity.processId);
         for (const processId of others) {
-            this.table.touch(processId, sentMs - (group.late[processId] ?? group.ageMs));
+            this.table.touch(processId, sentMs - (group.late?.[processId] ?? group.ageMs));
         }
-        const { keyAgeMs, storeLost } = group;
+        const { keyAgeMs, storeLost = false } = group;
         return keyAgeMs === undefined ? [] : others.map(processId => ({ processId, ageMs: keyAgeMs, storeLost }));
     }
 }
--- a/packages/control/src/peer/PeerMessages.ts
+++ b/packages/control/src/peer/PeerMessages.ts
@@ -90,36 +90,36 @@
 export const beatSchema = z.object({
     processId: name,
     /** Reports that the receiver may lack. */
-    news: newsSchema,
+    news: newsSchema.optional(),
     /** Number of the receiver's own report that is known. */
-    known: z.string().max(512),
+    known: z.string().max(512).optional(),
     /** Digests of the failure domains that the asking process wants to hear of. */
-    wanted: z.record(z.string(), z.string().max(64)).readonly()
+    wanted: z.record(z.string(), z.string().max(64)).readonly().optional()
 }).readonly();
 
-/** Processes of one failure domain as the answering process knows them. */
+/** Processes of one failure domain as the answering process knows them; what is empty is left out. */
 export const groupSchema = z.object({
-    failureDomain: name,
     /** Age of the oldest sign of life, but for the processes that are late. */
     ageMs: z.number().nonnegative(),
-    late: z.record(z.string(), z.number().nonnegative()).readonly(),
+    late: z.record(z.string(), z.number().nonnegative()).readonly().optional(),
     /** All processes of the failure domain, when the digests differ. */
     processIds: z.array(name).max(1000).readonly().optional(),
     /** Age of the oldest answer about keys; absent when one is missing. */
     keyAgeMs: z.number().nonnegative().optional(),
-    storeLost: z.boolean(),
-    news: newsSchema
+    storeLost: z.boolean().optional(),
+    news: newsSchema.optional()
 }).readonly();
 
-/** Answer to a beat. */
+/** Answer to a beat; what is empty is left out. */
 export const beatReplySchema = z.object({
     processId: name,
     incarnation: name,
     keys: keyStatusSchema,
-    news: newsSchema,
-    groups: z.array(groupSchema).max(1000).readonly(),
+    news: newsSchema.optional(),
+    /** Processes by failure domain. */
+    groups: z.record(z.string(), groupSchema).readonly().optional(),
     /** Processes of the own failure domain that the answering process does not hear. */
-    silent: z.array(name).max(1000).readonly()
+    silent: z.array(name).max(1000).readonly().optional()
 }).readonly();
 
 const amount = z.number().finite().nonnegative();
--- /dev/null
+++ b/packages/control/src/peer/TrafficCounter.ts
@@ -0,0 +1,58 @@
+import type { PeerError, PeerTransport } from "@skylarkpath/common/peer/PeerTransport";
+import type { JsonValue } from "@skylarkpath/common/platform/TableService";
+import type { Result } from "neverthrow";
+
+/** Kind of the link that a message takes. */
+export enum LinkKind {
+    /** Inside a failure domain. */
+    Domain = "domain",
+    /** Between failure domains of a region. */
+    Region = "region",
+    /** Between regions. */
+    Remote = "remote"
+}
+
+/** Bytes of calls of one method over links of one kind; questions and answers of the calling process. */
+export interface TrafficCount {
+    readonly method: string;
+    readonly link: LinkKind;
+    readonly calls: number;
+    readonly bytes: number;
+}
+
+/** Finds the kind of the link to an address. */
+export type LinkKindSource = (address: string) => LinkKind;
+
+/** Counts the bytes of calls to other processes by purpose and kind of link. */
+export class TrafficCounter implements PeerTransport {
+    private readonly counted = new Map<string, TrafficCount>();
+
+    constructor(private readonly inner: PeerTransport, private readonly linkKindOf: LinkKindSource) {}
+
+    /** Counts so far. */
+    public get counts(): readonly TrafficCount[] {
+        return [...this.counted.values()];
+    }
+
+    public async call(
+        address: string,
+        method: string,
+        parameters: JsonValue,
+        timeoutMs: number
+    ): Promise<Result<JsonValue, PeerError>> {
+        const link = this.linkKindOf(address);
+        this.count(method, link, 1, parameters);
+        const reply = await this.inner.call(address, method, parameters, timeoutMs);
+        if (reply.isOk()) {
+            this.count(method, link, 0, reply.value);
+        }
+        return reply;
+    }
+
+    private count(method: string, link: LinkKind, calls: number, message: JsonValue): void {
+        const name = `${method} ${link}`;
+        const before = this.counted.get(name) ?? { method, link, calls: 0, bytes: 0 };
+        const bytes = before.bytes + JSON.stringify(message).length;
+        this.counted.set(name, { method, link, calls: before.calls + calls, bytes });
+    }
+}
--- a/packages/control/src/process/ProcessOptions.ts
+++ b/packages/control/src/process/ProcessOptions.ts
@@ -2,6 +2,8 @@
 export interface ProcessOptions {
     /** Interval between heartbeats to each peer. */
     readonly heartbeatIntervalMs: number;
+    /** Interval at which a process asks its relay for what is beyond the failure domain. */
+    readonly groupIntervalMs: number;
     /** Interval between beats of the relays of two failure domains. */
     readonly relayIntervalMs: number;
     /** Interval between beats of the relays of two regions. */
@@ -62,6 +64,7 @@
 /** Default timing and bounds. */
 export const DEFAULT_PROCESS_OPTIONS: ProcessOptions = {
     heartbeatIntervalMs: 250,
+    groupIntervalMs: 500,
     relayIntervalMs: 250,
     regionIntervalMs: 500,
     beatTimeoutMs: 500,
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -18,6 +18,7 @@
     releaseSchema,
     submitSchema
 } from "../peer/PeerMessages.js";
+import { TrafficCounter } from "../peer/TrafficCounter.js";
 import { OwnershipController } from "../slice/OwnershipController.js";
 import { type OwnedSlice, SliceController } from "../slice/SliceController.js";
 import { SliceDirectory } from "../slice/SliceDirectory.js";
@@ -40,6 +41,8 @@
     private stopping = false;
     private startedMs = 0;
 
+    /** Bytes sent to and received from other processes by purpose. */
+    public readonly traffic: TrafficCounter;
     /** Calls to other processes. */
     public readonly peerClient: PeerClient;
     /** Live list and other processes. */
@@ -59,9 +62,10 @@
         sliceIds: readonly string[]
     ) {
         const { identity, log, table, timer } = environment;
+        this.traffic = new TrafficCounter(environment.transport, address => this.membership.linkKindOf(address));
         this.peerClient = new PeerClient(
             identity.processId,
-            environment.transport,
+            this.traffic,
             environment.methods,
             environment.clock,
             log,
--- a/packages/proof/src/members/Membership.test.ts
+++ b/packages/proof/src/members/Membership.test.ts
@@ -1,5 +1,6 @@
 import { PeerState } from "@skylarkpath/control/membership/MembershipController";
 import { Suspicion } from "@skylarkpath/control/membership/SuspicionTracker";
+import { LinkKind } from "@skylarkpath/control/peer/TrafficCounter";
 import test from "ava";
 import { KALLIO_TOPOLOGY } from "../Topology.js";
 import { FaultyDeployment } from "./FaultyDeployment.js";
@@ -56,6 +57,16 @@
     t.true(crossings(faulty).size >= 2);
 });
 
+test("each process counts its bytes by purpose and kind of link", async t => {
+    const faulty = await start();
+    const counted = faulty.deployment.processes.flatMap(({ process }) => process.traffic.counts);
+    const bytesOf = (link: LinkKind): number =>
+        counted.filter(count => count.link === link).reduce((sum, count) => sum + count.bytes, 0);
+    const seen = faulty.traffic.filter(call => call.crossesRegions).reduce((sum, call) => sum + call.bytes, 0);
+    t.true(bytesOf(LinkKind.Domain) > 0 && bytesOf(LinkKind.Region) > 0);
+    t.true(Math.abs(bytesOf(LinkKind.Remote) - seen) < seen / 10, `${bytesOf(LinkKind.Remote)} of ${seen}`);
+});
+
 test("a relay that dies is replaced and nobody else is suspected", async t => {
     const faulty = await start();
     const suspected: string[] = [];
@@ -99,6 +110,20 @@
     t.is(stateOf(faulty, "oulu-entry-0", "tampere-entry-2"), PeerState.Alive);
 });
 
+test("a failure domain whose link here is cut is heard through another one", async t => {
+    const faulty = await start();
+    faulty.cut("vantaa", "oulu");
+    await faulty.deployment.timer.advance(12_000);
+    t.true(hearsAll(faulty));
+    faulty.cut("tampere", "oulu");
+    await faulty.deployment.timer.advance(12_000);
+    t.is(stateOf(faulty, "vantaa-entry-1", "oulu-entry-1"), PeerState.Dead);
+    t.is(stateOf(faulty, "oulu-entry-0", "tampere-entry-1"), PeerState.Dead);
+    faulty.heal();
+    await faulty.deployment.timer.advance(4000);
+    t.true(hearsAll(faulty));
+});
+
 test("a new VM with the id of a dead one is known by its new incarnation", async t => {
     const faulty = await start();
     faulty.deployment.kill("tampere-entry-1");
