--- a/packages/control/src/keys/KeyController.ts
+++ b/packages/control/src/keys/KeyController.ts
@@ -249,7 +249,8 @@
         const { processId } = this.environment.identity;
         this.peerClient.serve(PeerMethod.PushKeys, pushKeysSchema, async message => {
             this.ledger.merge(message.changes);
-            return ok({ processId });
+            const stored = message.changes.every(change => change.record || this.ledger.isStored(change.keyId));
+            return ok({ processId, stored });
         });
         this.peerClient.serve(PeerMethod.ReadKeys, readKeysSchema, async message =>
             ok({
--- a/packages/control/src/keys/KeyDistributor.ts
+++ b/packages/control/src/keys/KeyDistributor.ts
@@ -7,7 +7,7 @@
 
 /** Who has acknowledged a change of the keys. */
 export interface Distribution {
-    /** Every process of a live list that was read after the change has acknowledged it. */
+    /** A process says that the store has it, or each of a live list that was read since has acknowledged it. */
     readonly complete: boolean;
     readonly missing: readonly string[];
 }
@@ -29,12 +29,12 @@
         let listRead = false;
         for (;;) {
             const reading = this.membership.readLiveList();
-            await this.sendTo(change, acknowledged);
+            const stored = await this.sendTo(change, acknowledged);
             listRead = await reading || listRead;
             const missing = this.missingOf(acknowledged);
-            const complete = listRead && missing.length === 0;
+            const complete = stored || (listRead && missing.length === 0);
             if (complete || timer.nowMs() >= endMs) {
-                return { complete, missing };
+                return { complete, missing: complete ? [] : missing };
             }
             await sleep(timer, this.options.heartbeatIntervalMs);
         }
@@ -44,19 +44,22 @@
         return this.membership.entryMachines.map(machine => machine.machineId).filter(id => !acknowledged.has(id));
     }
 
-    private async sendTo(change: KeyChange, acknowledged: Set<string>): Promise<void> {
-        const waiting = this.membership.entryMachines.filter(machine => !acknowledged.has(machine.machineId));
-        await Promise.all(waiting.map(async machine => {
+    /** Sends the change to those that lack it, and asks the others again; true once one says it is stored. */
+    private async sendTo(change: KeyChange, acknowledged: Set<string>): Promise<boolean> {
+        let stored = false;
+        await Promise.all(this.membership.entryMachines.map(async machine => {
             const reply = await this.peerClient.call<unknown>(
                 machine.address,
                 PeerMethod.PushKeys,
                 { changes: [change] },
-                this.options.peerTimeoutMs
+                this.options.beatTimeoutMs
             );
             const answer = reply.isOk() ? acknowledgementSchema.safeParse(reply.value) : undefined;
             if (answer?.success && answer.data.processId === machine.machineId) {
                 acknowledged.add(machine.machineId);
+                stored ||= change.record === undefined && answer.data.stored === true;
             }
         }));
+        return stored;
     }
 }
--- /dev/null
+++ b/packages/control/src/membership/LiveListReader.ts
@@ -0,0 +1,56 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { type LiveList, type LiveMachine, MachineRole } from "@skylarkpath/common/platform/LiveList";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+
+/** Keeps the last reading of the live list. */
+export class LiveListReader implements Disposable {
+    private readonly readEmitter = new Emitter<readonly LiveMachine[]>();
+    private allMachines: readonly LiveMachine[] = [];
+    private otherEntries: readonly LiveMachine[] = [];
+    private sentMs: number | undefined;
+
+    /** Tells each reading. */
+    public readonly onRead = this.readEmitter.event;
+
+    constructor(
+        private readonly liveList: LiveList,
+        private readonly timer: TimerService,
+        private readonly ownProcessId: string
+    ) {}
+
+    /** All machines of the last reading. */
+    public get machines(): readonly LiveMachine[] {
+        return this.allMachines;
+    }
+
+    /** Processes other than this one. */
+    public get entryMachines(): readonly LiveMachine[] {
+        return this.otherEntries;
+    }
+
+    /** Time since the request of the last reading; infinite before the first one. */
+    public get ageMs(): number {
+        return this.sentMs === undefined ? Infinity : this.timer.nowMs() - this.sentMs;
+    }
+
+    /** Reads the list now; false when it cannot be read. */
+    public async read(): Promise<boolean> {
+        const sentMs = this.timer.nowMs();
+        const machines = await this.liveList.read();
+        if (machines.isErr()) {
+            return false;
+        }
+        this.sentMs = Math.max(sentMs, this.sentMs ?? sentMs);
+        this.allMachines = machines.value;
+        this.otherEntries = machines.value.filter(machine =>
+            machine.role === MachineRole.Entry && machine.machineId !== this.ownProcessId
+        );
+        this.readEmitter.fire(machines.value);
+        return true;
+    }
+
+    public dispose(): void {
+        this.readEmitter.dispose();
+    }
+}
--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -1,7 +1,7 @@
 import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
-import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { Emitter, type Event } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
-import { type LiveMachine, MachineRole } from "@skylarkpath/common/platform/LiveList";
+import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
 import { err, ok } from "neverthrow";
 import type { PeerClient } from "../peer/PeerClient.js";
 import {
@@ -16,6 +16,7 @@
 import { LinkKind } from "../peer/TrafficCounter.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
+import { LiveListReader } from "./LiveListReader.js";
 import { PartnerChoice } from "./PartnerChoice.js";
 import { ReportExchange } from "./ReportExchange.js";
 import { type KnownReport, ReportTable } from "./ReportTable.js";
@@ -89,10 +90,7 @@
     private readonly heartbeatEmitter = this.store.add(new Emitter<Heartbeat>());
     private readonly reportEmitter = this.store.add(new Emitter<HeartbeatReport>());
     private readonly peerStateEmitter = this.store.add(new Emitter<PeerView>());
-    private readonly liveListEmitter = this.store.add(new Emitter<readonly LiveMachine[]>());
-    private liveMachines: readonly LiveMachine[] = [];
-    private otherEntries: readonly LiveMachine[] = [];
-    private liveListReadMs: number | undefined;
+    private readonly liveList: LiveListReader;
     private source: HeartbeatSource | undefined;
     private newsPending = false;
 
@@ -103,7 +101,7 @@
     /** Tells each change of the state of another process. */
     public readonly onPeerState = this.peerStateEmitter.event;
     /** Tells each reading of the live list. */
-    public readonly onLiveList = this.liveListEmitter.event;
+    public readonly onLiveList: Event<readonly LiveMachine[]>;
 
     constructor(
         private readonly environment: ProcessEnvironment,
@@ -114,6 +112,9 @@
         this.table = new ReportTable(hasher);
         this.exchange = new ReportExchange(identity, timer, this.table, options);
         this.partners = new PartnerChoice(identity, timer, options, processId => this.isEligible(processId));
+        this.liveList = this.store.add(new LiveListReader(environment.liveList, timer, identity.processId));
+        this.onLiveList = this.liveList.onRead;
+        this.store.add(this.liveList.onRead(() => this.partners.setMachines(this.entryMachines)));
         this.store.add(this.exchange.onChange(heartbeat => this.takeIn(heartbeat)));
         peerClient.serve(PeerMethod.Heartbeat, beatSchema, async beat => {
             this.exchange.receiveNews(beat.news, timer.nowMs());
@@ -123,17 +124,17 @@
 
     /** Machines of the last reading of the live list. */
     public get machines(): readonly LiveMachine[] {
-        return this.liveMachines;
+        return this.liveList.machines;
     }
 
     /** Tells whether the live list was read at least once. */
     public get hasLiveList(): boolean {
-        return this.liveListReadMs !== undefined;
+        return Number.isFinite(this.liveList.ageMs);
     }
 
     /** Time since the request of the last reading of the live list. */
     public get liveListAgeMs(): number {
-        return this.liveListReadMs === undefined ? Infinity : this.environment.timer.nowMs() - this.liveListReadMs;
+        return this.liveList.ageMs;
     }
 
     /** Other processes that were heard. */
@@ -143,7 +144,7 @@
 
     /** Processes of the live list other than this one. */
     public get entryMachines(): readonly LiveMachine[] {
-        return this.otherEntries;
+        return this.liveList.entryMachines;
     }
 
     /** Tells whether this process speaks for its failure domain. */
@@ -159,7 +160,7 @@
     /** Kind of the link to the process at an address. */
     public linkKindOf(address: string): LinkKind {
         const { failureDomain, region } = this.environment.identity;
-        const machine = this.otherEntries.find(entry => entry.address === address);
+        const machine = this.entryMachines.find(entry => entry.address === address);
         if (!machine || machine.failureDomain === failureDomain) {
             return LinkKind.Domain;
         }
@@ -187,20 +188,8 @@
     }
 
     /** Reads the live list now; false when it cannot be read. */
-    public async readLiveList(): Promise<boolean> {
-        const sentMs = this.environment.timer.nowMs();
-        const machines = await this.environment.liveList.read();
-        if (machines.isErr()) {
-            return false;
-        }
-        this.liveListReadMs = Math.max(sentMs, this.liveListReadMs ?? sentMs);
-        this.liveMachines = machines.value;
-        const entryMachines = machines.value.filter(machine => machine.role === MachineRole.Entry);
-        const { processId } = this.environment.identity;
-        this.otherEntries = entryMachines.filter(machine => machine.machineId !== processId);
-        this.partners.setMachines(this.otherEntries);
-        this.liveListEmitter.fire(machines.value);
-        return true;
+    public readLiveList(): Promise<boolean> {
+        return this.liveList.read();
     }
 
     public dispose(): void {
@@ -348,14 +337,14 @@
 
     private updateStates(): void {
         const nowMs = this.environment.timer.nowMs();
-        const listed = new Set(this.otherEntries.map(machine => machine.machineId));
+        const listed = new Set(this.entryMachines.map(machine => machine.machineId));
         for (const known of this.table.all) {
             if (this.isSelf(known)) {
                 continue;
             }
             const { heartbeat } = known.report;
             const silenceMs = nowMs - this.directlyHeardMs(known) - this.allowanceMs(heartbeat);
-            const isListed = this.liveListReadMs === undefined || listed.has(heartbeat.processId);
+            const isListed = !this.hasLiveList || listed.has(heartbeat.processId);
             this.setState(known, this.judge(heartbeat, silenceMs, isListed));
             if (!isListed && silenceMs >= this.options.deadAfterMs + this.options.liveListLagMs) {
                 this.table.remove(heartbeat.processId);
--- a/packages/control/src/peer/PeerMessages.ts
+++ b/packages/control/src/peer/PeerMessages.ts
@@ -56,7 +56,11 @@
 export const pushKeysSchema = z.object({ changes: z.array(keyChangeSchema).max(10_000).readonly() }).readonly();
 
 /** Answer of a process that took a message in. */
-export const acknowledgementSchema = z.object({ processId: name }).readonly();
+export const acknowledgementSchema = z.object({
+    processId: name,
+    /** All withdrawals of the message are in the store. */
+    stored: z.boolean().optional()
+}).readonly();
 
 /** Question for the changes of the keys after a position. */
 export const readKeysSchema = z.object({ afterCount: wholeNumber }).readonly();
--- /dev/null
+++ b/packages/proof/src/cuts/CutProbe.ts
@@ -0,0 +1,143 @@
+import { OutcomeState } from "@skylarkpath/common/model/Request";
+import type { GrantedKey } from "@skylarkpath/control/keys/KeyController";
+import { FaultyDeployment } from "../members/FaultyDeployment.js";
+import { MEMBERS_TEXT } from "../members/MembersText.js";
+import { KALLIO_TOPOLOGY } from "../Topology.js";
+import { DEFAULT_DEPLOYMENT_OPTIONS } from "../VirtualDeployment.js";
+import type { CutCase } from "./CutCases.js";
+
+/** Kinds of requests that are asked during a cut. */
+export const REQUEST_KINDS = [
+    "look-up",
+    "open look-up",
+    "order",
+    "batch job",
+    "running batch job",
+    "text",
+    "grant",
+    "withdrawal"
+] as const;
+
+/** What came of each kind of request: its outcome, or the reason of a refusal. */
+export type CutAnswers = Readonly<Record<typeof REQUEST_KINDS[number], string>>;
+
+const QUEUES = `
+[queues.open-lookup]
+kind = "lookup"
+open = true
+team = "dispatch"
+idempotent = true
+default_deadline = "800ms"
+[queues.battery-order]
+kind = "lookup"
+idempotent = false
+default_deadline = "3s"
+`;
+const TEXT = MEMBERS_TEXT + QUEUES;
+const SETTLE_MS = 15_000;
+const OWNER_DIES_AFTER_MS = 5000;
+const LONG_PAYLOAD = "long";
+const LONG_TASK_MS = 600_000;
+const SHORT_TASK_MS = 500;
+const TOPOLOGY = {
+    ...KALLIO_TOPOLOGY,
+    domains: KALLIO_TOPOLOGY.domains.map(domain => ({ ...domain, entries: 2, workers: 2, targets: 2 }))
+};
+
+/** Asks one entry during a cut for each kind of request. */
+export class CutProbe {
+    private readonly faulty: FaultyDeployment;
+    private granted: GrantedKey | undefined;
+
+    constructor(private readonly cut: CutCase, private readonly ownerDies: boolean, seed: number) {
+        this.faulty = new FaultyDeployment(TOPOLOGY, seed, {}, {
+            ...DEFAULT_DEPLOYMENT_OPTIONS,
+            taskBehaviorOf: task => ({
+                durationMs: task.payload === LONG_PAYLOAD ? LONG_TASK_MS : SHORT_TASK_MS,
+                fails: false,
+                answer: task.taskId
+            })
+        });
+    }
+
+    /** Runs the cut and returns what came of each request. */
+    public async run(): Promise<CutAnswers> {
+        const { timer } = this.faulty.deployment;
+        await timer.advance(2000);
+        const first = this.faulty.deployment.process("vantaa-entry-0").process;
+        (await timer.advanceUntil(first.config.apply(TEXT, 0)))._unsafeUnwrap();
+        this.granted = (await timer.advanceUntil(first.keys.grant("dispatch")))._unsafeUnwrap();
+        await timer.advance(8000);
+        const running = await this.submit("diagnostics", LONG_PAYLOAD, 1);
+        await timer.advance(2000);
+        this.cut.apply(this.faulty);
+        await timer.advance(OWNER_DIES_AFTER_MS);
+        if (this.ownerDies) {
+            this.faulty.deployment.kill(this.owner());
+        }
+        await timer.advance(SETTLE_MS);
+        return {
+            "look-up": await this.outcome("part-lookup"),
+            "open look-up": await this.outcome("open-lookup"),
+            "order": await this.outcome("battery-order"),
+            "batch job": await this.outcome("diagnostics", 1),
+            "running batch job": await this.stateOf(running),
+            "text": await this.changeText(),
+            "grant": await this.grant(),
+            "withdrawal": await this.withdraw()
+        };
+    }
+
+    private get entry(): ReturnType<FaultyDeployment["processesOf"]>[number] {
+        return this.faulty.processesOf(this.cut.asked).at(-1)!;
+    }
+
+    private owner(): string {
+        const owner = this.faulty.processesOf(this.cut.asked).find(running => running.process.ownedSlices.length > 0);
+        return owner!.machine.machineId;
+    }
+
+    private async submit(queue: string, payload: string, count = 0): Promise<string | undefined> {
+        return (await this.ask(queue, payload, count)).requestId;
+    }
+
+    private async ask(
+        queue: string,
+        payload: string,
+        count: number
+    ): ReturnType<FaultyDeployment["deployment"]["processes"][number]["process"]["requests"]["submit"]> {
+        const tasks = { count, processorMillicores: 1000, memoryBytes: 1024 };
+        const key = queue === "open-lookup" ? undefined : this.granted!.key;
+        const rawBody = { queue, payload, ...(count > 0 ? { tasks } : {}) };
+        return this.faulty.deployment.timer.advanceUntil(this.entry.process.requests.submit({ rawBody, key }));
+    }
+
+    private async outcome(queue: string, count = 0): Promise<string> {
+        const { outcome } = await this.ask(queue, "probe", count);
+        return outcome.state === OutcomeState.NotRun ? outcome.reason! : outcome.state;
+    }
+
+    /** Whether the workers of the failure domain still run the task, or ran it to its end. */
+    private async stateOf(requestId: string | undefined): Promise<string> {
+        const held = [...this.faulty.deployment.workers.values()].flatMap(worker => worker.inventory);
+        return held.some(task => task.requestId === requestId) ? "running" : "stopped";
+    }
+
+    private async changeText(): Promise<string> {
+        const { config } = this.entry.process;
+        const applied = await this.faulty.deployment.timer.advanceUntil(config.apply(`${TEXT}\n`, config.version));
+        return applied.isOk() ? "served" : applied.error.kind;
+    }
+
+    private async grant(): Promise<string> {
+        const granted = await this.faulty.deployment.timer.advanceUntil(this.entry.process.keys.grant("dispatch"));
+        return granted.isOk() ? "served" : granted.error.kind;
+    }
+
+    private async withdraw(): Promise<string> {
+        const withdrawing = this.entry.process.keys.withdraw(this.granted!.keyId);
+        const withdrawal = await this.faulty.deployment.timer.advanceUntil(withdrawing);
+        const complete = withdrawal._unsafeUnwrap()?.complete;
+        return complete ? "complete" : "missing named";
+    }
+}
