--- a/packages/control/src/process/ProcessOptions.ts
+++ b/packages/control/src/process/ProcessOptions.ts
@@ -35,6 +35,10 @@
     readonly writeQueueLimitMs: number;
     readonly writeQueueLength: number;
     readonly writeBatchLength: number;
+    /** Transactions of one process a second in the long run. */
+    readonly writesPerSecond: number;
+    /** Transactions that may follow each other without a wait. */
+    readonly writeBurst: number;
     readonly retryDelayMs: number;
     readonly retryDelayLimitMs: number;
     /** Longest wait of a caller for the acceptance of a durable request. */
@@ -73,6 +77,8 @@
     writeQueueLimitMs: 2000,
     writeQueueLength: 20_000,
     writeBatchLength: 500,
+    writesPerSecond: 50,
+    writeBurst: 10,
     retryDelayMs: 50,
     retryDelayLimitMs: 2000,
     acceptTimeoutMs: 5000,
--- a/packages/control/src/slice/Job.ts
+++ b/packages/control/src/slice/Job.ts
@@ -12,6 +12,7 @@
 export class Job {
     private readonly answers = new Map<number, string>();
     private readonly running = new Set<string>();
+    private readonly checkpoints = new Map<string, string>();
     private startedOnce = false;
     private cancelRequested = false;
     private closed = false;
@@ -29,6 +30,7 @@
         this.startedOnce = history?.started ?? false;
         this.cancelRequested = history?.cancelled ?? false;
         this.finalOutcome = history?.pendingOutcome as RequestOutcome | undefined;
+        history?.checkpoints.forEach(({ taskId, checkpoint }) => this.checkpoints.set(taskId, checkpoint));
         history?.answers.forEach(({ taskIndex, answer }) => this.answers.set(taskIndex, answer));
     }
 
@@ -109,6 +111,18 @@
         this.running.add(taskId);
     }
 
+    /** Checkpoint from which a task resumes when it starts again. */
+    public checkpointOf(taskId: string): string | undefined {
+        return this.checkpoints.get(taskId);
+    }
+
+    /** Notes the last checkpoint of a task. */
+    public noteCheckpoint(taskId: string, checkpoint: string): void {
+        if (this.sizing.checkpointable) {
+            this.checkpoints.set(taskId, checkpoint);
+        }
+    }
+
     /** Notes that a task no longer runs. */
     public noteStopped(taskId: string): void {
         this.running.delete(taskId);
@@ -116,7 +130,9 @@
 
     /** Notes the answer of a finished task. */
     public noteFinished(taskIndex: number, answer: string): void {
-        this.running.delete(composeTaskId(this.requestId, taskIndex));
+        const taskId = composeTaskId(this.requestId, taskIndex);
+        this.running.delete(taskId);
+        this.checkpoints.delete(taskId);
         this.answers.set(taskIndex, answer);
     }
 
@@ -173,6 +189,7 @@
             version: this.stored.version,
             payload: this.payload,
             answers: [...this.answers].map(([taskIndex, answer]) => ({ taskIndex, answer })),
+            checkpoints: [...this.checkpoints].map(([taskId, checkpoint]) => ({ taskId, checkpoint })),
             started: this.hasStarted,
             cancelled: this.cancelRequested,
             pendingOutcome: this.finalOutcome && { ...this.finalOutcome }
--- a/packages/control/src/slice/ServiceController.ts
+++ b/packages/control/src/slice/ServiceController.ts
@@ -47,10 +47,14 @@
         }
         for (const definition of text.services) {
             const known = this.services.get(definition.name);
+            const count = replicasOf(definition, this.failureDomain, text);
+            if (known && count < known.count) {
+                stopped.push(...this.scaleDown(known, count));
+            }
             this.services.set(definition.name, {
                 definition,
                 failureDomain: this.failureDomain,
-                count: replicasOf(definition, this.failureDomain, text),
+                count,
                 running: known?.running ?? new Set(),
                 submitted: false
             });
@@ -90,6 +94,19 @@
         return Adoption.Adopted;
     }
 
+    /** Tells whether a replica belongs to the count of its service. */
+    public isWanted(taskId: string, groupId: string): boolean {
+        const state = this.services.get(groupId.slice(SERVICE_GROUP_PREFIX.length));
+        return state !== undefined && taskIdsOf(state).includes(taskId);
+    }
+
+    /** Drops waiting replicas above the count; returns the running ones. */
+    private scaleDown(state: ServiceState, count: number): readonly string[] {
+        this.scheduler.withdraw(groupIdOf(state.definition.name));
+        const wanted = new Set(taskIdsOf({ ...state, count }));
+        return [...state.running].filter(taskId => !wanted.has(taskId));
+    }
+
     /** Finds the definition of the service that a group belongs to. */
     public definitionOf(groupId: string): ServiceDefinition | undefined {
         return this.services.get(groupId.slice(SERVICE_GROUP_PREFIX.length))?.definition;
--- a/packages/control/src/slice/SliceController.ts
+++ b/packages/control/src/slice/SliceController.ts
@@ -55,6 +55,7 @@
     [DecisionKind.Checkpoint]: WorkerCommandKind.Checkpoint
 } as const;
 const DECISION_INTERVAL_MS = 100;
+const CHECKPOINT_INTERVAL_MS = 30_000;
 const LOAD_RETRY_MS = 500;
 
 /** Owner of one slice: takes every decision about its workers, targets, jobs and services. */
@@ -152,6 +153,7 @@
         }
         this.store.add(this.environment.timer.every(DECISION_INTERVAL_MS, () => this.decide()));
         this.store.add(this.environment.timer.every(this.options.reloadIntervalMs, () => this.reload()));
+        this.store.add(this.environment.timer.every(CHECKPOINT_INTERVAL_MS, () => this.checkpointTasks()));
         void this.load();
     }
 
@@ -365,6 +367,18 @@
         session.start(task);
     }
 
+    /** Asks for checkpoints, so that a task that is lost with its worker resumes where it was. */
+    private checkpointTasks(): void {
+        if (!this.mayCommand) {
+            return;
+        }
+        for (const { taskId, groupId, workerId } of this.placements.all) {
+            if (this.jobs.find(groupId)?.sizing.checkpointable) {
+                this.pool.find(workerId)?.send({ kind: WorkerCommandKind.Checkpoint, taskId });
+            }
+        }
+    }
+
     private stopTask(taskId: string): void {
         const placement = this.placements.find(taskId);
         if (placement) {
--- a/packages/control/src/slice/SliceHandover.ts
+++ b/packages/control/src/slice/SliceHandover.ts
@@ -11,6 +11,7 @@
     version: z.number().int(),
     payload: z.string(),
     answers: z.array(z.object({ taskIndex: z.number().int().nonnegative(), answer: z.string() })).readonly(),
+    checkpoints: z.array(z.object({ taskId: name, checkpoint: z.string() })).readonly(),
     started: z.boolean(),
     cancelled: z.boolean(),
     pendingOutcome: z.record(z.string(), z.unknown()).optional()
--- a/packages/control/src/slice/TaskReportHandler.ts
+++ b/packages/control/src/slice/TaskReportHandler.ts
@@ -45,7 +45,10 @@
         const stillHandled = new Set<string>();
         this.handledReports.set(session.workerId, stillHandled);
         for (const report of reply.reports) {
-            const { taskId } = report.task;
+            const { taskId, requestId } = report.task;
+            if (report.checkpoint !== undefined) {
+                this.jobs.find(requestId)?.noteCheckpoint(taskId, report.checkpoint);
+            }
             if (isRunningState(report.state)) {
                 this.handleRunning(session, report);
             }
@@ -125,7 +128,8 @@
         }
         if (isServiceGroup(placement.groupId)) {
             this.services.noteEnded(taskId, placement.groupId);
-            this.scheduler.taskEnded(taskId, end, this.environment.timer.nowMs());
+            const serviceEnd = this.services.isWanted(taskId, placement.groupId) ? end : TaskEnd.Cancelled;
+            this.scheduler.taskEnded(taskId, serviceEnd, this.environment.timer.nowMs());
             this.changeEmitter.fire();
         }
         else {
--- a/packages/control/src/slice/WorkerTaskComposer.ts
+++ b/packages/control/src/slice/WorkerTaskComposer.ts
@@ -34,6 +34,7 @@
         team: job.stored.record.spec.team,
         resources: job.sizing.resources,
         payload: job.payload,
-        service: false
+        service: false,
+        checkpoint: job.checkpointOf(taskId)
     };
 }
--- a/packages/control/src/store/GroupCommitWriter.test.ts
+++ b/packages/control/src/store/GroupCommitWriter.test.ts
@@ -61,6 +61,8 @@
     writeQueueLimitMs: 2000,
     writeQueueLength: 100,
     writeBatchLength: 10,
+    writesPerSecond: 50,
+    writeBurst: 10,
     retryDelayMs: 50,
     retryDelayLimitMs: 500
 };
@@ -173,3 +175,15 @@
     const last = await timer.advanceUntil(writes.at(-1)!);
     t.is(last._unsafeUnwrapErr().kind, WriteErrorKind.QueueFull);
 });
+
+test("a busy writer keeps to its pace and its batches grow", async t => {
+    const { writer, table, timer } = createWriter();
+    const writes: ReturnType<GroupCommitWriter["submit"]>[] = [];
+    for (let step = 0; step < 200; step++) {
+        writes.push(writer.submit(put(`row-${step}`)));
+        await timer.advance(5);
+    }
+    const results = await timer.advanceUntil(Promise.all(writes));
+    t.true(results.every(result => result.isOk()));
+    t.true(table.commits <= OPTIONS.writesPerSecond + OPTIONS.writeBurst + 1, `${table.commits} transactions`);
+});
--- a/packages/control/src/store/GroupCommitWriter.ts
+++ b/packages/control/src/store/GroupCommitWriter.ts
@@ -15,6 +15,7 @@
 import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
 import { err, ok, type Result } from "neverthrow";
 import { Backoff } from "./Backoff.js";
+import { Pace } from "./Pace.js";
 
 /** Why a write did not take effect. */
 export enum WriteErrorKind {
@@ -45,6 +46,10 @@
     readonly writeQueueLimitMs: number;
     readonly writeQueueLength: number;
     readonly writeBatchLength: number;
+    /** Transactions a second in the long run; a shared store serves several hundred for all processes. */
+    readonly writesPerSecond: number;
+    /** Transactions that may follow each other without a wait after a quiet time. */
+    readonly writeBurst: number;
     readonly retryDelayMs: number;
     readonly retryDelayLimitMs: number;
 }
@@ -83,6 +88,7 @@
 /** Writes to the table service with at most one transaction in flight; what arrives meanwhile joins the next. */
 export class GroupCommitWriter {
     private readonly backoff: Backoff;
+    private readonly pace: Pace;
     private queue: PendingWrite[] = [];
     private expiry: Disposable | undefined;
     private running = false;
@@ -101,6 +107,7 @@
         random: RandomSource,
         private readonly log: EventLog
     ) {
+        this.pace = new Pace(timer, options.writesPerSecond, options.writeBurst);
         this.backoff = new Backoff(options.retryDelayMs, options.retryDelayLimitMs, random);
     }
 
@@ -153,6 +160,10 @@
         this.running = true;
         while (this.queue.length > 0 && !this.stopped) {
             await Promise.resolve();
+            await this.pace.take();
+            if (this.stopped) {
+                return;
+            }
             await this.commitBatch(this.takeBatch());
             if (this.isCircuitOpen) {
                 rejectAll(this.queue.splice(0), NOT_REACHED);
--- /dev/null
+++ b/packages/control/src/store/Pace.ts
@@ -0,0 +1,35 @@
+import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
+
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** Limits a rate in the long run and lets short bursts pass without a wait. */
+export class Pace {
+    private tokens: number;
+    private refilledMs: number;
+
+    constructor(
+        private readonly timer: TimerService,
+        private readonly perSecond: number,
+        private readonly burst: number
+    ) {
+        this.tokens = burst;
+        this.refilledMs = timer.nowMs();
+    }
+
+    /** Resolves when the next one may pass; only one caller may wait at a time. */
+    public async take(): Promise<void> {
+        this.refill();
+        if (this.tokens < 1) {
+            await sleep(this.timer, (1 - this.tokens) * MILLISECONDS_PER_SECOND / this.perSecond);
+            this.refill();
+        }
+        this.tokens--;
+    }
+
+    private refill(): void {
+        const nowMs = this.timer.nowMs();
+        const gained = (nowMs - this.refilledMs) * this.perSecond / MILLISECONDS_PER_SECOND;
+        this.tokens = Math.min(this.burst, this.tokens + gained);
+        this.refilledMs = nowMs;
+    }
+}
