--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -18,8 +18,8 @@
     releaseSchema,
     submitSchema
 } from "../peer/PeerMessages.js";
-import { HandoverController } from "../slice/HandoverController.js";
 import { TrafficCounter } from "../peer/TrafficCounter.js";
+import { HandoverController } from "../slice/HandoverController.js";
 import { OwnershipController } from "../slice/OwnershipController.js";
 import { type OwnedSlice, SliceController } from "../slice/SliceController.js";
 import { SliceDirectory } from "../slice/SliceDirectory.js";
