--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -228,24 +228,22 @@
     }
 
     private beatWith(hasNews: boolean): void {
-        if (!this.source) {
-            return;
-        }
-        this.exchange.setOwn(this.source.heartbeat());
-        this.updateStates();
-        for (const partner of this.partners.due(hasNews, this.silentPeers().length > 0)) {
-            void this.ask(partner.candidates, partner.wanted);
+        if (this.source) {
+            this.exchange.setOwn(this.source.heartbeat());
+            this.updateStates();
+            const partners = this.partners.due(hasNews, this.silentPeers().length > 0);
+            partners.forEach(partner => void this.ask(partner.candidates, partner.wanted));
         }
     }
 
     /** Asks the first candidate; the next one takes over when it fails. */
     private async ask(candidates: readonly LiveMachine[], wanted: readonly string[]): Promise<void> {
         for (const machine of candidates) {
-            if (this.pending.has(machine.machineId)) {
+            const isPending = this.pending.has(machine.machineId);
+            if (isPending) {
                 this.dueAgain.add(machine.machineId);
-                return;
             }
-            if (await this.askOne(machine, wanted)) {
+            if (isPending || await this.askOne(machine, wanted)) {
                 return;
             }
         }
