--- a/packages/proof/src/histories/FaultInjector.ts
+++ b/packages/proof/src/histories/FaultInjector.ts
@@ -1,4 +1,4 @@
-import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
+import { type LiveMachine, MachineRole } from "@skylarkpath/common/platform/LiveList";
 import { createSeededRandom, nextInteger, type RandomSource } from "@skylarkpath/common/random/RandomSource";
 import { type Fault, FaultKind } from "@skylarkpath/standins/memory/FaultGate";
 import type { Link } from "@skylarkpath/standins/memory/MemoryNetwork";
@@ -51,7 +51,8 @@
     public storeLinkOf(processId: string): StoreLink {
         const { failureDomain } = this.deployment.machine(processId);
         for (const { action } of this.active) {
-            if (action.kind === StepKind.CutStore && action.failureDomain === failureDomain) {
+            const isCut = action.kind === StepKind.CutStore && action.failureDomain === failureDomain;
+            if (isCut || (action.kind === StepKind.Isolate && action.processId === processId)) {
                 return { cut: true, silent: action.silent };
             }
         }
@@ -117,12 +118,16 @@
     action: LastingAction,
     from: LiveMachine,
     to: LiveMachine
-): action is Extract<LastingAction, { readonly kind: StepKind.CutDomains | StepKind.CutWorker; }> {
+): action is Extract<LastingAction, { readonly kind: StepKind.CutDomains | StepKind.CutWorker | StepKind.Isolate; }> {
     if (action.kind === StepKind.CutDomains) {
         const isAlong = from.failureDomain === action.from && to.failureDomain === action.to;
         const isBack = from.failureDomain === action.to && to.failureDomain === action.from;
         return isAlong || (isBack && !action.oneWay);
     }
+    if (action.kind === StepKind.Isolate) {
+        const isEnd = from.machineId === action.processId || to.machineId === action.processId;
+        return isEnd && from.role === MachineRole.Entry && to.role === MachineRole.Entry;
+    }
     if (action.kind === StepKind.CutWorker) {
         const isAlong = from.machineId === action.processId && to.machineId === action.workerId;
         const isBack = from.machineId === action.workerId && to.machineId === action.processId;
--- a/packages/proof/src/histories/ScriptComposer.ts
+++ b/packages/proof/src/histories/ScriptComposer.ts
@@ -48,6 +48,8 @@
         durationMs: durationOf(random)
     }),
     composeWorkerCut,
+    composeIsolation,
+    composeIsolation,
     random => ({ kind: StepKind.SlowLinks, delayMs: between(random, 10, 1500), durationMs: durationOf(random) }),
     random => ({ kind: StepKind.StoreUnavailable, durationMs: durationOf(random) }),
     random => ({ kind: StepKind.StoreSlow, delayMs: between(random, 20, 1500), durationMs: durationOf(random) }),
@@ -103,6 +105,15 @@
     };
 }
 
+function composeIsolation(random: RandomSource): ScriptAction {
+    return {
+        kind: StepKind.Isolate,
+        processId: pick(random, PROCESS_IDS),
+        silent: chance(random, 0.5),
+        durationMs: durationOf(random)
+    };
+}
+
 function composeEdit(random: RandomSource): ScriptAction {
     const variant = {
         processors: between(random, 24, 48),
--- a/packages/proof/src/histories/ScriptStep.ts
+++ b/packages/proof/src/histories/ScriptStep.ts
@@ -8,6 +8,7 @@
     CutDomains = "cut-domains",
     CutStore = "cut-store",
     CutWorker = "cut-worker",
+    Isolate = "isolate",
     SlowLinks = "slow-links",
     StoreUnavailable = "store-unavailable",
     StoreSlow = "store-slow",
@@ -63,6 +64,13 @@
         readonly silent: boolean;
         readonly durationMs: number;
     }
+    | {
+        /** Cut off from all other processes and from the store, but neither from workers nor from targets. */
+        readonly kind: StepKind.Isolate;
+        readonly processId: string;
+        readonly silent: boolean;
+        readonly durationMs: number;
+    }
     | { readonly kind: StepKind.SlowLinks; readonly delayMs: number; readonly durationMs: number; }
     | { readonly kind: StepKind.StoreSlow; readonly delayMs: number; readonly durationMs: number; }
     | { readonly kind: StepKind.StoreRepliesLost; readonly part: number; readonly durationMs: number; }
