--- a/packages/adapters/src/JsonRpcClient.ts
+++ b/packages/adapters/src/JsonRpcClient.ts
@@ -13,6 +13,8 @@
     readonly connectTimeoutMs: number;
     /** Longest reply that is read. */
     readonly maxReplyBytes: number;
+    /** Models the links to other machines. */
+    readonly links?: LinkModel;
     /** Returns headers that authenticate a body for a receiver. */
     readonly sign?: (body: string, address: string) => Readonly<Record<string, string>>;
     /** Tells whether a reply comes from somebody who may answer the request with these headers. */
@@ -21,8 +23,6 @@
         header: (name: string) => string | undefined,
         requestHeaders: Readonly<Record<string, string>>
     ) => boolean;
-    /** Models the links to other machines. */
-    readonly links?: LinkModel;
 }
 
 /** Default options of a JSON-RPC client. */
--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -13,7 +13,7 @@
     type KeyStatus,
     PeerMethod
 } from "../peer/PeerMessages.js";
-import { LinkKind } from "../peer/TrafficCounter.js";
+import type { LinkKind } from "../peer/TrafficCounter.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import { LiveListReader } from "./LiveListReader.js";
@@ -91,6 +91,8 @@
     private readonly reportEmitter = this.store.add(new Emitter<HeartbeatReport>());
     private readonly peerStateEmitter = this.store.add(new Emitter<PeerView>());
     private readonly liveList: LiveListReader;
+    /** Processes whose beat was due while another one was under way. */
+    private readonly dueAgain = new Set<string>();
     private source: HeartbeatSource | undefined;
     private newsPending = false;
 
@@ -159,12 +161,7 @@
 
     /** Kind of the link to the process at an address. */
     public linkKindOf(address: string): LinkKind {
-        const { failureDomain, region } = this.environment.identity;
-        const machine = this.entryMachines.find(entry => entry.address === address);
-        if (!machine || machine.failureDomain === failureDomain) {
-            return LinkKind.Domain;
-        }
-        return machine.region === region ? LinkKind.Region : LinkKind.Remote;
+        return this.liveList.linkKindOf(address, this.environment.identity);
     }
 
     /** Finds another process by its id. */
@@ -239,7 +236,11 @@
     /** Asks the first candidate; the next one takes over when it fails. */
     private async ask(candidates: readonly LiveMachine[], wanted: readonly string[]): Promise<void> {
         for (const machine of candidates) {
-            if (this.pending.has(machine.machineId) || await this.askOne(machine, wanted)) {
+            if (this.pending.has(machine.machineId)) {
+                this.dueAgain.add(machine.machineId);
+                return;
+            }
+            if (await this.askOne(machine, wanted)) {
                 return;
             }
         }
@@ -248,6 +249,7 @@
     private async askOne(machine: LiveMachine, wanted: readonly string[]): Promise<boolean> {
         const { machineId, address } = machine;
         this.pending.add(machineId);
+        this.dueAgain.delete(machineId);
         const sentMs = this.environment.timer.nowMs();
         const beat = this.exchange.composeBeat(machine, wanted, this.partners.domainsFor(machine));
         const reply = await this.peerClient.call<unknown>(
@@ -269,6 +271,9 @@
         this.partners.noteAnswer(machineId);
         this.suspicions.noteAnswer(machineId, sentMs, answer.data.silent ?? []);
         this.receive(answer.data, machine, sentMs);
+        if (this.dueAgain.has(machineId)) {
+            void this.askOne(machine, wanted);
+        }
         return true;
     }
 
