--- a/packages/bench/src/members/main.ts
+++ b/packages/bench/src/members/main.ts
@@ -1,4 +1,5 @@
 import { FaultyDeployment } from "@skylarkpath/proof/members/FaultyDeployment";
+import { measureRequestTraffic } from "./RequestTraffic.js";
 import { type MeasuredSize, measuredSizes } from "./Sizes.js";
 
 interface Figures {
@@ -117,6 +118,11 @@
 }
 
 console.log(`seed ${SEED}, virtual time, text of ${TEAM_COUNT} teams`);
+const requests = await measureRequestTraffic(SEED);
+console.log(
+    `slow link, today, entry without the store: ${requests.lookupBytes.toFixed(0)} B per look-up, `
+        + `${requests.jobBytes.toFixed(0)} B per batch job`
+);
 console.log(
     "size | processes | slow link B/s at rest | most B/s of a process | store reads/s | slow link B per change"
         + " | store reads per change | change in force ms p50 / max | withdrawal in force ms p50 / max"
