--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -13,7 +13,7 @@
     type KeyStatus,
     PeerMethod
 } from "../peer/PeerMessages.js";
-import { LinkKind } from "../peer/TrafficCounter.js";
+import type { LinkKind } from "../peer/TrafficCounter.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import { LiveListReader } from "./LiveListReader.js";
@@ -161,12 +161,7 @@
 
     /** Kind of the link to the process at an address. */
     public linkKindOf(address: string): LinkKind {
-        const { failureDomain, region } = this.environment.identity;
-        const machine = this.entryMachines.find(entry => entry.address === address);
-        if (!machine || machine.failureDomain === failureDomain) {
-            return LinkKind.Domain;
-        }
-        return machine.region === region ? LinkKind.Region : LinkKind.Remote;
+        return this.liveList.linkKindOf(address, this.environment.identity);
     }
 
     /** Finds another process by its id. */
