--- /dev/null
+++ b/packages/bench/src/recovery/AcceptLatencyTrial.ts
@@ -0,0 +1,49 @@
+import { SILENT_LOG } from "@skylarkpath/common/log/EventLog";
+import { createSeededRandom } from "@skylarkpath/common/random/RandomSource";
+import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
+import { DEFAULT_PROCESS_OPTIONS } from "@skylarkpath/control/process/ProcessOptions";
+import { GroupCommitWriter } from "@skylarkpath/control/store/GroupCommitWriter";
+import { FaultKind } from "@skylarkpath/standins/memory/FaultGate";
+import { MemoryTableService } from "@skylarkpath/standins/memory/MemoryTableService";
+
+/** Latency of acceptances by one writer on the virtual timer. */
+export interface AcceptLatency {
+    readonly latenciesMs: readonly number[];
+    readonly refused: number;
+    readonly meanBatch: number;
+}
+
+const LOAD_MS = 20_000;
+const MILLISECONDS_PER_SECOND = 1000;
+
+/** Writes at a rate through one group-commit writer to a store with a delay. */
+export async function runAcceptLatency(writesPerSecond: number, storeDelayMs: number): Promise<AcceptLatency> {
+    const timer = new VirtualTimer();
+    const table = new MemoryTableService(timer);
+    table.setFaultPlan(() => ({ kind: FaultKind.None, delayMs: storeDelayMs }));
+    const random = createSeededRandom(1);
+    const writer = new GroupCommitWriter(table, timer, "writer", DEFAULT_PROCESS_OPTIONS, random, SILENT_LOG);
+    const latenciesMs: number[] = [];
+    let refused = 0;
+    const write = async (key: string): Promise<void> => {
+        const startMs = timer.nowMs();
+        const row = { table: "requests", key };
+        const written = await writer.submit({
+            conditions: () => [{ ...row, version: 0 }],
+            mutations: () => [{ ...row, value: key }]
+        });
+        if (written.isOk()) {
+            latenciesMs.push(timer.nowMs() - startMs);
+        }
+        else {
+            refused++;
+        }
+    };
+    let place = 0;
+    const load = timer.every(MILLISECONDS_PER_SECOND / writesPerSecond, () => void write(`row-${place++}`));
+    await timer.advance(LOAD_MS);
+    load.dispose();
+    await timer.advance(LOAD_MS);
+    const { operations, transactions } = writer.writeCounts;
+    return { latenciesMs, refused, meanBatch: operations / Math.max(1, transactions) };
+}
--- /dev/null
+++ b/packages/bench/src/recovery/TakeOverTrial.ts
@@ -0,0 +1,48 @@
+import { WorkerTaskState } from "@skylarkpath/common/platform/WorkerService";
+import { RECOVERY_TOPOLOGY, RecoveryBench } from "@skylarkpath/proof/recovery/RecoveryBench";
+import { FaultKind } from "@skylarkpath/standins/memory/FaultGate";
+
+/** Times after the kill of an owner, on the virtual timer. */
+export interface TakeOverTimes {
+    readonly acquiredMs: number;
+    readonly firstStartMs: number;
+    readonly lookupsFailed: number;
+    readonly lookups: number;
+}
+
+const LOOKUP = { queue: "part-lookup", payload: "seal" };
+const STORE_DELAY_MS = 10;
+const WATCH_MS = 8000;
+const STEP_MS = 5;
+const SLICE = "vantaa";
+
+/** Kills the owner of a slice under load and waits for new work to start there. */
+export async function runTakeOver(seed: number, killAfterMs: number): Promise<TakeOverTimes> {
+    const bench = await RecoveryBench.start({ topology: RECOVERY_TOPOLOGY, seed });
+    bench.deployment.table.setFaultPlan(() => ({ kind: FaultKind.None, delayMs: STORE_DELAY_MS }));
+    const { timer } = bench.deployment;
+    const finishLookups = bench.repeat(() => "tampere-entry-0", LOOKUP, 20);
+    const finishJobs = bench.repeat(() => "vantaa-entry-2", RecoveryBench.job(1), 50);
+    await bench.advance(killAfterMs);
+    const { epoch } = await bench.rowOf(SLICE);
+    const killedMs = timer.nowMs();
+    bench.deployment.kill(bench.ownerOf(SLICE)!);
+    let acquiredMs: number | undefined;
+    while (timer.nowMs() < killedMs + WATCH_MS) {
+        await bench.advance(STEP_MS);
+        if (acquiredMs === undefined && bench.ownerOf(SLICE) !== undefined) {
+            acquiredMs = timer.nowMs() - killedMs;
+        }
+    }
+    const first = bench.taskEvents.find(event =>
+        event.workerId.startsWith(SLICE) && event.epoch > epoch && event.state === WorkerTaskState.Running
+    );
+    const lookups = await finishLookups();
+    await finishJobs();
+    return {
+        acquiredMs: acquiredMs ?? Infinity,
+        firstStartMs: first ? first.atMs - killedMs : Infinity,
+        lookups: lookups.length,
+        lookupsFailed: lookups.filter(reply => reply.outcome.answers === undefined).length
+    };
+}
--- a/packages/control/src/process/ProcessOptions.ts
+++ b/packages/control/src/process/ProcessOptions.ts
@@ -77,7 +77,7 @@
     writeQueueLimitMs: 2000,
     writeQueueLength: 20_000,
     writeBatchLength: 500,
-    writesPerSecond: 50,
+    writesPerSecond: 40,
     writeBurst: 10,
     retryDelayMs: 50,
     retryDelayLimitMs: 2000,
--- a/packages/proof/src/recovery/WorkRecovery.test.ts
+++ b/packages/proof/src/recovery/WorkRecovery.test.ts
@@ -72,8 +72,7 @@
         bench.deployment.processes.reduce(
             (sum, { process }) =>
                 sum
-                + process.ownedSlices.reduce((part, slice) =>
-                    part + (slice.runningServices["parts-database"] ?? 0), 0),
+                + process.ownedSlices.reduce((part, slice) => part + (slice.runningServices["parts-database"] ?? 0), 0),
             0
         );
     t.is(running(), 9);
