--- a/packages/adapters/src/JsonRpcEndpoint.ts
+++ b/packages/adapters/src/JsonRpcEndpoint.ts
@@ -10,6 +10,13 @@
     readonly maxBodyBytes: number;
     /** Tells whether a body comes from somebody who may call. */
     readonly verify?: (body: string, header: (name: string) => string | undefined) => boolean;
+    /** Returns headers that authenticate a reply. */
+    readonly signReply?: (
+        body: string,
+        requestHeader: (name: string) => string | undefined
+    ) => Readonly<Record<string, string>>;
+    /** Told the size of each call and of its reply. */
+    readonly onExchange?: (requestBytes: number, replyBytes: number) => void;
 }
 
 /** Default options of a JSON-RPC endpoint. */
@@ -35,7 +42,10 @@
                 return context.text("The message is not authenticated.", 401);
             }
             const reply = await this.server.receiveJSON(body);
-            return context.json(reply ?? {});
+            const replyBody = JSON.stringify(reply ?? {});
+            this.options.onExchange?.(body.length, replyBody.length);
+            const signature = this.options.signReply?.(replyBody, name => context.req.header(name));
+            return context.body(replyBody, 200, { "content-type": "application/json", ...signature });
         });
     }
 }
--- a/packages/bench/src/decisions/TimedScheduler.ts
+++ b/packages/bench/src/decisions/TimedScheduler.ts
@@ -11,12 +11,13 @@
 } from "@skylarkpath/common/scheduling/TaskScheduler";
 import { build, type Histogram } from "hdr-histogram-js";
 
+const MICROSECONDS_PER_MILLISECOND = 1_000;
 const NANOSECONDS_PER_MILLISECOND = 1_000_000;
 const HIGHEST_NANOSECONDS = 60_000_000_000;
 
 /** Measures the processor time that a task scheduler spends in its calls. */
 export class TimedScheduler implements TaskScheduler {
-    /** Time of each call of `decide`, in nanoseconds. */
+    /** Elapsed time of each call of `decide`, in nanoseconds. */
     public readonly decideNanoseconds: Histogram = build({
         highestTrackableValue: HIGHEST_NANOSECONDS,
         numberOfSignificantValueDigits: 3
@@ -24,9 +25,10 @@
     private spentMs = 0;
     private started = 0;
 
-    constructor(private readonly scheduler: TaskScheduler) {}
+    /** Without `measuresCalls` only the elapsed time of decisions is measured, which costs next to nothing. */
+    constructor(private readonly scheduler: TaskScheduler, private readonly measuresCalls = true) {}
 
-    /** Time spent in all calls. */
+    /** Processor time spent in all calls, that of garbage collection and of measuring included. */
     public get totalMs(): number {
         return this.spentMs;
     }
@@ -55,9 +57,9 @@
     }
 
     public submit(group: TaskGroup): void {
-        const before = performance.now();
+        const before = this.begin();
         this.scheduler.submit(group);
-        this.spentMs += performance.now() - before;
+        this.addSpent(before);
     }
 
     public adopt(taskId: string, groupId: string, workerId: string, startedAtMs: number): void {
@@ -65,23 +67,24 @@
     }
 
     public withdraw(groupId: string): readonly string[] {
-        const before = performance.now();
+        const before = this.begin();
         const running = this.scheduler.withdraw(groupId);
-        this.spentMs += performance.now() - before;
+        this.addSpent(before);
         return running;
     }
 
     public taskEnded(taskId: string, end: TaskEnd, nowMs: number): void {
-        const before = performance.now();
+        const before = this.begin();
         this.scheduler.taskEnded(taskId, end, nowMs);
-        this.spentMs += performance.now() - before;
+        this.addSpent(before);
     }
 
     public decide(nowMs: number): readonly Decision[] {
+        const usageBefore = this.begin();
         const before = performance.now();
         const decisions = this.scheduler.decide(nowMs);
         const tookMs = performance.now() - before;
-        this.spentMs += tookMs;
+        this.addSpent(usageBefore);
         this.decideNanoseconds.recordValue(Math.round(tookMs * NANOSECONDS_PER_MILLISECOND));
         for (const { kind } of decisions) {
             this.started += kind === DecisionKind.Start ? 1 : 0;
@@ -96,4 +99,16 @@
     public usage(team: string): Resources {
         return this.scheduler.usage(team);
     }
+
+    private begin(): NodeJS.CpuUsage | undefined {
+        return this.measuresCalls ? process.cpuUsage() : undefined;
+    }
+
+    private addSpent(before: NodeJS.CpuUsage | undefined): void {
+        if (before === undefined) {
+            return;
+        }
+        const { user, system } = process.cpuUsage(before);
+        this.spentMs += (user + system) / MICROSECONDS_PER_MILLISECOND;
+    }
 }
--- a/packages/control/src/keys/KeyController.ts
+++ b/packages/control/src/keys/KeyController.ts
@@ -4,7 +4,7 @@
 import type { KeyRecord } from "@skylarkpath/common/model/Slice";
 import type { StoreError } from "@skylarkpath/common/platform/StoreError";
 import { err, ok, type Result } from "neverthrow";
-import type { HeartbeatReport, MembershipController } from "../membership/MembershipController.js";
+import type { GroupStatement, HeartbeatReport, MembershipController } from "../membership/MembershipController.js";
 import type { PeerClient } from "../peer/PeerClient.js";
 import {
     type KeyStatus,
@@ -79,6 +79,11 @@
         };
     }
 
+    /** Oldest statement about keys of some processes; undefined when one is missing. */
+    public statementOf(processIds: readonly string[]): GroupStatement | undefined {
+        return this.freshness.statementOf(processIds, this.environment.identity.processId);
+    }
+
     /** Tells whether the store was reached lately. */
     public get isStoreReached(): boolean {
         return this.freshness.isStoreReached;
@@ -86,7 +91,7 @@
 
     /** Begins to read the store. */
     public start(): void {
-        this.store.add(this.environment.timer.every(this.options.keyIntervalMs, () => void this.readStore()));
+        this.store.add(this.environment.timer.every(this.options.keyIntervalMs, () => this.poll()));
         void this.readStore();
     }
 
@@ -200,15 +205,25 @@
         return storing;
     }
 
+    /** The relay of the failure domain reads the store each time, the others when what they are told grows old. */
+    private poll(): void {
+        const isOld = this.freshness.storeAgeMs > this.options.keyRelayedAgeMs;
+        if (this.membership.isDomainRelay || isOld || this.ledger.unstoredKeyIds.length > 0) {
+            void this.readStore();
+        }
+    }
+
     private async readStore(): Promise<void> {
         if (this.reading) {
             return;
         }
         this.reading = true;
         const sentMs = this.environment.timer.nowMs();
+        this.freshness.noteAttempt();
         const records = await this.table.readChanged();
         this.reading = false;
         if (records.isErr()) {
+            this.freshness.noteAttemptFailed();
             return;
         }
         for (const record of records.value) {
@@ -234,7 +249,8 @@
         const { processId } = this.environment.identity;
         this.peerClient.serve(PeerMethod.PushKeys, pushKeysSchema, async message => {
             this.ledger.merge(message.changes);
-            return ok({ processId });
+            const stored = message.changes.every(change => change.record || this.ledger.isStored(change.keyId));
+            return ok({ processId, stored });
         });
         this.peerClient.serve(PeerMethod.ReadKeys, readKeysSchema, async message =>
             ok({
--- a/packages/control/src/keys/KeyFreshness.ts
+++ b/packages/control/src/keys/KeyFreshness.ts
@@ -1,4 +1,5 @@
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import type { GroupStatement } from "../membership/MembershipController.js";
 
 /** Bounds of the age of key knowledge. */
 export interface KeyFreshnessOptions {
@@ -28,6 +29,8 @@
     private storeAsOfMs = -Infinity;
     private storeContactMs = -Infinity;
     private vanishedMs = -Infinity;
+    private attemptMs: number | undefined;
+    private attemptFailed = false;
     private liveProcessIds: ReadonlySet<string> = new Set();
     private joined = false;
 
@@ -47,7 +50,7 @@
 
     /** Tells that neither this process nor one that vanished can have reached the store lately. */
     public get storeLost(): boolean {
-        return !this.isStoreReached && !this.isBlocked;
+        return !this.isStoreReached && this.hasTriedStore && !this.isBlocked;
     }
 
     /** Notes a read of the store, complete up to the time it was sent. */
@@ -59,6 +62,18 @@
     /** Notes that the store was reached. */
     public noteStoreContact(): void {
         this.storeContactMs = this.timer.nowMs();
+        this.attemptMs = undefined;
+        this.attemptFailed = false;
+    }
+
+    /** Notes that a read of the store began. */
+    public noteAttempt(): void {
+        this.attemptMs ??= this.timer.nowMs();
+    }
+
+    /** Notes that a read of the store failed. */
+    public noteAttemptFailed(): void {
+        this.attemptFailed = true;
     }
 
     /** Notes knowledge from the store that another process passed on; its own age is already subtracted. */
@@ -74,6 +89,24 @@
         }
     }
 
+    /** Oldest statement of some processes, the own one included; undefined when one is missing. */
+    public statementOf(processIds: readonly string[], ownProcessId: string): GroupStatement | undefined {
+        const statements: Statement[] = [];
+        for (const processId of processIds) {
+            const own = { asOfMs: this.timer.nowMs(), storeLost: this.storeLost };
+            const statement = processId === ownProcessId ? own : this.statements.get(processId);
+            if (!statement) {
+                return undefined;
+            }
+            statements.push(statement);
+        }
+        const oldestMs = Math.min(...statements.map(statement => statement.asOfMs));
+        const isKnown = statements.length > 0;
+        return isKnown
+            ? { ageMs: this.timer.nowMs() - oldestMs, storeLost: statements.every(statement => statement.storeLost) }
+            : undefined;
+    }
+
     /** Takes in the live list; a process that vanished may have reached the store after it was last heard. */
     public updateLive(processIds: readonly string[]): void {
         const live = new Set(processIds);
@@ -95,6 +128,12 @@
         return this.timer.nowMs() - Math.max(this.storeAsOfMs, heardAsOfMs);
     }
 
+    /** Only a process that tried may say that it cannot reach the store. */
+    private get hasTriedStore(): boolean {
+        const pendingMs = this.timer.nowMs() - (this.attemptMs ?? this.timer.nowMs());
+        return this.attemptFailed || pendingMs >= this.options.keyStoreLostMs / 2;
+    }
+
     private get isBlocked(): boolean {
         return this.vanishedMs >= this.storeAsOfMs && this.vanishedMs > -Infinity;
     }
--- a/packages/control/src/peer/PeerMessages.ts
+++ b/packages/control/src/peer/PeerMessages.ts
@@ -58,7 +58,11 @@
 export const pushKeysSchema = z.object({ changes: z.array(keyChangeSchema).max(10_000).readonly() }).readonly();
 
 /** Answer of a process that took a message in. */
-export const acknowledgementSchema = z.object({ processId: name }).readonly();
+export const acknowledgementSchema = z.object({
+    processId: name,
+    /** All withdrawals of the message are in the store. */
+    stored: z.boolean().optional()
+}).readonly();
 
 /** Question for the changes of the keys after a position. */
 export const readKeysSchema = z.object({ afterCount: wholeNumber }).readonly();
@@ -69,8 +73,60 @@
     changes: z.array(keyChangeSchema).max(10_000).readonly()
 }).readonly();
 
-/** Heartbeat with the status of the key knowledge. */
-export const beatSchema = z.object({ heartbeat: heartbeatSchema, keys: keyStatusSchema }).readonly();
+/** Heartbeat with its number; a higher one of the same incarnation is newer. */
+export const processReportSchema = z.object({ sequence: wholeNumber, heartbeat: heartbeatSchema }).readonly();
+
+/** Changed fields of a report. */
+export const reportPatchSchema = z.object({
+    processId: name,
+    baseSequence: wholeNumber,
+    sequence: wholeNumber,
+    fields: z.record(z.string(), z.unknown()).readonly()
+}).readonly();
+
+/** Report of a process, or what changed in it. */
+export const reportNewsSchema = z.object({
+    report: processReportSchema.optional(),
+    patch: reportPatchSchema.optional()
+}).readonly();
+
+const newsSchema = z.array(reportNewsSchema).max(1000).readonly();
+
+/** Question of a process to another one: what changed, and what the asking process has. */
+export const beatSchema = z.object({
+    processId: name,
+    /** Reports that the receiver may lack. */
+    news: newsSchema.optional(),
+    /** Number of the receiver's own report that is known. */
+    known: z.string().max(512).optional(),
+    /** Digests of the failure domains that the asking process wants to hear of. */
+    wanted: z.record(z.string(), z.string().max(64)).readonly().optional()
+}).readonly();
+
+/** Processes of one failure domain as the answering process knows them; what is empty is left out. */
+export const groupSchema = z.object({
+    /** Age of the oldest sign of life, but for the processes that are late. */
+    ageMs: z.number().nonnegative(),
+    late: z.record(z.string(), z.number().nonnegative()).readonly().optional(),
+    /** All processes of the failure domain, when the digests differ. */
+    processIds: z.array(name).max(1000).readonly().optional(),
+    /** Age of the oldest answer about keys; absent when one is missing. */
+    keyAgeMs: z.number().nonnegative().optional(),
+    storeLost: z.boolean().optional(),
+    news: newsSchema.optional()
+}).readonly();
+
+/** Answer to a beat; what is empty is left out. */
+export const beatReplySchema = z.object({
+    processId: name,
+    incarnation: name,
+    keys: keyStatusSchema,
+    news: newsSchema.optional(),
+    /** Processes by failure domain. */
+    groups: z.record(z.string(), groupSchema).readonly().optional(),
+    /** Processes of the own failure domain that the answering process does not hear. */
+    silent: z.array(name).max(1000).readonly().optional()
+}).readonly();
 
 const amount = z.number().finite().nonnegative();
 
@@ -103,8 +159,20 @@
     teams: z.record(z.string(), z.object({ wanted: allotmentSchema, quantum: allotmentSchema }).readonly()).readonly()
 }).readonly();
 
-/** Versioned operators' text. */
-export const versionedTextSchema = z.object({ version: wholeNumber, text: z.string() }).readonly();
+/** Question for the operators' text by a process that has a version. */
+export const readConfigSchema = z.object({ baseVersion: wholeNumber }).readonly();
+
+/** Operators' text, whole or as a change of the base version. */
+export const configNewsSchema = z.object({
+    version: wholeNumber,
+    text: z.string().max(8_000_000).optional(),
+    baseVersion: wholeNumber.optional(),
+    delta: z.object({
+        startLine: wholeNumber,
+        removedCount: wholeNumber,
+        lines: z.array(z.string()).max(200_000).readonly()
+    }).readonly().optional()
+}).readonly();
 
 /** Request that was committed and now waits at its slice. */
 export const submitSchema = z.object({ requestId: name }).readonly();
@@ -152,15 +220,33 @@
 /** Slice that a process owns. */
 export type OwnedSliceNews = z.infer<typeof ownedSliceSchema>;
 
+/** Operators' text, whole or as a change. */
+export type ConfigNews = z.infer<typeof configNewsSchema>;
+
 /** Change of the keys. */
 export type KeyChange = z.infer<typeof keyChangeSchema>;
 
 /** Position and age of key knowledge. */
 export type KeyStatus = z.infer<typeof keyStatusSchema>;
 
-/** Heartbeat with the status of the key knowledge. */
+/** Heartbeat with its number. */
+export type ProcessReport = z.infer<typeof processReportSchema>;
+
+/** Changed fields of a report. */
+export type ReportPatch = z.infer<typeof reportPatchSchema>;
+
+/** Report of a process, or what changed in it. */
+export type ReportNews = z.infer<typeof reportNewsSchema>;
+
+/** Question of a process to another one. */
 export type Beat = z.infer<typeof beatSchema>;
 
+/** Answer to a beat. */
+export type BeatReply = z.infer<typeof beatReplySchema>;
+
+/** Processes of one failure domain as another process knows them. */
+export type Group = z.infer<typeof groupSchema>;
+
 /** Look-up that asks for a slot. */
 export type AcquireMessage = z.infer<typeof acquireSchema>;
 
@@ -171,6 +257,7 @@
 export enum PeerMethod {
     Heartbeat = "membership.heartbeat",
     ReadConfig = "config.read",
+    PushConfig = "config.push",
     ReadKeys = "keys.read",
     PushKeys = "keys.push",
     PushAllotment = "limits.push",
--- a/packages/control/src/process/ProcessOptions.ts
+++ b/packages/control/src/process/ProcessOptions.ts
@@ -2,6 +2,16 @@
 export interface ProcessOptions {
     /** Interval between heartbeats to each peer. */
     readonly heartbeatIntervalMs: number;
+    /** Interval at which a process asks its relay for what is beyond the failure domain. */
+    readonly groupIntervalMs: number;
+    /** Interval between beats of the relays of two failure domains. */
+    readonly relayIntervalMs: number;
+    /** Interval between beats of the relays of two regions. */
+    readonly regionIntervalMs: number;
+    /** Longest wait for the answer to a beat. */
+    readonly beatTimeoutMs: number;
+    /** Time for which a relay gathers news before it passes them on. */
+    readonly newsDelayMs: number;
     /** Silence after which a peer is suspected. */
     readonly suspectAfterMs: number;
     /** Silence after which a peer is taken as dead. */
@@ -15,6 +25,8 @@
     readonly keyAgeLimitMs: number;
     /** Silence of the store after which a process says that it has lost the store. */
     readonly keyStoreLostMs: number;
+    /** Age of relayed key knowledge past which a process reads the store itself. */
+    readonly keyRelayedAgeMs: number;
     /** Longest wait of a new process for an answer of every live process. */
     readonly keyJoinLimitMs: number;
     /** Longest wait for the acknowledgements of a withdrawal. */
@@ -56,6 +68,11 @@
 /** Default timing and bounds. */
 export const DEFAULT_PROCESS_OPTIONS: ProcessOptions = {
     heartbeatIntervalMs: 250,
+    groupIntervalMs: 500,
+    relayIntervalMs: 250,
+    regionIntervalMs: 500,
+    beatTimeoutMs: 500,
+    newsDelayMs: 20,
     suspectAfterMs: 1000,
     deadAfterMs: 2000,
     liveListIntervalMs: 1000,
@@ -64,6 +81,7 @@
     keyIntervalMs: 500,
     keyAgeLimitMs: 4000,
     keyStoreLostMs: 1200,
+    keyRelayedAgeMs: 1500,
     keyJoinLimitMs: 5000,
     withdrawalTimeoutMs: 3000,
     rejoinSpreadMs: 2000,
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -19,6 +19,7 @@
     submitSchema
 } from "../peer/PeerMessages.js";
 import { HandoverController } from "../slice/HandoverController.js";
+import { TrafficCounter } from "../peer/TrafficCounter.js";
 import { OwnershipController } from "../slice/OwnershipController.js";
 import { type OwnedSlice, SliceController } from "../slice/SliceController.js";
 import { SliceDirectory } from "../slice/SliceDirectory.js";
@@ -44,6 +45,8 @@
     private stopping = false;
     private startedMs = 0;
 
+    /** Bytes sent to and received from other processes by purpose. */
+    public readonly traffic: TrafficCounter;
     /** Calls to other processes. */
     public readonly peerClient: PeerClient;
     /** Live list and other processes. */
@@ -63,12 +66,14 @@
         sliceIds: readonly string[]
     ) {
         const { identity, log, table, timer } = environment;
+        this.traffic = new TrafficCounter(environment.transport, address => this.membership.linkKindOf(address));
         this.peerClient = new PeerClient(
             identity.processId,
-            environment.transport,
+            this.traffic,
             environment.methods,
             environment.clock,
-            log
+            log,
+            timer
         );
         this.writer = new GroupCommitWriter(table, timer, ownerNameOf(identity), options, environment.random, log);
         this.requestStore = new RequestStore(table, environment.objects, this.writer, options.inlineLimitBytes);
@@ -156,7 +161,11 @@
     public start(): void {
         this.environment.log.write(EVENTS.processStarted);
         this.startedMs = this.environment.timer.nowMs();
-        this.membership.start(() => ({ heartbeat: this.composeHeartbeat(), keys: this.keys.status }));
+        this.membership.start({
+            heartbeat: () => this.composeHeartbeat(),
+            keys: () => this.keys.status,
+            keyStatement: processIds => this.keys.statementOf(processIds)
+        });
         this.config.start();
         this.keys.start();
         this.allotments.start();
--- a/packages/decisions/src/tasks/TaskOptions.ts
+++ b/packages/decisions/src/tasks/TaskOptions.ts
@@ -1,5 +1,7 @@
 /** Settings of a task scheduler. */
 export interface TaskOptions {
+    /** Tasks that one decision starts, apart from gangs; bounds its processor time. */
+    readonly maxStartsPerDecision: number;
     /** Distinct workers on which a task fails before its group is rejected. */
     readonly maxFailedWorkers: number;
     /** Attempts of a task that fails, when there are fewer workers than that. */
@@ -10,8 +12,9 @@
     readonly maxRetryDelayMs: number;
     /** Time for which a size has to exceed all workers before its groups are rejected. */
     readonly infeasibleGraceMs: number;
-    /** Time between two tries to start a waiting gang. */
+    /** Time between the first two tries to start a waiting gang; it grows up to the longest. */
     readonly gangAttemptIntervalMs: number;
+    readonly maxGangAttemptIntervalMs: number;
     /** Time that a gang waits for room before it reserves workers. */
     readonly reservationPatienceMs: number;
     /** Fraction of its slack that a gang above its team's share waits before it reserves. */
@@ -43,6 +46,7 @@
 
 /** Settings in force unless others are given. */
 export const DEFAULT_TASK_OPTIONS: TaskOptions = {
+    maxStartsPerDecision: 250,
     maxFailedWorkers: 3,
     maxAttempts: 3,
     maxFailedWorkersOfGroup: 5,
@@ -50,15 +54,16 @@
     maxRetryDelayMs: 60_000,
     infeasibleGraceMs: 30_000,
     gangAttemptIntervalMs: 50,
+    maxGangAttemptIntervalMs: 500,
     reservationPatienceMs: 1_000,
-    gangSlackFraction: 0.1,
+    gangSlackFraction: 0.02,
     gangWindowFactor: 2,
     minGangWindowMs: 60_000,
     maxReservedFraction: 0.5,
     reservationOverdueMs: 1_000,
     gangRepairMs: 2_000,
     keepPatienceMs: 2_000,
-    maxKeptFraction: 0.1,
+    maxKeptFraction: 0.05,
     backfill: true,
     preemptionPatienceMs: 1_000,
     preemptionCandidates: 32,
--- /dev/null
+++ b/packages/proof/src/mutants/BrokenEnvironments.ts
@@ -0,0 +1,95 @@
+import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
+import {
+    type TableCondition,
+    type TableMutation,
+    type TableTransaction
+} from "@skylarkpath/common/platform/TableService";
+import { type TargetAnswer, TargetErrorKind } from "@skylarkpath/common/platform/TargetService";
+import { WorkerCommandKind, type WorkerTaskReport, WorkerTaskState } from "@skylarkpath/common/platform/WorkerService";
+import type { ProcessEnvironment } from "@skylarkpath/control/process/ProcessEnvironment";
+import { err } from "neverthrow";
+
+/** Exchanges parts of the environment of a process. */
+export type EnvironmentChange = (environment: ProcessEnvironment) => ProcessEnvironment;
+
+/** Commits leave out the rows of some tables. */
+export function withoutRowsOf(tables: readonly string[]): EnvironmentChange {
+    const isKept = (place: TableCondition | TableMutation): boolean =>
+        !tables.includes(place.table) || ("value" in place && place.value === undefined);
+    return environment => {
+        const { table } = environment;
+        const commit = (transaction: TableTransaction): ReturnType<typeof table.commit> =>
+            table.commit({
+                conditions: transaction.conditions.filter(isKept),
+                mutations: transaction.mutations.filter(isKept)
+            });
+        return { ...environment, table: { ...table, commit } };
+    };
+}
+
+/** Each answer but the first is that of the attempt before. */
+export const withStaleAnswers: EnvironmentChange = environment => {
+    const { targets } = environment;
+    let previous: TargetAnswer | undefined;
+    const dispatch: typeof targets.dispatch = async (address, request) => {
+        const answer = await targets.dispatch(address, request);
+        const stale = previous;
+        previous = answer.unwrapOr(undefined) ?? previous;
+        return answer.map(fresh => ({ ...(stale ?? fresh), attemptId: fresh.attemptId }));
+    };
+    return { ...environment, targets: { ...targets, dispatch } };
+};
+
+/** Answers are lost and the dispatch is taken as never sent. */
+export const withDeniedDispatch: EnvironmentChange = environment => {
+    const { targets } = environment;
+    const dispatch: typeof targets.dispatch = async (address, request) => {
+        await targets.dispatch(address, request);
+        return err({ kind: TargetErrorKind.Unreachable, message: "Taken as never sent." });
+    };
+    return { ...environment, targets: { ...targets, dispatch } };
+};
+
+/** Commands to workers lack the renewals of leases. */
+export const withoutRenewals: EnvironmentChange = environment => {
+    const { workers } = environment;
+    const exchange: typeof workers.exchange = (address, batch) => {
+        const commands = batch.commands.map(command =>
+            command.kind === WorkerCommandKind.Renew ? { ...command, taskIds: [] } : command
+        );
+        return workers.exchange(address, { ...batch, commands });
+    };
+    return { ...environment, workers: { exchange } };
+};
+
+/** Replies of workers report tasks under another state. */
+export function withReportsChanged(change: (report: WorkerTaskReport) => WorkerTaskReport): EnvironmentChange {
+    return environment => {
+        const { workers } = environment;
+        const exchange: typeof workers.exchange = async (address, batch) => {
+            const reply = await workers.exchange(address, batch);
+            return reply.map(value => ({ ...value, reports: value.reports.map(change) }));
+        };
+        return { ...environment, workers: { exchange } };
+    };
+}
+
+/** Takes a task that succeeded for one that failed. */
+export function takeAsFailed(report: WorkerTaskReport): WorkerTaskReport {
+    return report.state === WorkerTaskState.Succeeded ? { ...report, state: WorkerTaskState.Failed } : report;
+}
+
+/** Takes every task for one that runs. */
+export function takeAsRunning(report: WorkerTaskReport): WorkerTaskReport {
+    return { ...report, state: WorkerTaskState.Running };
+}
+
+/** The live list shows no machine as leaving. */
+export const withoutLeaving: EnvironmentChange = environment => {
+    const { liveList } = environment;
+    const stay = (machine: LiveMachine): LiveMachine => ({ ...machine, leaving: false });
+    return {
+        ...environment,
+        liveList: { read: async () => (await liveList.read()).map(machines => machines.map(stay)) }
+    };
+};
--- a/packages/skylarkd/src/SkylarkServer.ts
+++ b/packages/skylarkd/src/SkylarkServer.ts
@@ -26,7 +26,7 @@
 import { mountHealth } from "./http/HealthApi.js";
 import { OperatorApi } from "./http/OperatorApi.js";
 import { WinstonSink } from "./log/WinstonSink.js";
-import { ProcessMetrics } from "./metrics/ProcessMetrics.js";
+import { LinkKind, ProcessMetrics } from "./metrics/ProcessMetrics.js";
 import { createLinkModel } from "./ModelledLinks.js";
 
 /** Addresses that a server listens on, as `IP:PORT`. */
@@ -64,6 +64,7 @@
         const peerApplication = new Hono();
         endpoint.mount(peerApplication, PEER_PATH);
         const peers = await this.listen(peerApplication, this.settings.listen.peers);
+        this.signer.setOwnAddress(peers.address);
         const timer = new SystemTimer();
         const clock = new HybridClock(timer);
         const timeline = this.createTimeline(clock);
@@ -100,7 +101,10 @@
     private createPeerEndpoint(): JsonRpcEndpoint {
         return new JsonRpcEndpoint({
             ...DEFAULT_JSON_RPC_ENDPOINT_OPTIONS,
-            verify: (body, header) => this.signer.verify(body, header)
+            verify: (body, header) => this.signer.verify(body, header),
+            signReply: (body, requestHeader) => this.signer.signReply(body, requestHeader),
+            onExchange: (requestBytes, replyBytes) =>
+                this.metrics.countPeerBytes("served", LinkKind.Served, requestBytes + replyBytes)
         });
     }
 
@@ -139,7 +143,13 @@
         const clientOptions = { ...DEFAULT_JSON_RPC_CLIENT_OPTIONS, links };
         const client = this.addClient(new JsonRpcClient(clientOptions));
         const peerClient = this.addClient(
-            new JsonRpcClient({ ...clientOptions, sign: body => this.signer.sign(body) })
+            new JsonRpcClient({
+                ...clientOptions,
+                onExchange: (address, method, requestBytes, replyBytes) =>
+                    this.metrics.countPeerBytes(method, this.linkTo(address), requestBytes + replyBytes),
+                sign: (body, address) => this.signer.sign(body, address),
+                verifyReply: (body, header, request) => this.signer.verifyReply(body, header, request)
+            })
         );
         return {
             table: new HttpTableService(client, hostOf(platform.tableServiceUrl), timing.storeTimeoutMs),
@@ -151,6 +161,14 @@
         };
     }
 
+    private linkTo(address: string): LinkKind {
+        const machine = this.process?.membership.entryMachines.find(candidate => candidate.address === address);
+        if (!machine || machine.failureDomain === this.settings.failureDomain) {
+            return LinkKind.FailureDomain;
+        }
+        return machine.region === this.settings.region ? LinkKind.Region : LinkKind.BetweenRegions;
+    }
+
     private addClient(client: JsonRpcClient): JsonRpcClient {
         this.clients.push(client);
         return client;
