Tasks of jobs that are not idempotent run at most once

Cause: the owner started a task again after a failure, a lapsed lease or a take-over, whatever its queue said. Change: a start record is committed once a job before its first start; a task that may have run and ended without an answer ends its job (done when it failed, else unknown); such tasks are never preempted; a new owner adopts what runs and ends a job whose open tasks are not found.

--- a/packages/common/src/model/Request.ts
+++ b/packages/common/src/model/Request.ts
@@ -30,6 +30,7 @@
     NoTarget = "no-target",
     NoOwner = "no-owner",
     OwnerLost = "owner-lost",
+    TaskInterrupted = "task-interrupted",
     AnswerIncomplete = "answer-incomplete",
     TargetFailed = "target-failed",
     Stopping = "stopping"
--- a/packages/common/src/scheduling/TaskScheduler.ts
+++ b/packages/common/src/scheduling/TaskScheduler.ts
@@ -29,6 +29,8 @@
     readonly profile: string;
     readonly declaredDurationMs: number;
     readonly checkpointable: boolean;
+    /** Tasks are never stopped for other work, since they must not run again; default false. */
+    readonly neverPreempted?: boolean;
     /** Monotonic time; absent for services. */
     readonly deadlineAtMs?: number;
     readonly submittedAtMs: number;
--- a/packages/control/src/entry/RequestController.ts
+++ b/packages/control/src/entry/RequestController.ts
@@ -16,7 +16,7 @@
 import type { PauseDetector } from "../process/PauseDetector.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
-import type { JobDescription } from "../slice/JobController.js";
+import type { JobDescription } from "../slice/JobDescription.js";
 import type { SliceDirectory } from "../slice/SliceDirectory.js";
 import type { RequestStore } from "../store/RequestStore.js";
 import { bodyFilter } from "./BodyFilter.js";
--- a/packages/control/src/slice/Job.ts
+++ b/packages/control/src/slice/Job.ts
@@ -8,6 +8,9 @@
 
 const NO_TASKS: TaskSizing = { count: 0, resources: NO_RESOURCES, declaredDurationMs: 0, checkpointable: false };
 
+const TASK_FAILED_DETAIL = "A task failed; it does not run again, since the queue is not idempotent.";
+const TASK_INTERRUPTED_DETAIL = "A task was interrupted; it does not run again, since the queue is not idempotent.";
+
 /** Accepted batch or gang job with the progress of its tasks. */
 export class Job {
     private readonly answers = new Map<number, string>();
@@ -19,7 +22,7 @@
     private finalOutcome: RequestOutcome | undefined;
 
     constructor(
-        public readonly stored: StoredRequest,
+        private current: StoredRequest,
         /** Payload of the request, loaded from the object store when it is large. */
         public readonly payload: string,
         /** Tasks may run already under a former epoch. */
@@ -34,6 +37,35 @@
         history?.answers.forEach(({ taskIndex, answer }) => this.answers.set(taskIndex, answer));
     }
 
+    /** Record of the request with the version of its row. */
+    public get stored(): StoredRequest {
+        return this.current;
+    }
+
+    /** Tells whether a task that ran may run again. */
+    public get isIdempotent(): boolean {
+        return this.current.record.spec.idempotent;
+    }
+
+    /** Tells whether a start may follow: tasks that must not run again need a committed start record first. */
+    public get hasStartRecord(): boolean {
+        return this.current.record.start !== undefined;
+    }
+
+    /** Tells whether some open task may have run under a former owner and must not run again. */
+    public get hasLostTask(): boolean {
+        return !this.isIdempotent
+            && this.claimedEarlier
+            && this.history === undefined
+            && this.hasStartRecord
+            && this.openTaskIds.some(taskId => !this.running.has(taskId));
+    }
+
+    /** Notes that the start record is committed. */
+    public noteStartRecord(stored: StoredRequest): void {
+        this.current = stored;
+    }
+
     /** Id of the request. */
     public get requestId(): string {
         return this.stored.record.requestId;
@@ -100,6 +132,7 @@
             profile: spec.queue,
             declaredDurationMs: this.sizing.declaredDurationMs,
             checkpointable: this.sizing.checkpointable,
+            neverPreempted: !spec.idempotent,
             deadlineAtMs: nowMs + (spec.deadlineAtMs - wallClockMs),
             submittedAtMs: nowMs - Math.max(0, wallClockMs - acceptedAtMs)
         };
@@ -182,6 +215,13 @@
             : { state: OutcomeState.Unknown, reason: OutcomeReason.OwnerLost, detail };
     }
 
+    /** Outcome of the job when a task that must not run again has ended without an answer. */
+    public interruptedOutcome(hasFailed: boolean): RequestOutcome {
+        return hasFailed
+            ? { state: OutcomeState.Done, reason: OutcomeReason.NeverSucceeds, detail: TASK_FAILED_DETAIL }
+            : { state: OutcomeState.Unknown, reason: OutcomeReason.TaskInterrupted, detail: TASK_INTERRUPTED_DETAIL };
+    }
+
     /** Describes the job for the next owner of the slice. */
     public toHanded(): HandedJob {
         return {
--- a/packages/control/src/slice/JobController.ts
+++ b/packages/control/src/slice/JobController.ts
@@ -15,19 +15,13 @@
 import type { RequestStore, SliceGuard, StoredRequest, TaskProgress } from "../store/RequestStore.js";
 import { Adoption } from "./Adoption.js";
 import { Job, taskIndexOf } from "./Job.js";
+import type { JobDescription } from "./JobDescription.js";
 import { JobOutcomeWriter } from "./JobOutcomeWriter.js";
 import { isOrder } from "./OrderResolver.js";
 import { OutcomeMemory } from "./OutcomeMemory.js";
 import type { Placements } from "./Placements.js";
 import type { HandedJob, SliceHandover } from "./SliceHandover.js";
 
-/** Outcome of a request with what it waits for. */
-export interface JobDescription {
-    readonly team: string;
-    readonly outcome: RequestOutcome;
-    readonly waiting?: WaitExplanation;
-}
-
 /** Asks for a running task to be stopped. */
 export type StopTask = (taskId: string) => void;
 
@@ -196,11 +190,14 @@
         return written.isOk();
     }
 
-    /** Notes that a task ended without an answer. */
-    public taskEnded(taskId: string, requestId: string, end: TaskEnd): void {
+    /** Notes that a task ended without an answer; one that may have run and must not run again ends its job. */
+    public taskEnded(taskId: string, requestId: string, end: TaskEnd, mayHaveRun: boolean): void {
         const job = this.jobs.get(requestId);
         job?.noteStopped(taskId);
-        const effectiveEnd = job && !job.isCancelled ? end : TaskEnd.Cancelled;
+        if (job?.mayRun && mayHaveRun && !job.isIdempotent) {
+            void this.finish(job, job.interruptedOutcome(end === TaskEnd.Failed));
+        }
+        const effectiveEnd = job?.mayRun ? end : TaskEnd.Cancelled;
         this.scheduler.taskEnded(taskId, effectiveEnd, this.environment.timer.nowMs());
         if (job) {
             this.finishCancelled(job);
@@ -348,6 +345,10 @@
         if (!job.mayRun || (job.claimedEarlier && !this.mayStartEarlierClaims)) {
             return;
         }
+        if (job.hasLostTask) {
+            void this.finish(job, job.interruptedOutcome(false));
+            return;
+        }
         const { timer } = this.environment;
         this.scheduler.submit(job.toGroup(job.openTaskIds, timer.nowMs(), timer.wallClockMs()));
     }
--- /dev/null
+++ b/packages/control/src/slice/JobDescription.ts
@@ -0,0 +1,9 @@
+import type { RequestOutcome } from "@skylarkpath/common/model/Request";
+import type { WaitExplanation } from "@skylarkpath/common/scheduling/TaskScheduler";
+
+/** Outcome of a request with what it waits for. */
+export interface JobDescription {
+    readonly team: string;
+    readonly outcome: RequestOutcome;
+    readonly waiting?: WaitExplanation;
+}
--- a/packages/control/src/slice/SliceController.ts
+++ b/packages/control/src/slice/SliceController.ts
@@ -5,7 +5,7 @@
 import type { OperatorsText } from "@skylarkpath/common/model/OperatorsText";
 import { subtractResources } from "@skylarkpath/common/model/Resources";
 import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
-import { WorkerCommandKind, WorkerRefusal } from "@skylarkpath/common/platform/WorkerService";
+import { WorkerCommandKind } from "@skylarkpath/common/platform/WorkerService";
 import {
     type Decision,
     DecisionKind,
@@ -20,18 +20,20 @@
 import type { ProcessOptions } from "../process/ProcessOptions.js";
 import type { RequestStore, SliceGuard } from "../store/RequestStore.js";
 import { GrantWindow } from "./GrantWindow.js";
-import { JobController, type JobDescription } from "./JobController.js";
+import { JobController } from "./JobController.js";
+import type { JobDescription } from "./JobDescription.js";
 import { LookupController } from "./LookupController.js";
 import { type EntryCheck, OrderResolver } from "./OrderResolver.js";
 import { Placements } from "./Placements.js";
-import { isServiceGroup, ServiceController, type ServiceCounts } from "./ServiceController.js";
+import { ServiceController, type ServiceCounts } from "./ServiceController.js";
 import { Confirmation } from "./SliceClaim.js";
 import type { SliceHandover } from "./SliceHandover.js";
 import { SliceTransfer } from "./SliceTransfer.js";
+import { StartRecorder } from "./StartRecorder.js";
 import { TaskReportHandler } from "./TaskReportHandler.js";
+import { TaskStarter } from "./TaskStarter.js";
 import { WorkerPool } from "./WorkerPool.js";
-import type { OwnershipConfirmation, RefusedStart, WorkerSession } from "./WorkerSession.js";
-import { composeWorkerTask } from "./WorkerTaskComposer.js";
+import type { OwnershipConfirmation, WorkerSession } from "./WorkerSession.js";
 
 /** Slice that this process owns. */
 export interface OwnedSlice {
@@ -70,6 +72,7 @@
     /** Workers by the task that runs or may run there. */
     private readonly placements = new Placements();
     private readonly reports: TaskReportHandler;
+    private readonly starter: TaskStarter;
     private readonly orders: OrderResolver;
     private readonly grants: GrantWindow;
     private readonly transfer: SliceTransfer;
@@ -115,6 +118,17 @@
         this.reports = this.store.add(
             new TaskReportHandler(environment, this.scheduler, this.placements, this.jobs, this.services)
         );
+        this.starter = new TaskStarter(
+            environment,
+            this.scheduler,
+            this.pool,
+            this.placements,
+            this.jobs,
+            this.services,
+            this.reports,
+            new StartRecorder(slice.sliceId, requests, slice.guard),
+            () => this.mayCommand
+        );
         const lookupScheduler = environment.schedulers.createLookupScheduler(environment.random);
         this.lookups = this.store.add(
             new LookupController(environment, options, lookupScheduler, () => this.mayCommand && this.grants.isProven)
@@ -248,9 +262,11 @@
         this.store.add(this.pool.onReply(reply => this.reports.handleReply(reply)));
         this.store.add(this.pool.onChange(session => this.updateWorker(session)));
         this.store.add(this.pool.onRemoved(workerId => this.scheduler.removeWorker(workerId)));
-        this.store.add(this.pool.onRefusedStart(refused => this.handleRefusedStart(refused)));
+        this.store.add(this.pool.onRefusedStart(refused => this.starter.handleRefused(refused)));
         this.store.add(
-            this.pool.onLapsed(taskIds => taskIds.forEach(taskId => this.reports.endTask(taskId, TaskEnd.Requeued)))
+            this.pool.onLapsed(taskIds =>
+                taskIds.forEach(taskId => this.reports.endTask(taskId, TaskEnd.Requeued, true))
+            )
         );
         this.store.add(this.pool.onStale(() => this.staleEmitter.fire()));
         this.store.add(this.pool.onHoldReleased(() => this.releaseHold()));
@@ -331,7 +347,7 @@
     private carryOut(decision: Decision): void {
         switch (decision.kind) {
             case DecisionKind.Start:
-                this.startTask(decision.taskId, decision.groupId, decision.workerId);
+                this.starter.start(decision.taskId, decision.groupId, decision.workerId);
                 break;
             case DecisionKind.Stop:
                 this.stopTask(decision.taskId);
@@ -348,25 +364,6 @@
         }
     }
 
-    private startTask(taskId: string, groupId: string, workerId: string): void {
-        const session = this.pool.find(workerId);
-        const task = composeWorkerTask(taskId, groupId, this.services, this.jobs);
-        if (!session || !task) {
-            this.scheduler.taskEnded(taskId, TaskEnd.Requeued, this.environment.timer.nowMs());
-            return;
-        }
-        this.placements.put({ taskId, workerId, groupId });
-        this.reports.noteStarted(taskId, workerId);
-        if (isServiceGroup(groupId)) {
-            this.services.noteRunning(taskId, groupId);
-        }
-        else {
-            this.jobs.noteStarted(taskId, groupId);
-        }
-        this.environment.log.write(EVENTS.taskStarted, { requestId: groupId, taskId, worker: workerId });
-        session.start(task);
-    }
-
     /** Asks for checkpoints, so that a task that is lost with its worker resumes where it was. */
     private checkpointTasks(): void {
         if (!this.mayCommand) {
@@ -385,10 +382,4 @@
             this.pool.find(placement.workerId)?.send({ kind: WorkerCommandKind.Stop, taskId });
         }
     }
-
-    private handleRefusedStart(refused: RefusedStart): void {
-        if (refused.refusal !== WorkerRefusal.DuplicateTask) {
-            this.reports.endTask(refused.taskId, TaskEnd.Requeued);
-        }
-    }
 }
--- /dev/null
+++ b/packages/control/src/slice/StartRecorder.ts
@@ -0,0 +1,38 @@
+import type { RequestStore, SliceGuard } from "../store/RequestStore.js";
+import type { Job } from "./Job.js";
+
+/** Commits, once for each job that is not idempotent, that its tasks may run. */
+export class StartRecorder {
+    private readonly pending = new Map<string, Promise<boolean>>();
+
+    constructor(
+        private readonly sliceId: string,
+        private readonly requests: RequestStore,
+        private readonly guard: SliceGuard
+    ) {}
+
+    /** Tells whether a task of the job may be sent to a worker at once. */
+    public isReady(job: Job): boolean {
+        return job.isIdempotent || job.hasStartRecord;
+    }
+
+    /** Commits the start record; resolves with false when it is not committed and nothing may start. */
+    public record(job: Job): Promise<boolean> {
+        const known = this.pending.get(job.requestId);
+        if (known) {
+            return known;
+        }
+        const recording = this.commit(job).finally(() => this.pending.delete(job.requestId));
+        this.pending.set(job.requestId, recording);
+        return recording;
+    }
+
+    private async commit(job: Job): Promise<boolean> {
+        const start = { attemptId: job.requestId, targetId: this.sliceId };
+        const written = await this.requests.recordStart(job.stored, start, this.guard);
+        if (written.isOk()) {
+            job.noteStartRecord(written.value);
+        }
+        return written.isOk();
+    }
+}
--- a/packages/control/src/slice/TaskReportHandler.ts
+++ b/packages/control/src/slice/TaskReportHandler.ts
@@ -116,12 +116,12 @@
             }
             return committed;
         }
-        this.endTask(taskId, report.state === WorkerTaskState.Failed ? TaskEnd.Failed : TaskEnd.Requeued);
+        this.endTask(taskId, report.state === WorkerTaskState.Failed ? TaskEnd.Failed : TaskEnd.Requeued, true);
         return true;
     }
 
     /** Notes that a task no longer runs. */
-    public endTask(taskId: string, end: TaskEnd): void {
+    public endTask(taskId: string, end: TaskEnd, mayHaveRun: boolean): void {
         const placement = this.placements.remove(taskId);
         if (!placement) {
             return;
@@ -133,7 +133,7 @@
             this.changeEmitter.fire();
         }
         else {
-            this.jobs.taskEnded(taskId, placement.groupId, end);
+            this.jobs.taskEnded(taskId, placement.groupId, end, mayHaveRun);
         }
     }
 }
--- a/packages/control/src/store/RequestStore.ts
+++ b/packages/control/src/store/RequestStore.ts
@@ -1,4 +1,4 @@
-import type { IdempotencyRecord, RequestOutcome, RequestRecord } from "@skylarkpath/common/model/Request";
+import type { IdempotencyRecord, RequestOutcome, RequestRecord, StartRecord } from "@skylarkpath/common/model/Request";
 import type { ObjectStore } from "@skylarkpath/common/platform/ObjectStore";
 import { type StoreError, StoreErrorKind } from "@skylarkpath/common/platform/StoreError";
 import {
@@ -103,6 +103,21 @@
         return row.map(found => found?.version === stored.version);
     }
 
+    /** Commits that tasks of a job may run from now on; returns the record with its new version. */
+    public async recordStart(
+        stored: StoredRequest,
+        start: StartRecord,
+        guard: SliceGuard
+    ): Promise<Result<StoredRequest, WriteError>> {
+        const record: RequestRecord = { ...stored.record, start };
+        const key = record.requestId;
+        const written = await this.writer.submit({
+            conditions: () => [{ table: TableName.Requests, key, version: stored.version }, ...guard()],
+            mutations: () => [{ table: TableName.Requests, key, value: toJson(record) }]
+        });
+        return written.map(({ version }) => ({ record, version }));
+    }
+
     /** Commits the answer of one task. */
     public async recordProgress(
         progress: TaskProgress,
--- a/packages/decisions/src/tasks/VictimFinder.ts
+++ b/packages/decisions/src/tasks/VictimFinder.ts
@@ -95,6 +95,7 @@
 
 function mayBeStopped(task: RunningTask, search: VictimSearch): boolean {
     return !task.group.group.urgent
+        && !task.group.group.neverPreempted
         && !task.group.isService
         && task.stage === PreemptionStage.Undisturbed
         && (search.onlyTeam === undefined || task.group.team === search.onlyTeam);
--- a/packages/proof/src/histories/HistoryRun.test.ts
+++ b/packages/proof/src/histories/HistoryRun.test.ts
@@ -9,7 +9,7 @@
 const FIRST_SEED = 1;
 const SEED_COUNT = 40;
 /** Rules that KNOWN-RED.txt names; they are expected to find violations. */
-const KNOWN_RED = new Set<string>(["task-at-most-once"]);
+const KNOWN_RED = new Set<string>([]);
 
 const histories: { readonly seed: number; readonly history: History; }[] = [];
 
--- a/packages/proof/src/mutants/AllMutants.ts
+++ b/packages/proof/src/mutants/AllMutants.ts
@@ -21,6 +21,7 @@
     withoutLeaving,
     withoutRenewals,
     withoutRowsOf,
+    withRepeatableRequests,
     withReportsChanged,
     withStaleAnswers
 } from "./BrokenEnvironments.js";
@@ -86,10 +87,12 @@
         broken: { changeEnvironment: withoutRowsOf([TableName.Requests, TableName.Idempotency]) }
     },
     {
-        name: "a task that succeeded is taken as failed",
+        name: "a task that must not run again is started again after a failure",
         rule: new TaskOnceRule(),
         script: scripts.ONE_CERTIFICATION,
-        broken: { changeEnvironment: withReportsChanged(takeAsFailed) }
+        broken: {
+            changeEnvironment: environment => withRepeatableRequests(withReportsChanged(takeAsFailed)(environment))
+        }
     },
     {
         name: "the live list is read without the leaving machines",
--- a/packages/proof/src/mutants/BrokenEnvironments.ts
+++ b/packages/proof/src/mutants/BrokenEnvironments.ts
@@ -1,7 +1,11 @@
+import type { RequestRecord } from "@skylarkpath/common/model/Request";
 import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
 import {
+    type JsonValue,
     type TableCondition,
     type TableMutation,
+    TableName,
+    type TableRow,
     type TableTransaction
 } from "@skylarkpath/common/platform/TableService";
 import { type TargetAnswer, TargetErrorKind } from "@skylarkpath/common/platform/TargetService";
@@ -79,6 +83,16 @@
     return report.state === WorkerTaskState.Succeeded ? { ...report, state: WorkerTaskState.Failed } : report;
 }
 
+/** Requests are read from the store as if all of them might run again. */
+export const withRepeatableRequests: EnvironmentChange = environment => {
+    const { table } = environment;
+    const read: typeof table.read = async (name, key) =>
+        (await table.read(name, key)).map(row => row && repeatableRow(name, row));
+    const scan: typeof table.scan = async request =>
+        (await table.scan(request)).map(rows => rows.map(row => repeatableRow(request.table, row)));
+    return { ...environment, table: { ...table, read, scan } };
+};
+
 /** Takes every task for one that runs. */
 export function takeAsRunning(report: WorkerTaskReport): WorkerTaskReport {
     return { ...report, state: WorkerTaskState.Running };
@@ -93,3 +107,12 @@
         liveList: { read: async () => (await liveList.read()).map(machines => machines.map(stay)) }
     };
 };
+
+function repeatableRow(table: string, row: TableRow): TableRow {
+    if (table !== TableName.Requests) {
+        return row;
+    }
+    const record = row.value as unknown as RequestRecord;
+    const value = { ...record, spec: { ...record.spec, idempotent: true } };
+    return { ...row, value: value as unknown as JsonValue };
+}
