Seek other victims when stopped ones do not end; unchanged worker views cost nothing

A victim that ignores its stop held an urgent task up for ever. Victims that were throttled for a place no longer needed may be chosen again.

--- a/packages/decisions/src/SliceTaskScheduler.ts
+++ b/packages/decisions/src/SliceTaskScheduler.ts
@@ -71,9 +71,10 @@
     }
 
     public upsertWorker(view: WorkerView): void {
-        const worker = this.state.fleet.upsert(view);
-        this.sharesStale = true;
-        this.updateCondition(worker.workerId);
+        if (this.state.fleet.upsert(view)) {
+            this.sharesStale = true;
+            this.updateCondition(view.workerId);
+        }
     }
 
     public removeWorker(workerId: string): void {
--- a/packages/decisions/src/fleet/Fleet.ts
+++ b/packages/decisions/src/fleet/Fleet.ts
@@ -68,15 +68,15 @@
         return this.workers.get(workerId);
     }
 
-    /** Adds a worker or takes over its new view. */
-    public upsert(view: WorkerView): WorkerNode {
+    /** Adds a worker or takes over its view; returns whether it brings anything new. */
+    public upsert(view: WorkerView): boolean {
         const worker = this.obtain(view.workerId);
         this.departed.delete(view.workerId);
         if (worker.hasView(view)) {
-            return worker;
+            return false;
         }
         this.replaceView(worker, () => worker.setView(view));
-        return worker;
+        return true;
     }
 
     /** Marks a worker as gone and returns it; it is forgotten once nothing runs there. */
--- a/packages/decisions/src/tasks/Preemptor.ts
+++ b/packages/decisions/src/tasks/Preemptor.ts
@@ -14,6 +14,7 @@
     readonly worker: WorkerNode;
     readonly victims: readonly RunningTask[];
     nextStepAtMs: number;
+    stopped: boolean;
 }
 
 const MAX_CLAIMS_PER_DECISION = 4;
@@ -94,7 +95,7 @@
 
     private claim(queue: ShapeQueue, choice: VictimChoice, nowMs: number): void {
         const { worker, victims } = choice;
-        this.claims.add({ queue, worker, victims, nextStepAtMs: nowMs + this.options.throttleMs });
+        this.claims.add({ queue, worker, victims, nextStepAtMs: nowMs + this.options.throttleMs, stopped: false });
         this.state.reserve(worker, {
             group: queue.peek()!,
             places: new Map([[worker, 1]]),
@@ -123,7 +124,7 @@
         }
     }
 
-    /** Checkpoints the victims that can be, and stops all of them at the next step. */
+    /** Checkpoints the victims that can be, stops all of them at the next step, and gives up when they do not end. */
     private step(claim: Claim, nowMs: number): void {
         const toCheckpoint = claim.victims.filter(victim =>
             isRunning(victim) && victim.group.group.checkpointable && victim.stage < PreemptionStage.Checkpointing
@@ -135,7 +136,12 @@
             }
             return;
         }
-        claim.nextStepAtMs = Number.POSITIVE_INFINITY;
+        if (claim.stopped) {
+            this.drop(claim);
+            return;
+        }
+        claim.stopped = true;
+        claim.nextStepAtMs = nowMs + this.options.stopPatienceMs;
         for (const victim of claim.victims) {
             if (isRunning(victim)) {
                 victim.group.preemptionCount++;
@@ -154,8 +160,14 @@
         this.state.decide({ kind, taskId, groupId: group.group.groupId, workerId: worker.workerId });
     }
 
+    /** Opens the worker to all; victims that were spared may be chosen again. */
     private drop(claim: Claim): void {
         this.claims.delete(claim);
+        for (const victim of claim.victims) {
+            if (victim.stage < PreemptionStage.Stopping) {
+                victim.stage = PreemptionStage.Undisturbed;
+            }
+        }
         this.state.unreserve(claim.worker);
     }
 
--- a/packages/decisions/src/tasks/TaskOptions.ts
+++ b/packages/decisions/src/tasks/TaskOptions.ts
@@ -42,6 +42,8 @@
     readonly throttleMs: number;
     /** Time that a victim gets for its checkpoint before it is stopped. */
     readonly checkpointMs: number;
+    /** Time in which a stopped victim has to end before other victims are sought. */
+    readonly stopPatienceMs: number;
 }
 
 /** Settings in force unless others are given. */
@@ -68,5 +70,6 @@
     preemptionPatienceMs: 1_000,
     preemptionCandidates: 32,
     throttleMs: 100,
-    checkpointMs: 1_000
+    checkpointMs: 1_000,
+    stopPatienceMs: 2_000
 };
