--- a/packages/decisions/src/SchedulerProperties.test.ts
+++ b/packages/decisions/src/SchedulerProperties.test.ts
@@ -157,3 +157,43 @@
     );
     t.pass();
 });
+
+test("leaves no task waiting that has room, when nothing is reserved", t => {
+    t.log(`seed ${SEED}`);
+    fc.assert(
+        fc.property(fc.array(step, { minLength: 10, maxLength: 120 }), steps => {
+            const options = { keepPatienceMs: Number.POSITIVE_INFINITY };
+            const scheduler = new SliceTaskScheduler(createSeededRandom(SEED), options);
+            const model = new SchedulerModel(scheduler);
+            for (let worker = 0; worker <= WORKERS; worker++) {
+                model.setWorker(`w${worker}`, createResources(START_CORES));
+            }
+            for (let team = 0; team < TEAMS; team++) {
+                model.setTeam(`team${team}`, createResources(2 * START_CORES));
+            }
+            let nowMs = 0;
+            for (const taken of steps) {
+                nowMs += taken.kind === "wait" ? taken.durationMs : 0;
+                apply(scheduler, model, onlyPlainBatches(taken), nowMs);
+                model.decide(nowMs);
+                model.checkNoneFits();
+            }
+            if (model.faults.length > 0) {
+                throw new Error(model.faults.join("; "));
+            }
+        }),
+        { seed: SEED, numRuns: RUNS }
+    );
+    t.pass();
+});
+
+/** Without failures, gangs and urgent work nothing is delayed or reserved. */
+function onlyPlainBatches(taken: Step): Step {
+    if (taken.kind === "submit") {
+        return { ...taken, shape: { ...taken.shape, kind: GroupKind.Batch, urgent: false } };
+    }
+    if (taken.kind === "end" && taken.end === TaskEnd.Failed) {
+        return { ...taken, end: TaskEnd.Requeued };
+    }
+    return taken;
+}
--- a/packages/decisions/src/testing/SchedulerModel.ts
+++ b/packages/decisions/src/testing/SchedulerModel.ts
@@ -51,7 +51,7 @@
     }
 
     public withdraw(groupId: string): void {
-        this.waiting.set(groupId, new Set());
+        this.waiting.get(groupId)?.clear();
         this.scheduler.withdraw(groupId);
     }
 
@@ -94,6 +94,22 @@
         return subtractResources(capacity, this.sum(task => task.workerId === workerId));
     }
 
+    /** Checks that no waiting task fits a worker and its team's allotment. */
+    public checkNoneFits(): void {
+        for (const [groupId, taskIds] of this.waiting) {
+            const group = this.groups.get(groupId)!;
+            const usage = addResources(this.usageOf(group.team), group.resources);
+            if (taskIds.size === 0 || !fitsInto(usage, this.allotments.get(group.team) ?? NO_RESOURCES)) {
+                continue;
+            }
+            for (const workerId of this.capacities.keys()) {
+                if (fitsInto(group.resources, this.freeOn(workerId))) {
+                    this.faults.push(`a task of ${groupId} waits though ${workerId} has room`);
+                }
+            }
+        }
+    }
+
     private start(taskId: string, groupId: string, workerId: string): void {
         const group = this.groups.get(groupId)!;
         if (this.running.has(taskId)) {
