--- a/packages/decisions/src/fleet/WorkerIndex.test.ts
+++ b/packages/decisions/src/fleet/WorkerIndex.test.ts
@@ -1,3 +1,4 @@
+import type { Resources } from "@skylarkpath/common/model/Resources";
 import { createSeededRandom, nextInteger } from "@skylarkpath/common/random/RandomSource";
 import test from "ava";
 import { OrderingResource, WorkerIndex } from "./WorkerIndex.js";
@@ -11,11 +12,17 @@
 test("finds a worker whenever one fits, and never one that does not", t => {
     t.log(`seed ${SEED}`);
     const random = createSeededRandom(SEED);
-    const draw = (): { processorMillicores: number; memoryBytes: number; accelerators: number; } => ({
+    const drawSpread = (): Resources => ({
         processorMillicores: nextInteger(random, 12) ** 4,
         memoryBytes: nextInteger(random, 12) ** 4 * MEBIBYTE,
         accelerators: Math.max(0, nextInteger(random, 14) - 3)
     });
+    const drawClose = (): Resources => ({
+        processorMillicores: 1030 + nextInteger(random, 500),
+        memoryBytes: (1030 + nextInteger(random, 500)) * MEBIBYTE,
+        accelerators: 0
+    });
+    const draw = (): Resources => (random.next() < 0.7 ? drawClose() : drawSpread());
     const index = new WorkerIndex();
     const workers = [...Array(WORKERS).keys()].map(worker => new WorkerNode(`w${worker}`));
     let found = 0;
