--- a/packages/decisions/src/LookupProperties.test.ts
+++ b/packages/decisions/src/LookupProperties.test.ts
@@ -69,6 +69,7 @@
     private readonly targetSlots = new Map<string, number>();
     private readonly teamSlots = new Map<string, number>();
     private readonly waiting = new Set<string>();
+    private readonly teams = new Map<string, string>();
 
     constructor(private readonly scheduler: SliceLookupScheduler) {}
 
@@ -138,8 +139,6 @@
         }
     }
 
-    private readonly teams = new Map<string, string>();
-
     private teamOf(lookupId: string): string {
         return this.teams.get(lookupId)!;
     }
