--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -1,7 +1,7 @@
 import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
-import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { Emitter, type Event } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
-import { type LiveMachine, MachineRole } from "@skylarkpath/common/platform/LiveList";
+import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
 import { err, ok } from "neverthrow";
 import type { PeerClient } from "../peer/PeerClient.js";
 import {
@@ -13,8 +13,10 @@
     type KeyStatus,
     PeerMethod
 } from "../peer/PeerMessages.js";
+import { LinkKind } from "../peer/TrafficCounter.js";
 import type { ProcessEnvironment } from "../process/ProcessEnvironment.js";
 import type { ProcessOptions } from "../process/ProcessOptions.js";
+import { LiveListReader } from "./LiveListReader.js";
 import { PartnerChoice } from "./PartnerChoice.js";
 import { ReportExchange } from "./ReportExchange.js";
 import { type KnownReport, ReportTable } from "./ReportTable.js";
@@ -73,8 +75,8 @@
     suspicion?: Suspicion;
 }
 
-/** Hops of a sign of life from one process over two relays to another one. */
-const HOPS_OF_RELAYS = 3;
+/** Intervals of relays that a sign of life may take from one process over two relays to another one. */
+const HOPS_OF_RELAYS = 4;
 
 /** Knows the live list and the other processes: directly in the failure domain, by relays beyond it. */
 export class MembershipController implements Disposable {
@@ -88,12 +90,9 @@
     private readonly heartbeatEmitter = this.store.add(new Emitter<Heartbeat>());
     private readonly reportEmitter = this.store.add(new Emitter<HeartbeatReport>());
     private readonly peerStateEmitter = this.store.add(new Emitter<PeerView>());
-    private readonly liveListEmitter = this.store.add(new Emitter<readonly LiveMachine[]>());
-    private liveMachines: readonly LiveMachine[] = [];
-    private otherEntries: readonly LiveMachine[] = [];
-    private liveListReadMs: number | undefined;
     /** Processes whose beat was due while another one was under way. */
     private readonly dueAgain = new Set<string>();
+    private readonly liveList: LiveListReader;
     private source: HeartbeatSource | undefined;
     private newsPending = false;
 
@@ -104,7 +103,7 @@
     /** Tells each change of the state of another process. */
     public readonly onPeerState = this.peerStateEmitter.event;
     /** Tells each reading of the live list. */
-    public readonly onLiveList = this.liveListEmitter.event;
+    public readonly onLiveList: Event<readonly LiveMachine[]>;
 
     constructor(
         private readonly environment: ProcessEnvironment,
@@ -115,6 +114,9 @@
         this.table = new ReportTable(hasher);
         this.exchange = new ReportExchange(identity, timer, this.table, options);
         this.partners = new PartnerChoice(identity, timer, options, processId => this.isEligible(processId));
+        this.liveList = this.store.add(new LiveListReader(environment.liveList, timer, identity.processId));
+        this.onLiveList = this.liveList.onRead;
+        this.store.add(this.liveList.onRead(() => this.partners.setMachines(this.entryMachines)));
         this.store.add(this.exchange.onChange(heartbeat => this.takeIn(heartbeat)));
         peerClient.serve(PeerMethod.Heartbeat, beatSchema, async beat => {
             this.exchange.receiveNews(beat.news, timer.nowMs());
@@ -124,17 +126,17 @@
 
     /** Machines of the last reading of the live list. */
     public get machines(): readonly LiveMachine[] {
-        return this.liveMachines;
+        return this.liveList.machines;
     }
 
     /** Tells whether the live list was read at least once. */
     public get hasLiveList(): boolean {
-        return this.liveListReadMs !== undefined;
+        return Number.isFinite(this.liveList.ageMs);
     }
 
     /** Time since the request of the last reading of the live list. */
     public get liveListAgeMs(): number {
-        return this.liveListReadMs === undefined ? Infinity : this.environment.timer.nowMs() - this.liveListReadMs;
+        return this.liveList.ageMs;
     }
 
     /** Other processes that were heard. */
@@ -144,7 +146,7 @@
 
     /** Processes of the live list other than this one. */
     public get entryMachines(): readonly LiveMachine[] {
-        return this.otherEntries;
+        return this.liveList.entryMachines;
     }
 
     /** Tells whether this process speaks for its failure domain. */
@@ -157,6 +159,16 @@
         return this.partners.newsReceivers();
     }
 
+    /** Kind of the link to the process at an address. */
+    public linkKindOf(address: string): LinkKind {
+        const { failureDomain, region } = this.environment.identity;
+        const machine = this.entryMachines.find(entry => entry.address === address);
+        if (!machine || machine.failureDomain === failureDomain) {
+            return LinkKind.Domain;
+        }
+        return machine.region === region ? LinkKind.Region : LinkKind.Remote;
+    }
+
     /** Finds another process by its id. */
     public peer(processId: string): PeerView | undefined {
         const known = this.table.find(processId);
@@ -178,20 +190,8 @@
     }
 
     /** Reads the live list now; false when it cannot be read. */
-    public async readLiveList(): Promise<boolean> {
-        const sentMs = this.environment.timer.nowMs();
-        const machines = await this.environment.liveList.read();
-        if (machines.isErr()) {
-            return false;
-        }
-        this.liveListReadMs = Math.max(sentMs, this.liveListReadMs ?? sentMs);
-        this.liveMachines = machines.value;
-        const entryMachines = machines.value.filter(machine => machine.role === MachineRole.Entry);
-        const { processId } = this.environment.identity;
-        this.otherEntries = entryMachines.filter(machine => machine.machineId !== processId);
-        this.partners.setMachines(this.otherEntries);
-        this.liveListEmitter.fire(machines.value);
-        return true;
+    public readLiveList(): Promise<boolean> {
+        return this.liveList.read();
     }
 
     public dispose(): void {
@@ -228,24 +228,22 @@
     }
 
     private beatWith(hasNews: boolean): void {
-        if (!this.source) {
-            return;
-        }
-        this.exchange.setOwn(this.source.heartbeat());
-        this.updateStates();
-        for (const partner of this.partners.due(hasNews, this.silentPeers().length > 0)) {
-            void this.ask(partner.candidates, partner.wanted);
+        if (this.source) {
+            this.exchange.setOwn(this.source.heartbeat());
+            this.updateStates();
+            const partners = this.partners.due(hasNews, this.silentPeers().length > 0);
+            partners.forEach(partner => void this.ask(partner.candidates, partner.wanted));
         }
     }
 
     /** Asks the first candidate; the next one takes over when it fails. */
     private async ask(candidates: readonly LiveMachine[], wanted: readonly string[]): Promise<void> {
         for (const machine of candidates) {
-            if (this.pending.has(machine.machineId)) {
+            const isPending = this.pending.has(machine.machineId);
+            if (isPending) {
                 this.dueAgain.add(machine.machineId);
-                return;
             }
-            if (await this.askOne(machine, wanted)) {
+            if (isPending || await this.askOne(machine, wanted)) {
                 return;
             }
         }
@@ -274,7 +272,7 @@
             return false;
         }
         this.partners.noteAnswer(machineId);
-        this.suspicions.noteAnswer(machineId, sentMs, answer.data.silent);
+        this.suspicions.noteAnswer(machineId, sentMs, answer.data.silent ?? []);
         this.receive(answer.data, machine, sentMs);
         if (this.dueAgain.has(machineId)) {
             void this.askOne(machine, wanted);
@@ -298,12 +296,13 @@
     private composeReply(beat: Beat, source: HeartbeatSource): BeatReply {
         const { identity } = this.environment;
         this.exchange.setOwn(source.heartbeat());
+        const silent = this.silentPeers();
         return {
             processId: identity.processId,
             incarnation: identity.incarnation,
             keys: source.keys(),
             ...this.exchange.composeReply(beat, processIds => source.keyStatement(processIds)),
-            silent: this.silentPeers()
+            ...(silent.length > 0 ? { silent } : {})
         };
     }
 
@@ -346,14 +345,14 @@
 
     private updateStates(): void {
         const nowMs = this.environment.timer.nowMs();
-        const listed = new Set(this.otherEntries.map(machine => machine.machineId));
+        const listed = new Set(this.entryMachines.map(machine => machine.machineId));
         for (const known of this.table.all) {
             if (this.isSelf(known)) {
                 continue;
             }
             const { heartbeat } = known.report;
             const silenceMs = nowMs - this.directlyHeardMs(known) - this.allowanceMs(heartbeat);
-            const isListed = this.liveListReadMs === undefined || listed.has(heartbeat.processId);
+            const isListed = !this.hasLiveList || listed.has(heartbeat.processId);
             this.setState(known, this.judge(heartbeat, silenceMs, isListed));
             if (!isListed && silenceMs >= this.options.deadAfterMs + this.options.liveListLagMs) {
                 this.table.remove(heartbeat.processId);
@@ -366,7 +365,8 @@
         if (silenceMs < this.options.suspectAfterMs) {
             return { state: PeerState.Alive };
         }
-        const suspicion = this.suspicions.judge(heartbeat.processId, isListed, this.witnesses());
+        const isNear = heartbeat.failureDomain === this.environment.identity.failureDomain;
+        const suspicion = this.suspicions.judge(heartbeat.processId, isListed, isNear ? this.witnesses() : []);
         const isDead = silenceMs >= this.options.deadAfterMs && suspicion !== Suspicion.HeardByOthers;
         return { state: isDead ? PeerState.Dead : PeerState.Suspected, suspicion };
     }
--- a/packages/control/src/process/ProcessOptions.ts
+++ b/packages/control/src/process/ProcessOptions.ts
@@ -2,6 +2,8 @@
 export interface ProcessOptions {
     /** Interval between heartbeats to each peer. */
     readonly heartbeatIntervalMs: number;
+    /** Interval at which a process asks its relay for what is beyond the failure domain. */
+    readonly groupIntervalMs: number;
     /** Interval between beats of the relays of two failure domains. */
     readonly relayIntervalMs: number;
     /** Interval between beats of the relays of two regions. */
@@ -45,6 +47,10 @@
     readonly writeQueueLimitMs: number;
     readonly writeQueueLength: number;
     readonly writeBatchLength: number;
+    /** Transactions of one process a second in the long run. */
+    readonly writesPerSecond: number;
+    /** Transactions that may follow each other without a wait. */
+    readonly writeBurst: number;
     readonly retryDelayMs: number;
     readonly retryDelayLimitMs: number;
     /** Longest wait of a caller for the acceptance of a durable request. */
@@ -62,6 +68,7 @@
 /** Default timing and bounds. */
 export const DEFAULT_PROCESS_OPTIONS: ProcessOptions = {
     heartbeatIntervalMs: 250,
+    groupIntervalMs: 500,
     relayIntervalMs: 250,
     regionIntervalMs: 500,
     beatTimeoutMs: 500,
@@ -88,6 +95,8 @@
     writeQueueLimitMs: 2000,
     writeQueueLength: 20_000,
     writeBatchLength: 500,
+    writesPerSecond: 50,
+    writeBurst: 10,
     retryDelayMs: 50,
     retryDelayLimitMs: 2000,
     acceptTimeoutMs: 5000,
