--- a/packages/proof/src/mutants/AllMutants.ts
+++ b/packages/proof/src/mutants/AllMutants.ts
@@ -21,6 +21,7 @@
     withoutLeaving,
     withoutRenewals,
     withoutRowsOf,
+    withoutRunningReports,
     withReportsChanged,
     withStaleAnswers
 } from "./BrokenEnvironments.js";
@@ -43,6 +44,15 @@
         script: scripts.UNREACHED_WORKERS,
         broken: { workerChecks: { ...DEFAULT_WORKER_CHECKS, lease: false } }
     },
+    {
+        name: "a successor takes over without the inventories of workers, which ignore epochs",
+        rule: new OnePlaceRule(),
+        script: scripts.ISOLATED_OWNER,
+        broken: {
+            changeEnvironment: withoutRunningReports,
+            workerChecks: { ...DEFAULT_WORKER_CHECKS, epoch: false }
+        }
+    },
     {
         name: "withdrawals of keys are not seen",
         rule: new TeamKeyRule(),
--- a/packages/proof/src/mutants/BrokenEnvironments.ts
+++ b/packages/proof/src/mutants/BrokenEnvironments.ts
@@ -8,6 +8,7 @@
 import { WorkerCommandKind, type WorkerTaskReport, WorkerTaskState } from "@skylarkpath/common/platform/WorkerService";
 import type { ProcessEnvironment } from "@skylarkpath/control/process/ProcessEnvironment";
 import { err } from "neverthrow";
+import { isRunningTask } from "../rules/TaskStates.js";
 
 /** Exchanges parts of the environment of a process. */
 export type EnvironmentChange = (environment: ProcessEnvironment) => ProcessEnvironment;
@@ -74,6 +75,19 @@
     };
 }
 
+/** Inventories of workers lack the tasks that run. */
+export const withoutRunningReports: EnvironmentChange = environment => {
+    const { workers } = environment;
+    const exchange: typeof workers.exchange = async (address, batch) => {
+        const reply = await workers.exchange(address, batch);
+        return reply.map(value => ({
+            ...value,
+            reports: value.reports.filter(report => !isRunningTask(report.state))
+        }));
+    };
+    return { ...environment, workers: { exchange } };
+};
+
 /** Takes a task that succeeded for one that failed. */
 export function takeAsFailed(report: WorkerTaskReport): WorkerTaskReport {
     return report.state === WorkerTaskState.Succeeded ? { ...report, state: WorkerTaskState.Failed } : report;
--- a/packages/proof/src/mutants/MutantScripts.ts
+++ b/packages/proof/src/mutants/MutantScripts.ts
@@ -118,3 +118,12 @@
 
 /** A planned stop of a process that owns nothing, while services run. */
 export const STOP_OF_ENTRY = script(at(500, { kind: StepKind.Stop, processId: OTHER_ENTRY, replacedAfterMs: 1000 }));
+
+/** An owner that still reaches its workers when another process has taken its slice over. */
+export const ISOLATED_OWNER = script(
+    at(100, { kind: StepKind.Apply, processId: FIRST_OWNER, variant: WIDE_LIMITS }),
+    ...rangeOf(4).map(place =>
+        submit(2000, { ...BATCH, name: `batch${place}`, processorMillicores: 2000, durationMs: 9000 })
+    ),
+    at(3000, { kind: StepKind.Isolate, processId: FIRST_OWNER, silent: true, durationMs: 12_000 })
+);
