--- a/packages/control/src/membership/LiveListReader.ts
+++ b/packages/control/src/membership/LiveListReader.ts
@@ -2,6 +2,8 @@
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { type LiveList, type LiveMachine, MachineRole } from "@skylarkpath/common/platform/LiveList";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { LinkKind } from "../peer/TrafficCounter.js";
+import type { ProcessIdentity } from "../process/ProcessEnvironment.js";
 
 /** Keeps the last reading of the live list. */
 export class LiveListReader implements Disposable {
@@ -34,6 +36,15 @@
         return this.sentMs === undefined ? Infinity : this.timer.nowMs() - this.sentMs;
     }
 
+    /** Kind of the link from a process to the one at an address. */
+    public linkKindOf(address: string, identity: ProcessIdentity): LinkKind {
+        const machine = this.otherEntries.find(entry => entry.address === address);
+        if (!machine || machine.failureDomain === identity.failureDomain) {
+            return LinkKind.Domain;
+        }
+        return machine.region === identity.region ? LinkKind.Region : LinkKind.Remote;
+    }
+
     /** Reads the list now; false when it cannot be read. */
     public async read(): Promise<boolean> {
         const sentMs = this.timer.nowMs();
