--- a/packages/control/src/membership/MembershipController.ts
+++ b/packages/control/src/membership/MembershipController.ts
@@ -90,9 +90,9 @@
     private readonly heartbeatEmitter = this.store.add(new Emitter<Heartbeat>());
     private readonly reportEmitter = this.store.add(new Emitter<HeartbeatReport>());
     private readonly peerStateEmitter = this.store.add(new Emitter<PeerView>());
-    private readonly liveList: LiveListReader;
     /** Processes whose beat was due while another one was under way. */
     private readonly dueAgain = new Set<string>();
+    private readonly liveList: LiveListReader;
     private source: HeartbeatSource | undefined;
     private newsPending = false;
 
