--- a/packages/control/src/keys/KeyController.ts
+++ b/packages/control/src/keys/KeyController.ts
@@ -50,6 +50,8 @@
     private readonly table: KeyTable;
     /** Count of the changes of each process that are known here. */
     private readonly mergedCounts = new Map<string, number>();
+    /** Withdrawals that will be written after a random delay. */
+    private readonly scheduled = new Set<string>();
     private readonly storing = new Map<string, Promise<boolean>>();
     private reading = false;
 
@@ -233,11 +235,14 @@
         this.storeLateWithdrawals();
     }
 
-    /** Writes withdrawals of a store outage; every process that knows one does so after a random delay. */
+    /** Writes withdrawals of a store outage; whoever knows one does so after a random delay. */
     private storeLateWithdrawals(): void {
-        for (const keyId of this.ledger.unstoredKeyIds) {
-            const delayMs = this.environment.random.next() * this.options.rejoinSpreadMs;
+        const unscheduled = this.ledger.unstoredKeyIds.filter(keyId => !this.scheduled.has(keyId));
+        for (const keyId of unscheduled) {
+            this.scheduled.add(keyId);
+            const delayMs = this.lateWriteDelayMs();
             this.store.add(this.environment.timer.after(delayMs, () => {
+                this.scheduled.delete(keyId);
                 if (!this.ledger.isStored(keyId)) {
                     void this.storeWithdrawal(keyId);
                 }
@@ -245,6 +250,13 @@
         }
     }
 
+    /** Relays write first, the others only what is still missing then. */
+    private lateWriteDelayMs(): number {
+        const { rejoinSpreadMs } = this.options;
+        const randomMs = this.environment.random.next() * rejoinSpreadMs;
+        return this.membership.isDomainRelay ? randomMs : rejoinSpreadMs + randomMs;
+    }
+
     private servePeers(): void {
         const { processId } = this.environment.identity;
         this.peerClient.serve(PeerMethod.PushKeys, pushKeysSchema, async message => {
