Refuse jobs above their team's limit; a stop waits for cancels and questions

Conclusion: such jobs get limit-reached with the limit named; a job goes to the nearest slice that can hold it at all; questions that wait are answered at once when a stop begins.

--- a/packages/control/src/entry/EntryFilters.ts
+++ b/packages/control/src/entry/EntryFilters.ts
@@ -1,6 +1,6 @@
 import { type OperatorsText, QueueKind } from "@skylarkpath/common/model/OperatorsText";
 import { OutcomeReason, type RequestSpec, type TaskSizing } from "@skylarkpath/common/model/Request";
-import { fitsInto, type Resources } from "@skylarkpath/common/model/Resources";
+import { fitsInto, type Resources, scaleResources } from "@skylarkpath/common/model/Resources";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import type { ConfigController } from "../config/ConfigController.js";
 import type { KeyController } from "../keys/KeyController.js";
@@ -72,10 +72,24 @@
     if (!sizing) {
         return { reason: OutcomeReason.BadRequest, detail: "tasks: required for batch and gang jobs" };
     }
-    if (text.workerClasses.some(workerClass => fitsInto(sizing.resources, workerClass.capacity))) {
+    if (!text.workerClasses.some(workerClass => fitsInto(sizing.resources, workerClass.capacity))) {
+        return { reason: OutcomeReason.Infeasible, detail: describeInfeasible(sizing.resources, text) };
+    }
+    return findLimitFault(context, sizing, text);
+}
+
+/** A task, or all tasks of a gang together, must fit into the team's upper limit. */
+function findLimitFault(context: RequestContext, sizing: TaskSizing, text: OperatorsText): SpecFault | undefined {
+    const team = text.teams.find(candidate => candidate.name === context.team)!;
+    const isGang = context.queue!.kind === QueueKind.Gang;
+    const atOnce = scaleResources(sizing.resources, isGang ? sizing.count : 1);
+    if (fitsInto(atOnce, team.limit.resources)) {
         return undefined;
     }
-    return { reason: OutcomeReason.Infeasible, detail: describeInfeasible(sizing.resources, text) };
+    const what = isGang ? `All ${sizing.count} tasks of the gang` : "A task";
+    const detail = `${what} need ${describeResources(atOnce)} at once; `
+        + `the upper limit of team ${team.name} is ${describeResources(team.limit.resources)}.`;
+    return { reason: OutcomeReason.LimitReached, detail };
 }
 
 function describeInfeasible(size: Resources, text: OperatorsText): string {
--- a/packages/control/src/entry/JobHandler.ts
+++ b/packages/control/src/entry/JobHandler.ts
@@ -7,6 +7,7 @@
     type RequestRecord,
     type RequestSpec
 } from "@skylarkpath/common/model/Request";
+import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
 import { sleep } from "@skylarkpath/common/time/TimerService";
 import type { PeerClient } from "../peer/PeerClient.js";
 import { PeerMethod } from "../peer/PeerMessages.js";
@@ -17,6 +18,7 @@
 import type { RequestStore } from "../store/RequestStore.js";
 import type { RequestContext } from "./RequestContext.js";
 import { notRun, type RequestReply } from "./RequestReply.js";
+import { chooseSlice } from "./SliceChoice.js";
 
 const RETRY_HINT_MS = 2000;
 const SUBMIT_ATTEMPTS = 8;
@@ -29,13 +31,14 @@
         private readonly options: ProcessOptions,
         private readonly peerClient: PeerClient,
         private readonly directory: SliceDirectory,
-        private readonly requests: RequestStore
+        private readonly requests: RequestStore,
+        private readonly machines: () => readonly LiveMachine[]
     ) {}
 
     /** Accepts a job: commits it, or says that it did not run. */
     public async accept(context: RequestContext): Promise<RequestReply> {
         const { failureDomain, region } = this.environment.identity;
-        const location = this.directory.reachable(failureDomain, region)[0];
+        const location = chooseSlice(context.spec!, this.directory.reachable(failureDomain, region), this.machines());
         if (!location) {
             return notRun(OutcomeReason.NoOwner, "No owner of a slice is known yet.", RETRY_HINT_MS);
         }
--- a/packages/control/src/entry/RequestController.ts
+++ b/packages/control/src/entry/RequestController.ts
@@ -8,6 +8,7 @@
     type RequestOutcome,
     sliceOfRequestId
 } from "@skylarkpath/common/model/Request";
+import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
 import { sleep } from "@skylarkpath/common/time/TimerService";
 import type { ConfigController } from "../config/ConfigController.js";
 import type { KeyController } from "../keys/KeyController.js";
@@ -70,12 +71,13 @@
         private readonly requests: RequestStore,
         config: ConfigController,
         private readonly keys: KeyController,
-        isAdmitting: () => boolean,
-        pauses: PauseDetector
+        private readonly isAdmitting: () => boolean,
+        pauses: PauseDetector,
+        machines: () => readonly LiveMachine[]
     ) {
         const slots = new SlotClient(environment, peerClient, directory, pauses);
         this.lookups = new LookupHandler(environment, directory, slots);
-        this.jobs = new JobHandler(environment, options, peerClient, directory, requests);
+        this.jobs = new JobHandler(environment, options, peerClient, directory, requests, machines);
         const outcomes = new OutcomeWriter(environment, requests);
         this.orders = new OrderHandler(environment, directory, requests, slots, this.lookups, this.jobs, outcomes);
         this.chain = chainFilters(
@@ -96,26 +98,53 @@
     }
 
     /** Submits a request; resolves with its final outcome for look-ups, with its acceptance for jobs. */
-    public async submit(context: RequestContext): Promise<RequestReply> {
-        this.inProgress++;
-        try {
+    public submit(context: RequestContext): Promise<RequestReply> {
+        return this.serve(async () => {
             const reply = await this.chain(context);
             if (reply.outcome.state === OutcomeState.NotRun) {
                 this.environment.log.write(EVENTS.requestRefused, { reason: reply.outcome.reason });
             }
             return reply;
+        });
+    }
+
+    /** Describes a request of the caller's team, waiting for its final outcome at most `waitMs`. */
+    public describe(question: RequestQuestion): Promise<RequestReply> {
+        return this.serve(() => this.waitForOutcome(question));
+    }
+
+    /** Describes a request for operators, whatever its team. */
+    public explain(requestId: string): Promise<RequestReply> {
+        return this.serve(() => this.lookUp(requestId, () => true));
+    }
+
+    /** Cancels a request of the caller's team; tells its true state afterwards. */
+    public cancel(question: RequestQuestion): Promise<RequestReply> {
+        return this.serve(() => this.cancelNow(question));
+    }
+
+    public dispose(): void {
+        this.store.dispose();
+    }
+
+    /** Counts a call as in progress, so that a graceful stop waits for it. */
+    private async serve(call: () => Promise<RequestReply>): Promise<RequestReply> {
+        this.inProgress++;
+        try {
+            return await call();
         }
         finally {
             this.inProgress--;
         }
     }
 
-    /** Describes a request of the caller's team, waiting for its final outcome at most `waitMs`. */
-    public async describe(question: RequestQuestion): Promise<RequestReply> {
+    /** Waits no longer once the process stops; the caller can ask another one. */
+    private async waitForOutcome(question: RequestQuestion): Promise<RequestReply> {
         const endMs = this.environment.timer.nowMs() + question.waitMs;
         for (;;) {
             const reply = await this.describeNow(question);
-            const isOver = isFinal(reply.outcome) || this.environment.timer.nowMs() >= endMs;
+            const isTimeUp = this.environment.timer.nowMs() >= endMs || !this.isAdmitting();
+            const isOver = isFinal(reply.outcome) || isTimeUp;
             if (isOver) {
                 return reply;
             }
@@ -123,17 +152,11 @@
         }
     }
 
-    /** Describes a request for operators, whatever its team. */
-    public explain(requestId: string): Promise<RequestReply> {
-        return this.lookUp(requestId, () => true);
-    }
-
-    /** Cancels a request of the caller's team; tells its true state afterwards. */
-    public async cancel(question: RequestQuestion): Promise<RequestReply> {
+    private async cancelNow(question: RequestQuestion): Promise<RequestReply> {
         const lookup = this.lookupsById.get(question.requestId);
         if (lookup) {
             lookup.cancelled = true;
-            return this.describe(question);
+            return this.waitForOutcome(question);
         }
         const before = await this.describeNow(question);
         if (isFinal(before.outcome)) {
@@ -150,11 +173,7 @@
             const detail = "The owner of the request is not reached; it was not cancelled.";
             return { ...before, outcome: { ...before.outcome, reason: OutcomeReason.NoOwner, detail } };
         }
-        return this.describe(question);
-    }
-
-    public dispose(): void {
-        this.store.dispose();
+        return this.waitForOutcome(question);
     }
 
     private async handle(context: RequestContext): Promise<RequestReply> {
--- a/packages/control/src/process/SkylarkProcess.ts
+++ b/packages/control/src/process/SkylarkProcess.ts
@@ -130,7 +130,8 @@
                 this.config,
                 this.keys,
                 () => this.isReady,
-                this.pauses
+                this.pauses,
+                () => this.membership.machines
             )
         );
         this.subscribe();
