Decide again at once when more tasks can start

Cause: one decision starts at most 250 tasks; the rest waited for the next event or 100 ms. Conclusion: the owner asks hasMore after each decision.

--- a/packages/control/src/slice/SliceController.ts
+++ b/packages/control/src/slice/SliceController.ts
@@ -342,6 +342,9 @@
         for (const decision of this.scheduler.decide(nowMs)) {
             this.carryOut(decision);
         }
+        if (this.scheduler.hasMore?.()) {
+            this.environment.timer.after(0, () => this.decideSoon());
+        }
     }
 
     private carryOut(decision: Decision): void {
