Backfill only what ends well before the reservation

Cause: one short task in ten ran over its long run time and held a whole gang up. Conclusion: twice is kept.

--- a/packages/decisions/src/SliceTaskScheduler.ts
+++ b/packages/decisions/src/SliceTaskScheduler.ts
@@ -57,7 +57,7 @@
         this.gangs = new GangPlanner(state, planner, options);
         this.preemptor = new Preemptor(state, finder, options);
         this.placer = new Placer(state, options.maxStartsPerDecision, queue => this.preemptor.addBlocked(queue));
-        this.backfiller = new Backfiller(state, state.teams.ordinaryLine);
+        this.backfiller = new Backfiller(state, state.teams.ordinaryLine, options.backfillMargin);
         this.keeper = new PlaceKeeper(state, planner, state.teams.ordinaryLine, options);
         this.feasibility = new Feasibility(state, options);
         this.judge = new FailureJudge(this.health, () => state.fleet.workerCount, options);
--- a/packages/decisions/src/tasks/Backfiller.ts
+++ b/packages/decisions/src/tasks/Backfiller.ts
@@ -7,7 +7,12 @@
 
 /** Starts short tasks on reserved workers that end before the reservation needs the place. */
 export class Backfiller {
-    constructor(private readonly state: SliceState, private readonly line: PriorityLine) {}
+    /** The long run time of a task, times the margin, has to fit before the reservation needs the place. */
+    constructor(
+        private readonly state: SliceState,
+        private readonly line: PriorityLine,
+        private readonly margin: number
+    ) {}
 
     /** Fills the reserved workers that gained room from the sizes that found no open worker. */
     public run(gains: readonly WorkerNode[], nowMs: number): void {
@@ -38,7 +43,7 @@
             if (queue === undefined || (best !== undefined && !isServedBefore(queue, best))) {
                 continue;
             }
-            const endsInTime = nowMs + longRunTimeMs(queue.peek()!) <= untilMs;
+            const endsInTime = nowMs + this.margin * longRunTimeMs(queue.peek()!) <= untilMs;
             if (endsInTime && queue.team.hasRoomBesideHeld(shape.resources)) {
                 best = queue;
             }
--- a/packages/decisions/src/tasks/TaskOptions.ts
+++ b/packages/decisions/src/tasks/TaskOptions.ts
@@ -34,6 +34,8 @@
     readonly maxKeptFraction: number;
     /** Short tasks run on reserved workers before the reservation needs them. */
     readonly backfill: boolean;
+    /** Multiple of a short task's long run time that has to fit before the reservation. */
+    readonly backfillMargin: number;
     /** Time that urgent work waits for room before others are stopped. */
     readonly preemptionPatienceMs: number;
     /** Workers compared for each preemption. */
@@ -67,6 +69,7 @@
     keepPatienceMs: 2_000,
     maxKeptFraction: 0.05,
     backfill: true,
+    backfillMargin: 2,
     preemptionPatienceMs: 1_000,
     preemptionCandidates: 32,
     throttleMs: 100,
