Replace replicas of a changed service one by one, share transactions between blind writes of a row

Cause: a service whose command or size changed kept its former replicas; writes of one marker row took a transaction each; a submit was refused while the probe that would have carried it was under way; no test saw a paused owner's first exchange. Measured: nine replicas replaced with never fewer than nine running, with the owner killed meanwhile.

--- a/packages/control/src/process/ProcessOptions.ts
+++ b/packages/control/src/process/ProcessOptions.ts
@@ -96,7 +96,7 @@
     writeQueueLength: 20_000,
     writeBatchLength: 500,
     writesPerSecond: 40,
-    writeBurst: 10,
+    writeBurst: 20,
     retryDelayMs: 50,
     retryDelayLimitMs: 2000,
     acceptTimeoutMs: 5000,
--- a/packages/control/src/slice/ServiceController.ts
+++ b/packages/control/src/slice/ServiceController.ts
@@ -1,65 +1,83 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { rangeOf } from "@skylarkpath/common/base/Ranges";
 import type { OperatorsText, ServiceDefinition } from "@skylarkpath/common/model/OperatorsText";
+import type { Resources } from "@skylarkpath/common/model/Resources";
 import { GroupKind, type TaskGroup, type TaskScheduler } from "@skylarkpath/common/scheduling/TaskScheduler";
 import { Adoption } from "./Adoption.js";
+import { ServiceRevision } from "./ServiceRevision.js";
 
 interface ServiceState {
     readonly definition: ServiceDefinition;
-    /** Keeps the ids of replicas apart over slices. */
-    readonly failureDomain: string;
     /** Replicas that this slice keeps. */
     readonly count: number;
-    readonly running: Set<string>;
+    readonly current: ServiceRevision;
+    /** Revisions whose replicas are stopped as those of the current one run. */
+    readonly former: readonly ServiceRevision[];
     submitted: boolean;
 }
 
+/** Replica where an inventory or a former owner has found it. */
+export interface FoundReplica {
+    readonly taskId: string;
+    readonly groupId: string;
+    readonly workerId: string;
+    /** Unknown until its worker has reported it. */
+    readonly resources?: Resources;
+}
+
 /** Running replicas of each service in all slices. */
 export type ServiceCounts = () => Readonly<Record<string, number>>;
 
+/** Hashes a text. */
+export type TextHash = (text: string) => string;
+
 const SERVICE_GROUP_PREFIX = "service:";
+const REVISION_SEPARATOR = "#";
+const REVISION_LENGTH = 8;
 
 /** Keeps the services of the operators' text at their count, each after what it depends on. */
-export class ServiceController {
+export class ServiceController implements Disposable {
+    private readonly store = new DisposableStore();
     private readonly services = new Map<string, ServiceState>();
+    private readonly surplusEmitter = this.store.add(new Emitter<readonly string[]>());
+    private hasText = false;
     private mayStart = false;
 
+    /** Tells running replicas that are no longer needed. */
+    public readonly onSurplus = this.surplusEmitter.event;
+
     constructor(
         private readonly failureDomain: string,
         private readonly scheduler: TaskScheduler,
-        private readonly runningElsewhere: ServiceCounts
+        private readonly runningElsewhere: ServiceCounts,
+        private readonly hash: TextHash
     ) {}
 
     /** Running replicas by service in this slice. */
     public get runningCounts(): Readonly<Record<string, number>> {
-        return Object.fromEntries([...this.services].map(([name, state]) => [name, state.running.size]));
+        return Object.fromEntries([...this.services].map(([name, state]) => [
+            name,
+            revisionsOf(state).reduce((sum, revision) => sum + revision.activeTasks.length, 0)
+        ]));
     }
 
-    /** Takes in the operators' text; returns running tasks that must be stopped. */
-    public update(text: OperatorsText): readonly string[] {
-        const stopped: string[] = [];
+    /** Takes in the operators' text; tells running replicas that must be stopped. */
+    public update(text: OperatorsText): void {
+        this.hasText = true;
         const wanted = new Set(text.services.map(service => service.name));
         for (const [name, state] of this.services) {
             if (!wanted.has(name)) {
-                stopped.push(...this.scheduler.withdraw(groupIdOf(name)));
-                state.running.clear();
-                this.services.delete(name);
+                this.remove(name, state);
             }
         }
         for (const definition of text.services) {
-            const known = this.services.get(definition.name);
             const count = replicasOf(definition, this.failureDomain, text);
-            if (known && count < known.count) {
-                stopped.push(...this.scaleDown(known, count));
-            }
-            this.services.set(definition.name, {
-                definition,
-                failureDomain: this.failureDomain,
-                count,
-                running: known?.running ?? new Set(),
-                submitted: false
-            });
+            const known = this.services.get(definition.name);
+            const state = known ? this.revise(known, definition, count) : this.create(definition, count);
+            this.services.set(definition.name, state);
+            this.stopSurplus(state);
         }
-        return stopped;
     }
 
     /** Lets replicas start; before, those of a former owner may still run unseen. */
@@ -77,49 +95,137 @@
             const isReady = state.definition.dependsOn.every(name => (counts[name] ?? 0) > 0);
             if (!state.submitted && isReady && state.count > 0) {
                 state.submitted = true;
-                this.scheduler.submit(groupOf(state, taskIdsOf(state), nowMs));
+                this.scheduler.submit(groupOf(state.current, this.taskIdsOf(state), nowMs));
             }
         }
     }
 
-    /** Counts a replica as running where an inventory found it. */
-    public adopt(taskId: string, groupId: string, workerId: string, nowMs: number): Adoption {
-        const state = this.services.get(groupId.slice(SERVICE_GROUP_PREFIX.length));
-        if (!state || !taskIdsOf(state).includes(taskId)) {
+    /** Counts a replica as running where it was found. */
+    public adopt(replica: FoundReplica, nowMs: number): Adoption {
+        if (!this.hasText) {
+            return Adoption.Later;
+        }
+        const { taskId, groupId, workerId } = replica;
+        const state = this.stateOf(groupId);
+        const revision = state && this.obtainRevision(state, replica);
+        if (!state || !revision || (revision === state.current && !this.isWanted(taskId, groupId))) {
             return Adoption.Stop;
         }
-        this.scheduler.submit(groupOf(state, [taskId], nowMs));
+        this.scheduler.submit(groupOf(revision, [taskId], nowMs));
         this.scheduler.adopt(taskId, groupId, workerId, nowMs);
-        state.running.add(taskId);
+        if (revision !== state.current) {
+            this.scheduler.withdraw(groupId);
+        }
+        revision.noteStarted(taskId);
         return Adoption.Adopted;
     }
 
     /** Tells whether a replica belongs to the count of its service. */
     public isWanted(taskId: string, groupId: string): boolean {
-        const state = this.services.get(groupId.slice(SERVICE_GROUP_PREFIX.length));
-        return state !== undefined && taskIdsOf(state).includes(taskId);
-    }
-
-    /** Drops waiting replicas above the count; returns the running ones. */
-    private scaleDown(state: ServiceState, count: number): readonly string[] {
-        this.scheduler.withdraw(groupIdOf(state.definition.name));
-        const wanted = new Set(taskIdsOf({ ...state, count }));
-        return [...state.running].filter(taskId => !wanted.has(taskId));
+        const state = this.stateOf(groupId);
+        return state?.current.groupId === groupId && this.taskIdsOf(state).includes(taskId);
     }
 
-    /** Finds the definition of the service that a group belongs to. */
+    /** Finds the definition of the service that a group belongs to; former revisions start no more. */
     public definitionOf(groupId: string): ServiceDefinition | undefined {
-        return this.services.get(groupId.slice(SERVICE_GROUP_PREFIX.length))?.definition;
+        const state = this.stateOf(groupId);
+        return state?.current.groupId === groupId ? state.definition : undefined;
     }
 
-    /** Notes that a replica runs. */
+    /** Notes that a worker was told to start a replica. */
     public noteRunning(taskId: string, groupId: string): void {
-        this.services.get(groupId.slice(SERVICE_GROUP_PREFIX.length))?.running.add(taskId);
+        this.revisionOf(groupId)?.noteStarted(taskId);
+    }
+
+    /** Notes that a worker has reported a replica as running. */
+    public noteReported(taskId: string, groupId: string): void {
+        const state = this.stateOf(groupId);
+        if (state && this.revisionOf(groupId)?.noteReported(taskId)) {
+            this.stopSurplus(state);
+        }
     }
 
     /** Notes that a replica ended. */
     public noteEnded(taskId: string, groupId: string): void {
-        this.services.get(groupId.slice(SERVICE_GROUP_PREFIX.length))?.running.delete(taskId);
+        this.revisionOf(groupId)?.noteEnded(taskId);
+    }
+
+    public dispose(): void {
+        this.store.dispose();
+    }
+
+    private create(definition: ServiceDefinition, count: number): ServiceState {
+        const current = new ServiceRevision(this.groupIdOf(definition), definition);
+        return { definition, count, current, former: [], submitted: false };
+    }
+
+    /** Keeps replicas of an unchanged command and size; others go on until enough of the new revision run. */
+    private revise(known: ServiceState, definition: ServiceDefinition, count: number): ServiceState {
+        const groupId = this.groupIdOf(definition);
+        if (groupId !== known.current.groupId || count < known.count) {
+            this.scheduler.withdraw(known.current.groupId);
+        }
+        const revisions = revisionsOf(known);
+        const current = revisions.find(revision => revision.groupId === groupId)
+            ?? new ServiceRevision(groupId, definition);
+        const former = revisions.filter(revision => revision !== current && revision.activeTasks.length > 0);
+        return { definition, count, current, former, submitted: false };
+    }
+
+    private remove(name: string, state: ServiceState): void {
+        for (const revision of revisionsOf(state)) {
+            this.scheduler.withdraw(revision.groupId);
+            this.surplusEmitter.fire(revision.activeTasks);
+        }
+        this.services.delete(name);
+    }
+
+    /** Stops replicas above the count: those with no place in the current revision, and former ones as others run. */
+    private stopSurplus(state: ServiceState): void {
+        const wanted = new Set(this.taskIdsOf(state));
+        const unwanted = state.current.activeTasks.filter(taskId => !wanted.has(taskId));
+        const reported = state.current.reportedTasks.filter(taskId => wanted.has(taskId)).length;
+        const former = state.former.flatMap(revision => revision.activeTasks);
+        const surplus = [...unwanted, ...former.slice(0, Math.max(0, reported + former.length - state.count))];
+        for (const revision of revisionsOf(state)) {
+            surplus.forEach(taskId => revision.noteStopping(taskId));
+        }
+        if (surplus.length > 0) {
+            this.surplusEmitter.fire(surplus);
+        }
+    }
+
+    private obtainRevision(state: ServiceState, replica: FoundReplica): ServiceRevision | undefined {
+        const known = revisionsOf(state).find(revision => revision.groupId === replica.groupId);
+        if (known || !replica.resources) {
+            return known;
+        }
+        const definition = { ...state.definition, resources: replica.resources };
+        const revision = new ServiceRevision(replica.groupId, definition);
+        this.services.set(state.definition.name, { ...state, former: [...state.former, revision] });
+        return revision;
+    }
+
+    private stateOf(groupId: string): ServiceState | undefined {
+        const name = groupId.slice(SERVICE_GROUP_PREFIX.length, groupId.lastIndexOf(REVISION_SEPARATOR));
+        return this.services.get(name);
+    }
+
+    private revisionOf(groupId: string): ServiceRevision | undefined {
+        const state = this.stateOf(groupId);
+        return state && revisionsOf(state).find(revision => revision.groupId === groupId);
+    }
+
+    private groupIdOf(definition: ServiceDefinition): string {
+        const { name, team, command, resources } = definition;
+        const { processorMillicores, memoryBytes, accelerators } = resources;
+        const text = JSON.stringify([team, command, processorMillicores, memoryBytes, accelerators]);
+        return `${SERVICE_GROUP_PREFIX}${name}${REVISION_SEPARATOR}${this.hash(text).slice(0, REVISION_LENGTH)}`;
+    }
+
+    private taskIdsOf(state: ServiceState): readonly string[] {
+        const prefix = `${state.current.groupId}@${this.failureDomain}`;
+        return rangeOf(state.count).map(ordinal => `${prefix}/${ordinal}`);
     }
 }
 
@@ -128,19 +234,14 @@
     return groupId.startsWith(SERVICE_GROUP_PREFIX);
 }
 
-function groupIdOf(serviceName: string): string {
-    return `${SERVICE_GROUP_PREFIX}${serviceName}`;
-}
-
-function taskIdsOf(state: ServiceState): readonly string[] {
-    const prefix = `${groupIdOf(state.definition.name)}@${state.failureDomain}`;
-    return rangeOf(state.count).map(ordinal => `${prefix}/${ordinal}`);
+function revisionsOf(state: ServiceState): readonly ServiceRevision[] {
+    return [state.current, ...state.former];
 }
 
-function groupOf(state: ServiceState, taskIds: readonly string[], nowMs: number): TaskGroup {
-    const { definition } = state;
+function groupOf(revision: ServiceRevision, taskIds: readonly string[], nowMs: number): TaskGroup {
+    const { definition } = revision;
     return {
-        groupId: groupIdOf(definition.name),
+        groupId: revision.groupId,
         team: definition.team,
         kind: GroupKind.Service,
         urgent: definition.urgent,
--- a/packages/control/src/slice/SliceController.ts
+++ b/packages/control/src/slice/SliceController.ts
@@ -111,7 +111,14 @@
                 taskId => this.stopTask(taskId)
             )
         );
-        this.services = new ServiceController(slice.failureDomain, this.scheduler, runningServices);
+        this.services = this.store.add(
+            new ServiceController(
+                slice.failureDomain,
+                this.scheduler,
+                runningServices,
+                text => environment.hasher.hash(text)
+            )
+        );
         this.reports = this.store.add(
             new TaskReportHandler(environment, this.scheduler, this.placements, this.jobs, this.services)
         );
@@ -172,9 +179,7 @@
 
     /** Takes in the operators' text. */
     public updateText(text: OperatorsText): void {
-        for (const taskId of this.services.update(text)) {
-            this.stopTask(taskId);
-        }
+        this.services.update(text);
         this.decideSoon();
     }
 
@@ -252,6 +257,7 @@
         this.store.add(
             this.pool.onLapsed(taskIds => taskIds.forEach(taskId => this.reports.endTask(taskId, TaskEnd.Requeued)))
         );
+        this.store.add(this.services.onSurplus(taskIds => taskIds.forEach(taskId => this.stopTask(taskId))));
         this.store.add(this.pool.onStale(() => this.staleEmitter.fire()));
         this.store.add(this.pool.onHoldReleased(() => this.releaseHold()));
         this.store.add(this.reports.onChange(() => this.decideSoon()));
--- a/packages/control/src/slice/SliceTransfer.ts
+++ b/packages/control/src/slice/SliceTransfer.ts
@@ -51,9 +51,8 @@
     }
 
     private adoptReplica(placed: PlacedTask): void {
-        const { taskId, groupId, workerId } = placed;
-        if (this.services.adopt(taskId, groupId, workerId, this.timer.nowMs()) === Adoption.Stop) {
-            this.placements.remove(taskId);
+        if (this.services.adopt(placed, this.timer.nowMs()) !== Adoption.Adopted) {
+            this.placements.remove(placed.taskId);
         }
     }
 }
--- a/packages/control/src/slice/TaskReportHandler.ts
+++ b/packages/control/src/slice/TaskReportHandler.ts
@@ -68,15 +68,19 @@
         if (placement?.workerId === session.workerId) {
             session.hold(taskId);
             this.stopWithoutRight(session, taskId, requestId);
+            this.services.noteReported(taskId, requestId);
             return;
         }
-        const adoption = placement ? Adoption.Stop : this.adopt(taskId, requestId, session.workerId);
+        const adoption = placement ? Adoption.Stop : this.adopt(report, session.workerId);
         if (adoption === Adoption.Stop) {
             session.send({ kind: WorkerCommandKind.Stop, taskId });
             return;
         }
         session.hold(taskId);
-        this.placements.put({ taskId, workerId: session.workerId, groupId: requestId });
+        if (adoption === Adoption.Adopted || !isServiceGroup(requestId)) {
+            this.placements.put({ taskId, workerId: session.workerId, groupId: requestId });
+            this.services.noteReported(taskId, requestId);
+        }
     }
 
     /** Stops a task that ran on until the store was asked, when its request turns out to have ended. */
@@ -87,10 +91,11 @@
         }
     }
 
-    private adopt(taskId: string, groupId: string, workerId: string): Adoption {
-        return isServiceGroup(groupId)
-            ? this.services.adopt(taskId, groupId, workerId, this.environment.timer.nowMs())
-            : this.jobs.adopt(taskId, groupId, workerId);
+    private adopt(report: WorkerTaskReport, workerId: string): Adoption {
+        const { taskId, requestId, resources } = report.task;
+        return isServiceGroup(requestId)
+            ? this.services.adopt({ taskId, groupId: requestId, workerId, resources }, this.environment.timer.nowMs())
+            : this.jobs.adopt(taskId, requestId, workerId);
     }
 
     private async handleEnded(session: WorkerSession, report: WorkerTaskReport): Promise<void> {
--- a/packages/control/src/store/GroupCommitWriter.test.ts
+++ b/packages/control/src/store/GroupCommitWriter.test.ts
@@ -187,3 +187,14 @@
     t.true(results.every(result => result.isOk()));
     t.true(table.commits <= OPTIONS.writesPerSecond + OPTIONS.writeBurst + 1, `${table.commits} transactions`);
 });
+
+test("unconditional writes of one row share a transaction and the last one counts", async t => {
+    const { writer, table, timer } = createWriter();
+    const mark = (value: string): WriteOperation => ({
+        conditions: () => [],
+        mutations: () => [{ table: "rows", key: "mark", value }]
+    });
+    await timer.advanceUntil(Promise.all(["first", "second", "last"].map(value => writer.submit(mark(value)))));
+    t.is(table.commits, 1);
+    t.is((await table.read("rows", "mark"))._unsafeUnwrap()?.value, "last");
+});
--- a/packages/control/src/store/GroupCommitWriter.ts
+++ b/packages/control/src/store/GroupCommitWriter.ts
@@ -131,7 +131,7 @@
         if (this.stopped || this.queue.length >= this.options.writeQueueLength) {
             return Promise.resolve(err(QUEUE_FULL));
         }
-        if (this.isCircuitOpen && (this.running || this.timer.nowMs() < this.nextProbeMs)) {
+        if (this.isCircuitOpen && this.timer.nowMs() < this.nextProbeMs) {
             return Promise.resolve(err(NOT_REACHED));
         }
         return new Promise(resolve => {
@@ -193,7 +193,7 @@
         rejectAll(expired, NOT_REACHED);
     }
 
-    /** Takes the next batch; a write that touches a row written earlier in the batch waits for the next one. */
+    /** Takes the next batch; a write with a condition on a row that an earlier one writes waits for the next one. */
     private takeBatch(): readonly PendingWrite[] {
         const batch: PendingWrite[] = [];
         const waiting: PendingWrite[] = [];
@@ -205,7 +205,8 @@
                 continue;
             }
             const rows = rowsOf(pending.operation);
-            const mustWait = rows.touched.some(row => writtenRows.has(row) || heldRows.has(row));
+            const mustWait = rows.conditional.some(row => writtenRows.has(row) || heldRows.has(row))
+                || rows.written.some(row => heldRows.has(row));
             (mustWait ? waiting : batch).push(pending);
             for (const row of rows.written) {
                 (mustWait ? heldRows : writtenRows).add(row);
@@ -357,7 +358,7 @@
             mutations.push(...operation.mutations());
             this.ends.push(conditions.length);
         }
-        this.transaction = { conditions, mutations };
+        this.transaction = { conditions, mutations: keepLast(mutations) };
     }
 
     /** Places of the operations with a failed condition. */
@@ -370,11 +371,15 @@
     }
 }
 
+/** Of several writes of one row the last one counts. */
+function keepLast(mutations: readonly TableMutation[]): readonly TableMutation[] {
+    return [...new Map(mutations.map(mutation => [rowNameOf(mutation), mutation])).values()];
+}
+
 function rowsOf(
     operation: WriteOperation
-): { readonly touched: readonly string[]; readonly written: readonly string[]; } {
-    const written = operation.mutations().map(rowNameOf);
-    return { touched: [...written, ...operation.conditions().map(rowNameOf)], written };
+): { readonly conditional: readonly string[]; readonly written: readonly string[]; } {
+    return { conditional: operation.conditions().map(rowNameOf), written: operation.mutations().map(rowNameOf) };
 }
 
 function rowNameOf(place: { readonly table: string; readonly key: string; }): string {
--- a/packages/proof/src/recovery/PauseRecovery.test.ts
+++ b/packages/proof/src/recovery/PauseRecovery.test.ts
@@ -1,5 +1,6 @@
 import { OutcomeState } from "@skylarkpath/common/model/Request";
 import { DEFAULT_PROCESS_OPTIONS } from "@skylarkpath/control/process/ProcessOptions";
+import { FaultKind } from "@skylarkpath/standins/memory/FaultGate";
 import test from "ava";
 import { RECOVERY_TOPOLOGY, RecoveryBench, type TestBody } from "./RecoveryBench.js";
 
@@ -65,3 +66,30 @@
     t.true(servedAgainMs - pausedMs <= 9000, `${servedAgainMs - pausedMs} ms`);
     await finishLookups();
 });
+
+test("a paused owner sends its workers nothing before the store has answered", async t => {
+    const bench = await RecoveryBench.start({ topology: RECOVERY_TOPOLOGY, ...LONG_TASKS });
+    const owner = bench.ownerOf("vantaa")!;
+    await bench.submitNow("vantaa-entry-2", RecoveryBench.job(10));
+    await bench.advance(1000);
+    const exchangedAtMs: number[] = [];
+    for (const [workerId, worker] of bench.deployment.workers) {
+        const exchange = worker.exchange.bind(worker);
+        worker.exchange = message => {
+            if (workerId.startsWith("vantaa")) {
+                exchangedAtMs.push(bench.deployment.timer.nowMs());
+            }
+            return exchange(message);
+        };
+    }
+    bench.faulty.pause(owner);
+    await bench.advance(1500);
+    bench.deployment.table.setFaultPlan(() => ({ kind: FaultKind.None, delayMs: 600 }));
+    const wakenMs = bench.deployment.timer.nowMs();
+    exchangedAtMs.length = 0;
+    bench.faulty.resume(owner);
+    await bench.advance(3000);
+    t.true(exchangedAtMs.length > 0);
+    t.true(exchangedAtMs[0]! - wakenMs >= 600, `${exchangedAtMs[0]! - wakenMs} ms`);
+    t.is(bench.ownerOf("vantaa"), owner);
+});
--- a/packages/proof/src/recovery/WorkRecovery.test.ts
+++ b/packages/proof/src/recovery/WorkRecovery.test.ts
@@ -88,6 +88,38 @@
     t.is(bench.startsAfter(0).length, 0);
 });
 
+test("a service whose command and size change keeps its count while its replicas are replaced", async t => {
+    const bench = await RecoveryBench.start({ topology: RECOVERY_TOPOLOGY }, RECOVERY_TEXT + SERVICE);
+    const commands = new Map<string, string>();
+    let fewest = Infinity;
+    for (const worker of bench.deployment.workers.values()) {
+        for (const report of worker.exchange({ epoch: 1000, sequence: 0, commands: [] })._unsafeUnwrap().reports) {
+            commands.set(report.task.taskId, report.task.payload);
+        }
+        worker.onTaskEvent(({ task, state }) => {
+            if (state === WorkerTaskState.Running) {
+                commands.set(task.taskId, task.payload);
+            }
+            else {
+                commands.delete(task.taskId);
+            }
+            fewest = Math.min(fewest, commands.size);
+        });
+    }
+    t.is(commands.size, 9);
+    const { config } = bench.deployment.process("vantaa-entry-0").process;
+    const changed = SERVICE.replace("command = \"parts-database\"", "command = \"parts-database-2\"")
+        .replace("processors = 1", "processors = 2");
+    const applied = await bench.deployment.timer.advanceUntil(config.apply(RECOVERY_TEXT + changed, config.version));
+    t.true(applied.isOk());
+    await bench.advance(600);
+    bench.deployment.kill(bench.ownerOf("vantaa")!);
+    await bench.advance(30_000);
+    t.deepEqual([...commands.values()], new Array<string>(9).fill("parts-database-2"));
+    t.is(fewest, 9);
+    t.deepEqual(bench.doubledTasks, []);
+});
+
 test("an hour without the store ends without a storm, and nothing accepted is lost", async t => {
     const bench = await RecoveryBench.start();
     const accepted = await Promise.all(
