--- a/packages/proof/src/mutants/AllMutants.ts
+++ b/packages/proof/src/mutants/AllMutants.ts
@@ -21,6 +21,8 @@
     withoutLeaving,
     withoutRenewals,
     withoutRowsOf,
+    withoutRunningReports,
+    withRepeatableRequests,
     withReportsChanged,
     withStaleAnswers
 } from "./BrokenEnvironments.js";
@@ -43,6 +45,15 @@
         script: scripts.UNREACHED_WORKERS,
         broken: { workerChecks: { ...DEFAULT_WORKER_CHECKS, lease: false } }
     },
+    {
+        name: "a successor takes over without the inventories of workers, which ignore epochs",
+        rule: new OnePlaceRule(),
+        script: scripts.ISOLATED_OWNER,
+        broken: {
+            changeEnvironment: withoutRunningReports,
+            workerChecks: { ...DEFAULT_WORKER_CHECKS, epoch: false }
+        }
+    },
     {
         name: "withdrawals of keys are not seen",
         rule: new TeamKeyRule(),
@@ -86,10 +97,12 @@
         broken: { changeEnvironment: withoutRowsOf([TableName.Requests, TableName.Idempotency]) }
     },
     {
-        name: "a task that succeeded is taken as failed",
+        name: "a task that must not run again is started again after a failure",
         rule: new TaskOnceRule(),
         script: scripts.ONE_CERTIFICATION,
-        broken: { changeEnvironment: withReportsChanged(takeAsFailed) }
+        broken: {
+            changeEnvironment: environment => withRepeatableRequests(withReportsChanged(takeAsFailed)(environment))
+        }
     },
     {
         name: "the live list is read without the leaving machines",
--- a/packages/proof/src/mutants/BrokenEnvironments.ts
+++ b/packages/proof/src/mutants/BrokenEnvironments.ts
@@ -1,13 +1,18 @@
+import type { RequestRecord } from "@skylarkpath/common/model/Request";
 import type { LiveMachine } from "@skylarkpath/common/platform/LiveList";
 import {
+    type JsonValue,
     type TableCondition,
     type TableMutation,
+    TableName,
+    type TableRow,
     type TableTransaction
 } from "@skylarkpath/common/platform/TableService";
 import { type TargetAnswer, TargetErrorKind } from "@skylarkpath/common/platform/TargetService";
 import { WorkerCommandKind, type WorkerTaskReport, WorkerTaskState } from "@skylarkpath/common/platform/WorkerService";
 import type { ProcessEnvironment } from "@skylarkpath/control/process/ProcessEnvironment";
 import { err } from "neverthrow";
+import { isRunningTask } from "../rules/TaskStates.js";
 
 /** Exchanges parts of the environment of a process. */
 export type EnvironmentChange = (environment: ProcessEnvironment) => ProcessEnvironment;
@@ -74,11 +79,34 @@
     };
 }
 
+/** Inventories of workers lack the tasks that run. */
+export const withoutRunningReports: EnvironmentChange = environment => {
+    const { workers } = environment;
+    const exchange: typeof workers.exchange = async (address, batch) => {
+        const reply = await workers.exchange(address, batch);
+        return reply.map(value => ({
+            ...value,
+            reports: value.reports.filter(report => !isRunningTask(report.state))
+        }));
+    };
+    return { ...environment, workers: { exchange } };
+};
+
 /** Takes a task that succeeded for one that failed. */
 export function takeAsFailed(report: WorkerTaskReport): WorkerTaskReport {
     return report.state === WorkerTaskState.Succeeded ? { ...report, state: WorkerTaskState.Failed } : report;
 }
 
+/** Requests are read from the store as if all of them might run again. */
+export const withRepeatableRequests: EnvironmentChange = environment => {
+    const { table } = environment;
+    const read: typeof table.read = async (name, key) =>
+        (await table.read(name, key)).map(row => row && repeatableRow(name, row));
+    const scan: typeof table.scan = async request =>
+        (await table.scan(request)).map(rows => rows.map(row => repeatableRow(request.table, row)));
+    return { ...environment, table: { ...table, read, scan } };
+};
+
 /** Takes every task for one that runs. */
 export function takeAsRunning(report: WorkerTaskReport): WorkerTaskReport {
     return { ...report, state: WorkerTaskState.Running };
@@ -93,3 +121,12 @@
         liveList: { read: async () => (await liveList.read()).map(machines => machines.map(stay)) }
     };
 };
+
+function repeatableRow(table: string, row: TableRow): TableRow {
+    if (table !== TableName.Requests) {
+        return row;
+    }
+    const record = row.value as unknown as RequestRecord;
+    const value = { ...record, spec: { ...record.spec, idempotent: true } };
+    return { ...row, value: value as unknown as JsonValue };
+}
