--- a/packages/control/src/slice/SliceController.ts
+++ b/packages/control/src/slice/SliceController.ts
@@ -114,7 +114,14 @@
                 taskId => this.stopTask(taskId)
             )
         );
-        this.services = new ServiceController(slice.failureDomain, this.scheduler, runningServices);
+        this.services = this.store.add(
+            new ServiceController(
+                slice.failureDomain,
+                this.scheduler,
+                runningServices,
+                text => environment.hasher.hash(text)
+            )
+        );
         this.reports = this.store.add(
             new TaskReportHandler(environment, this.scheduler, this.placements, this.jobs, this.services)
         );
@@ -186,9 +193,7 @@
 
     /** Takes in the operators' text. */
     public updateText(text: OperatorsText): void {
-        for (const taskId of this.services.update(text)) {
-            this.stopTask(taskId);
-        }
+        this.services.update(text);
         this.decideSoon();
     }
 
@@ -268,6 +273,7 @@
                 taskIds.forEach(taskId => this.reports.endTask(taskId, TaskEnd.Requeued, true))
             )
         );
+        this.store.add(this.services.onSurplus(taskIds => taskIds.forEach(taskId => this.stopTask(taskId))));
         this.store.add(this.pool.onStale(() => this.staleEmitter.fire()));
         this.store.add(this.pool.onHoldReleased(() => this.releaseHold()));
         this.store.add(this.reports.onChange(() => this.decideSoon()));
