--- a/packages/adapters/src/HttpListener.ts
+++ b/packages/adapters/src/HttpListener.ts
@@ -2,6 +2,9 @@
 import type { Hono } from "hono";
 import type { AddressInfo } from "node:net";
 
+const IDLE_CHECK_INTERVAL_MS = 20;
+const CLOSE_LIMIT_MS = 5000;
+
 /** HTTP application that listens on an address until closed. */
 export class HttpListener {
     private constructor(private readonly server: ServerType, public readonly address: string) {}
@@ -19,13 +22,29 @@
         });
     }
 
-    /** Stops listening and waits until requests in progress have ended. */
+    /** Stops listening and waits until requests in progress have ended; connections kept alive end as they fall idle. */
     public close(): Promise<void> {
         return new Promise(resolve => {
-            this.server.close(() => resolve());
-            if ("closeIdleConnections" in this.server) {
-                this.server.closeIdleConnections();
-            }
+            const closeIdle = setInterval(() => this.closeIdleConnections(), IDLE_CHECK_INTERVAL_MS);
+            const closeAll = setTimeout(() => this.closeAllConnections(), CLOSE_LIMIT_MS);
+            this.server.close(() => {
+                clearInterval(closeIdle);
+                clearTimeout(closeAll);
+                resolve();
+            });
+            this.closeIdleConnections();
         });
     }
+
+    private closeIdleConnections(): void {
+        if ("closeIdleConnections" in this.server) {
+            this.server.closeIdleConnections();
+        }
+    }
+
+    private closeAllConnections(): void {
+        if ("closeAllConnections" in this.server) {
+            this.server.closeAllConnections();
+        }
+    }
 }
--- a/packages/bench/src/RunCommand.ts
+++ b/packages/bench/src/RunCommand.ts
@@ -53,6 +53,9 @@
     public fault = Option.String("--fault", "");
     public drain = Option.String("--drain-seconds", "60");
     public noLinks = Option.Boolean("--no-links", false);
+    public profile = Option.String("--profile", {
+        description: "Folder for the processor profiles of all processes"
+    });
     public output = Option.String("--output");
 
     public override async execute(): Promise<number> {
@@ -62,7 +65,7 @@
             this.context.stderr.write(`${faults.isErr() ? faults.error : `unknown deployment ${this.deployment}`}\n`);
             return EXIT_WRONG_CALL;
         }
-        const cluster = await LocalCluster.start(topology, this.noLinks ? undefined : LINKS);
+        const cluster = await LocalCluster.start(topology, this.noLinks ? undefined : LINKS, this.profile);
         const client = new ClusterClient(cluster.plan);
         try {
             const keys = await prepare(cluster, client, topology);
--- a/packages/bench/src/cluster/LocalCluster.ts
+++ b/packages/bench/src/cluster/LocalCluster.ts
@@ -27,11 +27,15 @@
     private readonly control = new JsonRpcClient();
     private standIns: RunningProcess | undefined;
 
-    private constructor(public readonly plan: ClusterPlan) {}
+    private constructor(public readonly plan: ClusterPlan, private readonly profileFolder?: string) {}
 
     /** Starts a cluster and waits until its stand-ins serve. */
-    public static async start(topology: Topology, links?: PlannedLinks): Promise<LocalCluster> {
-        const cluster = new LocalCluster(await planCluster(topology, links));
+    public static async start(
+        topology: Topology,
+        links?: PlannedLinks,
+        profileFolder?: string
+    ): Promise<LocalCluster> {
+        const cluster = new LocalCluster(await planCluster(topology, links), profileFolder);
         await cluster.startStandIns();
         for (const entry of cluster.plan.entries) {
             cluster.startEntry(entry);
@@ -53,10 +57,11 @@
         const { machineId } = entry.machine;
         const settingsPath = join(this.folder, `${machineId}.toml`);
         writeFileSync(settingsPath, composeSettings(this.plan, entry, this.cutsPath));
-        const child = this.spawnNode(
-            [SKYLARKD_PATH, "--settings", settingsPath],
-            join(this.folder, `${machineId}.log`)
-        );
+        const profiling = this.profileFolder === undefined
+            ? []
+            : ["--cpu-prof", `--cpu-prof-dir=${this.profileFolder}`];
+        const command = [...profiling, SKYLARKD_PATH, "--settings", settingsPath];
+        const child = this.spawnNode(command, join(this.folder, `${machineId}.log`));
         this.processes.set(machineId, child);
     }
 
@@ -113,6 +118,9 @@
 
     /** Ends all processes by their ids. */
     public async stop(): Promise<void> {
+        if (this.profileFolder !== undefined) {
+            await this.stopGracefully();
+        }
         for (const running of [...this.processes.values(), this.standIns]) {
             running?.child.kill("SIGKILL");
             await running?.exited;
@@ -121,6 +129,15 @@
         rmSync(this.folder, { recursive: true, force: true });
     }
 
+    /** Processes write their profiles as they exit. */
+    private async stopGracefully(): Promise<void> {
+        for (const { child } of this.processes.values()) {
+            child.kill("SIGTERM");
+        }
+        const exits = Promise.all([...this.processes.values()].map(({ exited }) => exited));
+        await Promise.race([exits, pause(READY_TIMEOUT_MS)]);
+    }
+
     private async startStandIns(): Promise<void> {
         const planPath = join(this.folder, "plan.json");
         writeFileSync(planPath, JSON.stringify(this.plan));
