Requests of open queues are seen by their id; a cancel checks the team first

Cause: callers of open queues have no key and could not ask for their requests; a look-up in an entry's memory could be cancelled by anybody who knew its id. The set-up of a cluster and the fleet's part of test texts stood several times. Conclusion: one check decides what a caller may see; one module sets a cluster up.

--- /dev/null
+++ b/packages/bench/src/cluster/ClusterSetup.ts
@@ -0,0 +1,26 @@
+import type { Topology } from "@skylarkpath/proof/Topology";
+import { composeBenchText, LOAD_TEAMS } from "../load/BenchText.js";
+import type { ClusterClient } from "./ClusterClient.js";
+import { type LocalCluster, pause } from "./LocalCluster.js";
+
+const LISTEN_SETTLE_MS = 1000;
+const SETTLE_MS = 4000;
+
+/** Applies the text of the load, waits until all entries are ready, and grants a key to each team. */
+export async function prepareCluster(
+    cluster: LocalCluster,
+    client: ClusterClient,
+    topology: Topology
+): Promise<ReadonlyMap<string, string>> {
+    await cluster.waitListening();
+    await pause(LISTEN_SETTLE_MS);
+    const first = cluster.plan.entries[0]!;
+    await client.applyText(first, composeBenchText(topology), 0);
+    await cluster.waitReady();
+    const keys = new Map<string, string>();
+    for (const team of Object.keys(LOAD_TEAMS)) {
+        keys.set(team, (await client.grantKey(first, team)).key);
+    }
+    await pause(SETTLE_MS);
+    return keys;
+}
--- a/packages/control/src/entry/RequestController.ts
+++ b/packages/control/src/entry/RequestController.ts
@@ -32,6 +32,7 @@
 
 interface RememberedLookup {
     readonly team: string;
+    readonly queue: string;
     outcome: RequestOutcome;
     cancelled: boolean;
 }
@@ -49,7 +50,8 @@
     readonly description?: JobDescription;
 }
 
-type TeamCheck = (team: string) => boolean;
+/** Tells whether the caller may see a request of a team and queue. */
+type SightCheck = (request: { readonly team: string; readonly queue: string; }) => boolean;
 
 const POLL_INTERVAL_MS = 100;
 
@@ -69,7 +71,7 @@
         private readonly peerClient: PeerClient,
         private readonly directory: SliceDirectory,
         private readonly requests: RequestStore,
-        config: ConfigController,
+        private readonly config: ConfigController,
         private readonly keys: KeyController,
         private readonly isAdmitting: () => boolean,
         pauses: PauseDetector,
@@ -153,15 +155,15 @@
     }
 
     private async cancelNow(question: RequestQuestion): Promise<RequestReply> {
+        const before = await this.describeNow(question);
+        if (before.requestId === undefined || isFinal(before.outcome)) {
+            return before;
+        }
         const lookup = this.lookupsById.get(question.requestId);
         if (lookup) {
             lookup.cancelled = true;
             return this.waitForOutcome(question);
         }
-        const before = await this.describeNow(question);
-        if (isFinal(before.outcome)) {
-            return before;
-        }
         const location = this.locate(question.requestId);
         const reply = location && await this.peerClient.call(
             location.address,
@@ -189,6 +191,7 @@
         const requestId = this.lookups.composeId();
         const remembered: RememberedLookup = {
             team: spec.team,
+            queue: spec.queue,
             outcome: { state: OutcomeState.Running },
             cancelled: false
         };
@@ -201,30 +204,34 @@
     }
 
     private async describeNow(question: RequestQuestion): Promise<RequestReply> {
-        const team = this.teamOf(question);
-        return typeof team === "string"
-            ? this.lookUp(question.requestId, owner => owner === team)
-            : team;
+        const maySee = this.sightOf(question);
+        return typeof maySee === "function" ? this.lookUp(question.requestId, maySee) : maySee;
     }
 
-    private async lookUp(requestId: string, maySee: TeamCheck): Promise<RequestReply> {
+    private async lookUp(requestId: string, maySee: SightCheck): Promise<RequestReply> {
         const lookup = this.lookupsById.get(requestId);
         if (lookup) {
-            return maySee(lookup.team) ? { requestId, outcome: lookup.outcome } : requestUnknown();
+            return maySee(lookup) ? { requestId, outcome: lookup.outcome } : requestUnknown();
         }
         return (await this.askOwner(requestId, maySee)) ?? this.readStore(requestId, maySee);
     }
 
-    /** Team of the key, or the refusal; without a key only requests of open queues are seen. */
-    private teamOf(question: RequestQuestion): string | RequestReply {
+    /** What the key may see, or the refusal; without a key requests of open queues are seen by their id. */
+    private sightOf(question: RequestQuestion): SightCheck | RequestReply {
         if (question.key === undefined) {
-            return unseen(OutcomeReason.KeyMissing, "A team key is needed to see a request.");
+            return ({ queue }) => this.isOpen(queue);
         }
         const team = this.keys.verify(question.key, 0);
-        return team.isOk() ? team.value : unseen(team.error, "The key cannot be used; nothing is told of the request.");
+        return team.isOk()
+            ? request => request.team === team.value
+            : unseen(team.error, "The key cannot be used; nothing is told of the request.");
+    }
+
+    private isOpen(queueName: string): boolean {
+        return this.config.current?.parsed.queues.find(queue => queue.name === queueName)?.open ?? false;
     }
 
-    private async askOwner(requestId: string, maySee: TeamCheck): Promise<RequestReply | undefined> {
+    private async askOwner(requestId: string, maySee: SightCheck): Promise<RequestReply | undefined> {
         const location = this.locate(requestId);
         if (!location) {
             return undefined;
@@ -240,17 +247,17 @@
             return undefined;
         }
         const { outcome, waiting } = description;
-        return maySee(description.team) ? { requestId, outcome, waiting } : requestUnknown();
+        return maySee(description) ? { requestId, outcome, waiting } : requestUnknown();
     }
 
-    private async readStore(requestId: string, maySee: TeamCheck): Promise<RequestReply> {
+    private async readStore(requestId: string, maySee: SightCheck): Promise<RequestReply> {
         const stored = await this.requests.find(requestId);
         if (stored.isErr()) {
             const detail = "The store cannot be read; ask again later.";
             const reason = OutcomeReason.StoreUnavailable;
             return { requestId, outcome: { state: OutcomeState.Accepted, reason, detail } };
         }
-        return stored.value && maySee(stored.value.record.spec.team)
+        return stored.value && maySee(stored.value.record.spec)
             ? { requestId, outcome: stored.value.record.outcome }
             : requestUnknown();
     }
--- a/packages/control/src/slice/JobController.ts
+++ b/packages/control/src/slice/JobController.ts
@@ -240,9 +240,9 @@
             return undefined;
         }
         const outcome = job.currentOutcome();
-        const { team } = job.stored.record.spec;
+        const { team, queue } = job.stored.record.spec;
         const waiting = outcome.state === OutcomeState.Accepted ? this.explain(job) : undefined;
-        return { team, outcome, waiting };
+        return { team, queue, outcome, waiting };
     }
 
     /** Commits final outcomes again whose commit has failed. */
@@ -387,7 +387,8 @@
     private noteEnded(job: Job, outcome: RequestOutcome): void {
         this.jobs.delete(job.requestId);
         this.reads.noteEnded(job.requestId);
-        this.finalOutcomes.add(job.requestId, { team: job.stored.record.spec.team, outcome });
+        const { team, queue } = job.stored.record.spec;
+        this.finalOutcomes.add(job.requestId, { team, queue, outcome });
         this.environment.log.write(EVENTS.requestEnded, {
             requestId: job.requestId,
             state: outcome.state,
--- a/packages/control/src/slice/JobDescription.ts
+++ b/packages/control/src/slice/JobDescription.ts
@@ -4,6 +4,7 @@
 /** Outcome of a request with what it waits for. */
 export interface JobDescription {
     readonly team: string;
+    readonly queue: string;
     readonly outcome: RequestOutcome;
     readonly waiting?: WaitExplanation;
 }
--- a/packages/control/src/slice/OutcomeMemory.ts
+++ b/packages/control/src/slice/OutcomeMemory.ts
@@ -1,9 +1,10 @@
 import type { RequestOutcome } from "@skylarkpath/common/model/Request";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 
-/** Final outcome of a request with its team. */
+/** Final outcome of a request with its team and queue. */
 export interface RememberedOutcome {
     readonly team: string;
+    readonly queue: string;
     readonly outcome: RequestOutcome;
 }
 
--- /dev/null
+++ b/packages/proof/src/FleetText.ts
@@ -0,0 +1,13 @@
+/** Part of the operators' text that the tests of three failure domains share: domains and worker class. */
+export const FLEET_TEXT = `
+[failure_domains.vantaa]
+region = "etela"
+[failure_domains.tampere]
+region = "etela"
+[failure_domains.oulu]
+region = "pohjoinen"
+[worker_classes.standard]
+processors = 16
+memory = "64GiB"
+accelerators = 0
+`;
--- a/packages/proof/src/recovery/RecoveryBench.ts
+++ b/packages/proof/src/recovery/RecoveryBench.ts
@@ -4,6 +4,7 @@
 import type { RequestReply } from "@skylarkpath/control/entry/RequestReply";
 import type { AttemptEvent } from "@skylarkpath/standins/memory/MemoryTarget";
 import type { WorkerTaskEvent } from "@skylarkpath/standins/memory/MemoryWorker";
+import { FLEET_TEXT } from "../FleetText.js";
 import { FaultyDeployment } from "../members/FaultyDeployment.js";
 import { SMALL_TOPOLOGY, type Topology } from "../Topology.js";
 import {
@@ -44,17 +45,7 @@
 /** Operators' text of recovery tests. */
 export const RECOVERY_TEXT = `
 deployment = "small"
-[failure_domains.vantaa]
-region = "etela"
-[failure_domains.tampere]
-region = "etela"
-[failure_domains.oulu]
-region = "pohjoinen"
-[worker_classes.standard]
-processors = 16
-memory = "64GiB"
-accelerators = 0
-[teams.dispatch]
+${FLEET_TEXT}[teams.dispatch]
 share = 1
 limit = { processors = 288, memory = "1152GiB", accelerators = 0, slots = 48 }
 [queues.part-lookup]
