A stopped process exits at once: pending timers are dropped

Cause: timers that forget outcomes after 60 s kept the event loop of a stopped process alive. Conclusion: the server disposes its timer when it has stopped.

--- a/packages/adapters/src/SystemTimer.ts
+++ b/packages/adapters/src/SystemTimer.ts
@@ -3,7 +3,9 @@
 import { performance } from "node:perf_hooks";
 
 /** Timer service on the clocks of this machine; repeating calls alone do not keep a process alive. */
-export class SystemTimer implements TimerService {
+export class SystemTimer implements TimerService, Disposable {
+    private readonly pending = new Set<NodeJS.Timeout>();
+
     public nowMs(): number {
         return performance.now();
     }
@@ -13,12 +15,27 @@
     }
 
     public after(delayMs: number, callback: () => void): Disposable {
-        const handle = setTimeout(callback, Math.max(0, delayMs));
-        return toDisposable(() => clearTimeout(handle));
+        const handle = setTimeout(() => {
+            this.pending.delete(handle);
+            callback();
+        }, Math.max(0, delayMs));
+        this.pending.add(handle);
+        return toDisposable(() => {
+            this.pending.delete(handle);
+            clearTimeout(handle);
+        });
     }
 
     public every(intervalMs: number, callback: () => void): Disposable {
         const handle = setInterval(callback, intervalMs).unref();
         return toDisposable(() => clearInterval(handle));
     }
+
+    /** Drops all calls that are still due, so that nothing keeps the process alive. */
+    public dispose(): void {
+        for (const handle of this.pending) {
+            clearTimeout(handle);
+        }
+        this.pending.clear();
+    }
 }
--- a/packages/skylarkd/src/SkylarkServer.ts
+++ b/packages/skylarkd/src/SkylarkServer.ts
@@ -50,6 +50,7 @@
     private readonly listeners: HttpListener[] = [];
     private readonly clients: JsonRpcClient[] = [];
     private readonly hasher = new NodeSecretHasher();
+    private readonly timer = new SystemTimer();
     private readonly metrics = new ProcessMetrics();
     private readonly signer: PeerSigner;
     private process: SkylarkProcess | undefined;
@@ -65,7 +66,7 @@
         endpoint.mount(peerApplication, PEER_PATH);
         const peers = await this.listen(peerApplication, this.settings.listen.peers);
         this.signer.setOwnAddress(peers.address);
-        const timer = new SystemTimer();
+        const { timer } = this;
         const clock = new HybridClock(timer);
         const timeline = this.createTimeline(clock);
         const options = optionsOf(this.settings);
@@ -96,6 +97,7 @@
         for (const client of this.clients) {
             client.dispose();
         }
+        this.timer.dispose();
     }
 
     private createPeerEndpoint(): JsonRpcEndpoint {
