--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,6 +5,7 @@
 const namingRules = [
     { selector: "default", format: ["camelCase"], leadingUnderscore: "forbid", trailingUnderscore: "forbid" },
     { selector: "import", format: ["camelCase", "PascalCase"] },
+    { selector: "variable", modifiers: ["destructured"], format: ["camelCase", "PascalCase"] },
     { selector: "variable", modifiers: ["const", "global"], format: ["camelCase", "UPPER_CASE", "PascalCase"] },
     { selector: "variable", modifiers: ["const", "exported"], format: ["camelCase", "UPPER_CASE", "PascalCase"] },
     { selector: "typeLike", format: ["PascalCase"], custom: { regex: "^I[A-Z][a-z]", match: false } },
@@ -13,9 +14,9 @@
 ].map(rule => rule.format === undefined ? { ...rule, format: null } : rule);
 
 export default tseslint.config(
-    { ignores: ["**/out/**", "**/node_modules/**"] },
+    { ignores: ["**/out/**", "**/node_modules/**", "target/**"] },
     {
-        files: ["packages/*/src/**/*.ts"],
+        files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
         extends: [...tseslint.configs.recommended],
         plugins: { jsdoc, house: houseRules },
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
@@ -43,7 +44,7 @@
         }
     },
     {
-        files: ["packages/{common,text,decisions,control}/src/**/*.ts"],
+        files: ["packages/{common,text,decisions,control,fleet}/src/**/*.ts"],
         ignores: ["**/*.test.ts"],
         rules: {
             "no-restricted-imports": ["error", {
--- /dev/null
+++ b/packages/adapters/src/HttpOwnerLink.ts
@@ -0,0 +1,54 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import {
+    LinkFailure,
+    type OwnerLink,
+    type OwnerService,
+    type PermitDelivery,
+    type WatchReply,
+    type WatchRequest
+} from "@skylarkpath/fleet/ports/OwnerLink";
+import type { Hono } from "hono";
+import { DEFAULT_JSON_RPC_CLIENT_OPTIONS, JsonRpcClient } from "./JsonRpcClient.js";
+import { DEFAULT_JSON_RPC_ENDPOINT_OPTIONS, JsonRpcEndpoint } from "./JsonRpcEndpoint.js";
+
+const OWNER_PATH = "/owner";
+const WATCH_METHOD = "owner.watch";
+const DELIVER_METHOD = "owner.deliver";
+const REFUSED_CODE = "ECONNREFUSED";
+
+/** Calls to the owner over JSON-RPC. */
+export class HttpOwnerLink implements OwnerLink, Disposable {
+    private readonly client = new JsonRpcClient({ ...DEFAULT_JSON_RPC_CLIENT_OPTIONS, connectionsPerAddress: 8 });
+
+    public async watch(address: string, request: WatchRequest, timeoutMs: number): Promise<WatchReply | LinkFailure> {
+        const reply = await this.client.call(address, OWNER_PATH, WATCH_METHOD, request, timeoutMs);
+        if (reply.isErr()) {
+            return reply.error.code === REFUSED_CODE ? LinkFailure.Refused : LinkFailure.Silent;
+        }
+        return reply.value as unknown as WatchReply;
+    }
+
+    public async deliver(
+        address: string,
+        delivery: PermitDelivery,
+        timeoutMs: number
+    ): Promise<LinkFailure | undefined> {
+        const reply = await this.client.call(address, OWNER_PATH, DELIVER_METHOD, delivery, timeoutMs);
+        return reply.isOk() ? undefined : LinkFailure.Silent;
+    }
+
+    public dispose(): void {
+        this.client.dispose();
+    }
+}
+
+/** Adds the owner's methods to an HTTP application. */
+export function mountOwnerService(application: Hono, service: OwnerService): void {
+    const endpoint = new JsonRpcEndpoint(DEFAULT_JSON_RPC_ENDPOINT_OPTIONS);
+    endpoint.register(WATCH_METHOD, parameters => service.watch(parameters as WatchRequest));
+    endpoint.register(DELIVER_METHOD, async parameters => {
+        service.deliver(parameters as PermitDelivery);
+        return true;
+    });
+    endpoint.mount(application, OWNER_PATH);
+}
--- a/packages/adapters/src/JsonRpcClient.ts
+++ b/packages/adapters/src/JsonRpcClient.ts
@@ -146,5 +146,5 @@
     const kind = typeof code === "string" && UNSENT_ERROR_CODES.has(code)
         ? RpcFailureKind.Unreachable
         : RpcFailureKind.ReplyLost;
-    return { kind, message: `${address}: ${message}` };
+    return { kind, message: `${address}: ${message}`, code: typeof code === "string" ? code : undefined };
 }
--- a/packages/adapters/src/RpcFailure.ts
+++ b/packages/adapters/src/RpcFailure.ts
@@ -12,4 +12,6 @@
 export interface RpcFailure {
     readonly kind: RpcFailureKind;
     readonly message: string;
+    /** Code of the system call that failed. */
+    readonly code?: string;
 }
--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -83,6 +83,50 @@
     storeUnavailable: define(1601, "store-unavailable", EventLevel.Warning, "The table service cannot be reached."),
     storeAvailable: define(1602, "store-available", EventLevel.Info, "The table service is reached again."),
     storeReadBack: define(1603, "store-read-back", EventLevel.Info, "A write whose reply was lost was read back."),
+    startRefused: define(
+        1513,
+        "start-refused",
+        EventLevel.Info,
+        "An order to start a task was refused or got no reply."
+    ),
+    rowUnreadable: define(
+        1604,
+        "row-unreadable",
+        EventLevel.Error,
+        "A row of the store can't be read and is left out."
+    ),
+    directoryChanged: define(1105, "directory-changed", EventLevel.Info, "The directory of workers changed."),
+    entryUnreadable: define(
+        1106,
+        "entry-unreadable",
+        EventLevel.Warning,
+        "An entry of the directory names no worker to use."
+    ),
+    configRefused: define(
+        1205,
+        "config-refused",
+        EventLevel.Error,
+        "A configuration can't be read; the last good one stays in force."
+    ),
+    ownerSuspected: define(
+        1424,
+        "owner-suspected",
+        EventLevel.Warning,
+        "The owner of the fleet does not answer or does not confirm its row."
+    ),
+    settingsReloaded: define(
+        1006,
+        "settings-reloaded",
+        EventLevel.Info,
+        "The process was told that its settings changed."
+    ),
+    linesDropped: define(
+        1007,
+        "lines-dropped",
+        EventLevel.Warning,
+        "Log lines were dropped, since there were too many."
+    ),
+    processFailed: define(1005, "process-failed", EventLevel.Error, "An error that no part handles."),
     messageRefused: define(
         1701,
         "message-refused",
--- /dev/null
+++ b/packages/fleet/src/FleetProcess.ts
@@ -0,0 +1,217 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventLog } from "@skylarkpath/common/log/EventLog";
+import type { RandomSource } from "@skylarkpath/common/random/RandomSource";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { ConfigDirectory } from "./config/ConfigDirectory.js";
+import type { CallerReply, CallerRequest } from "./entry/EntryTypes.js";
+import { IntakeWriter } from "./entry/IntakeWriter.js";
+import { JobEntry } from "./entry/JobEntry.js";
+import { JobStates } from "./entry/JobStates.js";
+import { OwnerWatch } from "./entry/OwnerWatch.js";
+import type { FleetTiming } from "./model/FleetTiming.js";
+import { FleetOwner, UNCONFIRMED_LIMIT_MS } from "./owner/FleetOwner.js";
+import { OwnerLedger } from "./owner/OwnerLedger.js";
+import { OwnerElection, type WonOwnership } from "./ownership/OwnerElection.js";
+import type { DirectorySource } from "./ports/DirectorySource.js";
+import type { OwnerLink, OwnerService, PermitDelivery, WatchReply, WatchRequest } from "./ports/OwnerLink.js";
+import type { PlacementPolicy } from "./ports/PlacementPolicy.js";
+import type { RowStore } from "./ports/RowStore.js";
+import type { WorkerCalls } from "./ports/WorkerCalls.js";
+
+/** What a process of the fleet is given. */
+export interface FleetEnvironment {
+    /** Name of the machine. */
+    readonly machine: string;
+    /** Address at which other processes reach this one. */
+    readonly address: string;
+    readonly store: RowStore;
+    readonly workers: WorkerCalls;
+    readonly policy: PlacementPolicy | undefined;
+    readonly ownerLink: OwnerLink;
+    readonly directory: DirectorySource;
+    readonly timing: FleetTiming;
+    readonly timer: TimerService;
+    readonly random: RandomSource;
+    readonly log: EventLog;
+    /** Longest usual round trip between machines. */
+    readonly roundTripMs: number;
+    /** Share of a processor that this machine has. */
+    readonly processorShare: number;
+}
+
+/** Part of the time to withdraw a key within which knowledge of the keys must have been confirmed. */
+const KEY_AGE_SHARE = 0.9;
+/** Delay of a candidate for each millisecond of its round trip to the store. */
+const DELAY_PER_ROUND_TRIP = 8;
+const LONGEST_ROUND_TRIP_DELAY_MS = 600;
+/** Spread of candidates that are equal. */
+const RANDOM_DELAY_MS = 150;
+/** Delay of a candidate with a whole processor less than none. */
+const SLOW_PROCESSOR_DELAY_MS = 300;
+/** Knowledge of the configuration that is older than this makes a process not ready: two readings and a retry. */
+const READY_AGE_MS = 2500;
+
+/** One process of the fleet: an entry for callers, and the owner while it holds the owner's row. */
+export class FleetProcess implements OwnerService, Disposable {
+    private readonly disposables = new DisposableStore();
+    private readonly directory: ConfigDirectory;
+    private readonly watcher: OwnerWatch;
+    private readonly election: OwnerElection;
+    private readonly entry: JobEntry;
+    private owner: FleetOwner | undefined;
+    private stopping = false;
+    private readonly identity: string;
+
+    constructor(private readonly environment: FleetEnvironment) {
+        const { store, timer, timing, log, machine, address, random } = environment;
+        this.identity = `${machine}/${Math.floor(random.next() * Number.MAX_SAFE_INTEGER).toString(36)}`;
+        this.directory = this.disposables.add(new ConfigDirectory(store, timer, environment.directory, log));
+        const states = new JobStates(timer, timing.stateRetentionMs);
+        this.watcher = this.disposables.add(
+            new OwnerWatch(environment.ownerLink, environment.policy, states, timer, {
+                entry: this.identity,
+                storeRoundTripMs: () => this.directory.storeRoundTripMs,
+                questionTimeoutMs: () => this.longestQuestionMs()
+            })
+        );
+        this.entry = new JobEntry({
+            store,
+            directory: this.directory,
+            states,
+            watch: this.watcher,
+            writer: new IntakeWriter(store, timer),
+            log,
+            keyAgeLimitMs: timing.keyWithdrawalMs * KEY_AGE_SHARE
+        });
+        this.election = this.disposables.add(
+            new OwnerElection(
+                store,
+                timer,
+                { holder: this.identity, address, delayMs: () => this.candidateDelayMs() },
+                { healthy: () => this.watcher.healthy, refused: () => this.watcher.refused }
+            )
+        );
+    }
+
+    /** Admits callers: the configuration is known and recently confirmed. */
+    public get ready(): boolean {
+        return !this.stopping && this.directory.ageMs < READY_AGE_MS;
+    }
+
+    /** Longest body of a request, as the configuration says. */
+    public get maximumBodyBytes(): number | undefined {
+        return this.directory.config?.maximumBodyBytes;
+    }
+
+    /** Begins to serve. */
+    public start(): void {
+        this.disposables.add(this.election.onSeen(({ row }) => {
+            if (row && row.holder !== this.identity) {
+                this.dropOwnership();
+            }
+            this.watcher.follow(row && !row.released ? row.address : undefined);
+        }));
+        this.disposables.add(this.election.onWon(won => this.becomeOwner(won)));
+        this.disposables.add(this.watcher.onTrouble(() => this.election.check()));
+        this.directory.start();
+        this.election.start();
+        this.environment.log.write(EVENTS.processStarted, { machine: this.environment.machine });
+    }
+
+    /** Answers a caller. */
+    public handle(request: CallerRequest): Promise<CallerReply> {
+        return this.entry.handle(request);
+    }
+
+    public async watch(request: WatchRequest): Promise<WatchReply> {
+        return this.owner?.watch(request) ?? NOT_OWNING;
+    }
+
+    public deliver(delivery: PermitDelivery): void {
+        this.owner?.deliver(delivery);
+    }
+
+    /** Stops to own anything and tells the platform to send no more callers; requests are still answered. */
+    public async retire(limitMs: number): Promise<void> {
+        this.stopping = true;
+        this.environment.log.write(EVENTS.processStopping, { owning: this.owner !== undefined });
+        this.election.dispose();
+        const { owner } = this;
+        this.owner = undefined;
+        if (owner) {
+            const released = await owner.release(limitMs);
+            this.environment.log.write(EVENTS.sliceHandedOver, { epoch: owner.epoch, confirmed: released });
+        }
+    }
+
+    public dispose(): void {
+        this.dropOwnership();
+        this.disposables.dispose();
+    }
+
+    private becomeOwner({ row, version, former }: WonOwnership): void {
+        const { store, timer, workers, timing, log, roundTripMs } = this.environment;
+        this.dropOwnership();
+        const known = former?.workers ?? [];
+        const ledger = new OwnerLedger(store, timer, row, version, () => this.owner?.knownWorkers ?? known);
+        const extraMs = former?.released ? 0 : UNCONFIRMED_LIMIT_MS;
+        const owner = new FleetOwner(
+            {
+                store,
+                timer,
+                calls: workers,
+                config: this.directory,
+                directory: this.environment.directory,
+                timing,
+                log,
+                roundTripMs
+            },
+            ledger,
+            {
+                version: former ? version : 0,
+                workers: known,
+                unknownLeaseMs: former ? timing.maximumLeaseMs + extraMs : 0
+            }
+        );
+        this.owner = owner;
+        owner.onLost(() => {
+            if (this.owner === owner) {
+                this.dropOwnership();
+                this.election.check();
+            }
+        });
+        void owner.start();
+        this.watcher.follow(this.environment.address);
+    }
+
+    private dropOwnership(): void {
+        this.owner?.dispose();
+        this.owner = undefined;
+    }
+
+    private candidateDelayMs(): number {
+        const { random, processorShare } = this.environment;
+        const roundTripDelayMs = this.directory.storeRoundTripMs * DELAY_PER_ROUND_TRIP;
+        return Math.min(LONGEST_ROUND_TRIP_DELAY_MS, roundTripDelayMs)
+            + random.next() * RANDOM_DELAY_MS + Math.max(0, 1 - processorShare) * SLOW_PROCESSOR_DELAY_MS;
+    }
+
+    private longestQuestionMs(): number {
+        const costs = (this.directory.config?.queues ?? []).map(({ policy }) =>
+            policy ? policy.decideMs + policy.perWorkerMs * 100 : 0
+        );
+        return Math.max(0, ...costs) * 2 + 1000;
+    }
+}
+
+const NOT_OWNING: WatchReply = {
+    epoch: 0,
+    owning: false,
+    sequence: 0,
+    whole: false,
+    updates: [],
+    waiting: {},
+    questions: [],
+    confirmedAgeMs: 0
+};
--- /dev/null
+++ b/packages/fleet/src/config/ConfigDirectory.ts
@@ -0,0 +1,79 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventLog } from "@skylarkpath/common/log/EventLog";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import type { FleetConfig } from "../model/FleetConfig.js";
+import type { DirectorySource } from "../ports/DirectorySource.js";
+import type { RowStore } from "../ports/RowStore.js";
+import { type FollowedChanges, TableFollower } from "./TableFollower.js";
+
+/** A call waits this long for a change; knowledge of keys is never older than this and a reply while all is well. */
+const WAIT_MS = 900;
+
+/** The configuration in force; it only rises, and its age is known. */
+export class ConfigDirectory implements Disposable {
+    private readonly disposables = new DisposableStore();
+    private readonly follower: TableFollower;
+    private readonly changed: Emitter<FleetConfig>;
+    private current: FleetConfig | undefined;
+
+    constructor(
+        store: RowStore,
+        timer: TimerService,
+        private readonly source: DirectorySource,
+        private readonly log: EventLog
+    ) {
+        const { partition, configTable } = source;
+        this.changed = this.disposables.add(new Emitter<FleetConfig>());
+        this.follower = this.disposables.add(
+            new TableFollower(store, timer, { table: configTable, partition, waitMs: WAIT_MS, gapMs: 0 })
+        );
+        this.disposables.add(this.follower.onChange(changes => this.apply(changes)));
+    }
+
+    /** A higher version is in force. */
+    public get onConfig(): Emitter<FleetConfig>["event"] {
+        return this.changed.event;
+    }
+
+    public get config(): FleetConfig | undefined {
+        return this.current;
+    }
+
+    /** Age of the knowledge of the configuration and its keys. */
+    public get ageMs(): number {
+        return this.follower.ageMs;
+    }
+
+    /** Round trip to the store. */
+    public get storeRoundTripMs(): number {
+        return this.follower.roundTripMs;
+    }
+
+    /** Begins to follow. */
+    public start(): void {
+        this.follower.start();
+    }
+
+    public dispose(): void {
+        this.disposables.dispose();
+    }
+
+    private apply({ changes }: FollowedChanges): void {
+        for (const change of changes) {
+            if (change.key !== this.source.configKey || change.value === undefined) {
+                continue;
+            }
+            const config = this.source.decodeConfig(change.value);
+            if (config.isErr()) {
+                this.log.write(EVENTS.configRefused, { rowVersion: change.version, reason: config.error });
+            }
+            else if (!this.current || config.value.version > this.current.version) {
+                this.current = config.value;
+                this.log.write(EVENTS.configAdopted, { version: config.value.version });
+                this.changed.fire(config.value);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/config/WorkerDirectory.ts
@@ -0,0 +1,67 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventLog } from "@skylarkpath/common/log/EventLog";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import type { DirectorySource } from "../ports/DirectorySource.js";
+import type { RowStore } from "../ports/RowStore.js";
+import type { WorkerEntry } from "../ports/WorkerCalls.js";
+import { type FollowedChanges, TableFollower } from "./TableFollower.js";
+
+const WAIT_MS = 1000;
+/** Changes of many workers that come together share a call. */
+const GAP_MS = 100;
+
+/** The workers that the platform lists. */
+export class WorkerDirectory implements Disposable {
+    private readonly disposables = new DisposableStore();
+    private readonly follower: TableFollower;
+    private readonly changed: Emitter<readonly WorkerEntry[]>;
+    private readonly entries = new Map<string, WorkerEntry>();
+
+    constructor(
+        store: RowStore,
+        timer: TimerService,
+        private readonly source: DirectorySource,
+        private readonly log: EventLog
+    ) {
+        const { partition, workerTable } = source;
+        this.changed = this.disposables.add(new Emitter<readonly WorkerEntry[]>());
+        this.follower = this.disposables.add(
+            new TableFollower(store, timer, { table: workerTable, partition, waitMs: WAIT_MS, gapMs: GAP_MS })
+        );
+        this.disposables.add(this.follower.onChange(changes => this.apply(changes)));
+    }
+
+    /** The list was read or changed. */
+    public get onWorkers(): Emitter<readonly WorkerEntry[]>["event"] {
+        return this.changed.event;
+    }
+
+    /** Begins to follow. */
+    public start(): void {
+        this.follower.start();
+    }
+
+    public dispose(): void {
+        this.disposables.dispose();
+    }
+
+    private apply({ whole, changes }: FollowedChanges): void {
+        if (whole) {
+            this.entries.clear();
+        }
+        for (const change of changes) {
+            const entry = change.value === undefined ? undefined : this.source.decodeWorker(change.key, change.value);
+            if (entry?.isOk()) {
+                this.entries.set(change.key, entry.value);
+                continue;
+            }
+            if (entry?.isErr()) {
+                this.log.write(EVENTS.entryUnreadable, { worker: change.key, reason: entry.error });
+            }
+            this.entries.delete(change.key);
+        }
+        this.changed.fire([...this.entries.values()]);
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/entry/IntakeWriter.ts
@@ -0,0 +1,166 @@
+import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
+import type { JobSpec } from "../model/JobSpec.js";
+import { FLEET_PARTITION, FleetTable } from "../model/Tables.js";
+import {
+    type RowCondition,
+    type RowStore,
+    type RowWrite,
+    type StoredRow,
+    StoreFailureKind
+} from "../ports/RowStore.js";
+
+/** What became of a write of the intake. */
+export enum IntakeOutcome {
+    Written = "written",
+    /** The store holds the job already. */
+    Known = "known",
+    /** Nothing was written. */
+    Unavailable = "unavailable",
+    /** It may have been written, or may be later. */
+    Unsettled = "unsettled"
+}
+
+/** Result of a write, with the row that was there before it. */
+export interface IntakeResult {
+    readonly outcome: IntakeOutcome;
+    readonly row?: StoredRow;
+}
+
+interface PendingJob {
+    readonly spec: JobSpec;
+    readonly bytes: number;
+    readonly arrivedMs: number;
+    readonly resolve: (result: IntakeResult) => void;
+    uncertain: boolean;
+}
+
+/** Jobs of one transaction; the platform takes 100 entries, of which a job has three. */
+const JOBS_PER_TRANSACTION = 32;
+/** Bytes of one transaction; the platform takes 1 MB, and values grow by a third on the way. */
+const BYTES_PER_TRANSACTION = 600_000;
+const COMMIT_TIMEOUT_MS = 700;
+const RETRY_DELAY_MS = 40;
+/** A job that the store has surely not taken is refused after this time, so that its caller can try elsewhere. */
+const REFUSAL_AFTER_MS = 100;
+/** A write without a reply is settled for this long; callers wait for 3 s. */
+const SETTLE_LIMIT_MS = 2300;
+
+/** Stores accepted jobs, as many as wait in one transaction, one transaction at a time. */
+export class IntakeWriter {
+    private readonly queue: PendingJob[] = [];
+    private active = false;
+
+    constructor(private readonly store: RowStore, private readonly timer: TimerService) {}
+
+    /** Number of jobs that wait to be stored. */
+    public get backlog(): number {
+        return this.queue.length;
+    }
+
+    /** Stores a job unless it is stored already. */
+    public write(spec: JobSpec): Promise<IntakeResult> {
+        return new Promise(resolve => {
+            const bytes = JSON.stringify(spec).length;
+            this.queue.push({ spec, bytes, arrivedMs: this.timer.nowMs(), resolve, uncertain: false });
+            if (!this.active) {
+                this.active = true;
+                void this.run();
+            }
+        });
+    }
+
+    private async run(): Promise<void> {
+        while (this.queue.length > 0) {
+            const batch = this.takeBatch();
+            const failed = await this.commit(batch);
+            if (failed) {
+                await sleep(this.timer, RETRY_DELAY_MS);
+            }
+        }
+        this.active = false;
+    }
+
+    private takeBatch(): PendingJob[] {
+        const batch: PendingJob[] = [];
+        const ids = new Set<string>();
+        let bytes = 0;
+        while (batch.length < JOBS_PER_TRANSACTION && this.queue.length > 0) {
+            const next = this.queue[0]!;
+            if (ids.has(next.spec.id) || (batch.length > 0 && bytes + next.bytes > BYTES_PER_TRANSACTION)) {
+                break;
+            }
+            this.queue.shift();
+            batch.push(next);
+            ids.add(next.spec.id);
+            bytes += next.bytes;
+        }
+        return batch;
+    }
+
+    /** Commits a batch; tells whether the store failed. */
+    private async commit(batch: readonly PendingJob[]): Promise<boolean> {
+        const conditions: RowCondition[] = [];
+        const writes: RowWrite[] = [];
+        for (const { spec } of batch) {
+            const place = { partition: FLEET_PARTITION, key: spec.id };
+            conditions.push({ ...place, table: FleetTable.Intake, version: 0 });
+            conditions.push({ ...place, table: FleetTable.Outcomes, version: 0 });
+            writes.push({ ...place, table: FleetTable.Intake, value: JSON.stringify(spec) });
+        }
+        const result = await this.store.commit(conditions, writes, COMMIT_TIMEOUT_MS);
+        if (result.isOk()) {
+            batch.forEach(job => job.resolve({ outcome: IntakeOutcome.Written }));
+            return false;
+        }
+        const { kind, rows } = result.error;
+        if (kind === StoreFailureKind.Conflict) {
+            this.settleConflict(batch, rows);
+            return false;
+        }
+        this.retry(batch, kind);
+        return true;
+    }
+
+    private settleConflict(batch: readonly PendingJob[], rows: readonly StoredRow[]): void {
+        const rowById = new Map(rows.map(row => [row.key, row]));
+        const others: PendingJob[] = [];
+        for (const job of batch) {
+            const row = rowById.get(job.spec.id);
+            if (row) {
+                job.resolve({ outcome: IntakeOutcome.Known, row });
+            }
+            else {
+                others.push(job);
+            }
+        }
+        this.queue.unshift(...others);
+    }
+
+    private retry(batch: readonly PendingJob[], kind: StoreFailureKind): void {
+        const nowMs = this.timer.nowMs();
+        const again: PendingJob[] = [];
+        for (const job of batch) {
+            job.uncertain ||= kind === StoreFailureKind.Uncertain;
+            const limitMs = job.uncertain ? SETTLE_LIMIT_MS : REFUSAL_AFTER_MS;
+            if (nowMs - job.arrivedMs < limitMs && kind !== StoreFailureKind.Invalid) {
+                again.push(job);
+            }
+            else {
+                job.resolve({ outcome: job.uncertain ? IntakeOutcome.Unsettled : IntakeOutcome.Unavailable });
+            }
+        }
+        this.queue.unshift(...again);
+        this.expireQueue(nowMs);
+    }
+
+    /** Refuses the jobs that have waited for their turn while the store fails. */
+    private expireQueue(nowMs: number): void {
+        for (let index = this.queue.length - 1; index >= 0; index--) {
+            const job = this.queue[index]!;
+            if (!job.uncertain && nowMs - job.arrivedMs >= REFUSAL_AFTER_MS) {
+                this.queue.splice(index, 1);
+                job.resolve({ outcome: IntakeOutcome.Unavailable });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/entry/JobEntry.ts
@@ -0,0 +1,199 @@
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventLog } from "@skylarkpath/common/log/EventLog";
+import type { ConfigDirectory } from "../config/ConfigDirectory.js";
+import { isFinal, JobPhase, type JobSpec } from "../model/JobSpec.js";
+import { cancelKey, FLEET_PARTITION, FleetTable } from "../model/Tables.js";
+import { type RowStore, StoreFailureKind } from "../ports/RowStore.js";
+import { type CallerReply, type CallerRequest, CallerVerb, ReplyKind, type RoutedRequest } from "./EntryTypes.js";
+import { IntakeOutcome, IntakeWriter } from "./IntakeWriter.js";
+import type { JobStates, KnownJob } from "./JobStates.js";
+import type { OwnerWatch } from "./OwnerWatch.js";
+import { RequestFilters } from "./RequestFilters.js";
+
+/** What an entry uses. */
+export interface EntryParts {
+    readonly store: RowStore;
+    readonly directory: ConfigDirectory;
+    readonly states: JobStates;
+    readonly watch: OwnerWatch;
+    readonly writer: IntakeWriter;
+    readonly log: EventLog;
+    /** Knowledge of keys that is older than this admits nobody. */
+    readonly keyAgeLimitMs: number;
+}
+
+/** Time after which a refused caller should come back: outages of the store last seconds. */
+const RETRY_AFTER_MS = 1000;
+const READ_TIMEOUT_MS = 500;
+const CANCEL_TIMEOUT_MS = 700;
+const CANCEL_ATTEMPTS = 3;
+/** Jobs waiting to be stored above which new ones are refused: two seconds of the store's transactions. */
+const MAXIMUM_BACKLOG = 2000;
+
+/** Answers callers: takes jobs in durably, tells their state, cancels them. */
+export class JobEntry {
+    private readonly filters: RequestFilters;
+
+    constructor(private readonly parts: EntryParts) {
+        this.filters = new RequestFilters(parts.directory, parts.keyAgeLimitMs);
+    }
+
+    /** Answers one request. */
+    public async handle(request: CallerRequest): Promise<CallerReply> {
+        const routed = this.filters.route(request);
+        if ("kind" in routed) {
+            this.logRefusal(request, routed);
+            return routed;
+        }
+        const reply = await this.answer(routed);
+        if (reply.kind === ReplyKind.NotNow || reply.kind === ReplyKind.Unsettled) {
+            this.logRefusal(request, reply, routed.jobId);
+        }
+        return reply;
+    }
+
+    private answer(routed: RoutedRequest): Promise<CallerReply> | CallerReply {
+        switch (routed.request.verb) {
+            case CallerVerb.Submit:
+                return this.submit(routed);
+            case CallerVerb.Cancel:
+                return this.cancel(routed);
+            case CallerVerb.State:
+                return routed.jobId === "" ? this.countWaiting(routed) : this.tellState(routed);
+            case CallerVerb.Waiting:
+                return this.countWaiting(routed);
+        }
+    }
+
+    private async submit({ request, queue, teamName, jobId }: RoutedRequest): Promise<CallerReply> {
+        const job = request.readJob?.() ?? "a job is missing";
+        if (typeof job === "string") {
+            return { kind: ReplyKind.Malformed, message: job };
+        }
+        const { states, writer, log } = this.parts;
+        if (states.get(jobId)?.team === teamName) {
+            return { kind: ReplyKind.Accepted };
+        }
+        if (writer.backlog > MAXIMUM_BACKLOG) {
+            return { kind: ReplyKind.NotNow, message: "too many jobs wait to be stored", retryAfterMs: RETRY_AFTER_MS };
+        }
+        const spec: JobSpec = { id: jobId, queue: queue.name, team: teamName, ...job };
+        const { outcome, row } = await writer.write(spec);
+        switch (outcome) {
+            case IntakeOutcome.Written:
+                states.note(jobId, JobPhase.Queued, teamName, queue.name);
+                log.write(EVENTS.requestAccepted, { requestId: jobId, queue: queue.name, team: teamName });
+                return { kind: ReplyKind.Accepted };
+            case IntakeOutcome.Known:
+                return readTeam(row?.value) === teamName
+                    ? { kind: ReplyKind.Accepted }
+                    : { kind: ReplyKind.Malformed, message: "the id belongs to a job of another team" };
+            case IntakeOutcome.Unavailable:
+                return { kind: ReplyKind.NotNow, message: "the store takes nothing now", retryAfterMs: RETRY_AFTER_MS };
+            case IntakeOutcome.Unsettled:
+                return { kind: ReplyKind.Unsettled, message: "the store has not answered" };
+        }
+    }
+
+    private async tellState({ teamName, jobId }: RoutedRequest): Promise<CallerReply> {
+        const { states, watch } = this.parts;
+        const known = states.get(jobId);
+        if (known && (isFinal(known.phase) || watch.fresh)) {
+            return stateReply(known, teamName);
+        }
+        const stored = await this.readState(jobId);
+        if (stored === "unknown") {
+            return { kind: ReplyKind.UnknownJob, message: "there is no such job" };
+        }
+        const found = stored ?? states.get(jobId);
+        return found
+            ? stateReply(found, teamName)
+            : { kind: ReplyKind.NotNow, message: "the store does not answer", retryAfterMs: RETRY_AFTER_MS };
+    }
+
+    private async cancel({ teamName, jobId }: RoutedRequest): Promise<CallerReply> {
+        const { states, store } = this.parts;
+        const known = states.get(jobId) ?? await this.readState(jobId);
+        if (known === "unknown") {
+            return { kind: ReplyKind.UnknownJob, message: "there is no such job" };
+        }
+        if (!known) {
+            return { kind: ReplyKind.NotNow, message: "the store does not answer", retryAfterMs: RETRY_AFTER_MS };
+        }
+        if (known.team !== teamName) {
+            return { kind: ReplyKind.UnknownJob, message: "there is no such job" };
+        }
+        if (isFinal(known.phase)) {
+            return { kind: ReplyKind.Cancelled, phase: known.phase };
+        }
+        const write = { table: FleetTable.Intake, partition: FLEET_PARTITION, key: cancelKey(jobId), value: "{}" };
+        for (let attempt = 0; attempt < CANCEL_ATTEMPTS; attempt++) {
+            const result = await store.commit([], [write], CANCEL_TIMEOUT_MS);
+            if (result.isOk()) {
+                states.note(jobId, JobPhase.Cancelled, known.team, known.queue);
+                return { kind: ReplyKind.Cancelled, phase: JobPhase.Cancelled };
+            }
+            if (result.error.kind === StoreFailureKind.Unavailable && attempt > 0) {
+                break;
+            }
+        }
+        return { kind: ReplyKind.Unsettled, message: "the store has not confirmed the cancel" };
+    }
+
+    private countWaiting({ queue }: RoutedRequest): CallerReply {
+        return { kind: ReplyKind.Waiting, waiting: this.parts.watch.waiting[queue.name] ?? 0 };
+    }
+
+    /** Reads a job's state from the store; `unknown` when it holds no such job, nothing when it does not answer. */
+    private async readState(jobId: string): Promise<Omit<KnownJob, "notedAtMs"> | "unknown" | undefined> {
+        const { store, states } = this.parts;
+        const range = { partition: FLEET_PARTITION, from: jobId, to: jobId + "\u0000", limit: 1 };
+        const intake = await store.read({ ...range, table: FleetTable.Intake }, READ_TIMEOUT_MS);
+        if (intake.isErr()) {
+            return undefined;
+        }
+        const active = intake.value.rows[0];
+        if (active) {
+            const phase = states.get(jobId)?.phase ?? JobPhase.Queued;
+            return { ...readOwners(active.value), phase };
+        }
+        const outcomes = await store.read({ ...range, table: FleetTable.Outcomes }, READ_TIMEOUT_MS);
+        if (outcomes.isErr()) {
+            return undefined;
+        }
+        const ended = outcomes.value.rows[0];
+        if (!ended) {
+            return "unknown";
+        }
+        const { phase } = JSON.parse(ended.value) as { phase: JobPhase; };
+        const { team, queue } = readOwners(ended.value);
+        states.note(jobId, phase, team, queue);
+        return { phase, team, queue };
+    }
+
+    private logRefusal(request: CallerRequest, reply: CallerReply, jobId?: string): void {
+        this.parts.log.write(EVENTS.requestRefused, {
+            requestId: jobId,
+            verb: request.verb,
+            path: request.path,
+            outcome: reply.kind,
+            reason: reply.message,
+            configAgeMs: Math.round(Math.min(this.parts.directory.ageMs, Number.MAX_SAFE_INTEGER))
+        });
+    }
+}
+
+function stateReply(known: Omit<KnownJob, "notedAtMs">, teamName: string): CallerReply {
+    return known.team === teamName
+        ? { kind: ReplyKind.State, phase: known.phase }
+        : { kind: ReplyKind.UnknownJob, message: "there is no such job" };
+}
+
+function readOwners(value: string): { readonly team: string; readonly queue: string; } {
+    const { team, queue } = JSON.parse(value) as { team?: string; queue?: string; };
+    return { team: team ?? "", queue: queue ?? "" };
+}
+
+function readTeam(value: string | undefined): string | undefined {
+    return value === undefined ? undefined : readOwners(value).team;
+}
--- /dev/null
+++ b/packages/fleet/src/entry/OwnerWatch.ts
@@ -0,0 +1,144 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
+import { LinkFailure, type OwnerLink, type WatchReply } from "../ports/OwnerLink.js";
+import type { PlacementPolicy, PolicyQuestion } from "../ports/PlacementPolicy.js";
+import type { JobStates } from "./JobStates.js";
+
+/** How this entry is known, and what it may use. */
+export interface WatchOptions {
+    readonly entry: string;
+    readonly storeRoundTripMs: () => number;
+    /** Longest time that the policy takes for one question. */
+    readonly questionTimeoutMs: () => number;
+}
+
+const WATCH_WAIT_MS = 500;
+/** An owner that has not replied this long after the wait is silent: two round trips between regions, and work. */
+const REPLY_TIMEOUT_MS = 250;
+const RETRY_MS = 80;
+const DELIVERY_TIMEOUT_MS = 500;
+/** Owners confirm their row four times within this time. */
+const CONFIRMATION_LIMIT_MS = 1300;
+/** States are fresh when the last reply is not older than a wait and a reply. */
+const FRESH_MS = 750;
+
+/** Watches the owner: takes over the states of jobs, asks the policy for it, and knows how it fares. */
+export class OwnerWatch implements Disposable {
+    private address: string | undefined;
+    private epoch = 0;
+    private sequence = 0;
+    private repliedMs = Number.NEGATIVE_INFINITY;
+    private confirmed = true;
+    private portRefused = false;
+    private waitingCounts: Readonly<Record<string, number>> = {};
+    private round = 0;
+    private readonly trouble = new Emitter<void>();
+
+    /** The owner does not answer, does not confirm its row, or owns nothing any more. */
+    public readonly onTrouble = this.trouble.event;
+
+    constructor(
+        private readonly link: OwnerLink,
+        private readonly policy: PlacementPolicy | undefined,
+        private readonly states: JobStates,
+        private readonly timer: TimerService,
+        private readonly options: WatchOptions
+    ) {}
+
+    /** The owner answers and confirms its row. */
+    public get healthy(): boolean {
+        return this.fresh && this.confirmed;
+    }
+
+    /** What is known of running jobs is up to date. */
+    public get fresh(): boolean {
+        return this.timer.nowMs() - this.repliedMs < FRESH_MS;
+    }
+
+    /** The owner's port refuses connections. */
+    public get refused(): boolean {
+        return this.portRefused;
+    }
+
+    /** Jobs without a started task, by queue. */
+    public get waiting(): Readonly<Record<string, number>> {
+        return this.waitingCounts;
+    }
+
+    /** Watches the owner at an address from now on. */
+    public follow(address: string | undefined): void {
+        if (address === this.address) {
+            return;
+        }
+        this.address = address;
+        this.portRefused = false;
+        this.repliedMs = Number.NEGATIVE_INFINITY;
+        this.round++;
+        if (address !== undefined) {
+            void this.run(address, this.round);
+        }
+    }
+
+    public dispose(): void {
+        this.follow(undefined);
+        this.trouble.dispose();
+    }
+
+    private async run(address: string, round: number): Promise<void> {
+        while (round === this.round) {
+            const reply = await this.link.watch(
+                address,
+                {
+                    entry: this.options.entry,
+                    epoch: this.epoch,
+                    afterSequence: this.sequence,
+                    waitMs: WATCH_WAIT_MS,
+                    storeRoundTripMs: this.options.storeRoundTripMs()
+                },
+                WATCH_WAIT_MS + REPLY_TIMEOUT_MS
+            );
+            if (round !== this.round) {
+                return;
+            }
+            if (typeof reply === "string" || !reply.owning) {
+                this.portRefused = reply === LinkFailure.Refused;
+                this.confirmed = false;
+                this.trouble.fire();
+                await sleep(this.timer, RETRY_MS);
+                continue;
+            }
+            this.apply(address, reply);
+        }
+    }
+
+    private apply(address: string, reply: WatchReply): void {
+        this.portRefused = false;
+        this.repliedMs = this.timer.nowMs();
+        this.epoch = reply.epoch;
+        this.sequence = reply.sequence;
+        this.waitingCounts = reply.waiting;
+        this.confirmed = reply.confirmedAgeMs < CONFIRMATION_LIMIT_MS;
+        for (const update of reply.updates) {
+            this.states.note(update.id, update.phase, update.team, update.queue);
+        }
+        for (const question of reply.questions) {
+            void this.ask(address, reply.epoch, question);
+        }
+        if (!this.confirmed) {
+            this.trouble.fire();
+        }
+    }
+
+    private async ask(address: string, epoch: number, question: PolicyQuestion): Promise<void> {
+        const answer = await this.policy?.ask(question, this.options.questionTimeoutMs());
+        const { entry } = this.options;
+        await this.link.deliver(address, {
+            epoch,
+            entry,
+            step: question.step,
+            permits: answer?.permits,
+            permitMs: answer?.permitMs
+        }, DELIVERY_TIMEOUT_MS);
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/model/OwnerRow.ts
@@ -0,0 +1,37 @@
+/** Row of the store that names the owner of the fleet. */
+export interface OwnerRow {
+    /** Rises with each owner; it is part of every order to a worker. */
+    readonly epoch: number;
+    /** Process that owns the fleet. */
+    readonly holder: string;
+    /** Address at which entries reach it. */
+    readonly address: string;
+    /** Rises with each write of this owner. */
+    readonly sequence: number;
+    /** The owner has given its place up. */
+    readonly released: boolean;
+    /** Process that should follow first. */
+    readonly heir?: string;
+    /** Workers that may hold tasks, so that a successor looks at them even when the directory has lost them. */
+    readonly workers: readonly KnownWorker[];
+}
+
+/** Worker that the owner has given orders. */
+export interface KnownWorker {
+    readonly id: string;
+    readonly address: string;
+    readonly incarnation: number;
+}
+
+/** Reads the row of the owner; nothing when it is malformed. */
+export function readOwnerRow(text: string): OwnerRow | undefined {
+    try {
+        const value = JSON.parse(text) as OwnerRow;
+        return typeof value.epoch === "number" && typeof value.holder === "string" && typeof value.address === "string"
+            ? value
+            : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/owner/Dispatcher.ts
@@ -0,0 +1,108 @@
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventLog } from "@skylarkpath/common/log/EventLog";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { JobPhase } from "../model/JobSpec.js";
+import { type Placement, PlacementPlanner } from "../placement/PlacementPlanner.js";
+import { OrderOutcome } from "../ports/WorkerCalls.js";
+import type { FleetState } from "../state/FleetState.js";
+import { RunPhase, type RunState } from "../state/RunState.js";
+import type { StepState } from "../state/StepState.js";
+import type { PermitDesk } from "./PermitDesk.js";
+import type { RunKeeper } from "./RunKeeper.js";
+import type { WorkerRegistry } from "./WorkerRegistry.js";
+
+/** Time without starts for a worker that refused one for its own reasons. */
+const REFUSAL_PAUSE_MS = 300;
+/** The same after it called itself unhealthy. */
+const UNHEALTHY_PAUSE_MS = 1000;
+
+/** Turns plans into orders, and the replies to orders into state. */
+export class Dispatcher {
+    private readonly planner: PlacementPlanner;
+
+    constructor(
+        private readonly fleet: FleetState,
+        private readonly registry: WorkerRegistry,
+        private readonly runs: RunKeeper,
+        private readonly desk: PermitDesk,
+        private readonly timer: TimerService,
+        private readonly log: EventLog
+    ) {
+        this.planner = new PlacementPlanner(fleet);
+    }
+
+    /** Plans and orders starts, and asks for permits that are missing. */
+    public decide(mayStart: (step: StepState) => boolean): void {
+        const nowMs = this.timer.nowMs();
+        const plan = this.planner.plan(nowMs, mayStart);
+        for (const { step, placements } of plan.starts) {
+            const gangRun = Math.max(...step.tasks.map(task => task.lastRun)) + 1;
+            const gangCheckpoint = step.gangCheckpoint;
+            for (const placement of placements) {
+                const { task } = placement;
+                const run = step.spec.gang ? gangRun : task.lastRun + 1;
+                void this.start(placement, run, step.spec.gang ? gangCheckpoint : task.checkpoint, nowMs);
+            }
+        }
+        this.desk.request(plan.wantPermits, nowMs);
+    }
+
+    private async start(placement: Placement, runNumber: number, checkpoint: string, nowMs: number): Promise<void> {
+        const { task, worker, permit } = placement;
+        const session = this.registry.session(worker);
+        if (!session) {
+            return;
+        }
+        const { job } = task.step;
+        const run = this.fleet.openRun(task, worker, runNumber, RunPhase.Starting, nowMs);
+        const reply = await session.startRun(run, job.spec.payload, checkpoint, permit);
+        if (reply.outcome === OrderOutcome.Taken) {
+            this.noteStarted(run);
+            return;
+        }
+        if (reply.outcome !== OrderOutcome.Uncertain) {
+            this.noteRefused(run, reply.outcome);
+        }
+        this.log.write(EVENTS.startRefused, {
+            requestId: job.spec.id,
+            task: task.name,
+            worker: worker.id,
+            run: runNumber,
+            reason: reply.outcome
+        });
+    }
+
+    private noteStarted(run: RunState): void {
+        if (run.worker.runs.get(run.task.name) !== run) {
+            return;
+        }
+        if (run.phase === RunPhase.Starting) {
+            run.phase = RunPhase.Running;
+            run.confirmedAtMs = this.timer.nowMs();
+            run.progressedAtMs = run.confirmedAtMs;
+        }
+        const { job } = run.task.step;
+        if (job.phase === JobPhase.Queued) {
+            this.runs.markStarted(job);
+        }
+        if (run.stopWanted || job.final) {
+            this.runs.stop(run);
+        }
+    }
+
+    private noteRefused(run: RunState, outcome: OrderOutcome): void {
+        const { worker, task } = run;
+        const nowMs = this.timer.nowMs();
+        if (outcome === OrderOutcome.NoPermit) {
+            task.step.permits.byWorker.delete(worker.id);
+            task.step.permits.asked.clear();
+        }
+        else if (outcome === OrderOutcome.Unhealthy) {
+            worker.avoidedUntilMs = Math.max(worker.avoidedUntilMs, nowMs + UNHEALTHY_PAUSE_MS);
+        }
+        else if (outcome !== OrderOutcome.StaleToken && outcome !== OrderOutcome.StaleRun) {
+            worker.avoidedUntilMs = Math.max(worker.avoidedUntilMs, nowMs + REFUSAL_PAUSE_MS);
+        }
+        this.runs.dropRefused(run);
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -0,0 +1,123 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { JobPhase } from "../model/JobSpec.js";
+import type { JobUpdate, WatchReply, WatchRequest } from "../ports/OwnerLink.js";
+import type { FleetState } from "../state/FleetState.js";
+import type { OwnerLedger } from "./OwnerLedger.js";
+import type { PermitDesk } from "./PermitDesk.js";
+import type { UpdateLog } from "./UpdateLog.js";
+
+/** News that come within this time share a reply. */
+const BATCH_MS = 8;
+const NEVER_STARTED_SEQUENCE = 0;
+
+/** Replies to the entries that watch: changes of jobs, counts of waiting jobs, questions to the policy. */
+export class EntryWatchers implements Disposable {
+    private readonly waiting = new Set<() => void>();
+    private readonly roundTripMs = new Map<string, number>();
+    private closed = false;
+
+    constructor(
+        private readonly ledger: OwnerLedger,
+        private readonly updates: UpdateLog,
+        private readonly desk: PermitDesk,
+        private readonly fleet: FleetState,
+        private readonly timer: TimerService
+    ) {
+        updates.onAdded(() => this.wake());
+    }
+
+    /** Entry that is nearest to the store. */
+    public get heir(): string | undefined {
+        return [...this.roundTripMs].sort((left, right) => left[1] - right[1])[0]?.[0];
+    }
+
+    /** Waits for news for an entry. */
+    public async watch(request: WatchRequest): Promise<WatchReply> {
+        this.desk.noteEntry(request.entry);
+        this.roundTripMs.set(request.entry, request.storeRoundTripMs);
+        const isKnown = request.epoch === this.ledger.epoch && this.updates.after(request.afterSequence) !== undefined;
+        if (isKnown && !this.hasNews(request)) {
+            await this.untilWoken(request);
+        }
+        return this.reply(request, isKnown);
+    }
+
+    /** Lets waiting entries look for news. */
+    public wake(): void {
+        for (const callback of this.waiting) {
+            callback();
+        }
+    }
+
+    /** Replies at once to all: this process is no longer the owner. */
+    public close(): void {
+        this.closed = true;
+        this.wake();
+    }
+
+    public dispose(): void {
+        this.close();
+    }
+
+    private hasNews(request: WatchRequest): boolean {
+        return this.closed || this.updates.sequence > request.afterSequence || this.desk.hasQuestions(request.entry);
+    }
+
+    private untilWoken(request: WatchRequest): Promise<void> {
+        return new Promise(resolve => {
+            const done = (): void => {
+                this.waiting.delete(check);
+                pending.dispose();
+                resolve();
+            };
+            let isBatching = false;
+            const check = (): void => {
+                if (this.closed) {
+                    done();
+                }
+                else if (!isBatching && this.hasNews(request)) {
+                    isBatching = true;
+                    pending.dispose();
+                    pending = this.timer.after(BATCH_MS, done);
+                }
+            };
+            let pending = this.timer.after(request.waitMs, done);
+            this.waiting.add(check);
+        });
+    }
+
+    private reply(request: WatchRequest, isKnown: boolean): WatchReply {
+        const since = isKnown ? this.updates.after(request.afterSequence) : undefined;
+        return {
+            epoch: this.ledger.epoch,
+            owning: !this.closed,
+            sequence: this.updates.sequence,
+            whole: since === undefined,
+            updates: since ?? this.allUpdates(),
+            waiting: this.countWaiting(),
+            questions: this.closed ? [] : this.desk.takeQuestions(request.entry),
+            confirmedAgeMs: this.ledger.confirmedAgeMs
+        };
+    }
+
+    private allUpdates(): readonly JobUpdate[] {
+        const running = [...this.fleet.jobs.values()].filter(job => !job.final).map(job => ({
+            id: job.spec.id,
+            phase: job.phase,
+            queue: job.spec.queue,
+            team: job.spec.team
+        }));
+        return [...this.updates.after(NEVER_STARTED_SEQUENCE) ?? [], ...running];
+    }
+
+    private countWaiting(): Record<string, number> {
+        const counts: Record<string, number> = {};
+        for (const { phase, spec } of this.fleet.jobs.values()) {
+            if (phase === JobPhase.Queued) {
+                counts[spec.queue] = (counts[spec.queue] ?? 0) + 1;
+            }
+        }
+        return counts;
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -0,0 +1,257 @@
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventLog } from "@skylarkpath/common/log/EventLog";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import type { ConfigDirectory } from "../config/ConfigDirectory.js";
+import { TableFollower } from "../config/TableFollower.js";
+import { WorkerDirectory } from "../config/WorkerDirectory.js";
+import type { FleetTiming } from "../model/FleetTiming.js";
+import { JobPhase } from "../model/JobSpec.js";
+import type { KnownWorker } from "../model/OwnerRow.js";
+import { FLEET_PARTITION, FleetTable } from "../model/Tables.js";
+import type { DirectorySource } from "../ports/DirectorySource.js";
+import type { OwnerService, PermitDelivery, WatchReply, WatchRequest } from "../ports/OwnerLink.js";
+import type { RowStore } from "../ports/RowStore.js";
+import type { WorkerCalls, WorkerEntry } from "../ports/WorkerCalls.js";
+import { FleetState } from "../state/FleetState.js";
+import type { JobState } from "../state/JobState.js";
+import { Dispatcher } from "./Dispatcher.js";
+import { EntryWatchers } from "./EntryWatchers.js";
+import { IntakeReader } from "./IntakeReader.js";
+import type { OwnerLedger } from "./OwnerLedger.js";
+import { PermitDesk } from "./PermitDesk.js";
+import { ProgressWriter } from "./ProgressWriter.js";
+import { RunKeeper } from "./RunKeeper.js";
+import { UpdateLog } from "./UpdateLog.js";
+import { WorkerRegistry } from "./WorkerRegistry.js";
+
+/** What an owner is made of. */
+export interface OwnerParts {
+    readonly store: RowStore;
+    readonly timer: TimerService;
+    readonly calls: WorkerCalls;
+    readonly config: ConfigDirectory;
+    readonly directory: DirectorySource;
+    readonly timing: FleetTiming;
+    readonly log: EventLog;
+    /** Longest usual round trip to a worker. */
+    readonly roundTripMs: number;
+}
+
+/** Circumstances under which a process became the owner. */
+export interface Succession {
+    /** Version of the store at which it took over; zero when nobody owned the fleet before. */
+    readonly version: number;
+    readonly workers: readonly KnownWorker[];
+    /** Longest time for which orders of the former owner may keep tasks running unseen. */
+    readonly unknownLeaseMs: number;
+}
+
+/** Without a confirmed write for this long an owner gives no orders: others wait that long for unreached workers. */
+export const UNCONFIRMED_LIMIT_MS = 8000;
+/** Pause between a change and the decisions on it, so that changes that come together are decided together. */
+const DECISION_DELAY_MS = 4;
+/** Decisions are made anew at this interval, since permits lapse and quarantines end. */
+const DECISION_INTERVAL_MS = 100;
+/** Number of runs that one owner may give a task before its successor's numbers begin. */
+const RUNS_PER_EPOCH = 64;
+const INTAKE_WAIT_MS = 1000;
+/** Jobs that arrive within this time share one call of the store. */
+const INTAKE_GAP_MS = 12;
+
+/** Owner of the fleet: takes every decision about its workers and jobs. */
+export class FleetOwner implements OwnerService, Disposable {
+    private readonly fleet = new FleetState();
+    private readonly disposables = new DisposableStore();
+    private readonly runs: RunKeeper;
+    private readonly writer: ProgressWriter;
+    private readonly registry: WorkerRegistry;
+    private readonly desk: PermitDesk;
+    private readonly updates = new UpdateLog();
+    private readonly watchers: EntryWatchers;
+    private readonly dispatcher: Dispatcher;
+    private readonly intake: IntakeReader;
+    private readonly workers: WorkerDirectory;
+    private readonly lost = new Emitter<string>();
+    private decisionDue: Disposable | undefined;
+    private ready = false;
+    private stopping = false;
+
+    /** The fleet is owned by another process now. */
+    public readonly onLost = this.lost.event;
+
+    constructor(
+        private readonly parts: OwnerParts,
+        private readonly ledger: OwnerLedger,
+        private readonly succession: Succession
+    ) {
+        const { timer, store, calls, timing, log, config, directory } = parts;
+        this.runs = new RunKeeper(this.fleet, timer);
+        this.writer = this.disposables.add(new ProgressWriter(ledger, timer));
+        this.registry = this.disposables.add(
+            new WorkerRegistry(
+                ledger.epoch,
+                this.fleet,
+                this.runs,
+                calls,
+                timer,
+                { maximumLeaseMs: timing.maximumLeaseMs, roundTripMs: parts.roundTripMs },
+                {
+                    staleOwner: () => this.lose("a worker has seen the token of a later owner"),
+                    mayCommand: () => !this.stopping && ledger.confirmedAgeMs < UNCONFIRMED_LIMIT_MS,
+                    awaitCommit: waiter => this.writer.await(waiter)
+                },
+                log
+            )
+        );
+        this.desk = this.disposables.add(new PermitDesk(this.fleet, timer));
+        this.watchers = this.disposables.add(
+            new EntryWatchers(ledger, this.updates, this.desk, this.fleet, timer)
+        );
+        this.dispatcher = new Dispatcher(this.fleet, this.registry, this.runs, this.desk, timer, log);
+        const follower = this.disposables.add(
+            new TableFollower(store, timer, {
+                table: FleetTable.Intake,
+                partition: FLEET_PARTITION,
+                waitMs: INTAKE_WAIT_MS,
+                gapMs: INTAKE_GAP_MS
+            })
+        );
+        const firstRun = (ledger.epoch - 1) * RUNS_PER_EPOCH + 1;
+        this.intake = this.disposables.add(new IntakeReader(this.fleet, store, follower, timer, log, firstRun));
+        this.workers = this.disposables.add(new WorkerDirectory(store, timer, directory, log));
+        this.fleet.config = config.config;
+        this.subscribe(config);
+    }
+
+    public get epoch(): number {
+        return this.ledger.epoch;
+    }
+
+    /** Workers that may hold tasks. */
+    public get knownWorkers(): readonly KnownWorker[] {
+        return this.registry.known;
+    }
+
+    /** Loads the jobs, looks at the workers and begins to decide. */
+    public async start(): Promise<void> {
+        this.writer.start();
+        const loaded = await this.intake.load();
+        if (!loaded || this.stopping) {
+            return;
+        }
+        for (const job of this.fleet.jobs.values()) {
+            job.openDue(this.parts.timer.wallClockMs());
+            this.updates.add(job);
+        }
+        this.disposables.add(this.workers.onWorkers(entries => this.noteWorkers(entries)));
+        this.workers.start();
+    }
+
+    public watch(request: WatchRequest): Promise<WatchReply> {
+        return this.watchers.watch(request);
+    }
+
+    public deliver(delivery: PermitDelivery): void {
+        if (delivery.epoch === this.epoch) {
+            this.desk.deliver(delivery);
+            this.decideSoon();
+        }
+    }
+
+    /** Commits all that is known and gives the fleet up to the heir that is nearest to the store. */
+    public async release(limitMs: number): Promise<boolean> {
+        this.stopping = true;
+        const released = await this.writer.release(this.watchers.heir, limitMs);
+        this.watchers.close();
+        this.dispose();
+        return released;
+    }
+
+    public dispose(): void {
+        this.stopping = true;
+        this.decisionDue?.dispose();
+        this.watchers.close();
+        this.disposables.dispose();
+        this.updates.dispose();
+        this.lost.dispose();
+    }
+
+    private subscribe(config: ConfigDirectory): void {
+        this.disposables.add(this.runs.onJobChanged(job => {
+            if (!job.final) {
+                this.updates.add(job);
+            }
+            this.writer.mark(job);
+        }));
+        this.disposables.add(this.runs.onFreed(() => this.decideSoon()));
+        this.disposables.add(this.runs.onUnwanted(({ worker, task, run }) => {
+            void this.registry.session(worker)?.stopRun(task, run);
+        }));
+        this.disposables.add(this.writer.onFinal(job => this.closeJob(job)));
+        this.disposables.add(this.writer.onSuperseded(() => this.lose("the owner's row names another process")));
+        this.disposables.add(this.desk.onQuestion(() => this.watchers.wake()));
+        this.disposables.add(config.onConfig(inForce => {
+            this.fleet.config = inForce;
+            this.decideSoon();
+        }));
+        this.disposables.add(this.intake.onJob(job => {
+            job.openDue(this.parts.timer.wallClockMs());
+            this.updates.add(job);
+            this.decideSoon();
+        }));
+        this.disposables.add(this.intake.onCancel(job => this.runs.finish(job, JobPhase.Cancelled)));
+    }
+
+    private noteWorkers(entries: readonly WorkerEntry[]): void {
+        if (this.ready) {
+            this.registry.update(entries);
+            this.decideSoon();
+            return;
+        }
+        const { workers, unknownLeaseMs } = this.succession;
+        this.registry.begin(entries, workers, unknownLeaseMs);
+        this.ready = true;
+        this.parts.log.write(EVENTS.sliceAcquired, { epoch: this.epoch, jobs: this.fleet.jobs.size });
+        this.decideSoon();
+        this.disposables.add(this.parts.timer.every(DECISION_INTERVAL_MS, () => this.decideSoon()));
+    }
+
+    private closeJob(job: JobState): void {
+        this.fleet.jobs.delete(job.spec.id);
+        this.fleet.noteEnded(job.spec.id, this.parts.timer.nowMs());
+        this.desk.forget(job);
+        this.updates.add(job);
+        this.parts.log.write(EVENTS.requestEnded, { requestId: job.spec.id, state: job.phase, epoch: this.epoch });
+    }
+
+    private decideSoon(): void {
+        this.decisionDue ??= this.parts.timer.after(DECISION_DELAY_MS, () => {
+            this.decisionDue = undefined;
+            this.decide();
+        });
+    }
+
+    private decide(): void {
+        if (this.stopping || !this.ready || this.ledger.confirmedAgeMs >= UNCONFIRMED_LIMIT_MS) {
+            return;
+        }
+        const wallClockMs = this.parts.timer.wallClockMs();
+        for (const job of this.fleet.jobs.values()) {
+            const dueMs = job.nextDueMs;
+            if (dueMs !== undefined && dueMs <= wallClockMs && !job.final && job.openDue(wallClockMs)) {
+                this.writer.mark(job);
+            }
+        }
+        const { settled } = this.registry;
+        this.dispatcher.decide(step => settled || step.job.acceptedVersion > this.succession.version);
+    }
+
+    private lose(reason: string): void {
+        if (!this.stopping) {
+            this.parts.log.write(EVENTS.sliceLost, { epoch: this.epoch, reason });
+            this.lost.fire(reason);
+        }
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/owner/IntakeReader.ts
@@ -0,0 +1,130 @@
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventLog } from "@skylarkpath/common/log/EventLog";
+import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
+import type { TableFollower } from "../config/TableFollower.js";
+import type { JobProgress } from "../model/JobProgress.js";
+import type { JobSpec } from "../model/JobSpec.js";
+import { FLEET_PARTITION, FleetTable, readIntakeKey } from "../model/Tables.js";
+import type { RowChange, RowStore, StoredRow } from "../ports/RowStore.js";
+import type { FleetState } from "../state/FleetState.js";
+import { JobState } from "../state/JobState.js";
+
+const READ_TIMEOUT_MS = 1500;
+const RETRY_MS = 100;
+
+/** Loads the jobs that are not final and follows those that come, and their cancels. */
+export class IntakeReader {
+    private readonly added = new Emitter<JobState>();
+    private readonly cancelled = new Emitter<JobState>();
+    private stopped = false;
+
+    /** A job was accepted. */
+    public readonly onJob = this.added.event;
+    /** A job that is not final was cancelled. */
+    public readonly onCancel = this.cancelled.event;
+
+    constructor(
+        private readonly fleet: FleetState,
+        private readonly store: RowStore,
+        private readonly follower: TableFollower,
+        private readonly timer: TimerService,
+        private readonly log: EventLog,
+        private readonly firstRun: number
+    ) {}
+
+    /** Reads all jobs with their progress, and begins to follow. */
+    public async load(): Promise<boolean> {
+        const intake = await this.readAll(FleetTable.Intake);
+        const progress = intake && await this.readAll(FleetTable.Progress);
+        if (!intake || !progress) {
+            return false;
+        }
+        this.apply(intake.rows, false);
+        for (const row of progress.rows) {
+            const stored = parse<JobProgress>(row);
+            if (stored) {
+                this.fleet.jobs.get(row.key)?.restore(stored);
+            }
+        }
+        for (const job of this.fleet.jobs.values()) {
+            if (job.cancelRequested) {
+                this.cancelled.fire(job);
+            }
+        }
+        this.follower.onChange(({ changes }) => this.apply(changes, true));
+        this.follower.start(intake.version);
+        return true;
+    }
+
+    public dispose(): void {
+        this.stopped = true;
+    }
+
+    private apply(changes: readonly RowChange[], announce: boolean): void {
+        const cancels: string[] = [];
+        for (const change of changes) {
+            const { jobId, cancel } = readIntakeKey(change.key);
+            if (change.value === undefined) {
+                continue;
+            }
+            if (cancel) {
+                cancels.push(jobId);
+            }
+            else if (!this.fleet.jobs.has(jobId) && !this.fleet.endedJobs.has(jobId)) {
+                this.addJob(change, announce);
+            }
+        }
+        for (const jobId of cancels) {
+            const job = this.fleet.jobs.get(jobId);
+            if (job && !job.cancelRequested) {
+                job.cancelRequested = true;
+                if (announce) {
+                    this.cancelled.fire(job);
+                }
+            }
+        }
+    }
+
+    private addJob(change: RowChange, announce: boolean): void {
+        const spec = parse<JobSpec>(change);
+        if (!spec) {
+            this.log.write(EVENTS.rowUnreadable, { table: change.table, key: change.key });
+            return;
+        }
+        const job = new JobState(spec, this.timer.nowMs(), change.version, this.firstRun);
+        this.fleet.jobs.set(spec.id, job);
+        if (announce) {
+            this.added.fire(job);
+        }
+    }
+
+    private async readAll(table: FleetTable): Promise<{ rows: StoredRow[]; version: number; } | undefined> {
+        const rows: StoredRow[] = [];
+        let version: number | undefined;
+        for (let from: string | undefined, hasMore = true; hasMore;) {
+            const page = await this.store.read({ table, partition: FLEET_PARTITION, from }, READ_TIMEOUT_MS);
+            if (this.stopped) {
+                return undefined;
+            }
+            if (page.isErr()) {
+                await sleep(this.timer, RETRY_MS);
+                continue;
+            }
+            rows.push(...page.value.rows);
+            version ??= page.value.version;
+            hasMore = page.value.hasMore && page.value.rows.length > 0;
+            from = hasMore ? page.value.rows.at(-1)!.key + "\u0000" : undefined;
+        }
+        return { rows, version: version ?? 0 };
+    }
+}
+
+function parse<T>(row: RowChange): T | undefined {
+    try {
+        return JSON.parse(row.value ?? "") as T;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/owner/OwnerLedger.ts
@@ -0,0 +1,86 @@
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { type KnownWorker, type OwnerRow, readOwnerRow } from "../model/OwnerRow.js";
+import { FLEET_PARTITION, FleetTable, OWNER_KEY } from "../model/Tables.js";
+import { type RowStore, type RowWrite, type StoredRow, StoreFailureKind } from "../ports/RowStore.js";
+
+/** What became of a write of the owner. */
+export enum LedgerOutcome {
+    Committed = "committed",
+    /** Another process owns the fleet. */
+    Superseded = "superseded",
+    /** Try again with the newest content. */
+    Retry = "retry"
+}
+
+/** Longest wait for a reply of the store: ten times its usual time between regions. */
+const COMMIT_TIMEOUT_MS = 900;
+
+/**
+ * Writes of the owner, one at a time. Each is conditional on the owner's row as the former write left it, so that a write
+ * that the store carries out late, or one of a former owner, never takes effect.
+ */
+export class OwnerLedger {
+    private sequence = 0;
+    private confirmedMs: number;
+    private lastFailure = "";
+
+    constructor(
+        private readonly store: RowStore,
+        private readonly timer: TimerService,
+        private readonly row: Omit<OwnerRow, "sequence" | "released" | "workers" | "heir">,
+        private version: number,
+        private readonly listWorkers: () => readonly KnownWorker[]
+    ) {
+        this.confirmedMs = timer.nowMs();
+    }
+
+    public get epoch(): number {
+        return this.row.epoch;
+    }
+
+    /** Time since the start of the last write that is known to have taken effect. */
+    public get confirmedAgeMs(): number {
+        return this.timer.nowMs() - this.confirmedMs;
+    }
+
+    /** Why the last write that failed did so. */
+    public get failure(): string {
+        return this.lastFailure;
+    }
+
+    /** Writes rows together with the owner's row. */
+    public async commit(writes: readonly RowWrite[], release?: { readonly heir?: string; }): Promise<LedgerOutcome> {
+        const sentAtMs = this.timer.nowMs();
+        const value: OwnerRow = {
+            ...this.row,
+            sequence: ++this.sequence,
+            released: release !== undefined,
+            heir: release?.heir,
+            workers: this.listWorkers()
+        };
+        const place = { table: FleetTable.Ownership, partition: FLEET_PARTITION, key: OWNER_KEY };
+        const result = await this.store.commit(
+            [{ ...place, version: this.version }],
+            [{ ...place, value: JSON.stringify(value) }, ...writes],
+            COMMIT_TIMEOUT_MS
+        );
+        if (result.isOk()) {
+            this.version = result.value;
+            this.confirmedMs = sentAtMs;
+            return LedgerOutcome.Committed;
+        }
+        this.lastFailure = `${result.error.kind}: ${result.error.message}`;
+        return result.error.kind === StoreFailureKind.Conflict ? this.settle(result.error.rows) : LedgerOutcome.Retry;
+    }
+
+    /** After a conflict: an earlier write without a reply of our own has taken effect, or somebody else owns the fleet. */
+    private settle(rows: readonly StoredRow[]): LedgerOutcome {
+        const row = rows.find(each => each.table === FleetTable.Ownership && each.key === OWNER_KEY);
+        const value = row && readOwnerRow(row.value);
+        if (row && value?.epoch === this.row.epoch && value.holder === this.row.holder) {
+            this.version = row.version;
+            return LedgerOutcome.Retry;
+        }
+        return LedgerOutcome.Superseded;
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/owner/PermitDesk.ts
@@ -0,0 +1,219 @@
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import type { PolicyCost } from "../model/FleetConfig.js";
+import type { PermitDelivery } from "../ports/OwnerLink.js";
+import type { PolicyQuestion } from "../ports/PlacementPolicy.js";
+import type { FleetState } from "../state/FleetState.js";
+import type { JobState } from "../state/JobState.js";
+import type { StepState } from "../state/StepState.js";
+import type { WorkerState } from "../state/WorkerState.js";
+
+interface Lane {
+    readonly entry: string;
+    readonly pending: PolicyQuestion[];
+    busyUntilMs: number;
+    seenMs: number;
+}
+
+/** Most workers that one question may name. */
+const MAXIMUM_WORKERS_PER_QUESTION = 100;
+/** A question that takes longer than this is kept off the lanes of short ones. */
+const LONG_QUESTION_MS = 250;
+/** Part of the lanes that takes short questions only. */
+const SHORT_LANE_SHARE = 0.25;
+/** A lane is given no question that would wait longer than this. */
+const LONGEST_BACKLOG_MS = 150;
+/** An entry that has not watched for this long gets no questions. */
+const LANE_LOST_MS = 1500;
+/** An answer that has not come this long after its time is not waited for. */
+const ANSWER_TIMEOUT_MS = 1000;
+/** Time by which an answer may be old when it arrives: one way between regions, and a batch of messages. */
+const ANSWER_AGE_MS = 60;
+/** Workers named for each waiting task of a step whose tasks are placed one by one. */
+const WORKERS_PER_TASK = 3;
+const LEAST_WORKERS = 10;
+/** A permit is asked for again when it holds for less than this. */
+const RENEWAL_MARGIN_MS = 150;
+
+/** Asks the placement policy through the entries, each of which is served one question at a time. */
+export class PermitDesk {
+    private readonly lanes = new Map<string, Lane>();
+    private readonly stepsAsked = new Map<
+        string,
+        { readonly step: StepState; readonly workers: readonly WorkerState[]; }
+    >();
+    private readonly questioned = new Emitter<string>();
+
+    /** A question waits for an entry. */
+    public readonly onQuestion = this.questioned.event;
+
+    constructor(private readonly fleet: FleetState, private readonly timer: TimerService) {}
+
+    /** An entry watches; questions can be handed to it. */
+    public noteEntry(entry: string): void {
+        const nowMs = this.timer.nowMs();
+        const lane = this.lanes.get(entry);
+        if (lane) {
+            lane.seenMs = nowMs;
+        }
+        else {
+            this.lanes.set(entry, { entry, pending: [], busyUntilMs: nowMs, seenMs: nowMs });
+        }
+    }
+
+    /** Takes the questions that wait for an entry. */
+    public takeQuestions(entry: string): readonly PolicyQuestion[] {
+        return this.lanes.get(entry)?.pending.splice(0) ?? [];
+    }
+
+    public hasQuestions(entry: string): boolean {
+        return (this.lanes.get(entry)?.pending.length ?? 0) > 0;
+    }
+
+    /** Asks for the steps that need permits, in this order, as far as lanes are free. */
+    public request(steps: readonly StepState[], nowMs: number): void {
+        for (const step of steps) {
+            const policy = this.fleet.queue(step.job.spec.queue)?.policy;
+            if (!policy || this.isAsked(step, policy, nowMs)) {
+                continue;
+            }
+            const workers = this.chooseWorkers(step, nowMs);
+            const lane = workers.length === 0 ? undefined : this.chooseLane(costOf(policy, workers.length), nowMs);
+            if (lane) {
+                this.ask(step, policy, workers, lane, nowMs);
+            }
+        }
+    }
+
+    /** Takes in the answer of the policy. */
+    public deliver(delivery: PermitDelivery): void {
+        const nowMs = this.timer.nowMs();
+        const lane = this.lanes.get(delivery.entry);
+        if (lane && lane.pending.length === 0) {
+            lane.busyUntilMs = Math.min(lane.busyUntilMs, nowMs + LONGEST_BACKLOG_MS);
+        }
+        const asked = this.stepsAsked.get(delivery.step);
+        if (!asked) {
+            return;
+        }
+        this.stepsAsked.delete(delivery.step);
+        const { step, workers } = asked;
+        step.permits.askedAtMs = undefined;
+        if (!delivery.permits) {
+            return;
+        }
+        const policy = this.fleet.queue(step.job.spec.queue)?.policy;
+        const permitMs = Math.min(delivery.permitMs ?? Number.MAX_SAFE_INTEGER, policy?.permitMs ?? 0) - ANSWER_AGE_MS;
+        for (const worker of workers) {
+            step.permits.asked.add(lifeOf(worker));
+            const permit = delivery.permits.find(each => each.workerId === worker.id);
+            if (permit) {
+                const { incarnation } = worker.entry;
+                step.permits.byWorker.set(worker.id, {
+                    permit: permit.permit,
+                    incarnation,
+                    expiresAtMs: nowMs + permitMs
+                });
+            }
+        }
+    }
+
+    /** Drops the questions about a job that has ended. */
+    public forget(job: JobState): void {
+        for (const step of job.openSteps()) {
+            this.stepsAsked.delete(step.name);
+        }
+    }
+
+    public dispose(): void {
+        this.questioned.dispose();
+    }
+
+    private isAsked(step: StepState, policy: PolicyCost, nowMs: number): boolean {
+        const { askedAtMs } = step.permits;
+        if (askedAtMs === undefined) {
+            return false;
+        }
+        const longestMs = costOf(policy, MAXIMUM_WORKERS_PER_QUESTION) + LONGEST_BACKLOG_MS + ANSWER_TIMEOUT_MS;
+        return nowMs < askedAtMs + longestMs;
+    }
+
+    /** Workers to be named: unknown ones at first, later those that are known to be allowed and have room. */
+    private chooseWorkers(step: StepState, nowMs: number): readonly WorkerState[] {
+        const { spec, permits } = step;
+        const queue = this.fleet.queue(step.job.spec.queue);
+        const usable = [...this.fleet.workers.values()].filter(worker =>
+            worker.entry.pool === queue?.pool && worker.canStart(nowMs)
+            && (spec.workerLabel === undefined || worker.entry.labels.includes(spec.workerLabel))
+        );
+        const waiting = step.tasks.filter(task => task.waiting).length;
+        const allowed = usable.filter(worker =>
+            permits.byWorker.get(worker.id)?.incarnation === worker.entry.incarnation
+        );
+        const room = (worker: WorkerState): number => worker.fits(spec.size, spec.filler);
+        const allowedRoom = allowed.reduce((sum, worker) => sum + room(worker), 0);
+        const needed = spec.gang ? waiting : 1;
+        if (allowedRoom >= needed) {
+            const stale = allowed.filter(worker =>
+                room(worker) > 0 && permits.byWorker.get(worker.id)!.expiresAtMs < nowMs + RENEWAL_MARGIN_MS
+            );
+            return limitWorkers(stale, step, waiting, room);
+        }
+        const unknown = usable.filter(worker => !permits.asked.has(lifeOf(worker)));
+        return limitWorkers(unknown, step, waiting, room);
+    }
+
+    private chooseLane(costMs: number, nowMs: number): Lane | undefined {
+        const lanes = [...this.lanes.values()].filter(lane => nowMs - lane.seenMs < LANE_LOST_MS)
+            .sort((left, right) => left.entry < right.entry ? -1 : 1);
+        const shortLanes = costMs > LONG_QUESTION_MS ? Math.floor(lanes.length * SHORT_LANE_SHARE) : 0;
+        let best: Lane | undefined;
+        for (const lane of lanes.slice(shortLanes)) {
+            if (lane.busyUntilMs <= nowMs + LONGEST_BACKLOG_MS && (!best || lane.busyUntilMs < best.busyUntilMs)) {
+                best = lane;
+            }
+        }
+        return best;
+    }
+
+    private ask(
+        step: StepState,
+        policy: PolicyCost,
+        workers: readonly WorkerState[],
+        lane: Lane,
+        nowMs: number
+    ): void {
+        step.permits.askedAtMs = nowMs;
+        step.permits.questions++;
+        this.stepsAsked.set(step.name, { step, workers });
+        lane.busyUntilMs = Math.max(lane.busyUntilMs, nowMs) + costOf(policy, workers.length);
+        lane.pending.push({ step: step.name, workerIds: workers.map(worker => worker.id) });
+        this.questioned.fire(lane.entry);
+    }
+}
+
+function costOf(policy: PolicyCost, workerCount: number): number {
+    return policy.decideMs + policy.perWorkerMs * workerCount;
+}
+
+function lifeOf(worker: WorkerState): string {
+    return `${worker.id}@${worker.entry.incarnation}`;
+}
+
+function limitWorkers(
+    workers: readonly WorkerState[],
+    step: StepState,
+    waiting: number,
+    room: (worker: WorkerState) => number
+): readonly WorkerState[] {
+    const wanted = step.spec.gang
+        ? MAXIMUM_WORKERS_PER_QUESTION
+        : Math.min(MAXIMUM_WORKERS_PER_QUESTION, Math.max(LEAST_WORKERS, waiting * WORKERS_PER_TASK));
+    if (workers.length <= wanted) {
+        return workers;
+    }
+    return workers.map(worker => ({ worker, room: room(worker) }))
+        .sort((left, right) => right.room - left.room)
+        .slice(0, wanted)
+        .map(({ worker }) => worker);
+}
--- /dev/null
+++ b/packages/fleet/src/owner/ProgressWriter.ts
@@ -0,0 +1,201 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
+import { cancelKey, FLEET_PARTITION, FleetTable } from "../model/Tables.js";
+import type { RowWrite } from "../ports/RowStore.js";
+import type { JobState } from "../state/JobState.js";
+import { LedgerOutcome, type OwnerLedger } from "./OwnerLedger.js";
+
+/** Something that may forget what was committed. */
+export interface CommitWaiter {
+    /** Called when a round starts; returns what to do when it is committed. */
+    beginRound(): () => void;
+}
+
+/** Content of one transaction, and what follows its commit. */
+interface Round {
+    readonly jobs: readonly JobState[];
+    readonly finals: readonly JobState[];
+    readonly writes: readonly RowWrite[];
+    readonly waiters: readonly CommitWaiter[];
+    readonly noted: readonly (() => void)[];
+}
+
+/** Rows of one transaction; the platform takes at most 100 entries, the owner's row and its condition among them. */
+const MAXIMUM_ROWS = 90;
+const MAXIMUM_ROWS_PER_JOB = 4;
+/** An idle owner confirms its row this often: four times within the time after which others take over. */
+const RENEWAL_INTERVAL_MS = 400;
+/** Wait before a write is tried again. */
+const RETRY_DELAY_MS = 60;
+
+/** Commits the progress and the final states of jobs in rounds, one transaction at a time. */
+export class ProgressWriter implements Disposable {
+    private readonly dirty = new Set<JobState>();
+    private readonly waiters = new Set<CommitWaiter>();
+    private readonly committed = new Emitter<JobState>();
+    private readonly superseded = new Emitter<void>();
+    private wake: (() => void) | undefined;
+    private stopped = false;
+
+    /** The final state of a job was committed. */
+    public readonly onFinal = this.committed.event;
+    /** Another process owns the fleet. */
+    public readonly onSuperseded = this.superseded.event;
+
+    constructor(private readonly ledger: OwnerLedger, private readonly timer: TimerService) {}
+
+    /** Begins to write. */
+    public start(): void {
+        void this.run();
+    }
+
+    /** Asks for a commit of a job's state. */
+    public mark(job: JobState): void {
+        this.dirty.add(job);
+        this.wake?.();
+    }
+
+    /** Calls the waiter with the next round; at once when nothing is to be written. */
+    public await(waiter: CommitWaiter): void {
+        this.waiters.add(waiter);
+        this.wake?.();
+    }
+
+    /** Writes all that is left and gives the place up; tells whether that was committed. */
+    public async release(heir: string | undefined, limitMs: number): Promise<boolean> {
+        this.stopped = true;
+        this.wake?.();
+        const endMs = this.timer.nowMs() + limitMs;
+        while (this.timer.nowMs() < endMs) {
+            const round = this.takeRound();
+            const outcome = await this.ledger.commit(round.writes, this.dirty.size === 0 ? { heir } : undefined);
+            if (outcome === LedgerOutcome.Superseded) {
+                return false;
+            }
+            if (outcome === LedgerOutcome.Committed) {
+                const isLast = this.dirty.size === 0;
+                this.finishRound(round);
+                if (isLast) {
+                    return true;
+                }
+            }
+            else {
+                round.jobs.forEach(job => this.dirty.add(job));
+            }
+        }
+        return false;
+    }
+
+    public dispose(): void {
+        this.stopped = true;
+        this.wake?.();
+        this.committed.dispose();
+        this.superseded.dispose();
+    }
+
+    private async run(): Promise<void> {
+        let renewedMs = this.timer.nowMs();
+        while (!this.stopped) {
+            if (this.dirty.size === 0) {
+                this.notifyWaiters();
+                await this.sleepUntilWoken(renewedMs + RENEWAL_INTERVAL_MS - this.timer.nowMs());
+            }
+            if (this.stopped || (this.dirty.size === 0 && this.timer.nowMs() < renewedMs + RENEWAL_INTERVAL_MS)) {
+                continue;
+            }
+            const round = this.takeRound();
+            const outcome = await this.ledger.commit(round.writes);
+            renewedMs = this.timer.nowMs();
+            if (outcome === LedgerOutcome.Committed) {
+                this.finishRound(round);
+                continue;
+            }
+            round.jobs.forEach(job => this.dirty.add(job));
+            round.waiters.forEach(waiter => this.waiters.add(waiter));
+            if (outcome === LedgerOutcome.Superseded) {
+                this.stopped = true;
+                this.superseded.fire();
+                return;
+            }
+            await sleep(this.timer, RETRY_DELAY_MS);
+            renewedMs = 0;
+        }
+    }
+
+    private notifyWaiters(): void {
+        const waiters = [...this.waiters];
+        this.waiters.clear();
+        for (const waiter of waiters) {
+            waiter.beginRound()();
+        }
+    }
+
+    private sleepUntilWoken(delayMs: number): Promise<void> {
+        return new Promise(resolve => {
+            if (delayMs <= 0 || this.dirty.size > 0 || this.waiters.size > 0) {
+                resolve();
+                return;
+            }
+            const done = (): void => {
+                this.wake = undefined;
+                pending.dispose();
+                resolve();
+            };
+            const pending = this.timer.after(delayMs, done);
+            this.wake = done;
+        });
+    }
+
+    private takeRound(): Round {
+        const jobs: JobState[] = [];
+        const writes: RowWrite[] = [];
+        for (const job of this.dirty) {
+            if (writes.length > MAXIMUM_ROWS - MAXIMUM_ROWS_PER_JOB) {
+                break;
+            }
+            this.dirty.delete(job);
+            if (!job.committed) {
+                jobs.push(job);
+                writeJob(job, writes);
+            }
+        }
+        const waiters = this.dirty.size === 0 ? [...this.waiters] : [];
+        waiters.forEach(waiter => this.waiters.delete(waiter));
+        return {
+            jobs,
+            writes,
+            waiters,
+            finals: jobs.filter(job => job.final),
+            noted: waiters.map(waiter => waiter.beginRound())
+        };
+    }
+
+    private finishRound(round: Round): void {
+        for (const job of round.finals) {
+            job.committed = true;
+            this.committed.fire(job);
+        }
+        round.noted.forEach(note => note());
+    }
+}
+
+/** Adds the rows of a job: its progress, or its final state in place of all its other rows. */
+function writeJob(job: JobState, writes: RowWrite[]): void {
+    const key = job.spec.id;
+    const place = { partition: FLEET_PARTITION, key };
+    if (!job.final) {
+        job.hasProgressRow = true;
+        writes.push({ ...place, table: FleetTable.Progress, value: JSON.stringify(job.encodeProgress()) });
+        return;
+    }
+    const outcome = { phase: job.phase, queue: job.spec.queue, team: job.spec.team };
+    writes.push({ ...place, table: FleetTable.Outcomes, value: JSON.stringify(outcome) });
+    writes.push({ ...place, table: FleetTable.Intake });
+    if (job.hasProgressRow) {
+        writes.push({ ...place, table: FleetTable.Progress });
+    }
+    if (job.cancelRequested) {
+        writes.push({ ...place, key: cancelKey(key), table: FleetTable.Intake });
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -0,0 +1,194 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventLog } from "@skylarkpath/common/log/EventLog";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { addSize, createAmount } from "../model/Amount.js";
+import type { KnownWorker } from "../model/OwnerRow.js";
+import type { WorkerCalls, WorkerEntry } from "../ports/WorkerCalls.js";
+import type { FleetState } from "../state/FleetState.js";
+import { WorkerState } from "../state/WorkerState.js";
+import type { RunKeeper } from "./RunKeeper.js";
+import { LapseReason, type SessionEvents, type SessionTiming, WorkerSession } from "./WorkerSession.js";
+
+/** How the registry reaches its surroundings. */
+export interface RegistryEvents {
+    readonly staleOwner: () => void;
+    readonly mayCommand: () => boolean;
+    readonly awaitCommit: SessionEvents["awaitCommit"];
+}
+
+/** Pause before a worker is contacted again after all that ran there had lapsed. */
+const RECONNECT_MS = 300;
+
+/** The sessions with all workers, one for each life of a worker. */
+export class WorkerRegistry implements Disposable {
+    private readonly sessions = new Map<string, WorkerSession>();
+    private readonly generations = new Map<string, number>();
+    private readonly entries = new Map<string, WorkerEntry>();
+    private readonly fenced = new Emitter<WorkerSession>();
+    /** Workers on which a former owner may have left tasks, until they are fenced or their leases have ended. */
+    private readonly unsettled = new Set<string>();
+    private disposed = false;
+
+    /** A worker takes orders of this owner only. */
+    public readonly onFenced = this.fenced.event;
+
+    constructor(
+        private readonly epoch: number,
+        private readonly fleet: FleetState,
+        private readonly runs: RunKeeper,
+        private readonly calls: WorkerCalls,
+        private readonly timer: TimerService,
+        private readonly timing: SessionTiming,
+        private readonly events: RegistryEvents,
+        private readonly log: EventLog
+    ) {}
+
+    /** Every worker that a former owner may have given tasks is fenced, or all its leases have ended. */
+    public get settled(): boolean {
+        return this.unsettled.size === 0;
+    }
+
+    /** Workers that may hold tasks, for the owner's row. */
+    public get known(): readonly KnownWorker[] {
+        return [...this.sessions.values()].map(({ entry }) => ({
+            id: entry.id,
+            address: entry.address,
+            incarnation: entry.incarnation
+        }));
+    }
+
+    public session(worker: WorkerState): WorkerSession | undefined {
+        const session = this.sessions.get(worker.id);
+        return session?.state === worker ? session : undefined;
+    }
+
+    /** Contacts the workers that a former owner knew, and those of the directory. */
+    public begin(entries: readonly WorkerEntry[], formerly: readonly KnownWorker[], unknownLeaseMs: number): void {
+        for (const entry of entries) {
+            this.entries.set(entry.id, entry);
+        }
+        const unlisted = formerly.filter(known => !this.entries.has(known.id)).map(unlistedEntry);
+        if (unknownLeaseMs > 0) {
+            [...entries, ...unlisted].forEach(entry => this.unsettled.add(entry.id));
+        }
+        entries.forEach(entry => this.open(entry, unknownLeaseMs, true));
+        unlisted.forEach(entry => this.open(entry, unknownLeaseMs, false));
+        this.countUnknown();
+    }
+
+    /** Takes in the present directory. */
+    public update(entries: readonly WorkerEntry[]): void {
+        const listed = new Set(entries.map(entry => entry.id));
+        for (const entry of entries) {
+            this.entries.set(entry.id, entry);
+            const session = this.sessions.get(entry.id);
+            if (!session) {
+                this.open(entry, 0, true);
+            }
+            else if (entry.incarnation === session.entry.incarnation) {
+                session.state.entry = entry;
+                session.state.listed = true;
+            }
+            else if (entry.incarnation > session.entry.incarnation) {
+                this.lapse(session, LapseReason.Reborn);
+            }
+        }
+        for (const [id, session] of this.sessions) {
+            if (!listed.has(id)) {
+                this.entries.delete(id);
+                session.state.listed = false;
+            }
+        }
+    }
+
+    public dispose(): void {
+        this.disposed = true;
+        for (const session of this.sessions.values()) {
+            session.dispose();
+        }
+        this.sessions.clear();
+        this.fenced.dispose();
+    }
+
+    private open(entry: WorkerEntry, unknownLeaseMs: number, listed: boolean): void {
+        const state = new WorkerState(entry);
+        state.listed = listed;
+        const session = new WorkerSession(
+            state,
+            this.epoch,
+            this.generations.get(entry.id) ?? 0,
+            this.calls,
+            this.timer,
+            this.timing,
+            {
+                report: (source, report, look) => {
+                    this.runs.applyReport(source.state, report, look, source.reportedEnd);
+                    if (!state.fenced) {
+                        state.fenced = true;
+                        this.unsettled.delete(entry.id);
+                        this.countUnknown();
+                        this.log.write(EVENTS.workerFenced, { worker: entry.id, runs: state.runs.size });
+                        this.fenced.fire(source);
+                    }
+                },
+                lapsed: (source, reason) => this.lapse(source, reason),
+                staleOwner: () => this.events.staleOwner(),
+                mayCommand: () => this.events.mayCommand(),
+                awaitCommit: waiter => this.events.awaitCommit(waiter)
+            }
+        );
+        this.sessions.set(entry.id, session);
+        this.fleet.workers.set(entry.id, state);
+        session.start(unknownLeaseMs);
+    }
+
+    private lapse(session: WorkerSession, reason: LapseReason): void {
+        const { state, entry } = session;
+        if (this.sessions.get(entry.id) !== session) {
+            return;
+        }
+        this.log.write(EVENTS.workerLost, { worker: entry.id, reason, runs: state.runs.size });
+        session.dispose();
+        this.sessions.delete(entry.id);
+        this.fleet.workers.delete(entry.id);
+        this.generations.set(entry.id, session.nextGeneration);
+        this.calls.forget(entry);
+        this.runs.dropAll(state);
+        this.unsettled.delete(entry.id);
+        this.countUnknown();
+        this.timer.after(RECONNECT_MS, () => this.reopen(entry.id));
+    }
+
+    private reopen(id: string): void {
+        const entry = this.entries.get(id);
+        if (entry && !this.sessions.has(id) && !this.disposed) {
+            this.open(entry, 0, true);
+        }
+    }
+
+    /** Counts the capacity of workers whose runs are unknown as used by every team. */
+    private countUnknown(): void {
+        const unknown = createAmount();
+        for (const { state } of this.sessions.values()) {
+            if (this.unsettled.has(state.id)) {
+                addSize(unknown, state.entry.capacity);
+            }
+        }
+        Object.assign(this.fleet.unknown, unknown);
+    }
+}
+
+/** Entry for a worker that the directory does not list; nothing is started there. */
+function unlistedEntry(known: KnownWorker): WorkerEntry {
+    return {
+        ...known,
+        pool: "",
+        failureDomain: "",
+        draining: true,
+        capacity: { cpuMilli: 0, memoryMb: 0, accelerators: 0 },
+        labels: [],
+        rack: ""
+    };
+}
--- /dev/null
+++ b/packages/fleet/src/placement/StepOrder.ts
@@ -0,0 +1,50 @@
+import type { QueueConfig } from "../model/FleetConfig.js";
+import type { FleetState } from "../state/FleetState.js";
+import type { JobState } from "../state/JobState.js";
+import type { StepState } from "../state/StepState.js";
+import type { TaskState } from "../state/TaskState.js";
+
+/** A step with waiting tasks and what decides its turn. */
+export interface RankedStep {
+    readonly step: StepState;
+    readonly queue: QueueConfig;
+    readonly waiting: readonly TaskState[];
+    /** Time by which the job should be done. */
+    readonly dueMs: number;
+    /** It can still be done in time. */
+    readonly inTime: boolean;
+}
+
+/** Steps that wait for a start: by priority, those that can be in time first, then by the time that they are due. */
+export function orderSteps(fleet: FleetState, nowMs: number): RankedStep[] {
+    const ranked: RankedStep[] = [];
+    for (const job of fleet.jobs.values()) {
+        if (job.final || job.cancelRequested) {
+            continue;
+        }
+        const queue = fleet.queue(job.spec.queue);
+        if (queue) {
+            rankJob(job, queue, nowMs, ranked);
+        }
+    }
+    return ranked.sort(compareSteps);
+}
+
+function rankJob(job: JobState, queue: QueueConfig, nowMs: number, ranked: RankedStep[]): void {
+    for (const step of job.readySteps()) {
+        const waiting = step.tasks.filter(task => task.waiting);
+        const isWhole = !step.spec.gang || waiting.length === step.tasks.length;
+        if (waiting.length === 0 || !isWhole) {
+            continue;
+        }
+        step.readyAtMs ??= nowMs;
+        const dueMs = job.acceptedAtMs + queue.stretchFactor * job.chainMs + queue.targetLatencyMs;
+        ranked.push({ step, queue, waiting, dueMs, inTime: nowMs + step.spec.estimateMs <= dueMs });
+    }
+}
+
+function compareSteps(left: RankedStep, right: RankedStep): number {
+    return left.queue.priority - right.queue.priority
+        || Number(right.inTime) - Number(left.inTime)
+        || left.dueMs - right.dueMs;
+}
--- /dev/null
+++ b/packages/fleet/src/ports/OwnerLink.ts
@@ -0,0 +1,66 @@
+import type { JobPhase } from "../model/JobSpec.js";
+import type { Permit, PolicyQuestion } from "./PlacementPolicy.js";
+
+/** Change of a job's state, as the owner tells it to entries. */
+export interface JobUpdate {
+    readonly id: string;
+    readonly phase: JobPhase;
+    readonly queue: string;
+    readonly team: string;
+}
+
+/** Question of an entry: what changed, and what shall I ask the policy? */
+export interface WatchRequest {
+    readonly entry: string;
+    /** Owner's epoch and sequence that the entry has seen. */
+    readonly epoch: number;
+    readonly afterSequence: number;
+    readonly waitMs: number;
+    /** Round-trip time of the entry to the store. */
+    readonly storeRoundTripMs: number;
+}
+
+/** Reply of the owner to a watching entry. */
+export interface WatchReply {
+    readonly epoch: number;
+    /** False when this process owns nothing, or is about to give its place up. */
+    readonly owning: boolean;
+    readonly sequence: number;
+    /** The updates start from nothing: all that the entry knew of running jobs is void. */
+    readonly whole: boolean;
+    readonly updates: readonly JobUpdate[];
+    /** Jobs without a started task by queue. */
+    readonly waiting: Readonly<Record<string, number>>;
+    readonly questions: readonly PolicyQuestion[];
+    /** Age of the owner's last confirmed write. */
+    readonly confirmedAgeMs: number;
+}
+
+/** Answer of the policy that an entry passes on. */
+export interface PermitDelivery {
+    readonly epoch: number;
+    readonly entry: string;
+    readonly step: string;
+    /** Nothing when the policy gave no answer. */
+    readonly permits?: readonly Permit[];
+    readonly permitMs?: number;
+}
+
+/** What the owner offers to entries. */
+export interface OwnerService {
+    watch(request: WatchRequest): Promise<WatchReply>;
+    deliver(delivery: PermitDelivery): void;
+}
+
+/** Calls from an entry to the owner. */
+export interface OwnerLink {
+    watch(address: string, request: WatchRequest, timeoutMs: number): Promise<WatchReply | LinkFailure>;
+    deliver(address: string, delivery: PermitDelivery, timeoutMs: number): Promise<LinkFailure | undefined>;
+}
+
+/** Why the owner could not be asked. */
+export enum LinkFailure {
+    /** Nobody listens at the address. */
+    Refused = "refused",
+    Silent = "silent"
+}
--- /dev/null
+++ b/packages/fleet/src/state/JobState.ts
@@ -0,0 +1,150 @@
+import { type FailureCount, type JobProgress, NO_FAILURE, type StepProgress } from "../model/JobProgress.js";
+import { isFinal, JobPhase, type JobSpec } from "../model/JobSpec.js";
+import { StepState } from "./StepState.js";
+import type { TaskState } from "./TaskState.js";
+
+/** A job that is not final, with its steps and tasks. */
+export class JobState {
+    public phase = JobPhase.Queued;
+    /** Steps of the occurrences that are due and not done, by occurrence. */
+    public readonly occurrences = new Map<number, readonly StepState[]>();
+    public nextOccurrence = 0;
+    /** The final state was committed. */
+    public committed = false;
+    /** A row of its progress was written. */
+    public hasProgressRow = false;
+    public cancelRequested = false;
+    /** Estimated duration of its longest chain of steps. */
+    public readonly chainMs: number;
+
+    constructor(
+        public readonly spec: JobSpec,
+        public readonly acceptedAtMs: number,
+        public readonly acceptedVersion: number,
+        /** Number of the first run that this owner gives; former owners gave lower ones. */
+        public readonly firstRun: number
+    ) {
+        const chains: number[] = [];
+        for (const step of spec.steps) {
+            chains.push(step.estimateMs + Math.max(0, ...step.after.map(number => chains[number] ?? 0)));
+        }
+        this.chainMs = Math.max(0, ...chains);
+    }
+
+    public get final(): boolean {
+        return isFinal(this.phase);
+    }
+
+    public get occurrenceCount(): number {
+        return Math.max(1, this.spec.schedule.occurrences);
+    }
+
+    /** Wall-clock time at which the next occurrence is due; nothing when there is none. */
+    public get nextDueMs(): number | undefined {
+        if (this.nextOccurrence >= this.occurrenceCount) {
+            return undefined;
+        }
+        const { firstStartMs, periodMs, occurrences } = this.spec.schedule;
+        return occurrences === 0 ? 0 : firstStartMs + this.nextOccurrence * periodMs;
+    }
+
+    /** Opens the occurrences that are due. */
+    public openDue(wallClockMs: number): boolean {
+        let opened = false;
+        for (let dueMs = this.nextDueMs; dueMs !== undefined && dueMs <= wallClockMs; dueMs = this.nextDueMs) {
+            this.open(this.nextOccurrence++);
+            opened = true;
+        }
+        return opened;
+    }
+
+    /** Closes occurrences that are done; tells whether the whole job is. */
+    public closeDone(): boolean {
+        for (const [number, steps] of this.occurrences) {
+            if (steps.every(step => step.done)) {
+                this.occurrences.delete(number);
+            }
+        }
+        return this.occurrences.size === 0 && this.nextOccurrence >= this.occurrenceCount;
+    }
+
+    /** Steps whose earlier steps are done and that are not done themselves. */
+    public *readySteps(): Iterable<StepState> {
+        for (const steps of this.occurrences.values()) {
+            for (const step of steps) {
+                if (!step.done && step.spec.after.every(number => steps[number]?.done ?? false)) {
+                    yield step;
+                }
+            }
+        }
+    }
+
+    public *openSteps(): Iterable<StepState> {
+        for (const steps of this.occurrences.values()) {
+            yield* steps;
+        }
+    }
+
+    /** Finds a task of an open occurrence by the parts of its name. */
+    public findTask(occurrence: number, step: number, index: number): TaskState | undefined {
+        return this.occurrences.get(occurrence)?.[step]?.tasks[index];
+    }
+
+    /** The state to be stored, from which another owner goes on. */
+    public encodeProgress(): JobProgress {
+        return {
+            nextOccurrence: this.nextOccurrence,
+            started: this.phase !== JobPhase.Queued,
+            open: [...this.occurrences].map(([number, steps]) => ({ number, steps: steps.map(encodeStep) }))
+        };
+    }
+
+    /** Takes over the stored state of a former owner. */
+    public restore(progress: JobProgress): void {
+        this.occurrences.clear();
+        this.nextOccurrence = progress.nextOccurrence;
+        this.hasProgressRow = true;
+        if (progress.started) {
+            this.phase = JobPhase.Running;
+        }
+        for (const occurrence of progress.open) {
+            this.open(occurrence.number);
+            const steps = this.occurrences.get(occurrence.number) ?? [];
+            occurrence.steps.forEach((stored, index) => restoreStep(steps[index], stored));
+        }
+    }
+
+    private open(number: number): void {
+        this.occurrences.set(number, this.spec.steps.map((step, index) => new StepState(this, number, index, step)));
+    }
+}
+
+function encodeStep(step: StepState): StepProgress {
+    const failures: Record<string, FailureCount> = {};
+    const checkpoints: Record<string, string> = {};
+    for (const task of step.tasks) {
+        if (task.failures.count > 0) {
+            failures[task.index] = task.failures;
+        }
+        if (task.checkpoint !== "" && !task.done) {
+            checkpoints[task.index] = task.checkpoint;
+        }
+    }
+    const done = step.done ? "all" : step.doneCount === 0 ? "" : step.tasks.map(task => task.done ? "1" : "0").join("");
+    return { done, failures, checkpoints, gangFailures: step.gangFailures };
+}
+
+function restoreStep(step: StepState | undefined, stored: StepProgress): void {
+    if (!step) {
+        return;
+    }
+    step.gangFailures = stored.gangFailures;
+    for (const task of step.tasks) {
+        if (stored.done === "all" || stored.done[task.index] === "1") {
+            task.done = true;
+            step.doneCount++;
+        }
+        task.failures = stored.failures[task.index] ?? NO_FAILURE;
+        task.checkpoint = stored.checkpoints[task.index] ?? "";
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/state/RunState.ts
@@ -0,0 +1,32 @@
+import type { TaskState } from "./TaskState.js";
+import type { WorkerState } from "./WorkerState.js";
+
+/** Where a run stands, as far as the owner knows. */
+export enum RunPhase {
+    /** The order is on its way. */
+    Starting = "starting",
+    /** The order got no reply; a report under a later token settles it. */
+    Uncertain = "uncertain",
+    Running = "running",
+    /** A stop was ordered; the run counts until its end is listed. */
+    Stopping = "stopping"
+}
+
+/** One run of a task on a worker. */
+export interface RunState {
+    readonly task: TaskState;
+    readonly worker: WorkerState;
+    readonly run: number;
+    readonly orderedAtMs: number;
+    phase: RunPhase;
+    /** Time since which a report must list the run. */
+    confirmedAtMs: number | undefined;
+    /** Token under which the worker must have been looked at to settle an uncertain order. */
+    settledByToken: number;
+    percent: number;
+    /** Time at which the percentage last rose. */
+    progressedAtMs: number;
+    /** The stop is wanted for reasons of ours, so that the end is no failure of the task. */
+    stopWanted: boolean;
+    stopSentAtMs: number | undefined;
+}
--- /dev/null
+++ b/packages/fleet/src/state/StepState.ts
@@ -0,0 +1,71 @@
+import { countFailure, type FailureCount, NO_FAILURE } from "../model/JobProgress.js";
+import type { StepSpec } from "../model/JobSpec.js";
+import type { JobState } from "./JobState.js";
+import { TaskState } from "./TaskState.js";
+
+/** What the placement policy has said about a step. */
+export interface StepPermits {
+    /** Permits by worker, with the incarnation that they hold for. */
+    readonly byWorker: Map<string, { permit: string; incarnation: number; expiresAtMs: number; }>;
+    /** Workers that were named in a question. */
+    readonly asked: Set<string>;
+    /** Time of the last question that is not answered. */
+    askedAtMs: number | undefined;
+    questions: number;
+}
+
+/** One step of one occurrence of a job. */
+export class StepState {
+    public readonly name: string;
+    public readonly tasks: readonly TaskState[];
+    public doneCount = 0;
+    /** Runs of the gang that ended as failed. */
+    public gangFailures: FailureCount = NO_FAILURE;
+    public readyAtMs: number | undefined;
+    public readonly permits: StepPermits = {
+        byWorker: new Map(),
+        asked: new Set(),
+        askedAtMs: undefined,
+        questions: 0
+    };
+
+    constructor(
+        public readonly job: JobState,
+        public readonly occurrence: number,
+        public readonly number: number,
+        public readonly spec: StepSpec
+    ) {
+        this.name = `${job.spec.id}.${occurrence}.${number}`;
+        this.tasks = [...Array(spec.taskCount).keys()].map(index => new TaskState(this, index));
+    }
+
+    public get done(): boolean {
+        return !this.spec.lasting && this.doneCount >= this.tasks.length;
+    }
+
+    /** Checkpoint that all members of the gang resume from. */
+    public get gangCheckpoint(): string {
+        return this.tasks.find(task => task.checkpoint !== "")?.checkpoint ?? "";
+    }
+
+    /** Marks a task as done; a member of a gang stands for all. */
+    public markDone(task: TaskState): void {
+        const ended = this.spec.gang ? this.tasks : [task];
+        for (const each of ended) {
+            if (!each.done) {
+                each.done = true;
+                this.doneCount++;
+            }
+        }
+    }
+
+    /** Records a failed run; returns the number of failures that count against the limit of attempts. */
+    public markFailed(task: TaskState, run: number): number {
+        if (this.spec.gang) {
+            this.gangFailures = countFailure(this.gangFailures, run);
+            return this.gangFailures.count;
+        }
+        task.failures = countFailure(task.failures, run);
+        return task.failures.count;
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/state/TaskName.ts
@@ -0,0 +1,17 @@
+/** Parts of a task's name. */
+export interface TaskName {
+    readonly jobId: string;
+    readonly occurrence: number;
+    readonly step: number;
+    readonly index: number;
+}
+
+const TASK_NAME = /^([0-9a-f]{16})\.(\d+)\.(\d+)\.(\d+)$/i;
+
+/** Reads the name of a task; nothing when it is malformed. */
+export function readTaskName(name: string): TaskName | undefined {
+    const match = TASK_NAME.exec(name);
+    return match
+        ? { jobId: match[1]!, occurrence: Number(match[2]), step: Number(match[3]), index: Number(match[4]) }
+        : undefined;
+}
--- /dev/null
+++ b/packages/skylarkd/src/FleetCommand.ts
@@ -0,0 +1,46 @@
+import { Command, Option } from "clipanion";
+import { readFileSync } from "node:fs";
+
+const EXIT_OK = 0;
+const EXIT_FAILED = 1;
+/** Variable with the path of the settings file on the users' platform. */
+const SETTINGS_VARIABLE = "SKYLARKPATH_BOOT";
+
+/** Serves on the users' platform until the process is told to stop, or checks the settings. */
+export class FleetCommand extends Command {
+    public static override paths = [["fleet"]];
+    public static override usage = Command.Usage({
+        description: "Serve on the users' platform.",
+        details: `The settings file is the one that ${SETTINGS_VARIABLE} names, unless an option names another.`,
+        examples: [["Serve", "$0 fleet"], ["Check settings", "$0 fleet --settings local.toml --check"]]
+    });
+
+    public settings = Option.String("--settings", { description: "Settings file of the platform (TOML)" });
+    public check = Option.Boolean("--check", false, { description: "Check the settings and exit" });
+
+    public override async execute(): Promise<number> {
+        const path = this.settings ?? process.env[SETTINGS_VARIABLE];
+        if (path === undefined) {
+            this.context.stdout.write(`no settings: neither --settings nor ${SETTINGS_VARIABLE} names a file\n`);
+            return EXIT_FAILED;
+        }
+        const { decodeSettings } = await import("@skylarkpath/platform/WireSettings");
+        let settings: ReturnType<typeof decodeSettings>;
+        try {
+            settings = decodeSettings(readFileSync(path, "utf8"));
+        }
+        catch (error) {
+            this.context.stdout.write(`${path}: ${(error as Error).message}\n`);
+            return EXIT_FAILED;
+        }
+        if (this.check) {
+            this.context.stdout.write(`${path}: ok\n`);
+            return EXIT_OK;
+        }
+        const { FleetServer } = await import("./fleet/FleetServer.js");
+        const server = new FleetServer(settings);
+        await server.start();
+        await server.untilStopped();
+        return EXIT_OK;
+    }
+}
--- a/packages/skylarkd/src/ServeCommand.ts
+++ b/packages/skylarkd/src/ServeCommand.ts
@@ -1,8 +1,7 @@
 import type { Settings } from "@skylarkpath/text/Settings";
-import { parseSettings } from "@skylarkpath/text/SettingsParser";
 import { Command, Option } from "clipanion";
 import { readFileSync } from "node:fs";
-import { type ServerSecrets, SkylarkServer } from "./SkylarkServer.js";
+import type { ServerSecrets } from "./SkylarkServer.js";
 
 const EXIT_OK = 0;
 const EXIT_FINDINGS = 1;
@@ -19,7 +18,7 @@
     public check = Option.Boolean("--check", false, { description: "Check the settings and exit" });
 
     public override async execute(): Promise<number> {
-        const settings = this.readSettings();
+        const settings = await this.readSettings();
         if (!settings) {
             return EXIT_FINDINGS;
         }
@@ -31,6 +30,7 @@
             this.context.stdout.write(`${this.settings}: ok\n`);
             return EXIT_OK;
         }
+        const { SkylarkServer } = await import("./SkylarkServer.js");
         const server = new SkylarkServer(settings, secrets);
         await server.start();
         await untilStopped();
@@ -38,11 +38,12 @@
         return EXIT_OK;
     }
 
-    private readSettings(): Settings | undefined {
+    private async readSettings(): Promise<Settings | undefined> {
         const text = this.readFile(this.settings);
         if (text === undefined) {
             return undefined;
         }
+        const { parseSettings } = await import("@skylarkpath/text/SettingsParser");
         const settings = parseSettings(text);
         if (settings.isErr()) {
             for (const { position, message } of settings.error) {
--- /dev/null
+++ b/packages/skylarkd/src/fleet/BoundedLog.ts
@@ -0,0 +1,72 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import { type EventDefinition, type EventFields, EventLevel, type EventLog } from "@skylarkpath/common/log/EventLog";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { Writable } from "node:stream";
+import winston from "winston";
+
+/** Lines a second; more are dropped and counted. */
+const LINES_PER_SECOND = 200;
+/** Lines that nobody has read; more are dropped. */
+const MAXIMUM_UNREAD_BYTES = 256 * 1024;
+const BUDGET_INTERVAL_MS = 1000;
+
+/** Writes events as JSON lines to standard output, within a budget and without ever waiting for a reader. */
+export class BoundedLog implements EventLog, Disposable {
+    private readonly logger: winston.Logger;
+    private readonly budget: Disposable;
+    private lines = 0;
+    private dropped = 0;
+
+    constructor(private readonly machine: string, private readonly timer: TimerService) {
+        const stream = new Writable({
+            write: (line: Buffer, ...[, done]) => {
+                if (process.stdout.writableLength < MAXIMUM_UNREAD_BYTES) {
+                    process.stdout.write(line);
+                }
+                else {
+                    this.dropped++;
+                }
+                done();
+            }
+        });
+        process.stdout.on("error", () => undefined);
+        this.logger = winston.createLogger({
+            format: winston.format.json(),
+            transports: [new winston.transports.Stream({ stream })]
+        });
+        this.budget = timer.every(BUDGET_INTERVAL_MS, () => this.renewBudget());
+    }
+
+    public write(definition: EventDefinition, fields: EventFields = {}): void {
+        if (definition.level === EventLevel.Debug) {
+            return;
+        }
+        if (++this.lines > LINES_PER_SECOND) {
+            this.dropped++;
+            return;
+        }
+        this.logger.log({
+            level: definition.level === EventLevel.Warning ? "warn" : definition.level,
+            message: definition.name,
+            number: definition.number,
+            wallClockMs: this.timer.wallClockMs(),
+            machine: this.machine,
+            ...fields
+        });
+    }
+
+    public dispose(): void {
+        this.budget.dispose();
+        this.logger.close();
+    }
+
+    private renewBudget(): void {
+        this.lines = 0;
+        if (this.dropped > 0) {
+            const count = this.dropped;
+            this.dropped = 0;
+            this.write(EVENTS.linesDropped, { count });
+        }
+    }
+}
--- a/scripts/format.js
+++ b/scripts/format.js
@@ -4,7 +4,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
-const EXCLUDED_FOLDERS = new Set(["node_modules", "out", ".git"]);
+const EXCLUDED_FOLDERS = new Set(["node_modules", "out", "target", "journal", ".git"]);
 const FORMATTED_FILE = /\.(ts|js)$/;
 const root = fileURLToPath(new URL("..", import.meta.url));
 
