--- a/packages/fleet/src/owner/EntryWatchers.ts
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -10,11 +10,13 @@
 /** News that come within this time share a reply. */
 const BATCH_MS = 8;
 const NEVER_STARTED_SEQUENCE = 0;
+/** An entry that has not watched for this long is taken as gone: two of its waits. */
+const ENTRY_LOST_MS = 1200;
 
 /** Replies to the entries that watch: changes of jobs, counts of waiting jobs, questions to the policy. */
 export class EntryWatchers implements Disposable {
     private readonly waiting = new Set<() => void>();
-    private readonly roundTripMs = new Map<string, number>();
+    private readonly entries = new Map<string, { readonly storeRoundTripMs: number; readonly atMs: number; }>();
     private closed = false;
 
     constructor(
@@ -27,15 +29,22 @@
         updates.onAdded(() => this.wake());
     }
 
-    /** Entry that is nearest to the store. */
+    /** Another entry that watches, the one that is nearest to the store. */
     public get heir(): string | undefined {
-        return [...this.roundTripMs].sort((left, right) => left[1] - right[1])[0]?.[0];
+        const nowMs = this.timer.nowMs();
+        const others = [...this.entries].filter(([entry, seen]) =>
+            entry !== this.ledger.holder && nowMs - seen.atMs < ENTRY_LOST_MS
+        );
+        return others.sort((left, right) => left[1].storeRoundTripMs - right[1].storeRoundTripMs)[0]?.[0];
     }
 
     /** Waits for news for an entry. */
     public async watch(request: WatchRequest): Promise<WatchReply> {
         this.desk.noteEntry(request.entry);
-        this.roundTripMs.set(request.entry, request.storeRoundTripMs);
+        this.entries.set(request.entry, {
+            storeRoundTripMs: request.storeRoundTripMs,
+            atMs: this.timer.nowMs()
+        });
         const isKnown = request.epoch === this.ledger.epoch && this.updates.after(request.afterSequence) !== undefined;
         if (isKnown && !this.hasNews(request)) {
             await this.untilWoken(request);
--- a/packages/fleet/src/owner/OwnerLedger.ts
+++ b/packages/fleet/src/owner/OwnerLedger.ts
@@ -38,6 +38,10 @@
         return this.row.epoch;
     }
 
+    public get holder(): string {
+        return this.row.holder;
+    }
+
     /** Time since the start of the last write that is known to have taken effect. */
     public get confirmedAgeMs(): number {
         return this.timer.nowMs() - this.confirmedMs;
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -216,8 +216,9 @@
     private async look(waitMs: number): Promise<boolean> {
         const token = this.token;
         const sentAtMs = this.timer.nowMs();
-        const mayCommand = this.events.mayCommand();
-        const leaseEndMs = mayCommand ? this.clock.leaseEnd(this.timing.maximumLeaseMs) : undefined;
+        // A worker that does not answer is not given new leases, so that there is an end to what may run there.
+        const mayExtend = this.state.reachable && this.events.mayCommand();
+        const leaseEndMs = mayExtend ? this.clock.leaseEnd(this.timing.maximumLeaseMs) : undefined;
         const result = await this.calls.look(
             this.entry,
             { token, notedEnd: this.notedEnd, leaseEndMs, waitMs },
