Count failures by run; rest between decisions; know when a former owner has ended

Change: failed runs are kept as a set; a worker with unknown runs gets no starts; an owner rests four times as long as it decided and asks for permits only for room that may come free; permits end by the time that the policy can have answered; another process in the owner's place proves its end; leaving workers that are not listed any more have left.

--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -46,9 +46,9 @@
 const DELAY_PER_ROUND_TRIP = 8;
 const LONGEST_ROUND_TRIP_DELAY_MS = 600;
 /** Spread of candidates that are equal. */
-const RANDOM_DELAY_MS = 150;
+const RANDOM_DELAY_MS = 100;
 /** Delay of a candidate with a whole processor less than none. */
-const SLOW_PROCESSOR_DELAY_MS = 300;
+const SLOW_PROCESSOR_DELAY_MS = 200;
 /** Knowledge of the configuration that is older than this makes a process not ready: two readings and a retry. */
 const READY_AGE_MS = 2500;
 
@@ -89,7 +89,11 @@
                 store,
                 timer,
                 { holder: this.identity, address, delayMs: () => this.candidateDelayMs() },
-                { healthy: () => this.watcher.healthy, refused: () => this.watcher.refused }
+                {
+                    healthy: () => this.watcher.healthy,
+                    refused: () => this.watcher.refused,
+                    replaced: holder => this.watcher.process !== undefined && this.watcher.process !== holder
+                }
             )
         );
     }
@@ -125,7 +129,7 @@
     }
 
     public async watch(request: WatchRequest): Promise<WatchReply> {
-        return this.owner?.watch(request) ?? NOT_OWNING;
+        return this.owner?.watch(request) ?? { ...NOT_OWNING, process: this.identity };
     }
 
     public deliver(delivery: PermitDelivery): void {
@@ -150,12 +154,12 @@
         this.disposables.dispose();
     }
 
-    private becomeOwner({ row, version, former }: WonOwnership): void {
+    private becomeOwner({ row, version, former, formerEnded }: WonOwnership): void {
         const { store, timer, workers, timing, log, roundTripMs } = this.environment;
         this.dropOwnership();
         const known = former?.workers ?? [];
         const ledger = new OwnerLedger(store, timer, row, version, () => this.owner?.knownWorkers ?? known);
-        const extraMs = former?.released ? 0 : UNCONFIRMED_LIMIT_MS;
+        const extraMs = formerEnded ? 0 : UNCONFIRMED_LIMIT_MS;
         const owner = new FleetOwner(
             {
                 store,
@@ -205,7 +209,7 @@
     }
 }
 
-const NOT_OWNING: WatchReply = {
+const NOT_OWNING: Omit<WatchReply, "process"> = {
     epoch: 0,
     owning: false,
     sequence: 0,
--- a/packages/fleet/src/entry/JobEntry.ts
+++ b/packages/fleet/src/entry/JobEntry.ts
@@ -141,7 +141,10 @@
     }
 
     private countWaiting({ queue }: RoutedRequest): CallerReply {
-        return { kind: ReplyKind.Waiting, waiting: this.parts.watch.waiting[queue.name] ?? 0 };
+        const { waiting } = this.parts.watch;
+        return waiting
+            ? { kind: ReplyKind.Waiting, waiting: waiting[queue.name] ?? 0 }
+            : { kind: ReplyKind.NotNow, message: "the owner does not answer", retryAfterMs: RETRY_AFTER_MS };
     }
 
     /** Reads a job's state from the store; `unknown` when it holds no such job, nothing when it does not answer. */
--- a/packages/fleet/src/entry/OwnerWatch.ts
+++ b/packages/fleet/src/entry/OwnerWatch.ts
@@ -22,6 +22,8 @@
 const CONFIRMATION_LIMIT_MS = 1300;
 /** States are fresh when the last reply is not older than a wait and a reply. */
 const FRESH_MS = 750;
+/** Counts of waiting jobs may be two seconds old. */
+const COUNT_AGE_LIMIT_MS = 1900;
 
 /** Watches the owner: takes over the states of jobs, asks the policy for it, and knows how it fares. */
 export class OwnerWatch implements Disposable {
@@ -31,6 +33,7 @@
     private repliedMs = Number.NEGATIVE_INFINITY;
     private confirmed = true;
     private portRefused = false;
+    private lastProcess: string | undefined;
     private waitingCounts: Readonly<Record<string, number>> = {};
     private round = 0;
     private readonly trouble = new Emitter<void>();
@@ -61,9 +64,14 @@
         return this.portRefused;
     }
 
-    /** Jobs without a started task, by queue. */
-    public get waiting(): Readonly<Record<string, number>> {
-        return this.waitingCounts;
+    /** Process that replied last at the owner's address. */
+    public get process(): string | undefined {
+        return this.lastProcess;
+    }
+
+    /** Jobs without a started task by queue; nothing when they are not known well enough. */
+    public get waiting(): Readonly<Record<string, number>> | undefined {
+        return this.timer.nowMs() - this.repliedMs < COUNT_AGE_LIMIT_MS ? this.waitingCounts : undefined;
     }
 
     /** Watches the owner at an address from now on. */
@@ -73,7 +81,7 @@
         }
         this.address = address;
         this.portRefused = false;
-        this.repliedMs = Number.NEGATIVE_INFINITY;
+        this.lastProcess = undefined;
         this.round++;
         if (address !== undefined) {
             void this.run(address, this.round);
@@ -101,6 +109,7 @@
             if (round !== this.round) {
                 return;
             }
+            this.lastProcess = typeof reply === "string" ? undefined : reply.process;
             if (typeof reply === "string" || !reply.owning) {
                 this.portRefused = reply === LinkFailure.Refused;
                 this.confirmed = false;
--- a/packages/fleet/src/model/JobProgress.ts
+++ b/packages/fleet/src/model/JobProgress.ts
@@ -1,17 +1,14 @@
-/** Count of failed runs and number of the last one, so that none is counted twice. */
-export interface FailureCount {
-    readonly count: number;
-    readonly lastRun: number;
-}
+/** Numbers of the failed runs of a task; reports of several workers come in any order, and more than once. */
+export type FailedRuns = readonly number[];
 
 /** Stored progress of one step. */
 export interface StepProgress {
     /** One digit a task, `all` when every task is done, empty when none is. */
     readonly done: string;
-    /** Count of failed runs and number of the last one, by index of the task. */
-    readonly failures: Readonly<Record<string, FailureCount>>;
+    /** Failed runs by index of the task. */
+    readonly failures: Readonly<Record<string, FailedRuns>>;
     readonly checkpoints: Readonly<Record<string, string>>;
-    readonly gangFailures: FailureCount;
+    readonly gangFailures: FailedRuns;
 }
 
 /** Stored progress of a job. */
@@ -21,10 +18,10 @@
     readonly open: readonly { readonly number: number; readonly steps: readonly StepProgress[]; }[];
 }
 
-/** Count of a task that has not failed. */
-export const NO_FAILURE: FailureCount = { count: 0, lastRun: 0 };
+/** Failed runs of a task that has not failed. */
+export const NO_FAILURE: FailedRuns = [];
 
-/** Counts a failed run unless it was counted before. */
-export function countFailure(failures: FailureCount, run: number): FailureCount {
-    return run > failures.lastRun ? { count: failures.count + 1, lastRun: run } : failures;
+/** Adds a failed run unless it is known. */
+export function addFailure(failures: FailedRuns, run: number): FailedRuns {
+    return failures.includes(run) ? failures : [...failures, run];
 }
--- a/packages/fleet/src/model/OwnerRow.ts
+++ b/packages/fleet/src/model/OwnerRow.ts
@@ -21,6 +21,8 @@
     readonly id: string;
     readonly address: string;
     readonly incarnation: number;
+    /** It was leaving; once the directory does not list it any more, it has left. */
+    readonly draining: boolean;
 }
 
 /** Reads the row of the owner; nothing when it is malformed. */
--- a/packages/fleet/src/owner/EntryWatchers.ts
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -99,6 +99,7 @@
     private reply(request: WatchRequest, isKnown: boolean): WatchReply {
         const since = isKnown ? this.updates.after(request.afterSequence) : undefined;
         return {
+            process: this.ledger.holder,
             epoch: this.ledger.epoch,
             owning: !this.closed,
             sequence: this.updates.sequence,
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -54,6 +54,8 @@
 const DECISION_DELAY_MS = 4;
 /** Decisions are made anew at this interval, since permits lapse and quarantines end. */
 const DECISION_INTERVAL_MS = 100;
+/** Rest after a decision, as a multiple of its duration, so that the exchange with workers is never starved. */
+const REST_PER_DECISION = 4;
 /** Number of runs that one owner may give a task before its successor's numbers begin. */
 const RUNS_PER_EPOCH = 64;
 const INTAKE_WAIT_MS = 1000;
@@ -76,6 +78,7 @@
     private readonly lost = new Emitter<string>();
     private decisionDue: Disposable | undefined;
     private ready = false;
+    private restMs = 0;
     private stopping = false;
 
     /** The fleet is owned by another process now. */
@@ -227,9 +230,11 @@
     }
 
     private decideSoon(): void {
-        this.decisionDue ??= this.parts.timer.after(DECISION_DELAY_MS, () => {
+        this.decisionDue ??= this.parts.timer.after(DECISION_DELAY_MS + this.restMs, () => {
             this.decisionDue = undefined;
+            const startedMs = this.parts.timer.nowMs();
             this.decide();
+            this.restMs = (this.parts.timer.nowMs() - startedMs) * REST_PER_DECISION;
         });
     }
 
--- a/packages/fleet/src/owner/PermitDesk.ts
+++ b/packages/fleet/src/owner/PermitDesk.ts
@@ -7,6 +7,7 @@
 import type { JobState } from "../state/JobState.js";
 import type { StepState } from "../state/StepState.js";
 import type { WorkerState } from "../state/WorkerState.js";
+import { RoomBudget } from "./RoomBudget.js";
 
 interface Lane {
     readonly entry: string;
@@ -15,6 +16,13 @@
     seenMs: number;
 }
 
+interface AskedStep {
+    readonly step: StepState;
+    readonly workers: readonly WorkerState[];
+    /** Latest time at which the policy answers when all is well. */
+    readonly answerMs: number;
+}
+
 /** Most workers that one question may name. */
 const MAXIMUM_WORKERS_PER_QUESTION = 100;
 /** A question that takes longer than this is kept off the lanes of short ones. */
@@ -38,10 +46,7 @@
 /** Asks the placement policy through the entries, each of which is served one question at a time. */
 export class PermitDesk {
     private readonly lanes = new Map<string, Lane>();
-    private readonly stepsAsked = new Map<
-        string,
-        { readonly step: StepState; readonly workers: readonly WorkerState[]; }
-    >();
+    private readonly stepsAsked = new Map<string, AskedStep>();
     private readonly questioned = new Emitter<string>();
 
     /** A question waits for an entry. */
@@ -72,7 +77,11 @@
 
     /** Asks for the steps that need permits, in this order, as far as lanes are free. */
     public request(steps: readonly StepState[], nowMs: number): void {
+        const budget = new RoomBudget(this.fleet, nowMs);
         for (const step of steps) {
+            if (!this.hasFreeLane(nowMs) || !budget.take(step)) {
+                return;
+            }
             const policy = this.fleet.queue(step.job.spec.queue)?.policy;
             if (!policy || this.isAsked(step, policy, nowMs)) {
                 continue;
@@ -97,7 +106,7 @@
             return;
         }
         this.stepsAsked.delete(delivery.step);
-        const { step, workers } = asked;
+        const { step, workers, answerMs } = asked;
         step.permits.askedAtMs = undefined;
         if (!delivery.permits) {
             return;
@@ -112,7 +121,7 @@
                 step.permits.byWorker.set(worker.id, {
                     permit: permit.permit,
                     incarnation,
-                    expiresAtMs: nowMs + permitMs
+                    expiresAtMs: Math.min(nowMs, answerMs) + permitMs
                 });
             }
         }
@@ -163,6 +172,15 @@
         return limitWorkers(unknown, step, waiting, room);
     }
 
+    private hasFreeLane(nowMs: number): boolean {
+        for (const lane of this.lanes.values()) {
+            if (lane.busyUntilMs <= nowMs + LONGEST_BACKLOG_MS && nowMs - lane.seenMs < LANE_LOST_MS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private chooseLane(costMs: number, nowMs: number): Lane | undefined {
         const lanes = [...this.lanes.values()].filter(lane => nowMs - lane.seenMs < LANE_LOST_MS)
             .sort((left, right) => left.entry < right.entry ? -1 : 1);
@@ -185,8 +203,8 @@
     ): void {
         step.permits.askedAtMs = nowMs;
         step.permits.questions++;
-        this.stepsAsked.set(step.name, { step, workers });
         lane.busyUntilMs = Math.max(lane.busyUntilMs, nowMs) + costOf(policy, workers.length);
+        this.stepsAsked.set(step.name, { step, workers, answerMs: lane.busyUntilMs + LONGEST_BACKLOG_MS });
         lane.pending.push({ step: step.name, workerIds: workers.map(worker => worker.id) });
         this.questioned.fire(lane.entry);
     }
--- /dev/null
+++ b/packages/fleet/src/owner/RoomBudget.ts
@@ -0,0 +1,30 @@
+import type { FleetState } from "../state/FleetState.js";
+import type { StepState } from "../state/StepState.js";
+
+/** Processors that are expected to become free while permits hold, as a share of all. */
+const TURNOVER_SHARE = 0.5;
+
+/** Room for which permits are worth asking: a step that cannot start before they lapse is left out. */
+export class RoomBudget {
+    private cpuMilli = 0;
+
+    constructor(fleet: FleetState, nowMs: number) {
+        for (const worker of fleet.workers.values()) {
+            if (worker.canStart(nowMs)) {
+                const { cpuMilli } = worker.entry.capacity;
+                this.cpuMilli += Math.max(0, cpuMilli - worker.used.cpuMilli) + cpuMilli * TURNOVER_SHARE;
+            }
+        }
+    }
+
+    /** Takes the room of a step's waiting tasks; false when nothing was left before. */
+    public take(step: StepState): boolean {
+        if (this.cpuMilli <= 0) {
+            return false;
+        }
+        for (const task of step.tasks) {
+            this.cpuMilli -= task.waiting ? step.spec.size.cpuMilli : 0;
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/owner/RunKeeper.test.ts
@@ -0,0 +1,96 @@
+import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
+import test from "ava";
+import { JobPhase } from "../model/JobSpec.js";
+import { RunEnd } from "../ports/WorkerCalls.js";
+import { RunPhase } from "../state/RunState.js";
+import { addJob, addWorker, createFleet, EMPTY_REPORT } from "../testing/FleetFixture.js";
+import { RunKeeper } from "./RunKeeper.js";
+
+const LOOK = { sentAtMs: 0, token: 1 };
+
+test("failures that several workers report out of order all count, and none twice", t => {
+    const fleet = createFleet();
+    const job = addJob(fleet, [{}]);
+    const keeper = new RunKeeper(fleet, new VirtualTimer());
+    const task = job.findTask(0, 0, 0)!;
+    const report = (id: string, run: number): void => {
+        const end = { number: 1, task: task.name, run, end: RunEnd.Failed, checkpoint: "" };
+        keeper.applyReport(addWorker(fleet, id), { ...EMPTY_REPORT, ended: [end] }, LOOK, 0);
+    };
+    report("w3", 67);
+    report("w1", 65);
+    report("w1", 65);
+    t.is(task.failures.length, 2);
+    t.is(job.phase, JobPhase.Running);
+    report("w2", 66);
+    t.is(job.phase, JobPhase.Failed);
+});
+
+test("failures are kept with the progress of a job, so that another owner does not count them again", t => {
+    const fleet = createFleet();
+    const job = addJob(fleet, [{}]);
+    const keeper = new RunKeeper(fleet, new VirtualTimer());
+    const end = { number: 1, task: job.findTask(0, 0, 0)!.name, run: 1, end: RunEnd.Failed, checkpoint: "" };
+    keeper.applyReport(addWorker(fleet, "w1"), { ...EMPTY_REPORT, ended: [end] }, LOOK, 0);
+    const later = createFleet();
+    const same = addJob(later, [{}]);
+    same.restore(job.encodeProgress());
+    new RunKeeper(later, new VirtualTimer()).applyReport(
+        addWorker(later, "w1"),
+        { ...EMPTY_REPORT, ended: [end] },
+        LOOK,
+        0
+    );
+    t.is(same.findTask(0, 0, 0)!.failures.length, 1);
+});
+
+test("nothing is started on a worker that lists a run which is not counted", t => {
+    const fleet = createFleet();
+    const worker = addWorker(fleet, "w1");
+    const keeper = new RunKeeper(fleet, new VirtualTimer());
+    const stopped: string[] = [];
+    keeper.onUnwanted(({ task }) => stopped.push(task));
+    const foreign = { task: "00000000000000ff.0.0.0", run: 4, checkpoint: "", percent: 3 };
+    keeper.applyReport(worker, { ...EMPTY_REPORT, running: [foreign] }, LOOK, 0);
+    t.false(worker.canStart(1));
+    t.deepEqual(stopped, [foreign.task]);
+    keeper.applyReport(worker, EMPTY_REPORT, LOOK, 0);
+    t.true(worker.canStart(1));
+});
+
+test("a start without a reply counts until a look under a later token does not list it", t => {
+    const fleet = createFleet();
+    const worker = addWorker(fleet, "w1");
+    const task = addJob(fleet, [{}]).findTask(0, 0, 0)!;
+    const keeper = new RunKeeper(fleet, new VirtualTimer());
+    const run = fleet.openRun(task, worker, 1, RunPhase.Uncertain, 0);
+    run.settledByToken = 5;
+    keeper.applyReport(worker, EMPTY_REPORT, { sentAtMs: 10, token: 4 }, 0);
+    t.false(task.waiting);
+    t.is(worker.used.cpuMilli, 1000);
+    keeper.applyReport(worker, EMPTY_REPORT, { sentAtMs: 10, token: 5 }, 0);
+    t.true(task.waiting);
+    t.is(worker.used.cpuMilli, 0);
+});
+
+test("a run that was confirmed and that a later look does not list is gone", t => {
+    const fleet = createFleet();
+    const worker = addWorker(fleet, "w1");
+    const task = addJob(fleet, [{}]).findTask(0, 0, 0)!;
+    const keeper = new RunKeeper(fleet, new VirtualTimer());
+    fleet.openRun(task, worker, 1, RunPhase.Running, 100);
+    keeper.applyReport(worker, EMPTY_REPORT, { sentAtMs: 50, token: 1 }, 0);
+    t.false(task.waiting, "the look was sent before the start was confirmed");
+    keeper.applyReport(worker, EMPTY_REPORT, { sentAtMs: 150, token: 1 }, 0);
+    t.true(task.waiting);
+});
+
+test("one member that ends as done stands for its whole gang", t => {
+    const fleet = createFleet();
+    const job = addJob(fleet, [{ taskCount: 3, gang: true }, { after: [0] }]);
+    const worker = addWorker(fleet, "w1");
+    const keeper = new RunKeeper(fleet, new VirtualTimer());
+    const end = { number: 1, task: job.findTask(0, 0, 1)!.name, run: 1, end: RunEnd.Done, checkpoint: "" };
+    keeper.applyReport(worker, { ...EMPTY_REPORT, ended: [end] }, LOOK, 0);
+    t.deepEqual([...job.readySteps()].map(step => step.number), [1]);
+});
--- a/packages/fleet/src/owner/RunKeeper.ts
+++ b/packages/fleet/src/owner/RunKeeper.ts
@@ -49,6 +49,7 @@
                 this.applyEnd(worker, end);
             }
         }
+        worker.hasForeignRuns = false;
         for (const run of report.running) {
             listed.add(run.task);
             this.applyRunning(worker, run);
@@ -108,6 +109,7 @@
     private applyRunning(worker: WorkerState, listed: ListedRun): void {
         const run = worker.runs.get(listed.task) ?? this.adopt(worker, listed);
         if (!run || run.run !== listed.run) {
+            worker.hasForeignRuns = true;
             this.unwanted.fire({ worker, task: listed.task, run: listed.run });
             return;
         }
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -55,7 +55,8 @@
         return [...this.sessions.values()].map(({ entry }) => ({
             id: entry.id,
             address: entry.address,
-            incarnation: entry.incarnation
+            incarnation: entry.incarnation,
+            draining: entry.draining
         }));
     }
 
@@ -69,7 +70,7 @@
         for (const entry of entries) {
             this.entries.set(entry.id, entry);
         }
-        const unlisted = formerly.filter(known => !this.entries.has(known.id)).map(unlistedEntry);
+        const unlisted = formerly.filter(known => !known.draining && !this.entries.has(known.id)).map(unlistedEntry);
         if (unknownLeaseMs > 0) {
             [...entries, ...unlisted].forEach(entry => this.unsettled.add(entry.id));
         }
@@ -95,10 +96,11 @@
                 this.lapse(session, LapseReason.Reborn);
             }
         }
-        for (const [id, session] of this.sessions) {
+        for (const [id, session] of [...this.sessions]) {
             if (!listed.has(id)) {
                 this.entries.delete(id);
                 session.state.listed = false;
+                session.checkLeft();
             }
         }
     }
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -31,6 +31,8 @@
 export enum LapseReason {
     /** Nobody listens at its address. */
     Refused = "refused",
+    /** It was leaving, is not listed any more and does not answer. */
+    Left = "left",
     /** It lives another life. */
     Reborn = "reborn",
     /** Every lease that it may hold has ended. */
@@ -178,6 +180,13 @@
         };
     }
 
+    /** A worker that was leaving, and is neither listed nor reached any more, has left. */
+    public checkLeft(): void {
+        if (this.entry.draining && !this.state.listed && !this.state.reachable && this.state.fenced) {
+            this.events.lapsed(this, LapseReason.Left);
+        }
+    }
+
     public dispose(): void {
         this.disposed = true;
         this.committedWaiter?.();
@@ -285,7 +294,8 @@
                 return;
             }
         }
-        if (this.clock.leasesEnded(CLOCK_RATE_MARGIN)) {
+        this.checkLeft();
+        if (!this.disposed && this.clock.leasesEnded(CLOCK_RATE_MARGIN)) {
             this.events.lapsed(this, LapseReason.LeaseEnded);
         }
     }
--- a/packages/fleet/src/ownership/OwnerElection.ts
+++ b/packages/fleet/src/ownership/OwnerElection.ts
@@ -16,6 +16,8 @@
     readonly row: Omit<OwnerRow, "sequence" | "released" | "workers" | "heir">;
     readonly version: number;
     readonly former: OwnerRow | undefined;
+    /** The former owner gives no orders any more. */
+    readonly formerEnded: boolean;
 }
 
 /** Who this process is in the election. */
@@ -32,13 +34,17 @@
     readonly healthy: () => boolean;
     /** Its port refuses connections. */
     readonly refused: () => boolean;
+    /** Another process than the holder replies at its address. */
+    readonly replaced: (holder: string) => boolean;
 }
 
 /** An owner whose row has not been confirmed for this long, while the store answers, is taken as dead. */
 const OWNER_TIMEOUT_MS = 1500;
 /** The same for one whose port refuses connections. */
 const REFUSED_TIMEOUT_MS = 500;
-const POLL_INTERVAL_MS = 200;
+/** The same for one in whose place another process replies. */
+const REPLACED_TIMEOUT_MS = 100;
+const POLL_INTERVAL_MS = 100;
 /** A healthy owner's row is read this often. */
 const HEALTHY_POLL_INTERVAL_MS = 100;
 /** Readings of the row that are further apart say nothing about the time between. */
@@ -142,6 +148,9 @@
         if (row.released) {
             return row.heir === undefined || row.heir === this.candidate.holder ? 0 : HEIR_LEAD_MS + delayMs;
         }
+        if (this.signs.replaced(row.holder)) {
+            return REPLACED_TIMEOUT_MS + delayMs;
+        }
         return (this.signs.refused() ? REFUSED_TIMEOUT_MS : OWNER_TIMEOUT_MS) + delayMs;
     }
 
@@ -152,6 +161,7 @@
             address: this.candidate.address
         };
         const place = { table: FleetTable.Ownership, partition: FLEET_PARTITION, key: OWNER_KEY };
+        const formerEnded = !former || former.released || this.signs.refused() || this.signs.replaced(former.holder);
         const value: OwnerRow = { ...row, sequence: 0, released: false, workers: former?.workers ?? [] };
         const result = await this.store.commit(
             [{ ...place, version }],
@@ -163,7 +173,7 @@
         }
         if (result.isOk()) {
             this.last = { row: value, version: result.value };
-            this.won.fire({ row, version: result.value, former });
+            this.won.fire({ row, version: result.value, former, formerEnded });
         }
     }
 }
--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -231,7 +231,7 @@
     if (nearRack !== undefined && worker.entry.rack === nearRack) {
         score += 100;
     }
-    if (task.failures.count > 0 && worker.lastDoneAtMs === undefined) {
+    if (task.failures.length > 0 && worker.lastDoneAtMs === undefined) {
         score -= 50;
     }
     if (worker.suspectJobs.size > 0) {
--- a/packages/fleet/src/ports/OwnerLink.ts
+++ b/packages/fleet/src/ports/OwnerLink.ts
@@ -22,6 +22,8 @@
 
 /** Reply of the owner to a watching entry. */
 export interface WatchReply {
+    /** Process that replies. */
+    readonly process: string;
     readonly epoch: number;
     /** False when this process owns nothing, or is about to give its place up. */
     readonly owning: boolean;
--- a/packages/fleet/src/state/JobState.ts
+++ b/packages/fleet/src/state/JobState.ts
@@ -1,4 +1,4 @@
-import { type FailureCount, type JobProgress, NO_FAILURE, type StepProgress } from "../model/JobProgress.js";
+import { type FailedRuns, type JobProgress, NO_FAILURE, type StepProgress } from "../model/JobProgress.js";
 import { isFinal, JobPhase, type JobSpec } from "../model/JobSpec.js";
 import { StepState } from "./StepState.js";
 import type { TaskState } from "./TaskState.js";
@@ -120,10 +120,10 @@
 }
 
 function encodeStep(step: StepState): StepProgress {
-    const failures: Record<string, FailureCount> = {};
+    const failures: Record<string, FailedRuns> = {};
     const checkpoints: Record<string, string> = {};
     for (const task of step.tasks) {
-        if (task.failures.count > 0) {
+        if (task.failures.length > 0) {
             failures[task.index] = task.failures;
         }
         if (task.checkpoint !== "" && !task.done) {
--- a/packages/fleet/src/state/StepState.ts
+++ b/packages/fleet/src/state/StepState.ts
@@ -1,4 +1,4 @@
-import { countFailure, type FailureCount, NO_FAILURE } from "../model/JobProgress.js";
+import { addFailure, type FailedRuns, NO_FAILURE } from "../model/JobProgress.js";
 import type { StepSpec } from "../model/JobSpec.js";
 import type { JobState } from "./JobState.js";
 import { TaskState } from "./TaskState.js";
@@ -20,7 +20,7 @@
     public readonly tasks: readonly TaskState[];
     public doneCount = 0;
     /** Runs of the gang that ended as failed. */
-    public gangFailures: FailureCount = NO_FAILURE;
+    public gangFailures: FailedRuns = NO_FAILURE;
     public readyAtMs: number | undefined;
     public readonly permits: StepPermits = {
         byWorker: new Map(),
@@ -62,10 +62,10 @@
     /** Records a failed run; returns the number of failures that count against the limit of attempts. */
     public markFailed(task: TaskState, run: number): number {
         if (this.spec.gang) {
-            this.gangFailures = countFailure(this.gangFailures, run);
-            return this.gangFailures.count;
+            this.gangFailures = addFailure(this.gangFailures, run);
+            return this.gangFailures.length;
         }
-        task.failures = countFailure(task.failures, run);
-        return task.failures.count;
+        task.failures = addFailure(task.failures, run);
+        return task.failures.length;
     }
 }
--- a/packages/fleet/src/state/TaskState.ts
+++ b/packages/fleet/src/state/TaskState.ts
@@ -1,11 +1,11 @@
-import { type FailureCount, NO_FAILURE } from "../model/JobProgress.js";
+import { type FailedRuns, NO_FAILURE } from "../model/JobProgress.js";
 import type { RunState } from "./RunState.js";
 import type { StepState } from "./StepState.js";
 
 /** One task of a step. */
 export class TaskState {
     public done = false;
-    public failures: FailureCount = NO_FAILURE;
+    public failures: FailedRuns = NO_FAILURE;
     public checkpoint = "";
     public run: RunState | undefined;
     /** Highest number that a run of it had. */
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -11,6 +11,8 @@
     public readonly runs = new Map<string, RunState>();
     /** It takes orders of this owner only, and its runs are known. */
     public fenced = false;
+    /** It lists runs that are not counted, so that its free room is not known. */
+    public hasForeignRuns = false;
     /** The directory lists it. */
     public listed = true;
     /** It answered the last call. */
@@ -32,7 +34,8 @@
 
     /** New tasks may be started here. */
     public canStart(nowMs: number): boolean {
-        return this.fenced && this.listed && this.reachable && !this.entry.draining && nowMs >= this.avoidedUntilMs;
+        return this.fenced && !this.hasForeignRuns && this.listed && this.reachable && !this.entry.draining
+            && nowMs >= this.avoidedUntilMs;
     }
 
     /** Number of further tasks of a size that fit, beside what is taken already. */
