--- a/packages/fleet/src/entry/JobStates.ts
+++ b/packages/fleet/src/entry/JobStates.ts
@@ -33,6 +33,15 @@
         this.prune();
     }
 
+    /** Forgets all states that are not final: they may have changed unseen. */
+    public forgetRunning(): void {
+        for (const [id, job] of this.known) {
+            if (!isFinal(job.phase)) {
+                this.known.delete(id);
+            }
+        }
+    }
+
     private prune(): void {
         const oldestMs = this.timer.nowMs() - this.retentionMs;
         for (const [id, job] of this.known) {
--- a/packages/fleet/src/entry/OwnerWatch.ts
+++ b/packages/fleet/src/entry/OwnerWatch.ts
@@ -128,6 +128,9 @@
         this.sequence = reply.sequence;
         this.waitingCounts = reply.waiting;
         this.confirmed = reply.confirmedAgeMs < CONFIRMATION_LIMIT_MS;
+        if (reply.whole) {
+            this.states.forgetRunning();
+        }
         for (const update of reply.updates) {
             this.states.note(update.id, update.phase, update.team, update.queue);
         }
--- a/packages/fleet/src/owner/ProgressWriter.ts
+++ b/packages/fleet/src/owner/ProgressWriter.ts
@@ -37,6 +37,7 @@
     private readonly superseded = new Emitter<void>();
     private wake: (() => void) | undefined;
     private stopped = false;
+    private running: Promise<void> = Promise.resolve();
 
     /** The final state of a job was committed. */
     public readonly onFinal = this.committed.event;
@@ -47,7 +48,7 @@
 
     /** Begins to write. */
     public start(): void {
-        void this.run();
+        this.running = this.run();
     }
 
     /** Asks for a commit of a job's state. */
@@ -67,6 +68,8 @@
         this.stopped = true;
         this.wake?.();
         const endMs = this.timer.nowMs() + limitMs;
+        // A round under way holds jobs of its own; what is noted beside it must not overtake their commit.
+        await this.running;
         while (this.timer.nowMs() < endMs) {
             const round = this.takeRound();
             const outcome = await this.ledger.commit(round.writes, this.dirty.size === 0 ? { heir } : undefined);
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -126,7 +126,11 @@
             this.timing,
             {
                 report: (source, report, look) => {
-                    this.runs.applyReport(source.state, report, look, source.reportedEnd);
+                    const hadForeignRuns = state.hasForeignRuns;
+                    this.runs.applyReport(state, report, look, source.reportedEnd);
+                    if (hadForeignRuns !== state.hasForeignRuns) {
+                        this.countUnknown();
+                    }
                     if (!state.fenced) {
                         state.fenced = true;
                         this.unsettled.delete(entry.id);
@@ -170,11 +174,11 @@
         }
     }
 
-    /** Counts the capacity of workers whose runs are unknown as used by every team. */
+    /** Counts the capacity of workers with runs of which nothing is known as used by every team. */
     private countUnknown(): void {
         const unknown = createAmount();
         for (const { state } of this.sessions.values()) {
-            if (this.unsettled.has(state.id)) {
+            if (this.unsettled.has(state.id) || state.hasForeignRuns) {
                 addSize(unknown, state.entry.capacity);
             }
         }
--- a/packages/standins/src/fleet/MemoryFleet.ts
+++ b/packages/standins/src/fleet/MemoryFleet.ts
@@ -98,9 +98,10 @@
         carryOut: (worker: MemoryFleetWorker) => OrderReply
     ): Promise<OrderReply> {
         if (this.random.next() < this.faults.lateShare) {
+            // A later life refuses the order, as it names the life that it is for.
+            const worker = this.workers.get(entry.id)!;
             this.timer.after(LATE_BY_MS.least + this.random.next() * LATE_BY_MS.spread, () => {
-                const worker = this.workers.get(entry.id);
-                if (worker?.alive) {
+                if (worker.alive) {
                     carryOut(worker);
                 }
             });
