Shares by rate, refusals at once while the store fails, lasting tasks; the owner tells why steps wait

Lasting tasks counted as done (found by reading). Change: jobs beyond a team's share a second come last; the intake refuses after 300 ms in its queue and lets one job in 200 ms try a failing store; an event at an interval tells the reasons of waiting steps.

--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -54,6 +54,12 @@
         EventLevel.Warning,
         "The process was paused; it commands nothing before its ownership is confirmed."
     ),
+    fleetStatus: define(
+        1403,
+        "fleet-status",
+        EventLevel.Info,
+        "How the fleet fares, and why its waiting steps wait; told by the owner at an interval."
+    ),
     workerFenced: define(1411, "worker-fenced", EventLevel.Info, "A worker takes commands of this epoch only."),
     workerLost: define(
         1412,
--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -82,6 +82,7 @@
             watch: this.watcher,
             writer: new IntakeWriter(store, timer),
             log,
+            wallClockMs: () => timer.wallClockMs(),
             keyAgeLimitMs: timing.keyWithdrawalMs * KEY_AGE_SHARE
         });
         this.election = this.disposables.add(
--- a/packages/fleet/src/entry/IntakeWriter.ts
+++ b/packages/fleet/src/entry/IntakeWriter.ts
@@ -1,3 +1,4 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
 import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
 import type { JobSpec } from "../model/JobSpec.js";
 import { FLEET_PARTITION, FleetTable } from "../model/Tables.js";
@@ -32,6 +33,7 @@
     readonly arrivedMs: number;
     readonly resolve: (result: IntakeResult) => void;
     uncertain: boolean;
+    expiry: Disposable | undefined;
 }
 
 /** Jobs of one transaction; the platform takes 100 entries, of which a job has three. */
@@ -42,13 +44,19 @@
 const RETRY_DELAY_MS = 40;
 /** A job that the store has surely not taken is refused after this time, so that its caller can try elsewhere. */
 const REFUSAL_AFTER_MS = 100;
-/** A write without a reply is settled for this long; callers wait for 3 s. */
-const SETTLE_LIMIT_MS = 2300;
+/** A write without a reply is settled for this long: less than half of the 3 s that callers wait. */
+const SETTLE_LIMIT_MS = 1300;
+/** A job that has waited for its turn this long is refused: the store takes several times as long as usual. */
+const QUEUE_LIMIT_MS = 300;
+/** While the store fails, one job in this time tries it. */
+const TRIAL_INTERVAL_MS = 200;
 
 /** Stores accepted jobs, as many as wait in one transaction, one transaction at a time. */
 export class IntakeWriter {
     private readonly queue: PendingJob[] = [];
     private active = false;
+    private failing = false;
+    private triedMs = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly store: RowStore, private readonly timer: TimerService) {}
 
@@ -57,11 +65,29 @@
         return this.queue.length;
     }
 
+    /** Jobs are worth handing in: the store works, or it is time for one that tries whether it does. */
+    public admits(): boolean {
+        const nowMs = this.timer.nowMs();
+        if (this.failing && nowMs - this.triedMs < TRIAL_INTERVAL_MS) {
+            return false;
+        }
+        this.triedMs = nowMs;
+        return true;
+    }
+
     /** Stores a job unless it is stored already. */
     public write(spec: JobSpec): Promise<IntakeResult> {
         return new Promise(resolve => {
             const bytes = JSON.stringify(spec).length;
-            this.queue.push({ spec, bytes, arrivedMs: this.timer.nowMs(), resolve, uncertain: false });
+            const job: PendingJob = {
+                spec,
+                bytes,
+                arrivedMs: this.timer.nowMs(),
+                resolve,
+                uncertain: false,
+                expiry: this.timer.after(QUEUE_LIMIT_MS, () => this.expire(job))
+            };
+            this.queue.push(job);
             if (!this.active) {
                 this.active = true;
                 void this.run();
@@ -90,6 +116,8 @@
                 break;
             }
             this.queue.shift();
+            next.expiry?.dispose();
+            next.expiry = undefined;
             batch.push(next);
             ids.add(next.spec.id);
             bytes += next.bytes;
@@ -108,6 +136,7 @@
             writes.push({ ...place, table: FleetTable.Intake, value: JSON.stringify(spec) });
         }
         const result = await this.store.commit(conditions, writes, COMMIT_TIMEOUT_MS);
+        this.failing = result.isErr() && result.error.kind !== StoreFailureKind.Conflict;
         if (result.isOk()) {
             batch.forEach(job => job.resolve({ outcome: IntakeOutcome.Written }));
             return false;
@@ -150,17 +179,14 @@
             }
         }
         this.queue.unshift(...again);
-        this.expireQueue(nowMs);
     }
 
-    /** Refuses the jobs that have waited for their turn while the store fails. */
-    private expireQueue(nowMs: number): void {
-        for (let index = this.queue.length - 1; index >= 0; index--) {
-            const job = this.queue[index]!;
-            if (!job.uncertain && nowMs - job.arrivedMs >= REFUSAL_AFTER_MS) {
-                this.queue.splice(index, 1);
-                job.resolve({ outcome: IntakeOutcome.Unavailable });
-            }
+    /** Refuses a job that has waited for its turn for too long. */
+    private expire(job: PendingJob): void {
+        const index = this.queue.indexOf(job);
+        if (index >= 0 && !job.uncertain) {
+            this.queue.splice(index, 1);
+            job.resolve({ outcome: IntakeOutcome.Unavailable });
         }
     }
 }
--- a/packages/fleet/src/entry/JobEntry.ts
+++ b/packages/fleet/src/entry/JobEntry.ts
@@ -18,6 +18,7 @@
     readonly watch: OwnerWatch;
     readonly writer: IntakeWriter;
     readonly log: EventLog;
+    readonly wallClockMs: () => number;
     /** Knowledge of keys that is older than this admits nobody. */
     readonly keyAgeLimitMs: number;
 }
@@ -74,10 +75,11 @@
         if (states.get(jobId)?.team === teamName) {
             return { kind: ReplyKind.Accepted };
         }
-        if (writer.backlog > MAXIMUM_BACKLOG) {
-            return { kind: ReplyKind.NotNow, message: "too many jobs wait to be stored", retryAfterMs: RETRY_AFTER_MS };
+        if (writer.backlog > MAXIMUM_BACKLOG || !writer.admits()) {
+            return { kind: ReplyKind.NotNow, message: "the store takes too little now", retryAfterMs: RETRY_AFTER_MS };
         }
-        const spec: JobSpec = { id: jobId, queue: queue.name, team: teamName, ...job };
+        const acceptedWallMs = this.parts.wallClockMs();
+        const spec: JobSpec = { id: jobId, queue: queue.name, team: teamName, ...job, acceptedWallMs };
         const { outcome, row } = await writer.write(spec);
         switch (outcome) {
             case IntakeOutcome.Written:
--- a/packages/fleet/src/model/JobSpec.ts
+++ b/packages/fleet/src/model/JobSpec.ts
@@ -54,6 +54,8 @@
     readonly payload: string;
     readonly steps: readonly StepSpec[];
     readonly schedule: JobSchedule;
+    /** Wall-clock time at which an entry took it. */
+    readonly acceptedWallMs: number;
 }
 
 /** State of a job as its caller sees it. */
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -23,6 +23,7 @@
 import { PermitDesk } from "./PermitDesk.js";
 import { ProgressWriter } from "./ProgressWriter.js";
 import { RunKeeper } from "./RunKeeper.js";
+import { StatusReporter } from "./StatusReporter.js";
 import { UpdateLog } from "./UpdateLog.js";
 import { WorkerRegistry } from "./WorkerRegistry.js";
 
@@ -217,6 +218,8 @@
         const { workers, unknownLeaseMs } = this.succession;
         this.registry.begin(entries, workers, unknownLeaseMs);
         this.runs.failExhausted();
+        const { timer, log } = this.parts;
+        this.disposables.add(new StatusReporter(this.fleet, this.registry, this.ledger, timer, log));
         this.ready = true;
         this.parts.log.write(EVENTS.sliceAcquired, { epoch: this.epoch, jobs: this.fleet.jobs.size });
         this.decideSoon();
--- a/packages/fleet/src/owner/IntakeReader.ts
+++ b/packages/fleet/src/owner/IntakeReader.ts
@@ -9,14 +9,18 @@
 import type { RowChange, RowStore, StoredRow } from "../ports/RowStore.js";
 import type { FleetState } from "../state/FleetState.js";
 import { JobState } from "../state/JobState.js";
+import { TeamRates } from "./TeamRates.js";
 
 const READ_TIMEOUT_MS = 1500;
 const RETRY_MS = 100;
+/** Ages above this come from clocks that were set, or say nothing more. */
+const LONGEST_AGE_MS = 120_000;
 
 /** Loads the jobs that are not final and follows those that come, and their cancels. */
 export class IntakeReader {
     private readonly added = new Emitter<JobState>();
     private readonly cancelled = new Emitter<JobState>();
+    private readonly rates = new TeamRates();
     private stopped = false;
 
     /** A job was accepted. */
@@ -40,7 +44,7 @@
         if (!intake || !progress) {
             return false;
         }
-        this.apply(intake.rows, false);
+        this.apply([...intake.rows].sort((left, right) => left.version - right.version), false);
         for (const row of progress.rows) {
             const stored = parse<JobProgress>(row);
             if (stored) {
@@ -92,7 +96,10 @@
             this.log.write(EVENTS.rowUnreadable, { table: change.table, key: change.key });
             return;
         }
-        const job = new JobState(spec, this.timer.nowMs(), change.version, this.firstRun);
+        const ageMs = this.timer.wallClockMs() - (spec.acceptedWallMs ?? Number.POSITIVE_INFINITY);
+        const acceptedAtMs = this.timer.nowMs() - Math.min(LONGEST_AGE_MS, Math.max(0, ageMs));
+        const isWithinShare = this.rates.take(spec.team, this.fleet.team(spec.team)?.share ?? 0, acceptedAtMs);
+        const job = new JobState(spec, acceptedAtMs, change.version, this.firstRun, isWithinShare);
         this.fleet.jobs.set(spec.id, job);
         if (announce) {
             this.added.fire(job);
--- a/packages/fleet/src/owner/RoomBudget.ts
+++ b/packages/fleet/src/owner/RoomBudget.ts
@@ -8,7 +8,7 @@
 export class RoomBudget {
     private cpuMilli = 0;
 
-    constructor(fleet: FleetState, nowMs: number) {
+    constructor(private readonly fleet: FleetState, nowMs: number) {
         for (const worker of fleet.workers.values()) {
             if (worker.canStart(nowMs)) {
                 const { cpuMilli } = worker.entry.capacity;
@@ -22,9 +22,10 @@
         if (this.cpuMilli <= 0) {
             return false;
         }
-        for (const task of step.tasks) {
-            this.cpuMilli -= task.waiting ? step.spec.size.cpuMilli : 0;
-        }
+        const { size } = step.spec;
+        const waiting = step.tasks.filter(task => task.waiting).length;
+        const teamRoom = this.fleet.teamRoom(step.job.spec.team, size);
+        this.cpuMilli -= size.cpuMilli * Math.min(waiting, step.spec.gang && teamRoom < waiting ? 0 : teamRoom);
         return true;
     }
 }
--- a/packages/fleet/src/owner/RunKeeper.test.ts
+++ b/packages/fleet/src/owner/RunKeeper.test.ts
@@ -124,3 +124,21 @@
     keeper.failExhausted();
     t.is(job.phase, JobPhase.Failed);
 });
+
+test("a lasting task is waiting again however it ended", t => {
+    const fleet = createFleet();
+    const job = addJob(fleet, [{ lasting: true }]);
+    const worker = addWorker(fleet, "w1");
+    const keeper = new RunKeeper(fleet, new VirtualTimer());
+    const task = job.findTask(0, 0, 0)!;
+    for (
+        const [index, how] of [RunEnd.Done, RunEnd.Failed, RunEnd.Failed, RunEnd.Failed, RunEnd.LeaseLapsed].entries()
+    ) {
+        const run = index + 1;
+        fleet.openRun(task, worker, run, RunPhase.Running, 0);
+        const end = { number: run, task: task.name, run, end: how, checkpoint: "" };
+        keeper.applyReport(worker, { ...EMPTY_REPORT, ended: [end] }, LOOK, index);
+        t.true(task.waiting, how);
+        t.is(job.phase, JobPhase.Running);
+    }
+});
--- a/packages/fleet/src/owner/RunKeeper.ts
+++ b/packages/fleet/src/owner/RunKeeper.ts
@@ -205,10 +205,13 @@
             return;
         }
         this.markStarted(job);
+        if (step.spec.lasting) {
+            // It is started again however it ended; only the start of its job is worth keeping.
+            return;
+        }
         if (listed.end === RunEnd.Done) {
             this.health.noteDone(worker);
             step.markDone(task);
-            this.stopCopies(task);
             this.advance(job);
         }
         else if (listed.end === RunEnd.Failed) {
@@ -247,12 +250,6 @@
         }
     }
 
-    private stopCopies(task: TaskState): void {
-        for (const member of task.step.spec.gang ? [] : [task]) {
-            this.stop(member.run);
-        }
-    }
-
     private advance(job: JobState): void {
         if (job.closeDone()) {
             this.finish(job, JobPhase.Completed);
--- /dev/null
+++ b/packages/fleet/src/owner/StatusReporter.ts
@@ -0,0 +1,62 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventFields, EventLog } from "@skylarkpath/common/log/EventLog";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { JobPhase } from "../model/JobSpec.js";
+import { orderSteps } from "../placement/StepOrder.js";
+import { explainWait } from "../placement/WaitReason.js";
+import type { FleetState } from "../state/FleetState.js";
+import type { OwnerLedger } from "./OwnerLedger.js";
+import type { WorkerRegistry } from "./WorkerRegistry.js";
+
+/** Interval at which an owner tells how the fleet fares. */
+const INTERVAL_MS = 2000;
+
+/** Tells at an interval how the fleet fares, and why its waiting steps wait. */
+export class StatusReporter implements Disposable {
+    private readonly interval: Disposable;
+
+    constructor(
+        private readonly fleet: FleetState,
+        private readonly registry: WorkerRegistry,
+        private readonly ledger: OwnerLedger,
+        private readonly timer: TimerService,
+        private readonly log: EventLog
+    ) {
+        this.interval = timer.every(INTERVAL_MS, () => this.report());
+    }
+
+    public dispose(): void {
+        this.interval.dispose();
+    }
+
+    private report(): void {
+        const nowMs = this.timer.nowMs();
+        const reasons: Record<string, number> = {};
+        let longest: { readonly step: string; readonly waitMs: number; readonly reason: string; } | undefined;
+        for (const { step } of orderSteps(this.fleet, nowMs)) {
+            const reason = explainWait(this.fleet, step, nowMs);
+            const waitMs = Math.round(nowMs - (step.readyAtMs ?? nowMs));
+            reasons[reason] = (reasons[reason] ?? 0) + 1;
+            if (waitMs > (longest?.waitMs ?? -1)) {
+                longest = { step: step.name, waitMs, reason };
+            }
+        }
+        const workers = [...this.fleet.workers.values()];
+        const fields: EventFields = {
+            epoch: this.ledger.epoch,
+            confirmedAgeMs: Math.round(this.ledger.confirmedAgeMs),
+            settled: this.registry.settled,
+            jobs: this.fleet.jobs.size,
+            jobsQueued: [...this.fleet.jobs.values()].filter(job => job.phase === JobPhase.Queued).length,
+            runs: workers.reduce((sum, worker) => sum + worker.runs.size, 0),
+            workers: workers.length,
+            workersUsable: workers.filter(worker => worker.canStart(nowMs)).length,
+            waiting: Object.entries(reasons).map(([reason, count]) => `${reason}:${count}`).join(" "),
+            longestStep: longest?.step,
+            longestWaitMs: longest?.waitMs,
+            longestReason: longest?.reason
+        };
+        this.log.write(EVENTS.fleetStatus, fields);
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/owner/TeamRates.test.ts
@@ -0,0 +1,16 @@
+import test from "ava";
+import { TeamRates } from "./TeamRates.js";
+
+test("a team has its share each second and a burst of two seconds", t => {
+    const rates = new TeamRates();
+    const within = [...Array(10).keys()].filter(() => rates.take("lab", 3, 0));
+    t.is(within.length, 6);
+    t.false(rates.take("lab", 3, 100));
+    t.true(rates.take("lab", 3, 500));
+    t.true(rates.take("other", 3, 500));
+});
+
+test("a share of zero has no bound", t => {
+    const rates = new TeamRates();
+    t.true([...Array(100).keys()].every(() => rates.take("lab", 0, 0)));
+});
--- a/packages/fleet/src/placement/StepOrder.ts
+++ b/packages/fleet/src/placement/StepOrder.ts
@@ -15,7 +15,7 @@
     readonly inTime: boolean;
 }
 
-/** Steps that wait for a start: by priority, those that can be in time first, then by the time that they are due. */
+/** Steps that wait for a start: those within their team's share first, by priority, those that can be in time first, then by the time that they are due. */
 export function orderSteps(fleet: FleetState, nowMs: number): RankedStep[] {
     const ranked: RankedStep[] = [];
     for (const job of fleet.jobs.values()) {
@@ -44,7 +44,8 @@
 }
 
 function compareSteps(left: RankedStep, right: RankedStep): number {
-    return left.queue.priority - right.queue.priority
+    return Number(right.step.job.withinShare) - Number(left.step.job.withinShare)
+        || left.queue.priority - right.queue.priority
         || Number(right.inTime) - Number(left.inTime)
         || left.dueMs - right.dueMs;
 }
--- /dev/null
+++ b/packages/fleet/src/placement/WaitReason.ts
@@ -0,0 +1,54 @@
+import type { FleetState } from "../state/FleetState.js";
+import type { StepState } from "../state/StepState.js";
+
+/** Why the waiting tasks of a step do not start. */
+export enum WaitReason {
+    /** Its queue is not configured any more. */
+    NoQueue = "no-queue",
+    /** Members of its gang still run or are being stopped. */
+    GangEnding = "gang-ending",
+    /** Its team has as much running as its upper limit allows. */
+    TeamLimit = "team-limit",
+    /** No worker takes new tasks. */
+    NoWorker = "no-worker",
+    /** The placement policy was not asked yet, or has not answered. */
+    NoAnswer = "no-answer",
+    /** The policy allows no worker that takes tasks. */
+    NotAllowed = "not-allowed",
+    /** The workers that may run it are full. */
+    NoRoom = "no-room",
+    /** Its permits have lapsed, or it starts with the next decision. */
+    Soon = "soon"
+}
+
+/** Explains why a step waits. */
+export function explainWait(fleet: FleetState, step: StepState, nowMs: number): WaitReason {
+    const queue = fleet.queue(step.job.spec.queue);
+    if (!queue) {
+        return WaitReason.NoQueue;
+    }
+    const waiting = step.tasks.filter(task => task.waiting).length;
+    if (step.spec.gang && waiting < step.tasks.length) {
+        return WaitReason.GangEnding;
+    }
+    const needed = step.spec.gang ? waiting : 1;
+    if (fleet.teamRoom(step.job.spec.team, step.spec.size) < needed) {
+        return WaitReason.TeamLimit;
+    }
+    const usable = [...fleet.workers.values()].filter(worker =>
+        worker.entry.pool === queue.pool && worker.canStart(nowMs)
+        && (step.spec.workerLabel === undefined || worker.entry.labels.includes(step.spec.workerLabel))
+    );
+    if (usable.length === 0) {
+        return WaitReason.NoWorker;
+    }
+    const allowed = queue.policy ? usable.filter(worker => step.permits.byWorker.has(worker.id)) : usable;
+    if (queue.policy && step.permits.asked.size === 0) {
+        return WaitReason.NoAnswer;
+    }
+    if (allowed.length === 0) {
+        return WaitReason.NotAllowed;
+    }
+    const room = allowed.reduce((sum, worker) => sum + worker.fits(step.spec.size, step.spec.filler), 0);
+    return room < needed ? WaitReason.NoRoom : WaitReason.Soon;
+}
--- a/packages/fleet/src/state/JobState.ts
+++ b/packages/fleet/src/state/JobState.ts
@@ -22,7 +22,9 @@
         public readonly acceptedAtMs: number,
         public readonly acceptedVersion: number,
         /** Number of the first run that this owner gives; former owners gave lower ones. */
-        public readonly firstRun: number
+        public readonly firstRun: number,
+        /** Its team had not sent more than its share entitles it to. */
+        public readonly withinShare = true
     ) {
         const chains: number[] = [];
         for (const step of spec.steps) {
--- a/packages/fleet/src/testing/FleetFixture.ts
+++ b/packages/fleet/src/testing/FleetFixture.ts
@@ -76,7 +76,8 @@
             team: "lab",
             payload: "",
             steps: steps.map(step => ({ ...PLAIN_STEP, ...step })),
-            schedule: { firstStartMs: 0, periodMs: 0, occurrences: 0 }
+            schedule: { firstStartMs: 0, periodMs: 0, occurrences: 0 },
+            acceptedWallMs: 0
         },
         0,
         1,
