Entries tell the owner what they stored; permits of a gang are renewed together; an owner that admits trouble is followed sooner

Each stored job cost a call of the feed. Change: lanes are free when their questions are answered; permits of a gang are asked for together once 0.6 of its room is free; entries notify the owner, the feed is read at 250 ms; an owner that says that it can't confirm is followed after 1.8 s.

--- a/packages/adapters/src/HttpOwnerLink.ts
+++ b/packages/adapters/src/HttpOwnerLink.ts
@@ -1,5 +1,6 @@
 import type { Disposable } from "@skylarkpath/common/base/Disposable";
 import {
+    type IntakeNotice,
     LinkFailure,
     type OwnerLink,
     type OwnerService,
@@ -14,6 +15,7 @@
 const OWNER_PATH = "/owner";
 const WATCH_METHOD = "owner.watch";
 const DELIVER_METHOD = "owner.deliver";
+const NOTICE_METHOD = "owner.notice";
 const REFUSED_CODE = "ECONNREFUSED";
 
 /** Calls to the owner over JSON-RPC. */
@@ -37,6 +39,11 @@
         return reply.isOk() ? undefined : LinkFailure.Silent;
     }
 
+    public async notice(address: string, notice: IntakeNotice, timeoutMs: number): Promise<LinkFailure | undefined> {
+        const reply = await this.client.call(address, OWNER_PATH, NOTICE_METHOD, notice, timeoutMs);
+        return reply.isOk() ? undefined : LinkFailure.Silent;
+    }
+
     public dispose(): void {
         this.client.dispose();
     }
@@ -50,5 +57,9 @@
         service.deliver(parameters as PermitDelivery);
         return true;
     });
+    endpoint.register(NOTICE_METHOD, async parameters => {
+        service.notice(parameters as IntakeNotice);
+        return true;
+    });
     endpoint.mount(application, OWNER_PATH);
 }
--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -14,7 +14,14 @@
 import { OwnerLedger } from "./owner/OwnerLedger.js";
 import { OwnerElection, type WonOwnership } from "./ownership/OwnerElection.js";
 import type { DirectorySource } from "./ports/DirectorySource.js";
-import type { OwnerLink, OwnerService, PermitDelivery, WatchReply, WatchRequest } from "./ports/OwnerLink.js";
+import type {
+    IntakeNotice,
+    OwnerLink,
+    OwnerService,
+    PermitDelivery,
+    WatchReply,
+    WatchRequest
+} from "./ports/OwnerLink.js";
 import type { PlacementPolicy } from "./ports/PlacementPolicy.js";
 import type { RowStore } from "./ports/RowStore.js";
 import type { WorkerCalls } from "./ports/WorkerCalls.js";
@@ -98,6 +105,7 @@
                 {
                     healthy: () => this.watcher.healthy,
                     refused: () => this.watcher.refused,
+                    unconfirmedMs: () => this.watcher.unconfirmedMs,
                     replaced: holder => this.watcher.process !== undefined && this.watcher.process !== holder
                 }
             )
@@ -142,6 +150,10 @@
         this.owner?.deliver(delivery);
     }
 
+    public notice(notice: IntakeNotice): void {
+        this.owner?.notice(notice);
+    }
+
     /** Stops to own anything and tells the platform to send no more callers; requests are still answered. */
     public async retire(limitMs: number): Promise<void> {
         this.stopping = true;
--- a/packages/fleet/src/entry/IntakeWriter.ts
+++ b/packages/fleet/src/entry/IntakeWriter.ts
@@ -25,6 +25,8 @@
 export interface IntakeResult {
     readonly outcome: IntakeOutcome;
     readonly row?: StoredRow;
+    /** Version of the row that was written. */
+    readonly version?: number;
 }
 
 interface PendingJob {
@@ -138,7 +140,8 @@
         const result = await this.store.commit(conditions, writes, COMMIT_TIMEOUT_MS);
         this.failing = result.isErr() && result.error.kind !== StoreFailureKind.Conflict;
         if (result.isOk()) {
-            batch.forEach(job => job.resolve({ outcome: IntakeOutcome.Written }));
+            const version = result.value;
+            batch.forEach(job => job.resolve({ outcome: IntakeOutcome.Written, version }));
             return false;
         }
         const { kind, rows } = result.error;
--- a/packages/fleet/src/entry/JobEntry.ts
+++ b/packages/fleet/src/entry/JobEntry.ts
@@ -3,7 +3,7 @@
 import type { ConfigDirectory } from "../config/ConfigDirectory.js";
 import { isFinal, JobPhase, type JobSpec } from "../model/JobSpec.js";
 import { cancelKey, FLEET_PARTITION, FleetTable } from "../model/Tables.js";
-import { type RowStore, StoreFailureKind } from "../ports/RowStore.js";
+import { type RowPlace, type RowStore, StoreFailureKind } from "../ports/RowStore.js";
 import { type CallerReply, type CallerRequest, CallerVerb, ReplyKind, type RoutedRequest } from "./EntryTypes.js";
 import { IntakeOutcome, IntakeWriter } from "./IntakeWriter.js";
 import type { JobStates, KnownJob } from "./JobStates.js";
@@ -80,10 +80,11 @@
         }
         const acceptedWallMs = this.parts.wallClockMs();
         const spec: JobSpec = { id: jobId, queue: queue.name, team: teamName, ...job, acceptedWallMs };
-        const { outcome, row } = await writer.write(spec);
+        const { outcome, row, version } = await writer.write(spec);
         switch (outcome) {
             case IntakeOutcome.Written:
                 states.note(jobId, JobPhase.Queued, teamName, queue.name);
+                this.parts.watch.notice({ ...intakePlace(jobId), value: JSON.stringify(spec), version: version ?? 0 });
                 log.write(EVENTS.requestAccepted, { requestId: jobId, queue: queue.name, team: teamName });
                 return { kind: ReplyKind.Accepted };
             case IntakeOutcome.Known:
@@ -128,10 +129,11 @@
         if (isFinal(known.phase)) {
             return { kind: ReplyKind.Cancelled, phase: known.phase };
         }
-        const write = { table: FleetTable.Intake, partition: FLEET_PARTITION, key: cancelKey(jobId), value: "{}" };
+        const write = { ...intakePlace(cancelKey(jobId)), value: "{}" };
         for (let attempt = 0; attempt < CANCEL_ATTEMPTS; attempt++) {
             const result = await store.commit([], [write], CANCEL_TIMEOUT_MS);
             if (result.isOk()) {
+                this.parts.watch.notice({ ...write, version: result.value });
                 states.note(jobId, JobPhase.Cancelled, known.team, known.queue);
                 return { kind: ReplyKind.Cancelled, phase: JobPhase.Cancelled };
             }
@@ -188,6 +190,10 @@
     }
 }
 
+function intakePlace(key: string): RowPlace {
+    return { table: FleetTable.Intake, partition: FLEET_PARTITION, key };
+}
+
 function stateReply(known: Omit<KnownJob, "notedAtMs">, teamName: string): CallerReply {
     return known.team === teamName
         ? { kind: ReplyKind.State, phase: known.phase }
--- a/packages/fleet/src/entry/OwnerWatch.ts
+++ b/packages/fleet/src/entry/OwnerWatch.ts
@@ -3,6 +3,7 @@
 import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
 import { LinkFailure, type OwnerLink, type WatchReply } from "../ports/OwnerLink.js";
 import type { PlacementPolicy, PolicyQuestion } from "../ports/PlacementPolicy.js";
+import type { RowChange } from "../ports/RowStore.js";
 import type { JobStates } from "./JobStates.js";
 
 /** How this entry is known, and what it may use. */
@@ -18,8 +19,9 @@
 const REPLY_TIMEOUT_MS = 250;
 const RETRY_MS = 80;
 const DELIVERY_TIMEOUT_MS = 500;
-/** Owners confirm their row four times within this time. */
-const CONFIRMATION_LIMIT_MS = 1300;
+const NOTICE_TIMEOUT_MS = 500;
+/** Owners confirm their row twice within this time, also with a slow store. */
+const CONFIRMATION_LIMIT_MS = 1000;
 /** States are fresh when the last reply is not older than a wait and a reply. */
 const FRESH_MS = 750;
 /** Counts of waiting jobs may be two seconds old. */
@@ -32,10 +34,13 @@
     private sequence = 0;
     private repliedMs = Number.NEGATIVE_INFINITY;
     private confirmed = true;
+    private confirmedAgeMs = 0;
     private portRefused = false;
     private lastProcess: string | undefined;
     private waitingCounts: Readonly<Record<string, number>> = {};
     private round = 0;
+    private notices: RowChange[] = [];
+    private noticing = false;
     private readonly trouble = new Emitter<void>();
 
     /** The owner does not answer, does not confirm its row, or owns nothing any more. */
@@ -64,6 +69,11 @@
         return this.portRefused;
     }
 
+    /** Time for which the owner had not confirmed its row when it replied last; zero when it is silent. */
+    public get unconfirmedMs(): number {
+        return this.fresh ? this.confirmedAgeMs : 0;
+    }
+
     /** Process that replied last at the owner's address. */
     public get process(): string | undefined {
         return this.lastProcess;
@@ -88,6 +98,14 @@
         }
     }
 
+    /** Tells the owner of a row that this entry has written; what is not told, the owner finds by itself. */
+    public notice(change: RowChange): void {
+        this.notices.push(change);
+        if (!this.noticing) {
+            void this.sendNotices();
+        }
+    }
+
     public dispose(): void {
         this.follow(undefined);
         this.trouble.dispose();
@@ -127,6 +145,7 @@
         this.epoch = reply.epoch;
         this.sequence = reply.sequence;
         this.waitingCounts = reply.waiting;
+        this.confirmedAgeMs = reply.confirmedAgeMs;
         this.confirmed = reply.confirmedAgeMs < CONFIRMATION_LIMIT_MS;
         if (reply.whole) {
             this.states.forgetRunning();
@@ -142,6 +161,17 @@
         }
     }
 
+    private async sendNotices(): Promise<void> {
+        this.noticing = true;
+        while (this.notices.length > 0 && this.address !== undefined) {
+            const changes = this.notices;
+            this.notices = [];
+            await this.link.notice(this.address, { epoch: this.epoch, changes }, NOTICE_TIMEOUT_MS);
+        }
+        this.notices = [];
+        this.noticing = false;
+    }
+
     private async ask(address: string, epoch: number, question: PolicyQuestion): Promise<void> {
         const answer = await this.policy?.ask(question, this.options.questionTimeoutMs());
         const { entry } = this.options;
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -11,12 +11,13 @@
 import type { KnownWorker } from "../model/OwnerRow.js";
 import { FLEET_PARTITION, FleetTable } from "../model/Tables.js";
 import type { DirectorySource } from "../ports/DirectorySource.js";
-import type { OwnerService, PermitDelivery, WatchReply, WatchRequest } from "../ports/OwnerLink.js";
+import type { IntakeNotice, OwnerService, PermitDelivery, WatchReply, WatchRequest } from "../ports/OwnerLink.js";
 import type { RowStore } from "../ports/RowStore.js";
 import type { WorkerCalls, WorkerEntry } from "../ports/WorkerCalls.js";
 import { FleetState } from "../state/FleetState.js";
 import type { JobState } from "../state/JobState.js";
 import { Dispatcher } from "./Dispatcher.js";
+import { DurationMeter } from "./DurationMeter.js";
 import { EntryWatchers } from "./EntryWatchers.js";
 import { IntakeReader } from "./IntakeReader.js";
 import type { OwnerLedger } from "./OwnerLedger.js";
@@ -56,12 +57,12 @@
 /** Decisions are made anew at this interval, since permits lapse and quarantines end. */
 const DECISION_INTERVAL_MS = 100;
 /** Rest after a decision, as a multiple of its duration, so that the exchange with workers is never starved. */
-const REST_PER_DECISION = 4;
+const REST_PER_DECISION = 1;
 /** Number of runs that one owner may give a task before its successor's numbers begin. */
 const RUNS_PER_EPOCH = 64;
 const INTAKE_WAIT_MS = 1000;
-/** Jobs that arrive within this time share one call of the store. */
-const INTAKE_GAP_MS = 12;
+/** Entries tell of what they have written; the changes of the table are read for what was not told. */
+const INTAKE_GAP_MS = 250;
 
 /** Owner of the fleet: takes every decision about its workers and jobs. */
 export class FleetOwner implements OwnerService, Disposable {
@@ -79,6 +80,7 @@
     private readonly lost = new Emitter<string>();
     private decisionDue: Disposable | undefined;
     private ready = false;
+    private readonly decisions = new DurationMeter();
     private restMs = 0;
     private stopping = false;
 
@@ -164,6 +166,12 @@
         }
     }
 
+    public notice(notice: IntakeNotice): void {
+        if (notice.epoch === this.epoch) {
+            this.intake.notice(notice.changes);
+        }
+    }
+
     /** Commits all that is known and gives the fleet up to the heir that is nearest to the store. */
     public async release(limitMs: number): Promise<boolean> {
         this.stopping = true;
@@ -219,7 +227,7 @@
         this.registry.begin(entries, workers, unknownLeaseMs);
         this.runs.failExhausted();
         const { timer, log } = this.parts;
-        this.disposables.add(new StatusReporter(this.fleet, this.registry, this.ledger, timer, log));
+        this.disposables.add(new StatusReporter(this.fleet, this.registry, this.ledger, this.decisions, timer, log));
         this.ready = true;
         this.parts.log.write(EVENTS.sliceAcquired, { epoch: this.epoch, jobs: this.fleet.jobs.size });
         this.decideSoon();
@@ -239,7 +247,9 @@
             this.decisionDue = undefined;
             const startedMs = this.parts.timer.nowMs();
             this.decide();
-            this.restMs = (this.parts.timer.nowMs() - startedMs) * REST_PER_DECISION;
+            const durationMs = this.parts.timer.nowMs() - startedMs;
+            this.decisions.note(durationMs);
+            this.restMs = durationMs * REST_PER_DECISION;
         });
     }
 
--- a/packages/fleet/src/owner/IntakeReader.ts
+++ b/packages/fleet/src/owner/IntakeReader.ts
@@ -21,6 +21,7 @@
     private readonly added = new Emitter<JobState>();
     private readonly cancelled = new Emitter<JobState>();
     private readonly rates = new TeamRates();
+    private loadedVersion: number | undefined;
     private stopped = false;
 
     /** A job was accepted. */
@@ -56,11 +57,20 @@
                 this.cancelled.fire(job);
             }
         }
+        this.loadedVersion = intake.version;
         this.follower.onChange(({ changes }) => this.apply(changes, true));
         this.follower.start(intake.version);
         return true;
     }
 
+    /** Takes in rows that an entry has written; those that were loaded already, or have ended since, are known. */
+    public notice(changes: readonly RowChange[]): void {
+        const { loadedVersion } = this;
+        if (loadedVersion !== undefined) {
+            this.apply(changes.filter(change => change.version > loadedVersion), true);
+        }
+    }
+
     public dispose(): void {
         this.stopped = true;
     }
--- a/packages/fleet/src/owner/PermitDesk.ts
+++ b/packages/fleet/src/owner/PermitDesk.ts
@@ -12,6 +12,8 @@
 interface Lane {
     readonly entry: string;
     readonly pending: PolicyQuestion[];
+    /** Questions that are not answered yet, with the time that they take. */
+    readonly open: Map<string, number>;
     busyUntilMs: number;
     seenMs: number;
 }
@@ -40,6 +42,8 @@
 /** Workers named for each waiting task of a step whose tasks are placed one by one. */
 const WORKERS_PER_TASK = 3;
 const LEAST_WORKERS = 10;
+/** Part of a gang's room that must be free before its permits are renewed. */
+const GANG_ROOM_SHARE = 0.6;
 /** A permit is asked for again when it holds for less than this. */
 const RENEWAL_MARGIN_MS = 150;
 
@@ -62,7 +66,7 @@
             lane.seenMs = nowMs;
         }
         else {
-            this.lanes.set(entry, { entry, pending: [], busyUntilMs: nowMs, seenMs: nowMs });
+            this.lanes.set(entry, { entry, pending: [], open: new Map(), busyUntilMs: nowMs, seenMs: nowMs });
         }
     }
 
@@ -98,8 +102,9 @@
     public deliver(delivery: PermitDelivery): void {
         const nowMs = this.timer.nowMs();
         const lane = this.lanes.get(delivery.entry);
-        if (lane && lane.pending.length === 0) {
-            lane.busyUntilMs = Math.min(lane.busyUntilMs, nowMs + LONGEST_BACKLOG_MS);
+        if (lane?.open.delete(delivery.step)) {
+            const remainingMs = [...lane.open.values()].reduce((sum, costMs) => sum + costMs, 0);
+            lane.busyUntilMs = Math.min(lane.busyUntilMs, nowMs + remainingMs);
         }
         const asked = this.stepsAsked.get(delivery.step);
         if (!asked) {
@@ -161,12 +166,14 @@
         );
         const room = (worker: WorkerState): number => worker.fits(spec.size, spec.filler);
         const allowedRoom = allowed.reduce((sum, worker) => sum + room(worker), 0);
-        const needed = spec.gang ? waiting : 1;
-        if (allowedRoom >= needed) {
-            const stale = allowed.filter(worker =>
-                room(worker) > 0 && permits.byWorker.get(worker.id)!.expiresAtMs < nowMs + RENEWAL_MARGIN_MS
-            );
-            return limitWorkers(stale, step, waiting, room);
+        const isStale = (worker: WorkerState): boolean =>
+            permits.byWorker.get(worker.id)!.expiresAtMs < nowMs + RENEWAL_MARGIN_MS;
+        if (spec.gang && allowedRoom >= waiting * GANG_ROOM_SHARE) {
+            // Members start together, so all their permits are renewed together, and before the last place is free.
+            return allowed.some(isStale) ? limitWorkers(allowed, step, waiting, room) : [];
+        }
+        if (!spec.gang && allowedRoom >= 1) {
+            return limitWorkers(allowed.filter(worker => room(worker) > 0 && isStale(worker)), step, waiting, room);
         }
         const unknown = usable.filter(worker => !permits.asked.has(lifeOf(worker)));
         return limitWorkers(unknown, step, waiting, room);
@@ -203,7 +210,12 @@
     ): void {
         step.permits.askedAtMs = nowMs;
         step.permits.questions++;
-        lane.busyUntilMs = Math.max(lane.busyUntilMs, nowMs) + costOf(policy, workers.length);
+        const costMs = costOf(policy, workers.length);
+        lane.busyUntilMs = Math.max(lane.busyUntilMs, nowMs) + costMs;
+        if (lane.busyUntilMs === nowMs + costMs) {
+            lane.open.clear();
+        }
+        lane.open.set(step.name, costMs);
         this.stepsAsked.set(step.name, { step, workers, answerMs: lane.busyUntilMs + LONGEST_BACKLOG_MS });
         lane.pending.push({ step: step.name, workerIds: workers.map(worker => worker.id) });
         this.questioned.fire(lane.entry);
--- a/packages/fleet/src/owner/StatusReporter.ts
+++ b/packages/fleet/src/owner/StatusReporter.ts
@@ -6,6 +6,7 @@
 import { orderSteps } from "../placement/StepOrder.js";
 import { explainWait } from "../placement/WaitReason.js";
 import type { FleetState } from "../state/FleetState.js";
+import type { DurationMeter } from "./DurationMeter.js";
 import type { OwnerLedger } from "./OwnerLedger.js";
 import type { WorkerRegistry } from "./WorkerRegistry.js";
 
@@ -20,6 +21,7 @@
         private readonly fleet: FleetState,
         private readonly registry: WorkerRegistry,
         private readonly ledger: OwnerLedger,
+        private readonly decisions: DurationMeter,
         private readonly timer: TimerService,
         private readonly log: EventLog
     ) {
@@ -43,6 +45,7 @@
             }
         }
         const workers = [...this.fleet.workers.values()];
+        const decisions = this.decisions.read();
         const fields: EventFields = {
             epoch: this.ledger.epoch,
             confirmedAgeMs: Math.round(this.ledger.confirmedAgeMs),
@@ -53,6 +56,9 @@
             workers: workers.length,
             workersUsable: workers.filter(worker => worker.canStart(nowMs)).length,
             waiting: Object.entries(reasons).map(([reason, count]) => `${reason}:${count}`).join(" "),
+            decisions: decisions.count,
+            decisionMeanMs: Number(decisions.meanMs.toFixed(2)),
+            decisionLongestMs: Number(decisions.longestMs.toFixed(1)),
             longestStep: longest?.step,
             longestWaitMs: longest?.waitMs,
             longestReason: longest?.reason
--- a/packages/fleet/src/ownership/OwnerElection.ts
+++ b/packages/fleet/src/ownership/OwnerElection.ts
@@ -38,12 +38,16 @@
     readonly refused: () => boolean;
     /** Another process than the holder replies at its address. */
     readonly replaced: (holder: string) => boolean;
+    /** Time for which the owner has not confirmed its row, as it says itself. */
+    readonly unconfirmedMs: () => number;
 }
 
 /** An owner whose row has not been confirmed for this long, while the store answers, is taken as dead. */
 const OWNER_TIMEOUT_MS = 1500;
 /** The same for one whose port refuses connections. */
 const REFUSED_TIMEOUT_MS = 500;
+/** The same for one that admits that it can't confirm its row: time to see that the store serves this process. */
+const ADMITTED_TIMEOUT_MS = 300;
 /** The same for one in whose place another process replies. */
 const REPLACED_TIMEOUT_MS = 100;
 const POLL_INTERVAL_MS = 100;
@@ -153,6 +157,9 @@
         if (this.signs.replaced(row.holder)) {
             return REPLACED_TIMEOUT_MS + delayMs;
         }
+        if (this.signs.unconfirmedMs() >= OWNER_TIMEOUT_MS) {
+            return ADMITTED_TIMEOUT_MS + delayMs;
+        }
         return (this.signs.refused() ? REFUSED_TIMEOUT_MS : OWNER_TIMEOUT_MS) + delayMs;
     }
 
--- a/packages/fleet/src/ports/OwnerLink.ts
+++ b/packages/fleet/src/ports/OwnerLink.ts
@@ -1,5 +1,6 @@
 import type { JobPhase } from "../model/JobSpec.js";
 import type { Permit, PolicyQuestion } from "./PlacementPolicy.js";
+import type { RowChange } from "./RowStore.js";
 
 /** Change of a job's state, as the owner tells it to entries. */
 export interface JobUpdate {
@@ -48,16 +49,24 @@
     readonly permitMs?: number;
 }
 
+/** Rows that an entry has written to the intake; the owner would also find them in its changes, but later. */
+export interface IntakeNotice {
+    readonly epoch: number;
+    readonly changes: readonly RowChange[];
+}
+
 /** What the owner offers to entries. */
 export interface OwnerService {
     watch(request: WatchRequest): Promise<WatchReply>;
     deliver(delivery: PermitDelivery): void;
+    notice(notice: IntakeNotice): void;
 }
 
 /** Calls from an entry to the owner. */
 export interface OwnerLink {
     watch(address: string, request: WatchRequest, timeoutMs: number): Promise<WatchReply | LinkFailure>;
     deliver(address: string, delivery: PermitDelivery, timeoutMs: number): Promise<LinkFailure | undefined>;
+    notice(address: string, notice: IntakeNotice, timeoutMs: number): Promise<LinkFailure | undefined>;
 }
 
 /** Why the owner could not be asked. */
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -303,6 +303,14 @@
                 }
                 target.process.deliver(delivery);
                 return undefined;
+            },
+            notice: async (address, notice) => {
+                const target = await reach(address);
+                if (typeof target === "string") {
+                    return target;
+                }
+                target.process.notice(notice);
+                return undefined;
             }
         };
     }
