--- /dev/null
+++ b/packages/fleet/src/config/TableFollower.test.ts
@@ -0,0 +1,101 @@
+import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
+import test from "ava";
+import { err, ok } from "neverthrow";
+import { type RowChange, type RowStore, type StoreFailure, StoreFailureKind } from "../ports/RowStore.js";
+import { TableFollower } from "./TableFollower.js";
+
+const OPTIONS = { table: "t", partition: "p", waitMs: 100, gapMs: 50 };
+
+function row(key: string, version: number): Required<RowChange> {
+    return { table: "t", partition: "p", key, value: key, version };
+}
+
+/** Store whose replies can be changed while it is followed. */
+class ScriptedStore implements RowStore {
+    public rows: Required<RowChange>[] = [];
+    public version = 0;
+    public fails: StoreFailure | undefined;
+    public wholeReadings = 0;
+
+    constructor(private readonly timer: VirtualTimer) {}
+
+    public async commit(): ReturnType<RowStore["commit"]> {
+        return ok(0);
+    }
+
+    public async read(): ReturnType<RowStore["read"]> {
+        await new Promise<void>(resolve => this.timer.after(4, resolve));
+        this.wholeReadings++;
+        return this.fails ? err(this.fails) : ok({ rows: [...this.rows], hasMore: false, version: this.version });
+    }
+
+    public async changes(...[, after]: Parameters<RowStore["changes"]>): ReturnType<RowStore["changes"]> {
+        await new Promise<void>(resolve => this.timer.after(4, resolve));
+        const changes = this.rows.filter(each => each.version > after);
+        return this.fails ? err(this.fails) : ok({ changes, version: this.version });
+    }
+}
+
+function follow(): { timer: VirtualTimer; store: ScriptedStore; follower: TableFollower; told: string[]; } {
+    const timer = new VirtualTimer();
+    const store = new ScriptedStore(timer);
+    const follower = new TableFollower(store, timer, OPTIONS);
+    const told: string[] = [];
+    follower.onChange(({ whole, changes }) => told.push(...changes.map(change => `${change.key}${whole ? "!" : ""}`)));
+    return { timer, store, follower, told };
+}
+
+test("a change that becomes visible after a newer version was told is not missed, and none is told twice", async t => {
+    const { timer, store, follower, told } = follow();
+    store.version = 1000;
+    follower.start(900);
+    await timer.advance(300);
+    store.rows.push(row("late", 950));
+    await timer.advance(300);
+    t.deepEqual(told, ["late"]);
+    follower.dispose();
+});
+
+test("a first reading is repeated once, for what was not visible yet", async t => {
+    const { timer, store, follower, told } = follow();
+    store.version = 1000;
+    follower.start();
+    await timer.advance(100);
+    store.rows.push(row("late", 999));
+    await timer.advance(3000);
+    t.true(told.includes("late!"));
+    t.is(store.wholeReadings, 2);
+    follower.dispose();
+});
+
+test("a lost history is read anew, and the age grows while the store fails", async t => {
+    const { timer, store, follower, told } = follow();
+    follower.start(5);
+    await timer.advance(200);
+    t.true(follower.ageMs < 200);
+    store.fails = { kind: StoreFailureKind.HistoryLost, message: "", rows: [] };
+    await timer.advance(100);
+    store.fails = { kind: StoreFailureKind.Unavailable, message: "", rows: [] };
+    await timer.advance(2000);
+    t.true(follower.ageMs > 1900);
+    store.rows.push(row("a", 9));
+    store.fails = undefined;
+    await timer.advance(500);
+    t.deepEqual(told.slice(0, 1), ["a!"]);
+    follower.dispose();
+});
+
+test("a jump of the time of day makes the knowledge stale until it is read again", async t => {
+    const { timer, store, follower } = follow();
+    follower.start(5);
+    await timer.advance(200);
+    store.fails = { kind: StoreFailureKind.Unavailable, message: "", rows: [] };
+    await timer.advance(20);
+    const wallClockMs = timer.wallClockMs.bind(timer);
+    timer.wallClockMs = () => wallClockMs() + 2400;
+    t.is(follower.ageMs, Number.POSITIVE_INFINITY);
+    store.fails = undefined;
+    await timer.advance(400);
+    t.true(follower.ageMs < 200);
+    follower.dispose();
+});
--- a/packages/fleet/src/placement/GangReservations.ts
+++ b/packages/fleet/src/placement/GangReservations.ts
@@ -1,51 +1,83 @@
+import type { StepState } from "../state/StepState.js";
 import type { WorkerState } from "../state/WorkerState.js";
 import type { RankedStep } from "./StepOrder.js";
 
+interface Reservation {
+    readonly step: StepState;
+    readonly priority: number;
+    readonly workers: ReadonlySet<WorkerState>;
+}
+
+/** How a step may use a worker. */
+export enum WorkerUse {
+    Free = "free",
+    /** Only when no other worker has room. */
+    LastResort = "last-resort",
+    Reserved = "reserved"
+}
+
 /** Gangs for which room is kept free at the same time. */
 const MAXIMUM_RESERVATIONS = 3;
+/** Room that is reserved, as a multiple of what the gang needs, where there is as much. */
+const SPARE_FACTOR = 1.25;
 
-/** Keeps room free for gangs that wait: less urgent steps do not start on workers that are reserved. */
+/** Keeps room free for gangs that wait, until they start: more urgent steps use it as a last resort, others not at all. */
 export class GangReservations {
-    private readonly priorityByWorker = new Map<WorkerState, number>();
-    private count = 0;
+    private readonly reservations = new Map<StepState, Reservation>();
+
+    /** Drops the reservations of gangs that do not wait any more, or whose workers are not usable. */
+    public refresh(nowMs: number): void {
+        for (const [step, { workers }] of this.reservations) {
+            const isWaiting = !step.done && !step.job.final && step.tasks.every(task => task.waiting);
+            if (!isWaiting || [...workers].some(worker => !worker.canStart(nowMs))) {
+                this.reservations.delete(step);
+            }
+        }
+    }
 
     /** Reserves the workers that will have room for a gang soonest. */
     public reserve(ranked: RankedStep, possible: readonly WorkerState[]): void {
-        if (this.count >= MAXIMUM_RESERVATIONS) {
+        if (this.reservations.has(ranked.step) || this.reservations.size >= MAXIMUM_RESERVATIONS) {
             return;
         }
-        const { size, filler } = ranked.step.spec;
-        const free = possible.filter(worker => !this.priorityByWorker.has(worker));
-        const rooms = free.map(worker => ({ worker, now: worker.fits(size, filler), whole: countWhole(worker, size) }));
+        const { size, filler, maximumPerWorker } = ranked.step.spec;
+        const most = maximumPerWorker > 0 ? maximumPerWorker : Number.MAX_SAFE_INTEGER;
+        const rooms = possible.filter(worker => this.holderOf(worker) === undefined).map(worker => ({
+            worker,
+            now: Math.min(most, worker.fits(size, filler)),
+            whole: Math.min(most, worker.fitsWhenEmpty(size))
+        }));
         rooms.sort((left, right) => right.now - left.now || right.whole - left.whole);
-        let missing = ranked.step.tasks.length;
-        const chosen: WorkerState[] = [];
-        for (const room of rooms) {
-            if (missing <= 0) {
+        const needed = ranked.step.tasks.length;
+        const workers = new Set<WorkerState>();
+        let room = 0;
+        for (const { worker, whole } of rooms) {
+            if (room >= needed * SPARE_FACTOR) {
                 break;
             }
-            chosen.push(room.worker);
-            missing -= room.whole;
+            workers.add(worker);
+            room += whole;
         }
-        if (missing > 0) {
-            return;
-        }
-        this.count++;
-        for (const worker of chosen) {
-            this.priorityByWorker.set(worker, ranked.queue.priority);
+        if (room >= needed) {
+            this.reservations.set(ranked.step, { step: ranked.step, priority: ranked.queue.priority, workers });
         }
     }
 
-    /** Tells whether a step may start tasks on a worker. */
-    public allows(ranked: RankedStep, worker: WorkerState): boolean {
-        const reserved = this.priorityByWorker.get(worker);
-        return reserved === undefined || ranked.queue.priority < reserved;
+    /** Tells how a step may use a worker. */
+    public useOf(ranked: RankedStep, worker: WorkerState): WorkerUse {
+        const holder = this.holderOf(worker);
+        if (!holder || holder.step === ranked.step) {
+            return WorkerUse.Free;
+        }
+        return ranked.queue.priority < holder.priority ? WorkerUse.LastResort : WorkerUse.Reserved;
     }
-}
 
-function countWhole(worker: WorkerState, size: { readonly cpuMilli: number; readonly memoryMb: number; }): number {
-    const { capacity } = worker.entry;
-    const byCpu = size.cpuMilli > 0 ? Math.floor(capacity.cpuMilli / size.cpuMilli) : Number.MAX_SAFE_INTEGER;
-    const byMemory = size.memoryMb > 0 ? Math.floor(capacity.memoryMb / size.memoryMb) : Number.MAX_SAFE_INTEGER;
-    return Math.min(byCpu, byMemory);
+    private holderOf(worker: WorkerState): Reservation | undefined {
+        for (const reservation of this.reservations.values()) {
+            if (reservation.workers.has(worker)) {
+                return reservation;
+            }
+        }
+        return undefined;
+    }
 }
--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -3,7 +3,7 @@
 import type { StepState } from "../state/StepState.js";
 import type { TaskState } from "../state/TaskState.js";
 import { countedSize, type WorkerState } from "../state/WorkerState.js";
-import { GangReservations } from "./GangReservations.js";
+import { GangReservations, WorkerUse } from "./GangReservations.js";
 import { orderSteps, type RankedStep } from "./StepOrder.js";
 
 /** A task to be started on a worker. */
@@ -32,13 +32,18 @@
 interface Candidate {
     readonly worker: WorkerState;
     readonly permit: string | undefined;
-    room: number;
-    onWorker: number;
+    readonly room: number;
+    /** Tasks of the step that run there. */
+    readonly onWorker: number;
+    /** It is reserved for a gang that is less urgent. */
+    readonly lastResort: boolean;
     taken: number;
 }
 
 /** Decides which waiting tasks start where. */
 export class PlacementPlanner {
+    private readonly reservations = new GangReservations();
+
     constructor(private readonly fleet: FleetState) {}
 
     /** Plans starts; the caller counts each start before the next plan. */
@@ -46,14 +51,14 @@
         const starts: StepPlacement[] = [];
         const wantPermits: StepState[] = [];
         const taken = new Map<WorkerState, Amount>();
-        const reservations = new GangReservations();
+        this.reservations.refresh(nowMs);
         const teamTaken = new TeamTaken(this.fleet);
         for (const ranked of orderSteps(this.fleet, nowMs)) {
             const { step } = ranked;
             if (!mayStart(step)) {
                 continue;
             }
-            const candidates = this.candidates(ranked, nowMs, taken, reservations);
+            const candidates = this.candidates(ranked, nowMs, taken);
             const placements = step.spec.gang
                 ? this.placeGang(ranked, candidates, teamTaken)
                 : this.placeEach(ranked, candidates, teamTaken);
@@ -70,7 +75,7 @@
                     wantPermits.push(step);
                 }
                 if (step.spec.gang) {
-                    reservations.reserve(ranked, this.possibleWorkers(ranked, nowMs));
+                    this.reservations.reserve(ranked, this.possibleWorkers(ranked, nowMs));
                 }
             }
         }
@@ -81,19 +86,22 @@
     private candidates(
         ranked: RankedStep,
         nowMs: number,
-        taken: ReadonlyMap<WorkerState, Amount>,
-        reservations: GangReservations
+        taken: ReadonlyMap<WorkerState, Amount>
     ): Candidate[] {
         const { step, queue } = ranked;
         const candidates: Candidate[] = [];
         const add = (worker: WorkerState, permit: string | undefined): void => {
-            if (!this.suits(worker, ranked) || !worker.canStart(nowMs) || !reservations.allows(ranked, worker)) {
+            if (!this.suits(worker, ranked) || !worker.canStart(nowMs)) {
+                return;
+            }
+            const use = this.reservations.useOf(ranked, worker);
+            if (use === WorkerUse.Reserved) {
                 return;
             }
             const room = worker.fits(step.spec.size, step.spec.filler, taken.get(worker));
             const onWorker = countOfStep(worker, step);
             if (room > 0 && (step.spec.maximumPerWorker === 0 || onWorker < step.spec.maximumPerWorker)) {
-                candidates.push({ worker, permit, room, onWorker, taken: 0 });
+                candidates.push({ worker, permit, room, onWorker, taken: 0, lastResort: use === WorkerUse.LastResort });
             }
         };
         if (!queue.policy) {
@@ -228,6 +236,9 @@
     if (task.avoidedWorkers.has(worker.id)) {
         score -= 1000;
     }
+    if (candidate.lastResort) {
+        score -= 500;
+    }
     if (nearRack !== undefined && worker.entry.rack === nearRack) {
         score += 100;
     }
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -3,6 +3,8 @@
 import type { WorkerEntry } from "../ports/WorkerCalls.js";
 import type { RunState } from "./RunState.js";
 
+const NOTHING: Readonly<Amount> = createAmount();
+
 /** One life of a worker, as its owner knows it. */
 export class WorkerState {
     /** Sum of all runs that count, those being stopped too. */
@@ -48,6 +50,11 @@
         return countFits(this.entry.capacity, used, size, !filler);
     }
 
+    /** Number of tasks of a size that fit when nothing else runs. */
+    public fitsWhenEmpty(size: Size): number {
+        return countFits(this.entry.capacity, NOTHING, size);
+    }
+
     /** Counts a run. */
     public addRun(run: RunState): void {
         this.runs.set(run.task.name, run);
