An answer of the policy belongs to its question; fillers are slowed beside serving tasks

A question that got no answer in time was asked again of other workers; the late answer to the first was taken for the second, so workers counted as asked and refused, in the end all of them. Change: questions have numbers; a step that no worker may run is asked for again after 1.5 s. Fillers beside a serving task near its bound get half as fast, over it they stand still.

--- a/packages/fleet/src/config/WorkerDirectory.ts
+++ b/packages/fleet/src/config/WorkerDirectory.ts
@@ -10,7 +10,7 @@
 
 const WAIT_MS = 1000;
 /** Changes of many workers that come together share a call. */
-const GAP_MS = 100;
+const GAP_MS = 250;
 
 /** The workers that the platform lists. */
 export class WorkerDirectory implements Disposable {
--- a/packages/fleet/src/entry/OwnerWatch.ts
+++ b/packages/fleet/src/entry/OwnerWatch.ts
@@ -178,7 +178,7 @@
         await this.link.deliver(address, {
             epoch,
             entry,
-            step: question.step,
+            question: question.number,
             permits: answer?.permits,
             permitMs: answer?.permitMs
         }, DELIVERY_TIMEOUT_MS);
--- /dev/null
+++ b/packages/fleet/src/owner/FillerGuard.test.ts
@@ -0,0 +1,50 @@
+import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
+import test from "ava";
+import { RunPhase, type RunState } from "../state/RunState.js";
+import { addJob, addWorker, createFleet } from "../testing/FleetFixture.js";
+import { FillerGuard } from "./FillerGuard.js";
+
+function begin(): {
+    guard: FillerGuard;
+    timer: VirtualTimer;
+    serving: RunState;
+    filler: RunState;
+    paces: () => number[];
+} {
+    const fleet = createFleet();
+    const timer = new VirtualTimer();
+    const worker = addWorker(fleet, "w1");
+    const start = (id: string, change: object): RunState => {
+        const task = addJob(fleet, [change], id).findTask(0, 0, 0)!;
+        return fleet.openRun(task, worker, 1, RunPhase.Running, 0);
+    };
+    const serving = start("00000000000000a1", { lasting: true, targetMs: 100 });
+    const filler = start("00000000000000a2", { filler: true });
+    const guard = new FillerGuard(timer);
+    return { guard, timer, serving, filler, paces: () => guard.decide(worker).map(change => change.percent) };
+}
+
+test("fillers stand still at once when a serving task is over its bound, and come back in steps", async t => {
+    const { guard, timer, serving, filler, paces } = begin();
+    t.true(guard.watches(serving.worker));
+    serving.load = 120;
+    t.deepEqual(paces(), [0]);
+    t.deepEqual(paces(), [], "the pace is ordered once");
+    serving.load = 30;
+    t.deepEqual(paces(), []);
+    await timer.advance(2600);
+    t.deepEqual(paces(), [20]);
+    t.deepEqual(paces(), []);
+    t.is(filler.pacePercent, 20);
+});
+
+test("near the bound fillers get half as fast, after the former pace has taken effect", async t => {
+    const { timer, serving, paces } = begin();
+    serving.load = 90;
+    t.deepEqual(paces(), []);
+    await timer.advance(600);
+    t.deepEqual(paces(), [50]);
+    t.deepEqual(paces(), []);
+    await timer.advance(600);
+    t.deepEqual(paces(), [25]);
+});
--- /dev/null
+++ b/packages/fleet/src/owner/FillerGuard.ts
@@ -0,0 +1,69 @@
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { FULL_PACE_PERCENT, type RunState } from "../state/RunState.js";
+import type { WorkerState } from "../state/WorkerState.js";
+
+/** New pace of a filling task. */
+export interface PaceChange {
+    readonly run: RunState;
+    readonly percent: number;
+}
+
+/** Share of its bound above which the tail of a serving task calls for slower fillers. */
+const WARNING_SHARE = 0.8;
+/** Share below which fillers may be faster again. */
+const CALM_SHARE = 0.6;
+/** Fillers get faster by this much at a time, after a while of calm. */
+const STEP_UP_PERCENT = 20;
+const CALM_MS = 2500;
+/** A pace takes effect within a tenth of a second, and the tail is a figure for the last half second. */
+const SETTLE_MS = 500;
+/** A pace below this is none. */
+const LEAST_PERCENT = 10;
+
+/** Slows the tasks that fill a worker while a serving task beside them is near its bound. */
+export class FillerGuard {
+    constructor(private readonly timer: TimerService) {}
+
+    /** Tells whether both kinds of tasks run on a worker, so that it has to be looked at often. */
+    public watches(worker: WorkerState): boolean {
+        const runs = [...worker.runs.values()];
+        return runs.some(run => run.task.step.spec.filler) && runs.some(isServing);
+    }
+
+    /** Decides on the pace of the fillers of a worker after a report. */
+    public decide(worker: WorkerState): readonly PaceChange[] {
+        const runs = [...worker.runs.values()];
+        const fillers = runs.filter(run => run.task.step.spec.filler);
+        const strain = Math.max(0, ...runs.filter(isServing).map(run => (run.load ?? 0) / run.task.step.spec.targetMs));
+        const nowMs = this.timer.nowMs();
+        const changes: PaceChange[] = [];
+        for (const run of fillers) {
+            const percent = nextPace(run, strain, nowMs);
+            if (percent !== run.pacePercent) {
+                run.pacePercent = percent;
+                run.pacedAtMs = nowMs;
+                changes.push({ run, percent });
+            }
+        }
+        return changes;
+    }
+}
+
+function isServing(run: RunState): boolean {
+    return run.task.step.spec.targetMs > 0 && !run.task.step.spec.filler;
+}
+
+function nextPace(run: RunState, strain: number, nowMs: number): number {
+    const sinceMs = nowMs - run.pacedAtMs;
+    if (strain >= 1) {
+        return 0;
+    }
+    if (strain > WARNING_SHARE && sinceMs >= SETTLE_MS) {
+        const half = Math.floor(run.pacePercent / 2);
+        return half < LEAST_PERCENT ? 0 : half;
+    }
+    if (strain < CALM_SHARE && sinceMs >= CALM_MS) {
+        return Math.min(FULL_PACE_PERCENT, run.pacePercent + STEP_UP_PERCENT);
+    }
+    return run.pacePercent;
+}
--- a/packages/fleet/src/owner/PermitDesk.ts
+++ b/packages/fleet/src/owner/PermitDesk.ts
@@ -13,7 +13,7 @@
     readonly entry: string;
     readonly pending: PolicyQuestion[];
     /** Questions that are not answered yet, with the time that they take. */
-    readonly open: Map<string, number>;
+    readonly open: Map<number, number>;
     busyUntilMs: number;
     seenMs: number;
 }
@@ -44,13 +44,16 @@
 const LEAST_WORKERS = 10;
 /** Part of a gang's room that must be free before its permits are renewed. */
 const GANG_ROOM_SHARE = 0.6;
+/** A step that no worker may run is asked for again after this time. */
+const ASK_AGAIN_MS = 1500;
 /** A permit is asked for again when it holds for less than this. */
 const RENEWAL_MARGIN_MS = 150;
 
 /** Asks the placement policy through the entries, each of which is served one question at a time. */
 export class PermitDesk {
     private readonly lanes = new Map<string, Lane>();
-    private readonly stepsAsked = new Map<string, AskedStep>();
+    private readonly asked = new Map<number, AskedStep>();
+    private nextQuestion = 1;
     private readonly questioned = new Emitter<string>();
 
     /** A question waits for an entry. */
@@ -102,17 +105,18 @@
     public deliver(delivery: PermitDelivery): void {
         const nowMs = this.timer.nowMs();
         const lane = this.lanes.get(delivery.entry);
-        if (lane?.open.delete(delivery.step)) {
+        if (lane?.open.delete(delivery.question)) {
             const remainingMs = [...lane.open.values()].reduce((sum, costMs) => sum + costMs, 0);
             lane.busyUntilMs = Math.min(lane.busyUntilMs, nowMs + remainingMs);
         }
-        const asked = this.stepsAsked.get(delivery.step);
+        const asked = this.asked.get(delivery.question);
         if (!asked) {
             return;
         }
-        this.stepsAsked.delete(delivery.step);
+        this.asked.delete(delivery.question);
         const { step, workers, answerMs } = asked;
         step.permits.askedAtMs = undefined;
+        step.permits.answeredAtMs = nowMs;
         if (!delivery.permits) {
             return;
         }
@@ -135,7 +139,7 @@
     /** Drops the questions about a job that has ended. */
     public forget(job: JobState): void {
         for (const step of job.openSteps()) {
-            this.stepsAsked.delete(step.name);
+            this.asked.delete(step.permits.question);
         }
     }
 
@@ -176,6 +180,10 @@
             return limitWorkers(allowed.filter(worker => room(worker) > 0 && isStale(worker)), step, waiting, room);
         }
         const unknown = usable.filter(worker => !permits.asked.has(lifeOf(worker)));
+        if (unknown.length === 0 && allowed.length === 0 && nowMs >= permits.answeredAtMs + ASK_AGAIN_MS) {
+            permits.asked.clear();
+            return limitWorkers(usable, step, waiting, room);
+        }
         return limitWorkers(unknown, step, waiting, room);
     }
 
@@ -209,15 +217,17 @@
         nowMs: number
     ): void {
         step.permits.askedAtMs = nowMs;
-        step.permits.questions++;
         const costMs = costOf(policy, workers.length);
         lane.busyUntilMs = Math.max(lane.busyUntilMs, nowMs) + costMs;
         if (lane.busyUntilMs === nowMs + costMs) {
             lane.open.clear();
         }
-        lane.open.set(step.name, costMs);
-        this.stepsAsked.set(step.name, { step, workers, answerMs: lane.busyUntilMs + LONGEST_BACKLOG_MS });
-        lane.pending.push({ step: step.name, workerIds: workers.map(worker => worker.id) });
+        const number = this.nextQuestion++;
+        this.asked.delete(step.permits.question);
+        step.permits.question = number;
+        lane.open.set(number, costMs);
+        this.asked.set(number, { step, workers, answerMs: lane.busyUntilMs + LONGEST_BACKLOG_MS });
+        lane.pending.push({ number, step: step.name, workerIds: workers.map(worker => worker.id) });
         this.questioned.fire(lane.entry);
     }
 }
--- a/packages/fleet/src/owner/RunKeeper.ts
+++ b/packages/fleet/src/owner/RunKeeper.ts
@@ -4,7 +4,7 @@
 import { type ListedEnd, type ListedRun, RunEnd, type WorkerReport } from "../ports/WorkerCalls.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { JobState } from "../state/JobState.js";
-import { RunPhase, type RunState } from "../state/RunState.js";
+import { FULL_PACE_PERCENT, RunPhase, type RunState } from "../state/RunState.js";
 import { readTaskName } from "../state/TaskName.js";
 import type { TaskState } from "../state/TaskState.js";
 import type { WorkerState } from "../state/WorkerState.js";
@@ -148,7 +148,8 @@
         if (listed.checkpoint !== "") {
             run.task.checkpoint = listed.checkpoint;
         }
-        if (listed.percent !== run.percent) {
+        run.load = listed.load;
+        if (listed.percent !== run.percent || run.pacePercent < FULL_PACE_PERCENT) {
             run.percent = listed.percent;
             run.progressedAtMs = nowMs;
         }
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -8,6 +8,7 @@
 import type { WorkerCalls, WorkerEntry } from "../ports/WorkerCalls.js";
 import type { FleetState } from "../state/FleetState.js";
 import { WorkerState } from "../state/WorkerState.js";
+import { FillerGuard } from "./FillerGuard.js";
 import type { RunKeeper } from "./RunKeeper.js";
 import { LapseReason, type SessionEvents, type SessionTiming, WorkerSession } from "./WorkerSession.js";
 
@@ -25,6 +26,7 @@
 export class WorkerRegistry implements Disposable {
     private readonly sessions = new Map<string, WorkerSession>();
     private readonly generations = new Map<string, number>();
+    private readonly guard: FillerGuard;
     private readonly entries = new Map<string, WorkerEntry>();
     private readonly fenced = new Emitter<WorkerSession>();
     /** Workers on which a former owner may have left tasks, until they are fenced or their leases have ended. */
@@ -43,7 +45,9 @@
         private readonly timing: SessionTiming,
         private readonly events: RegistryEvents,
         private readonly log: EventLog
-    ) {}
+    ) {
+        this.guard = new FillerGuard(timer);
+    }
 
     /** Every worker that a former owner may have given tasks is fenced, or all its leases have ended. */
     public get settled(): boolean {
@@ -145,6 +149,9 @@
                 report: (source, report, look) => {
                     const hadForeignRuns = state.hasForeignRuns;
                     this.runs.applyReport(state, report, look, source.reportedEnd);
+                    for (const { run, percent } of this.guard.decide(state)) {
+                        void source.paceRun(run.task.name, run.run, percent);
+                    }
                     if (hadForeignRuns !== state.hasForeignRuns) {
                         this.countUnknown();
                     }
@@ -159,6 +166,7 @@
                 // Nothing is started on the new life before the directory tells its capacity.
                 reborn: (source, incarnation) => this.replace(source, { ...source.entry, incarnation, draining: true }),
                 staleOwner: () => this.events.staleOwner(),
+                watchesClosely: worker => this.guard.watches(worker),
                 mayCommand: () => this.events.mayCommand(),
                 awaitCommit: waiter => this.events.awaitCommit(waiter)
             }
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -25,6 +25,8 @@
     readonly staleOwner: (session: WorkerSession) => void;
     /** Orders are allowed now: the ownership was confirmed recently enough. */
     readonly mayCommand: () => boolean;
+    /** The worker has to be looked at often. */
+    readonly watchesClosely: (worker: WorkerState) => boolean;
     /** Asks for a commit of what was reported so far. */
     readonly awaitCommit: (waiter: CommitWaiter) => void;
 }
@@ -56,6 +58,8 @@
 
 /** A look waits this long for an end: half of the longest wait that workers allow. */
 const LOOK_WAIT_MS = 1000;
+/** The same where serving tasks must be protected: the tail that they tell is for half a second. */
+const CLOSE_LOOK_WAIT_MS = 400;
 /** A reply that has not come this long after its wait is not waited for: five round trips between regions. */
 const REPLY_TIMEOUT_MS = 500;
 /** A start that a worker gets later than this is refused by it as late. */
@@ -163,6 +167,15 @@
         this.noteReply(reply, token);
     }
 
+    /** Orders the pace of a run; one that gets no reply is ordered again with the next change. */
+    public async paceRun(task: string, run: number, percent: number): Promise<void> {
+        if (this.events.mayCommand()) {
+            const token = this.token;
+            const timeoutMs = REPLY_TIMEOUT_MS + this.timing.roundTripMs;
+            this.noteReply(await this.calls.pace(this.entry, task, run, percent, token, timeoutMs), token);
+        }
+    }
+
     /** Raises the token, so that orders on their way are void, and looks again at once. */
     public settle(run: RunState): void {
         this.generation++;
@@ -198,7 +211,8 @@
         while (!this.disposed) {
             const startedMs = this.timer.nowMs();
             const isIdle = this.clock.known && this.state.fenced && this.reportedEnd === this.notedEnd;
-            const answered = await this.look(isIdle ? LOOK_WAIT_MS : 0);
+            const longestWaitMs = this.events.watchesClosely(this.state) ? CLOSE_LOOK_WAIT_MS : LOOK_WAIT_MS;
+            const answered = await this.look(isIdle ? longestWaitMs : 0);
             if (this.disposed) {
                 return;
             }
--- a/packages/fleet/src/ports/OwnerLink.ts
+++ b/packages/fleet/src/ports/OwnerLink.ts
@@ -43,7 +43,8 @@
 export interface PermitDelivery {
     readonly epoch: number;
     readonly entry: string;
-    readonly step: string;
+    /** Number of the question that is answered. */
+    readonly question: number;
     /** Nothing when the policy gave no answer. */
     readonly permits?: readonly Permit[];
     readonly permitMs?: number;
--- a/packages/fleet/src/ports/PlacementPolicy.ts
+++ b/packages/fleet/src/ports/PlacementPolicy.ts
@@ -1,5 +1,7 @@
 /** Question to the placement policy of a queue. */
 export interface PolicyQuestion {
+    /** Tells the answers apart. */
+    readonly number: number;
     /** Step that is to be placed. */
     readonly step: string;
     readonly workerIds: readonly string[];
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -2,7 +2,7 @@
 import type { FleetConfig, QueueConfig, TeamConfig } from "../model/FleetConfig.js";
 import type { Size } from "../model/JobSpec.js";
 import type { JobState } from "./JobState.js";
-import { RunPhase, type RunState } from "./RunState.js";
+import { FULL_PACE_PERCENT, RunPhase, type RunState } from "./RunState.js";
 import type { TaskState } from "./TaskState.js";
 import type { WorkerState } from "./WorkerState.js";
 
@@ -81,6 +81,9 @@
             settledByToken: 0,
             percent: 0,
             progressedAtMs: nowMs,
+            load: undefined,
+            pacePercent: FULL_PACE_PERCENT,
+            pacedAtMs: nowMs,
             stopWanted: false,
             stopSentAtMs: undefined
         };
--- a/packages/fleet/src/state/RunState.ts
+++ b/packages/fleet/src/state/RunState.ts
@@ -1,6 +1,9 @@
 import type { TaskState } from "./TaskState.js";
 import type { WorkerState } from "./WorkerState.js";
 
+/** Pace of a task from its start on. */
+export const FULL_PACE_PERCENT = 100;
+
 /** Where a run stands, as far as the owner knows. */
 export enum RunPhase {
     /** The order is on its way. */
@@ -26,6 +29,11 @@
     percent: number;
     /** Time at which the percentage last rose. */
     progressedAtMs: number;
+    /** Tail latency in ms of a serving task, processors in use of any other, as last listed. */
+    load: number | undefined;
+    /** Share of its speed at which the task may work. */
+    pacePercent: number;
+    pacedAtMs: number;
     /** The stop is wanted for reasons of ours, so that the end is no failure of the task. */
     stopWanted: boolean;
     stopSentAtMs: number | undefined;
--- a/packages/fleet/src/state/StepState.ts
+++ b/packages/fleet/src/state/StepState.ts
@@ -11,7 +11,9 @@
     readonly asked: Set<string>;
     /** Time of the last question that is not answered. */
     askedAtMs: number | undefined;
-    questions: number;
+    /** Number of the last question. */
+    question: number;
+    answeredAtMs: number;
 }
 
 /** One step of one occurrence of a job. */
@@ -26,7 +28,8 @@
         byWorker: new Map(),
         asked: new Set(),
         askedAtMs: undefined,
-        questions: 0
+        question: 0,
+        answeredAtMs: 0
     };
 
     constructor(
