--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -239,7 +239,18 @@
         this.fleet.noteEnded(job.spec.id, this.parts.timer.nowMs());
         this.desk.forget(job);
         this.updates.add(job);
-        this.parts.log.write(EVENTS.requestEnded, { requestId: job.spec.id, state: job.phase, epoch: this.epoch });
+        const { startedAtMs, acceptedAtMs } = job;
+        this.parts.log.write(EVENTS.requestEnded, {
+            requestId: job.spec.id,
+            state: job.phase,
+            queue: job.spec.queue,
+            team: job.spec.team,
+            epoch: this.epoch,
+            waitedMs: startedAtMs === undefined ? undefined : Math.round(startedAtMs - acceptedAtMs),
+            totalMs: Math.round(this.parts.timer.nowMs() - acceptedAtMs),
+            runs: job.runCount,
+            withinShare: job.withinShare
+        });
     }
 
     private decideSoon(): void {
--- a/packages/fleet/src/owner/RunKeeper.ts
+++ b/packages/fleet/src/owner/RunKeeper.ts
@@ -259,6 +259,7 @@
 
     /** A task of the job has started. */
     public markStarted(job: JobState): void {
+        job.startedAtMs ??= this.timer.nowMs();
         if (job.phase === JobPhase.Queued) {
             job.phase = JobPhase.Running;
             this.changed.fire(job);
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -88,6 +88,7 @@
             stopSentAtMs: undefined
         };
         task.run = state;
+        task.step.job.runCount++;
         task.lastRun = Math.max(task.lastRun, run);
         worker.addRun(state);
         addSize(this.usedBy(task.step.job.spec.team), task.step.spec.size);
--- a/packages/fleet/src/state/JobState.ts
+++ b/packages/fleet/src/state/JobState.ts
@@ -14,6 +14,10 @@
     /** A row of its progress was written. */
     public hasProgressRow = false;
     public cancelRequested = false;
+    /** Time at which its first task started under this owner. */
+    public startedAtMs: number | undefined;
+    /** Runs that this owner started. */
+    public runCount = 0;
     /** Estimated duration of its longest chain of steps. */
     public readonly chainMs: number;
 
--- a/packages/skylark/src/SkylarkCli.ts
+++ b/packages/skylark/src/SkylarkCli.ts
@@ -4,6 +4,7 @@
 import { ConfigCheckCommand } from "./commands/ConfigCheckCommand.js";
 import { ConfigShowCommand } from "./commands/ConfigShowCommand.js";
 import { ConfigStatusCommand } from "./commands/ConfigStatusCommand.js";
+import { LogExplainCommand } from "./commands/LogExplainCommand.js";
 import { ExplainCommand } from "./commands/ExplainCommand.js";
 import { KeyGrantCommand } from "./commands/KeyGrantCommand.js";
 import { KeyListCommand } from "./commands/KeyListCommand.js";
@@ -23,7 +24,8 @@
     KeyListCommand,
     StatusCommand,
     TimelineCommand,
-    ExplainCommand
+    ExplainCommand,
+    LogExplainCommand
 ];
 
 /** Runs a command line and returns its exit code. */
--- /dev/null
+++ b/packages/skylark/src/logs/LogLines.ts
@@ -0,0 +1,67 @@
+/** One event as a process wrote it. */
+export interface LogLine {
+    readonly wallClockMs: number;
+    readonly machine: string;
+    readonly event: string;
+    readonly fields: Readonly<Record<string, unknown>>;
+}
+
+const FRAME_FIELDS = new Set(["wallClockMs", "machine", "message", "number", "level"]);
+
+/** Reads the events of log texts in order of time; whatever stands before the JSON of a line is left out. */
+export function readLogLines(texts: readonly string[]): readonly LogLine[] {
+    const lines = texts.flatMap(text => text.split("\n")).flatMap(parseLine);
+    return lines.sort((left, right) => left.wallClockMs - right.wallClockMs);
+}
+
+/** Events that name a request, and what the owner told of the whole fleet while it was under way. */
+export function selectRequest(lines: readonly LogLine[], requestId: string): readonly LogLine[] {
+    const own = lines.filter(line => namesRequest(line, requestId));
+    const first = own[0];
+    const last = own.at(-1);
+    if (!first || !last) {
+        return [];
+    }
+    return lines.filter(line =>
+        namesRequest(line, requestId)
+        || (OWNERSHIP_EVENTS.has(line.event) && line.wallClockMs >= first.wallClockMs
+            && line.wallClockMs <= last.wallClockMs)
+    );
+}
+
+/** Renders events as text, one a line, with the time since the first. */
+export function renderLogLines(lines: readonly LogLine[]): string {
+    const firstMs = lines[0]?.wallClockMs ?? 0;
+    return lines.map(({ wallClockMs, machine, event, fields }) => {
+        const details = Object.entries(fields).map(([name, value]) => `${name}=${String(value)}`).join(" ");
+        return `+${((wallClockMs - firstMs) / 1000).toFixed(3)}s ${machine} ${event} ${details}`.trimEnd();
+    }).join("\n");
+}
+
+const OWNERSHIP_EVENTS = new Set(["slice-acquired", "slice-lost", "slice-handed-over", "worker-lost"]);
+
+function namesRequest({ fields }: LogLine, requestId: string): boolean {
+    return Object.values(fields).some(value =>
+        typeof value === "string" && (value === requestId || value.startsWith(`${requestId}.`)
+            || value.endsWith(`/${requestId}`))
+    );
+}
+
+function parseLine(text: string): LogLine[] {
+    const start = text.indexOf("{");
+    if (start < 0) {
+        return [];
+    }
+    try {
+        const value = JSON.parse(text.slice(start)) as Record<string, unknown>;
+        const { wallClockMs, machine, message } = value;
+        if (typeof wallClockMs !== "number" || typeof message !== "string") {
+            return [];
+        }
+        const fields = Object.fromEntries(Object.entries(value).filter(([name]) => !FRAME_FIELDS.has(name)));
+        return [{ wallClockMs, machine: typeof machine === "string" ? machine : "", event: message, fields }];
+    }
+    catch {
+        return [];
+    }
+}
