Take back the asking for recent versions; near lanes of the policy first; cancels are logged

Change: calls ask from the last version told; the repeated first reading stays. Questions prefer entries near the store.

--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -71,6 +71,7 @@
     requestAccepted: define(1501, "request-accepted", EventLevel.Info, "A request was accepted durably."),
     requestRefused: define(1502, "request-refused", EventLevel.Info, "A request was answered with not-run."),
     requestEnded: define(1503, "request-ended", EventLevel.Info, "The outcome of a request is final."),
+    requestCancelled: define(1506, "request-cancelled", EventLevel.Info, "A caller's cancel was stored."),
     lookupDispatched: define(1504, "lookup-dispatched", EventLevel.Debug, "A look-up was sent to a target."),
     answerDropped: define(
         1505,
--- a/packages/fleet/src/config/TableFollower.ts
+++ b/packages/fleet/src/config/TableFollower.ts
@@ -25,25 +25,14 @@
 /** First pause after a failure, and the longest. */
 const RETRY_MS = 60;
 const LONGEST_RETRY_MS = 300;
-/**
- * Versions that are asked for again with each call: a transaction of one partition may become visible after a newer one of
- * another partition was told. A partition keeps a transaction waiting for a second at most; the store gives up to 1,200
- * versions a second, a few hundred in use.
- */
-const OVERLAP_VERSIONS = 400;
-/** For the same reason a whole reading is repeated once after this time. */
+/** A whole reading is repeated once after this time, for changes that became visible with an older version than it told. */
 const REPEAT_WHOLE_MS = 1500;
-/** Rows whose last version is remembered, to tell each change once. */
-const MAXIMUM_REMEMBERED = 10_000;
 
 /** Follows the changes of a table, reads it anew when its history is lost, and knows how old its knowledge is. */
 export class TableFollower implements Disposable {
     private readonly changed = new Emitter<FollowedChanges>();
     private readonly freshness: FreshnessClock;
-    /** Version of the last change that was told, by key. */
-    private readonly told = new Map<string, number>();
     private version: number | undefined;
-    private oldestVersion = 0;
     private repeatAtMs: number | undefined;
     private stopped = false;
     private failures = 0;
@@ -77,7 +66,6 @@
     /** Begins to follow; when a version is given, from there on. */
     public start(afterVersion?: number): void {
         this.version = afterVersion;
-        this.oldestVersion = afterVersion ?? 0;
         this.repeatAtMs = this.timer.nowMs() + REPEAT_WHOLE_MS;
         void this.run();
     }
@@ -128,13 +116,9 @@
             from = hasMore ? page.value.rows.at(-1)!.key + "\u0000" : undefined;
         }
         this.roundTrip = this.timer.nowMs() - startedMs;
-        if (!isRepeat) {
-            this.oldestVersion = version ?? 0;
-        }
         this.version = Math.max(this.version ?? 0, version ?? 0);
         this.repeatAtMs = isRepeat ? undefined : this.timer.nowMs() + REPEAT_WHOLE_MS;
         this.freshness.confirm(mark);
-        rows.forEach(row => this.remember(row));
         this.changed.fire({ whole: true, changes: rows });
         return true;
     }
@@ -142,8 +126,7 @@
     private async readChanges(version: number): Promise<boolean> {
         const { table, waitMs } = this.options;
         const mark = this.freshness.mark();
-        const after = Math.max(this.oldestVersion, version - OVERLAP_VERSIONS);
-        const result = await this.store.changes(table, after, waitMs, waitMs + REPLY_TIMEOUT_MS);
+        const result = await this.store.changes(table, version, waitMs, waitMs + REPLY_TIMEOUT_MS);
         if (this.stopped) {
             return false;
         }
@@ -156,23 +139,8 @@
         }
         this.version = Math.max(version, result.value.version);
         this.freshness.confirm(mark);
-        const news = result.value.changes.filter(change => this.remember(change));
-        if (news.length > 0) {
-            this.changed.fire({ whole: false, changes: news });
-        }
-        return true;
-    }
-
-    /** Remembers the version of a row; tells whether it is news. */
-    private remember({ partition, key, version }: RowChange): boolean {
-        const place = `${partition}/${key}`;
-        if (version <= (this.told.get(place) ?? 0)) {
-            return false;
-        }
-        this.told.delete(place);
-        this.told.set(place, version);
-        if (this.told.size > MAXIMUM_REMEMBERED) {
-            this.told.delete(this.told.keys().next().value!);
+        if (result.value.changes.length > 0) {
+            this.changed.fire({ whole: false, changes: result.value.changes });
         }
         return true;
     }
--- a/packages/fleet/src/entry/JobEntry.ts
+++ b/packages/fleet/src/entry/JobEntry.ts
@@ -134,6 +134,7 @@
             const result = await store.commit([], [write], CANCEL_TIMEOUT_MS);
             if (result.isOk()) {
                 this.parts.watch.notice({ ...write, version: result.value });
+                this.parts.log.write(EVENTS.requestCancelled, { requestId: jobId, known: known.phase });
                 states.note(jobId, JobPhase.Cancelled, known.team, known.queue);
                 return { kind: ReplyKind.Cancelled, phase: JobPhase.Cancelled };
             }
--- a/packages/fleet/src/owner/EntryWatchers.ts
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -12,6 +12,7 @@
 const NEVER_STARTED_SEQUENCE = 0;
 /** An entry that has not watched for this long is taken as gone: two of its waits. */
 const ENTRY_LOST_MS = 1200;
+const ENTRY_FORGOTTEN_MS = 60_000;
 
 /** Replies to the entries that watch: changes of jobs, counts of waiting jobs, questions to the policy. */
 export class EntryWatchers implements Disposable {
@@ -40,7 +41,10 @@
 
     /** Waits for news for an entry. */
     public async watch(request: WatchRequest): Promise<WatchReply> {
-        this.desk.noteEntry(request.entry);
+        this.desk.noteEntry(request.entry, request.storeRoundTripMs);
+        if (!this.entries.has(request.entry)) {
+            this.dropLostEntries();
+        }
         this.entries.set(request.entry, {
             storeRoundTripMs: request.storeRoundTripMs,
             atMs: this.timer.nowMs()
@@ -69,6 +73,15 @@
         this.close();
     }
 
+    private dropLostEntries(): void {
+        const nowMs = this.timer.nowMs();
+        for (const [entry, { atMs }] of this.entries) {
+            if (nowMs - atMs > ENTRY_FORGOTTEN_MS) {
+                this.entries.delete(entry);
+            }
+        }
+    }
+
     private hasNews(request: WatchRequest): boolean {
         return this.closed || this.updates.sequence > request.afterSequence || this.desk.hasQuestions(request.entry);
     }
--- a/packages/fleet/src/owner/PermitDesk.ts
+++ b/packages/fleet/src/owner/PermitDesk.ts
@@ -16,6 +16,8 @@
     readonly open: Map<number, number>;
     busyUntilMs: number;
     seenMs: number;
+    /** Round trip of the entry to the store, as a measure of its distance. */
+    roundTripMs: number;
 }
 
 interface AskedStep {
@@ -35,6 +37,7 @@
 const LONGEST_BACKLOG_MS = 150;
 /** An entry that has not watched for this long gets no questions. */
 const LANE_LOST_MS = 1500;
+const LANE_FORGOTTEN_MS = 60_000;
 /** An answer that has not come this long after its time is not waited for. */
 const ANSWER_TIMEOUT_MS = 1000;
 /** Time by which an answer may be old when it arrives: one way between regions, and a batch of messages. */
@@ -62,14 +65,23 @@
     constructor(private readonly fleet: FleetState, private readonly timer: TimerService) {}
 
     /** An entry watches; questions can be handed to it. */
-    public noteEntry(entry: string): void {
+    public noteEntry(entry: string, roundTripMs = 0): void {
         const nowMs = this.timer.nowMs();
         const lane = this.lanes.get(entry);
         if (lane) {
             lane.seenMs = nowMs;
+            lane.roundTripMs = roundTripMs;
         }
         else {
-            this.lanes.set(entry, { entry, pending: [], open: new Map(), busyUntilMs: nowMs, seenMs: nowMs });
+            this.dropLostLanes(nowMs);
+            this.lanes.set(entry, {
+                entry,
+                pending: [],
+                open: new Map(),
+                busyUntilMs: nowMs,
+                seenMs: nowMs,
+                roundTripMs
+            });
         }
     }
 
@@ -187,6 +199,14 @@
         return limitWorkers(unknown, step, waiting, room);
     }
 
+    private dropLostLanes(nowMs: number): void {
+        for (const [entry, lane] of this.lanes) {
+            if (nowMs - lane.seenMs > LANE_FORGOTTEN_MS) {
+                this.lanes.delete(entry);
+            }
+        }
+    }
+
     private hasFreeLane(nowMs: number): boolean {
         for (const lane of this.lanes.values()) {
             if (lane.busyUntilMs <= nowMs + LONGEST_BACKLOG_MS && nowMs - lane.seenMs < LANE_LOST_MS) {
@@ -201,9 +221,12 @@
             .sort((left, right) => left.entry < right.entry ? -1 : 1);
         const shortLanes = costMs > LONG_QUESTION_MS ? Math.floor(lanes.length * SHORT_LANE_SHARE) : 0;
         let best: Lane | undefined;
+        let bestMs = Number.POSITIVE_INFINITY;
         for (const lane of lanes.slice(shortLanes)) {
-            if (lane.busyUntilMs <= nowMs + LONGEST_BACKLOG_MS && (!best || lane.busyUntilMs < best.busyUntilMs)) {
+            const answeredMs = Math.max(lane.busyUntilMs, nowMs) + lane.roundTripMs;
+            if (lane.busyUntilMs <= nowMs + LONGEST_BACKLOG_MS && answeredMs < bestMs) {
                 best = lane;
+                bestMs = answeredMs;
             }
         }
         return best;
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -18,18 +18,31 @@
     public readonly workers = new Map<string, WorkerState>();
     /** Jobs whose final state was committed, with the time; a reading that was under way may still list them. */
     public readonly endedJobs = new Map<string, number>();
-    public config: FleetConfig | undefined;
+    private inForce: FleetConfig | undefined;
+    private queuesByName: ReadonlyMap<string, QueueConfig> = new Map();
+    private teamsByName: ReadonlyMap<string, TeamConfig> = new Map();
     /** Capacity of workers whose runs are not known yet; it counts for every team. */
     public readonly unknown: Amount = createAmount();
     private readonly usedByTeam = new Map<string, Amount>();
 
-    /** Queue by name, as the text in force has it. */
+    public get config(): FleetConfig | undefined {
+        return this.inForce;
+    }
+
+    public set config(config: FleetConfig | undefined) {
+        this.inForce = config;
+        this.queuesByName = new Map(config?.queues.map(queue => [queue.name, queue]));
+        this.teamsByName = new Map(config?.teams.map(team => [team.name, team]));
+    }
+
+    /** Queue by name, as the configuration in force has it. */
     public queue(name: string): QueueConfig | undefined {
-        return this.config?.queues.find(queue => queue.name === name);
+        return this.queuesByName.get(name);
     }
 
+    /** Team by name, as the configuration in force has it. */
     public team(name: string): TeamConfig | undefined {
-        return this.config?.teams.find(team => team.name === name);
+        return this.teamsByName.get(name);
     }
 
     public usedBy(team: string): Amount {
