A cancel of an unknown job keeps its submission out; the owner replies to entries in batches of 50 ms

One way was found by reading: a cancel that arrives before the submission is stored was answered 410 and the submission accepted after it. Change: a cancel of an unknown job writes its outcome under the condition that the job is unknown; changes are told in batches of 50 ms, questions of 5 ms; steps larger than any free room and workers without fillers cost nothing.

--- a/packages/fleet/src/entry/JobEntry.ts
+++ b/packages/fleet/src/entry/JobEntry.ts
@@ -114,11 +114,19 @@
             : { kind: ReplyKind.NotNow, message: "the store does not answer", retryAfterMs: RETRY_AFTER_MS };
     }
 
-    private async cancel({ teamName, jobId }: RoutedRequest): Promise<CallerReply> {
+    private async cancel(routed: RoutedRequest): Promise<CallerReply> {
+        const { teamName, jobId } = routed;
         const { states, store } = this.parts;
-        const known = states.get(jobId) ?? await this.readState(jobId);
+        let known = states.get(jobId) ?? await this.readState(jobId);
         if (known === "unknown") {
-            return { kind: ReplyKind.UnknownJob, message: "there is no such job" };
+            const refused = await this.refuseForGood(routed);
+            if (refused) {
+                return refused;
+            }
+            known = await this.readState(jobId);
+        }
+        if (known === "unknown") {
+            return { kind: ReplyKind.Unsettled, message: "the job is being handed in" };
         }
         if (!known) {
             return { kind: ReplyKind.NotNow, message: "the store does not answer", retryAfterMs: RETRY_AFTER_MS };
@@ -145,6 +153,28 @@
         return { kind: ReplyKind.Unsettled, message: "the store has not confirmed the cancel" };
     }
 
+    /**
+     * Writes that a job which is not known was cancelled, so that a submission still on its way is not accepted after the
+     * caller was told that there is no such job. Nothing is returned when the job is known by then.
+     */
+    private async refuseForGood({ jobId, teamName, queue }: RoutedRequest): Promise<CallerReply | undefined> {
+        const { states, store } = this.parts;
+        const outcome = { table: FleetTable.Outcomes, partition: FLEET_PARTITION, key: jobId };
+        const value = JSON.stringify({ phase: JobPhase.Cancelled, queue: queue.name, team: teamName });
+        const result = await store.commit(
+            [{ ...intakePlace(jobId), version: 0 }, { ...outcome, version: 0 }],
+            [{ ...outcome, value }],
+            CANCEL_TIMEOUT_MS
+        );
+        if (result.isOk()) {
+            states.note(jobId, JobPhase.Cancelled, teamName, queue.name);
+            return { kind: ReplyKind.UnknownJob, message: "there is no such job" };
+        }
+        return result.error.kind === StoreFailureKind.Conflict
+            ? undefined
+            : { kind: ReplyKind.Unsettled, message: "the store has not confirmed the cancel" };
+    }
+
     private countWaiting({ queue }: RoutedRequest): CallerReply {
         const { waiting } = this.parts.watch;
         return waiting
--- a/packages/fleet/src/owner/EntryWatchers.ts
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -7,8 +7,10 @@
 import type { PermitDesk } from "./PermitDesk.js";
 import type { UpdateLog } from "./UpdateLog.js";
 
-/** News that come within this time share a reply. */
-const BATCH_MS = 8;
+/** Questions that come within this time share a reply. */
+const QUESTION_BATCH_MS = 5;
+/** Changes of jobs that come within this time share a reply: replies to all entries are most of an owner's work. */
+const UPDATE_BATCH_MS = 50;
 const NEVER_STARTED_SEQUENCE = 0;
 /** An entry that has not watched for this long is taken as gone: two of its waits. */
 const ENTRY_LOST_MS = 1200;
@@ -50,7 +52,7 @@
             atMs: this.timer.nowMs()
         });
         const isKnown = request.epoch === this.ledger.epoch && this.updates.after(request.afterSequence) !== undefined;
-        if (isKnown && !this.hasNews(request)) {
+        if (isKnown && !this.closed) {
             await this.untilWoken(request);
         }
         return this.reply(request, isKnown);
@@ -93,19 +95,22 @@
                 pending.dispose();
                 resolve();
             };
-            let isBatching = false;
+            const startedMs = this.timer.nowMs();
+            let replyAtMs = startedMs + request.waitMs;
             const check = (): void => {
-                if (this.closed) {
-                    done();
-                }
-                else if (!isBatching && this.hasNews(request)) {
-                    isBatching = true;
+                const nowMs = this.timer.nowMs();
+                const dueMs = this.closed
+                    ? nowMs
+                    : nowMs + (this.desk.hasQuestions(request.entry) ? QUESTION_BATCH_MS : UPDATE_BATCH_MS);
+                if (dueMs < replyAtMs && this.hasNews(request)) {
+                    replyAtMs = dueMs;
                     pending.dispose();
-                    pending = this.timer.after(BATCH_MS, done);
+                    pending = this.timer.after(dueMs - nowMs, done);
                 }
             };
             let pending = this.timer.after(request.waitMs, done);
             this.waiting.add(check);
+            check();
         });
     }
 
--- a/packages/fleet/src/owner/FillerGuard.ts
+++ b/packages/fleet/src/owner/FillerGuard.ts
@@ -8,6 +8,7 @@
     readonly percent: number;
 }
 
+const NO_CHANGES: readonly PaceChange[] = [];
 /** Share of its bound above which the tail of a serving task calls for slower fillers. */
 const WARNING_SHARE = 0.8;
 /** Share below which fillers may be faster again. */
@@ -26,12 +27,14 @@
 
     /** Tells whether both kinds of tasks run on a worker, so that it has to be looked at often. */
     public watches(worker: WorkerState): boolean {
-        const runs = [...worker.runs.values()];
-        return runs.some(run => run.task.step.spec.filler) && runs.some(isServing);
+        return worker.fillerCount > 0 && [...worker.runs.values()].some(isServing);
     }
 
     /** Decides on the pace of the fillers of a worker after a report. */
     public decide(worker: WorkerState): readonly PaceChange[] {
+        if (worker.fillerCount === 0) {
+            return NO_CHANGES;
+        }
         const runs = [...worker.runs.values()];
         const fillers = runs.filter(run => run.task.step.spec.filler);
         const strain = Math.max(0, ...runs.filter(isServing).map(run => (run.load ?? 0) / run.task.step.spec.targetMs));
--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -52,13 +52,16 @@
         const wantPermits: StepState[] = [];
         const taken = new Map<WorkerState, Amount>();
         this.reservations.refresh(nowMs);
+        const largestFreeMilli = this.findLargestFree(nowMs);
         const teamTaken = new TeamTaken(this.fleet);
         for (const ranked of orderSteps(this.fleet, nowMs)) {
             const { step } = ranked;
             if (!mayStart(step)) {
                 continue;
             }
-            const candidates = this.candidates(ranked, nowMs, taken);
+            const { size, filler } = step.spec;
+            const hasRoom = filler || size.cpuMilli <= largestFreeMilli;
+            const candidates = hasRoom ? this.candidates(ranked, nowMs, taken) : [];
             const placements = step.spec.gang
                 ? this.placeGang(ranked, candidates, teamTaken)
                 : this.placeEach(ranked, candidates, teamTaken);
@@ -82,6 +85,17 @@
         return { starts, wantPermits };
     }
 
+    /** Most processors that are free on one worker; steps of larger tasks need not be looked at. */
+    private findLargestFree(nowMs: number): number {
+        let largest = 0;
+        for (const worker of this.fleet.workers.values()) {
+            if (worker.canStart(nowMs)) {
+                largest = Math.max(largest, worker.entry.capacity.cpuMilli - worker.used.cpuMilli);
+            }
+        }
+        return largest;
+    }
+
     /** Workers that the step may use now, with the room that is left on them. */
     private candidates(
         ranked: RankedStep,
@@ -94,13 +108,13 @@
             if (!this.suits(worker, ranked) || !worker.canStart(nowMs)) {
                 return;
             }
-            const use = this.reservations.useOf(ranked, worker);
+            const room = worker.fits(step.spec.size, step.spec.filler, taken.get(worker));
+            const use = room > 0 ? this.reservations.useOf(ranked, worker) : WorkerUse.Reserved;
             if (use === WorkerUse.Reserved) {
                 return;
             }
-            const room = worker.fits(step.spec.size, step.spec.filler, taken.get(worker));
             const onWorker = countOfStep(worker, step);
-            if (room > 0 && (step.spec.maximumPerWorker === 0 || onWorker < step.spec.maximumPerWorker)) {
+            if (step.spec.maximumPerWorker === 0 || onWorker < step.spec.maximumPerWorker) {
                 candidates.push({ worker, permit, room, onWorker, taken: 0, lastResort: use === WorkerUse.LastResort });
             }
         };
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -9,6 +9,8 @@
 export class WorkerState {
     /** Sum of all runs that count, those being stopped too. */
     public readonly used: Amount = createAmount();
+    /** Number of runs of tasks that fill what others leave. */
+    public fillerCount = 0;
     /** Runs by name of the task. */
     public readonly runs = new Map<string, RunState>();
     /** It takes orders of this owner only, and its runs are known. */
@@ -58,6 +60,7 @@
     /** Counts a run. */
     public addRun(run: RunState): void {
         this.runs.set(run.task.name, run);
+        this.fillerCount += run.task.step.spec.filler ? 1 : 0;
         addSize(this.used, countedSize(run.task.step.spec));
     }
 
@@ -65,6 +68,7 @@
     public removeRun(run: RunState): void {
         if (this.runs.get(run.task.name) === run) {
             this.runs.delete(run.task.name);
+            this.fillerCount -= run.task.step.spec.filler ? 1 : 0;
             addSize(this.used, countedSize(run.task.step.spec), -1);
         }
     }
--- a/packages/proof/src/fleet/FleetRecovery.test.ts
+++ b/packages/proof/src/fleet/FleetRecovery.test.ts
@@ -204,3 +204,15 @@
     t.is(await deployment.untilFinal(job, 60_000), JobPhase.Completed);
     t.deepEqual(deployment.rules.finish(), []);
 });
+
+test("a job that is cancelled before its submission arrives never starts", async t => {
+    const deployment = await begin(15);
+    const job = deployment.describeJob([{ taskCount: 2 }]);
+    const cancelled = await deployment.timer.advanceUntil(deployment.cancel("m1", job));
+    t.is(cancelled.kind, ReplyKind.UnknownJob);
+    await deployment.timer.advanceUntil(deployment.submit("m0", job));
+    await deployment.timer.advance(3000);
+    t.is(deployment.rules.starts, 0);
+    const state = await deployment.timer.advanceUntil(deployment.state("m2", job));
+    t.is(state.phase, JobPhase.Cancelled);
+});
