--- a/packages/fleet/src/config/TableFollower.ts
+++ b/packages/fleet/src/config/TableFollower.ts
@@ -1,8 +1,9 @@
 import type { Disposable } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
-import { type RowChange, type RowStore, type StoredRow, StoreFailureKind } from "../ports/RowStore.js";
+import { type RowChange, type RowStore, StoreFailureKind } from "../ports/RowStore.js";
 import { FreshnessClock } from "./FreshnessClock.js";
+import { readTable } from "./readTable.js";
 
 /** What is followed, and how often it is asked for. */
 export interface FollowOptions {
@@ -101,22 +102,15 @@
 
     private async readWhole(isRepeat: boolean): Promise<boolean> {
         const { table, partition } = this.options;
-        const rows: StoredRow[] = [];
         const mark = this.freshness.mark();
         const startedMs = this.timer.nowMs();
-        let version: number | undefined;
-        for (let from: string | undefined, hasMore = true; hasMore;) {
-            const page = await this.store.read({ table, partition, from }, REPLY_TIMEOUT_MS * 2);
-            if (page.isErr() || this.stopped) {
-                return false;
-            }
-            rows.push(...page.value.rows);
-            version ??= page.value.version;
-            hasMore = page.value.hasMore && page.value.rows.length > 0;
-            from = hasMore ? page.value.rows.at(-1)!.key + "\u0000" : undefined;
+        const content = await readTable(this.store, table, partition, REPLY_TIMEOUT_MS * 2);
+        if (content.isErr() || this.stopped) {
+            return false;
         }
+        const { rows, version } = content.value;
         this.roundTrip = this.timer.nowMs() - startedMs;
-        this.version = Math.max(this.version ?? 0, version ?? 0);
+        this.version = Math.max(this.version ?? 0, version);
         this.repeatAtMs = isRepeat ? undefined : this.timer.nowMs() + REPEAT_WHOLE_MS;
         this.freshness.confirm(mark);
         this.changed.fire({ whole: true, changes: rows });
--- /dev/null
+++ b/packages/fleet/src/config/readTable.ts
@@ -0,0 +1,31 @@
+import { err, ok, type Result } from "neverthrow";
+import type { RowStore, StoredRow, StoreFailure } from "../ports/RowStore.js";
+
+/** All rows of a partition of a table, and the version of the store when the reading began. */
+export interface TableContent {
+    readonly rows: readonly StoredRow[];
+    readonly version: number;
+}
+
+/** Reads a whole partition, page by page. */
+export async function readTable(
+    store: RowStore,
+    table: string,
+    partition: string,
+    timeoutMs: number
+): Promise<Result<TableContent, StoreFailure>> {
+    const rows: StoredRow[] = [];
+    let version: number | undefined;
+    for (let from: string | undefined, hasMore = true; hasMore;) {
+        const page = await store.read({ table, partition, from }, timeoutMs);
+        if (page.isErr()) {
+            return err(page.error);
+        }
+        rows.push(...page.value.rows);
+        version ??= page.value.version;
+        hasMore = page.value.hasMore && page.value.rows.length > 0;
+        // The key that follows directly in byte order.
+        from = `${rows.at(-1)?.key}\u0000`;
+    }
+    return ok({ rows, version: version ?? 0 });
+}
--- a/packages/fleet/src/entry/EntryTypes.ts
+++ b/packages/fleet/src/entry/EntryTypes.ts
@@ -4,10 +4,9 @@
 /** What a caller wants. */
 export enum CallerVerb {
     Submit = "submit",
+    /** State of a job; without an id, the count of waiting jobs of the queue. */
     State = "state",
-    Cancel = "cancel",
-    /** Count of waiting jobs of a queue. */
-    Waiting = "waiting"
+    Cancel = "cancel"
 }
 
 /** Job as it came from a caller, before its queue and team are known. */
--- a/packages/fleet/src/entry/JobEntry.ts
+++ b/packages/fleet/src/entry/JobEntry.ts
@@ -61,8 +61,6 @@
                 return this.cancel(routed);
             case CallerVerb.State:
                 return routed.jobId === "" ? this.countWaiting(routed) : this.tellState(routed);
-            case CallerVerb.Waiting:
-                return this.countWaiting(routed);
         }
     }
 
--- a/packages/fleet/src/owner/IntakeReader.ts
+++ b/packages/fleet/src/owner/IntakeReader.ts
@@ -2,11 +2,12 @@
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import type { EventLog } from "@skylarkpath/common/log/EventLog";
 import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
+import { readTable, type TableContent } from "../config/readTable.js";
 import type { TableFollower } from "../config/TableFollower.js";
 import type { JobProgress } from "../model/JobProgress.js";
 import type { JobSpec } from "../model/JobSpec.js";
 import { FLEET_PARTITION, FleetTable, readIntakeKey } from "../model/Tables.js";
-import type { RowChange, RowStore, StoredRow } from "../ports/RowStore.js";
+import type { RowChange, RowStore } from "../ports/RowStore.js";
 import type { FleetState } from "../state/FleetState.js";
 import { JobState } from "../state/JobState.js";
 import { TeamRates } from "./TeamRates.js";
@@ -116,24 +117,16 @@
         }
     }
 
-    private async readAll(table: FleetTable): Promise<{ rows: StoredRow[]; version: number; } | undefined> {
-        const rows: StoredRow[] = [];
-        let version: number | undefined;
-        for (let from: string | undefined, hasMore = true; hasMore;) {
-            const page = await this.store.read({ table, partition: FLEET_PARTITION, from }, READ_TIMEOUT_MS);
-            if (this.stopped) {
-                return undefined;
+    /** Reads a table until the store answers; nothing when the reader was disposed. */
+    private async readAll(table: FleetTable): Promise<TableContent | undefined> {
+        while (!this.stopped) {
+            const content = await readTable(this.store, table, FLEET_PARTITION, READ_TIMEOUT_MS);
+            if (content.isOk()) {
+                return content.value;
             }
-            if (page.isErr()) {
-                await sleep(this.timer, RETRY_MS);
-                continue;
-            }
-            rows.push(...page.value.rows);
-            version ??= page.value.version;
-            hasMore = page.value.hasMore && page.value.rows.length > 0;
-            from = hasMore ? page.value.rows.at(-1)!.key + "\u0000" : undefined;
+            await sleep(this.timer, RETRY_MS);
         }
-        return { rows, version: version ?? 0 };
+        return undefined;
     }
 }
 
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -11,6 +11,7 @@
 import { LinkFailure, type OwnerLink } from "@skylarkpath/fleet/ports/OwnerLink";
 import type { PlacementPolicy } from "@skylarkpath/fleet/ports/PlacementPolicy";
 import type { WorkerEntry } from "@skylarkpath/fleet/ports/WorkerCalls";
+import { PLAIN_STEP } from "@skylarkpath/fleet/testing/FleetFixture";
 import { MemoryFleet } from "@skylarkpath/standins/fleet/MemoryFleet";
 import { MemoryRowStore } from "@skylarkpath/standins/fleet/MemoryRowStore";
 import { TaskRules } from "@skylarkpath/standins/fleet/TaskRules";
@@ -43,19 +44,9 @@
 
 /** Step of one task that takes half a processor for half a second. */
 export const SMALL_STEP: StepSpec = {
-    taskCount: 1,
+    ...PLAIN_STEP,
     size: { cpuMilli: 500, memoryMb: 100, accelerators: 0 },
-    estimateMs: 500,
-    after: [],
-    gang: false,
-    checkpointing: false,
-    sameRack: false,
-    maximumPerWorker: 0,
-    copiesAllowed: false,
-    lasting: false,
-    filler: false,
-    targetMs: 0,
-    maximumAway: 0
+    estimateMs: 500
 };
 
 /** Fleet processes with store and workers on a virtual timer; processes can be killed, frozen and cut off. */
@@ -170,14 +161,9 @@
                 },
                 timing: {
                     maximumLeaseMs: 6000,
-                    stopMs: 300,
-                    gangAssemblyMs: 3000,
                     keyWithdrawalMs: 5000,
                     graceMs: 6000,
-                    stateRetentionMs: 120_000,
-                    earlyMs: 250,
-                    remoteFactor: 1,
-                    restoreMs: 100
+                    stateRetentionMs: 120_000
                 },
                 timer: this.timer,
                 random: this.random,
