--- a/packages/proof/src/fleet/FleetRecovery.test.ts
+++ b/packages/proof/src/fleet/FleetRecovery.test.ts
@@ -216,3 +216,64 @@
     const state = await deployment.timer.advanceUntil(deployment.state("m2", job));
     t.is(state.phase, JobPhase.Cancelled);
 });
+
+test("a job that was refused never starts, also when the store is back", async t => {
+    const deployment = await begin(16);
+    deployment.store.faults.down = true;
+    await deployment.timer.advance(200);
+    const replies: ReplyKind[] = [];
+    const jobs = [...Array(6).keys()].map(() => deployment.describeJob([{}]));
+    for (const job of jobs) {
+        const { reply } = await deployment.timer.advanceUntil(deployment.submit("m0", job), 5000);
+        replies.push(reply.kind);
+    }
+    deployment.store.faults.down = false;
+    await deployment.timer.advance(10_000);
+    for (const [index, job] of jobs.entries()) {
+        if (replies[index] === ReplyKind.NotNow) {
+            const state = await deployment.timer.advanceUntil(deployment.state("m1", job));
+            t.is(state.kind, ReplyKind.UnknownJob);
+        }
+    }
+    t.true(replies.includes(ReplyKind.NotNow));
+    t.is(deployment.rules.starts, 0);
+});
+
+test("a leaving worker gets no further task, and those that run there end there", async t => {
+    const deployment = await begin(17, 2);
+    const leaving = deployment.fleet.workers.get("w0")!;
+    const first = deployment.describeJob([{ taskCount: 16, estimateMs: 2000 }]);
+    await deployment.timer.advanceUntil(deployment.submit("m0", first));
+    await deployment.timer.advance(500);
+    t.true(leaving.running.size > 0);
+    deployment.listWorker({ ...leaving.entry, draining: true });
+    await deployment.timer.advance(500);
+    const before = [...leaving.running.keys()];
+    const second = deployment.describeJob([{ taskCount: 12, estimateMs: 500 }]);
+    await deployment.timer.advanceUntil(deployment.submit("m1", second));
+    t.is(await deployment.untilFinal(second, 10_000), JobPhase.Completed);
+    t.deepEqual([...leaving.running.keys()].filter(task => !before.includes(task)), []);
+    t.is(await deployment.untilFinal(first, 10_000), JobPhase.Completed);
+    t.is(deployment.rules.starts, 28);
+});
+
+test("replies of the store that are lost or come late double no job", async t => {
+    const deployment = await begin(18);
+    deployment.store.faults.lostReplyShare = 0.4;
+    deployment.store.faults.lateShare = 0.2;
+    const accepted = [];
+    for (let number = 0; number < 10; number++) {
+        const job = deployment.describeJob([{ taskCount: 2 }]);
+        const { reply } = await deployment.timer.advanceUntil(deployment.submit("m0", job), 8000);
+        if (reply.kind === ReplyKind.Accepted) {
+            accepted.push(job);
+        }
+    }
+    deployment.store.faults.lostReplyShare = 0;
+    deployment.store.faults.lateShare = 0;
+    for (const job of accepted) {
+        t.is(await deployment.untilFinal(job, 20_000), JobPhase.Completed);
+    }
+    t.true(accepted.length > 0);
+    t.deepEqual(deployment.rules.finish(), []);
+});
