--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -55,7 +55,7 @@
         "The process was paused; it commands nothing before its ownership is confirmed."
     ),
     fleetStatus: define(
-        1403,
+        1431,
         "fleet-status",
         EventLevel.Info,
         "How the fleet fares, and why its waiting steps wait; told by the owner at an interval."
