A slow owner hands the fleet over, a silent one is followed after 0.9 s

Cause: an owner on a machine that is five times slower confirms its row in time and keeps the fleet, while work waits 140 ms and more for it; one that stands still was followed after 2.5 s only. Change: each process measures how late it gets to what is due. An owner that is 80 ms late on average gives the fleet to the entry that gets to its work soonest, if that one is far less late. The row of a silent owner is waited for 0.9 s, or six readings of the store if these take longer. A release commits for a limited time, then gives up what is left: ends that are not committed are listed again.

--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -2,6 +2,7 @@
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import type { EventLog } from "@skylarkpath/common/log/EventLog";
 import type { RandomSource } from "@skylarkpath/common/random/RandomSource";
+import { LoopDelayMeter } from "@skylarkpath/common/time/LoopDelayMeter";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import { ConfigDirectory } from "./config/ConfigDirectory.js";
 import type { CallerReply, CallerRequest } from "./entry/EntryTypes.js";
@@ -56,6 +57,18 @@
 const RANDOM_DELAY_MS = 100;
 /** Delay of a candidate with a whole processor less than none. */
 const SLOW_PROCESSOR_DELAY_MS = 200;
+/** Delay of a candidate for each millisecond by which it is late for its work. */
+const DELAY_PER_LOOP_DELAY = 4;
+/** An owner that is this late for its work on average is slow; the busiest seconds of a sound machine make it 20 ms late. */
+const SLOW_LOOP_DELAY_MS = 80;
+/** Slowness counts from this share of it on; what heirs told before says nothing of their delay now. */
+const ONSET_SHARE = 0.5;
+/** An heir that is later than this share of the owner's delay would be no better. */
+const FASTER_HEIR_SHARE = 0.3;
+/** An owner does not give the fleet up for being slow before it has had it this long: a succession costs half a second. */
+const LEAST_TENURE_MS = 4000;
+/** A slow owner tries this long to give the fleet up; others follow anyway when it does not confirm its row. */
+const YIELD_LIMIT_MS = 1500;
 /** Knowledge of the configuration that is older than this makes a process not ready: two readings and a retry. */
 const READY_AGE_MS = 2500;
 
@@ -66,7 +79,10 @@
     private readonly watcher: OwnerWatch;
     private readonly election: OwnerElection;
     private readonly entry: JobEntry;
+    private readonly loopDelay: LoopDelayMeter;
     private owner: FleetOwner | undefined;
+    private ownerSinceMs = 0;
+    private slowSinceMs: number | undefined;
     private stopping = false;
     private readonly identity: string;
 
@@ -74,11 +90,13 @@
         const { store, timer, timing, log, machine, address, random } = environment;
         this.identity = `${machine}/${Math.floor(random.next() * Number.MAX_SAFE_INTEGER).toString(36)}`;
         this.directory = this.disposables.add(new ConfigDirectory(store, timer, environment.directory, log));
+        this.loopDelay = this.disposables.add(new LoopDelayMeter(timer));
         const states = new JobStates(timer, timing.stateRetentionMs);
         this.watcher = this.disposables.add(
             new OwnerWatch(environment.ownerLink, environment.policy, states, timer, {
                 entry: this.identity,
                 storeRoundTripMs: () => this.directory.storeRoundTripMs,
+                loopDelayMs: () => this.loopDelay.meanMs,
                 questionTimeoutMs: () => this.longestQuestionMs()
             })
         );
@@ -132,6 +150,8 @@
         }));
         this.disposables.add(this.election.onWon(won => this.becomeOwner(won)));
         this.disposables.add(this.watcher.onTrouble(() => this.election.check()));
+        this.disposables.add(this.loopDelay.onSample(() => this.yieldWhenSlow()));
+        this.loopDelay.start();
         this.directory.start();
         this.election.start();
         this.environment.log.write(EVENTS.processStarted, { machine: this.environment.machine });
@@ -159,12 +179,7 @@
         this.stopping = true;
         this.environment.log.write(EVENTS.processStopping, { owning: this.owner !== undefined });
         this.election.dispose();
-        const { owner } = this;
-        this.owner = undefined;
-        if (owner) {
-            const released = await owner.release(limitMs);
-            this.environment.log.write(EVENTS.sliceHandedOver, { epoch: owner.epoch, confirmed: released });
-        }
+        await this.handOver("the process stops", limitMs, limitMs);
     }
 
     public dispose(): void {
@@ -187,6 +202,7 @@
                 directory: this.environment.directory,
                 timing,
                 log,
+                loopDelayMs: () => this.loopDelay.meanMs,
                 roundTripMs
             },
             ledger,
@@ -197,6 +213,7 @@
             }
         );
         this.owner = owner;
+        this.ownerSinceMs = timer.nowMs();
         owner.onLost(() => {
             if (this.owner === owner) {
                 this.dropOwnership();
@@ -207,6 +224,32 @@
         this.watcher.follow(this.environment.address);
     }
 
+    /** Gives the fleet up when this process gets to its work much later than another one would. */
+    private yieldWhenSlow(): void {
+        const { owner } = this;
+        const delayMs = this.loopDelay.meanMs;
+        const nowMs = this.environment.timer.nowMs();
+        this.slowSinceMs = delayMs < SLOW_LOOP_DELAY_MS * ONSET_SHARE ? undefined : this.slowSinceMs ?? nowMs;
+        const isHeldLong = nowMs - this.ownerSinceMs >= LEAST_TENURE_MS;
+        if (this.slowSinceMs === undefined || delayMs < SLOW_LOOP_DELAY_MS || !owner?.decides || !isHeldLong) {
+            return;
+        }
+        const { heir } = owner;
+        const isFresh = heir && heir.atMs >= this.slowSinceMs;
+        if (isFresh && heir.loopDelayMs < delayMs * FASTER_HEIR_SHARE) {
+            void this.handOver(`work waits ${Math.round(delayMs)} ms for this process`, 0, YIELD_LIMIT_MS);
+        }
+    }
+
+    private async handOver(reason: string, commitMs: number, limitMs: number): Promise<void> {
+        const { owner } = this;
+        this.owner = undefined;
+        if (owner) {
+            const confirmed = await owner.release(commitMs, limitMs);
+            this.environment.log.write(EVENTS.sliceHandedOver, { epoch: owner.epoch, confirmed, reason });
+        }
+    }
+
     private dropOwnership(): void {
         this.owner?.dispose();
         this.owner = undefined;
@@ -216,7 +259,8 @@
         const { random, processorShare } = this.environment;
         const roundTripDelayMs = this.directory.storeRoundTripMs * DELAY_PER_ROUND_TRIP;
         return Math.min(LONGEST_ROUND_TRIP_DELAY_MS, roundTripDelayMs)
-            + random.next() * RANDOM_DELAY_MS + Math.max(0, 1 - processorShare) * SLOW_PROCESSOR_DELAY_MS;
+            + this.loopDelay.meanMs * DELAY_PER_LOOP_DELAY + random.next() * RANDOM_DELAY_MS
+            + Math.max(0, 1 - processorShare) * SLOW_PROCESSOR_DELAY_MS;
     }
 
     private longestQuestionMs(): number {
--- a/packages/fleet/src/entry/OwnerWatch.ts
+++ b/packages/fleet/src/entry/OwnerWatch.ts
@@ -10,6 +10,7 @@
 export interface WatchOptions {
     readonly entry: string;
     readonly storeRoundTripMs: () => number;
+    readonly loopDelayMs: () => number;
     /** Longest time that the policy takes for one question. */
     readonly questionTimeoutMs: () => number;
 }
@@ -120,7 +121,8 @@
                     epoch: this.epoch,
                     afterSequence: this.sequence,
                     waitMs: WATCH_WAIT_MS,
-                    storeRoundTripMs: this.options.storeRoundTripMs()
+                    storeRoundTripMs: this.options.storeRoundTripMs(),
+                    loopDelayMs: Math.round(this.options.loopDelayMs())
                 },
                 WATCH_WAIT_MS + REPLY_TIMEOUT_MS
             );
--- a/packages/fleet/src/owner/EntryWatchers.ts
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -16,10 +16,18 @@
 const ENTRY_LOST_MS = 1200;
 const ENTRY_FORGOTTEN_MS = 60_000;
 
+/** Entry that watches. */
+export interface SeenEntry {
+    readonly entry: string;
+    readonly storeRoundTripMs: number;
+    readonly loopDelayMs: number;
+    readonly atMs: number;
+}
+
 /** Replies to the entries that watch: changes of jobs, counts of waiting jobs, questions to the policy. */
 export class EntryWatchers implements Disposable {
     private readonly waiting = new Set<() => void>();
-    private readonly entries = new Map<string, { readonly storeRoundTripMs: number; readonly atMs: number; }>();
+    private readonly entries = new Map<string, SeenEntry>();
     private closed = false;
 
     constructor(
@@ -32,13 +40,17 @@
         updates.onAdded(() => this.wake());
     }
 
-    /** Another entry that watches, the one that is nearest to the store. */
-    public get heir(): string | undefined {
+    /** Another entry that watches: the one that gets soonest to its work and to the store. */
+    public get heir(): SeenEntry | undefined {
         const nowMs = this.timer.nowMs();
-        const others = [...this.entries].filter(([entry, seen]) =>
-            entry !== this.ledger.holder && nowMs - seen.atMs < ENTRY_LOST_MS
-        );
-        return others.sort((left, right) => left[1].storeRoundTripMs - right[1].storeRoundTripMs)[0]?.[0];
+        let best: SeenEntry | undefined;
+        for (const seen of this.entries.values()) {
+            const isOther = seen.entry !== this.ledger.holder && nowMs - seen.atMs < ENTRY_LOST_MS;
+            if (isOther && (!best || distanceOf(seen) < distanceOf(best))) {
+                best = seen;
+            }
+        }
+        return best;
     }
 
     /** Waits for news for an entry. */
@@ -48,7 +60,9 @@
             this.dropLostEntries();
         }
         this.entries.set(request.entry, {
+            entry: request.entry,
             storeRoundTripMs: request.storeRoundTripMs,
+            loopDelayMs: request.loopDelayMs,
             atMs: this.timer.nowMs()
         });
         const isKnown = request.epoch === this.ledger.epoch && this.updates.after(request.afterSequence) !== undefined;
@@ -149,3 +163,7 @@
         return counts;
     }
 }
+
+function distanceOf({ storeRoundTripMs, loopDelayMs }: SeenEntry): number {
+    return storeRoundTripMs + loopDelayMs;
+}
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -18,7 +18,7 @@
 import type { JobState } from "../state/JobState.js";
 import { Dispatcher } from "./Dispatcher.js";
 import { DurationMeter } from "./DurationMeter.js";
-import { EntryWatchers } from "./EntryWatchers.js";
+import { EntryWatchers, type SeenEntry } from "./EntryWatchers.js";
 import { IntakeReader } from "./IntakeReader.js";
 import type { OwnerLedger } from "./OwnerLedger.js";
 import { PermitDesk } from "./PermitDesk.js";
@@ -37,6 +37,8 @@
     readonly directory: DirectorySource;
     readonly timing: FleetTiming;
     readonly log: EventLog;
+    /** How late this process gets to what is due. */
+    readonly loopDelayMs: () => number;
     /** Longest usual round trip to a worker. */
     readonly roundTripMs: number;
 }
@@ -172,10 +174,23 @@
         }
     }
 
-    /** Commits all that is known and gives the fleet up to the heir that is nearest to the store. */
-    public async release(limitMs: number): Promise<boolean> {
+    /** Entry that would follow best. */
+    public get heir(): SeenEntry | undefined {
+        return this.watchers.heir;
+    }
+
+    /** It has looked at the workers and decides. */
+    public get decides(): boolean {
+        return this.ready;
+    }
+
+    /**
+     * Gives the fleet up to the best heir. What is known is committed before, as far as that takes no longer than the limit
+     * for it: ends that are not committed were not noted either, and workers tell them to the successor again.
+     */
+    public async release(commitMs: number, limitMs: number): Promise<boolean> {
         this.stopping = true;
-        const released = await this.writer.release(this.watchers.heir, limitMs);
+        const released = await this.writer.release(this.watchers.heir?.entry, commitMs, limitMs);
         this.watchers.close();
         this.dispose();
         return released;
@@ -227,7 +242,17 @@
         this.registry.begin(entries, workers, unknownLeaseMs);
         this.runs.failExhausted();
         const { timer, log } = this.parts;
-        this.disposables.add(new StatusReporter(this.fleet, this.registry, this.ledger, this.decisions, timer, log));
+        this.disposables.add(
+            new StatusReporter(
+                this.fleet,
+                this.registry,
+                this.ledger,
+                this.decisions,
+                this.parts.loopDelayMs,
+                timer,
+                log
+            )
+        );
         this.ready = true;
         this.parts.log.write(EVENTS.sliceAcquired, { epoch: this.epoch, jobs: this.fleet.jobs.size });
         this.decideSoon();
--- a/packages/fleet/src/owner/ProgressWriter.ts
+++ b/packages/fleet/src/owner/ProgressWriter.ts
@@ -63,21 +63,22 @@
         this.wake?.();
     }
 
-    /** Writes all that is left and gives the place up; tells whether that was committed. */
-    public async release(heir: string | undefined, limitMs: number): Promise<boolean> {
+    /** Writes what is left for some time, then gives the place up; tells whether that was committed. */
+    public async release(heir: string | undefined, commitMs: number, limitMs: number): Promise<boolean> {
         this.stopped = true;
         this.wake?.();
+        const commitUntilMs = this.timer.nowMs() + commitMs;
         const endMs = this.timer.nowMs() + limitMs;
         // A round under way holds jobs of its own; what is noted beside it must not overtake their commit.
         await this.running;
         while (this.timer.nowMs() < endMs) {
             const round = this.takeRound();
-            const outcome = await this.ledger.commit(round.writes, this.dirty.size === 0 ? { heir } : undefined);
+            const isLast = this.dirty.size === 0 || this.timer.nowMs() >= commitUntilMs;
+            const outcome = await this.ledger.commit(round.writes, isLast ? { heir } : undefined);
             if (outcome === LedgerOutcome.Superseded) {
                 return false;
             }
             if (outcome === LedgerOutcome.Committed) {
-                const isLast = this.dirty.size === 0;
                 this.finishRound(round);
                 if (isLast) {
                     return true;
--- a/packages/fleet/src/owner/StatusReporter.ts
+++ b/packages/fleet/src/owner/StatusReporter.ts
@@ -22,6 +22,7 @@
         private readonly registry: WorkerRegistry,
         private readonly ledger: OwnerLedger,
         private readonly decisions: DurationMeter,
+        private readonly loopDelayMs: () => number,
         private readonly timer: TimerService,
         private readonly log: EventLog
     ) {
@@ -49,6 +50,7 @@
         const fields: EventFields = {
             epoch: this.ledger.epoch,
             confirmedAgeMs: Math.round(this.ledger.confirmedAgeMs),
+            loopDelayMs: Math.round(this.loopDelayMs()),
             settled: this.registry.settled,
             jobs: this.fleet.jobs.size,
             jobsQueued: [...this.fleet.jobs.values()].filter(job => job.phase === JobPhase.Queued).length,
--- a/packages/fleet/src/ownership/OwnerElection.ts
+++ b/packages/fleet/src/ownership/OwnerElection.ts
@@ -42,8 +42,12 @@
     readonly unconfirmedMs: () => number;
 }
 
-/** An owner whose row has not been confirmed for this long, while the store answers, is taken as dead. */
-const OWNER_TIMEOUT_MS = 1500;
+/** An owner whose row has not been confirmed for this long, while the store answers, is taken as dead: two renewals. */
+const OWNER_TIMEOUT_MS = 900;
+/** The same as a multiple of the time that the store takes for a reading: a slow one lets owners renew more rarely. */
+const TIMEOUT_READINGS = 6;
+/** An owner that admits that it has not confirmed its row for this long is followed soon. */
+const ADMITTED_AGE_MS = 1500;
 /** The same for one whose port refuses connections. */
 const REFUSED_TIMEOUT_MS = 500;
 /** The same for one that admits that it can't confirm its row: time to see that the store serves this process. */
@@ -67,6 +71,7 @@
     private last: SeenOwner | undefined;
     private unchangedSinceMs = 0;
     private readAtMs = 0;
+    private readingMs = 0;
     private pending: Disposable | undefined;
     private stopped = false;
     private polling = false;
@@ -123,11 +128,13 @@
 
     private async readRow(): Promise<void> {
         const place = { table: FleetTable.Ownership, partition: FLEET_PARTITION };
+        const startedMs = this.timer.nowMs();
         const page = await this.store.read({ ...place, from: OWNER_KEY, limit: 1 }, READ_TIMEOUT_MS);
         if (page.isErr() || this.stopped) {
             return;
         }
         const nowMs = this.timer.nowMs();
+        this.readingMs = nowMs - startedMs;
         const stored = page.value.rows.find(row => row.key === OWNER_KEY);
         const owner: SeenOwner = { row: stored && readOwnerRow(stored.value), version: stored?.version ?? 0 };
         const isContinuous = nowMs - this.readAtMs <= LONGEST_READING_GAP_MS;
@@ -157,10 +164,12 @@
         if (this.signs.replaced(row.holder)) {
             return REPLACED_TIMEOUT_MS + delayMs;
         }
-        if (this.signs.unconfirmedMs() >= OWNER_TIMEOUT_MS) {
+        if (this.signs.unconfirmedMs() >= ADMITTED_AGE_MS) {
             return ADMITTED_TIMEOUT_MS + delayMs;
         }
-        return (this.signs.refused() ? REFUSED_TIMEOUT_MS : OWNER_TIMEOUT_MS) + delayMs;
+        return delayMs + (this.signs.refused()
+            ? REFUSED_TIMEOUT_MS
+            : Math.max(OWNER_TIMEOUT_MS, this.readingMs * TIMEOUT_READINGS));
     }
 
     private async takeOver({ row: former, version }: SeenOwner): Promise<void> {
--- a/packages/fleet/src/ports/OwnerLink.ts
+++ b/packages/fleet/src/ports/OwnerLink.ts
@@ -19,6 +19,8 @@
     readonly waitMs: number;
     /** Round-trip time of the entry to the store. */
     readonly storeRoundTripMs: number;
+    /** How late the entry gets to what is due. */
+    readonly loopDelayMs: number;
 }
 
 /** Reply of the owner to a watching entry. */
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -16,6 +16,7 @@
 import { MemoryRowStore } from "@skylarkpath/standins/fleet/MemoryRowStore";
 import { TaskRules } from "@skylarkpath/standins/fleet/TaskRules";
 import { ok } from "neverthrow";
+import { LaggingTimer } from "./LaggingTimer.js";
 
 /** Sizes of a deployment. */
 export interface DeploymentSize {
@@ -33,6 +34,7 @@
 interface RunningProcess {
     readonly process: FleetProcess;
     readonly machine: string;
+    readonly timer: LaggingTimer;
     alive: boolean;
 }
 
@@ -141,8 +143,10 @@
 
     /** Starts a process on a machine. */
     public startProcess(machine: string): void {
+        const timer = new LaggingTimer(this.timer);
         const running: RunningProcess = {
             machine,
+            timer,
             alive: true,
             process: new FleetProcess({
                 machine,
@@ -165,7 +169,7 @@
                     graceMs: 6000,
                     stateRetentionMs: 120_000
                 },
-                timer: this.timer,
+                timer,
                 random: this.random,
                 log: SILENT_LOG,
                 roundTripMs: 10,
@@ -176,6 +180,11 @@
         running.process.start();
     }
 
+    /** Makes the process on a machine late for all that it has to do. */
+    public slowProcess(machine: string, lagMs: number): void {
+        this.processes.get(machine)!.timer.lagMs = lagMs;
+    }
+
     /** Kills the process on a machine; nothing of it goes on. */
     public killProcess(machine: string): void {
         const running = this.processes.get(machine);
--- a/packages/proof/src/fleet/FleetRecovery.test.ts
+++ b/packages/proof/src/fleet/FleetRecovery.test.ts
@@ -277,3 +277,42 @@
     t.true(accepted.length > 0);
     t.deepEqual(deployment.rules.finish(), []);
 });
+
+test("an owner on a slow machine hands the fleet over, and a slow entry does not take it", async t => {
+    const deployment = await begin(19);
+    await deployment.timer.advance(3000);
+    const first = deployment.ownerMachine;
+    const [fast, slow] = [...deployment.processes.keys()].filter(machine => machine !== first);
+    const { epoch } = deployment.ownerRow!;
+    const job = deployment.describeJob([{ taskCount: 8, estimateMs: 3000 }]);
+    await deployment.timer.advanceUntil(deployment.submit(fast!, job));
+    await deployment.timer.advance(200);
+    deployment.slowProcess(slow!, 150);
+    deployment.slowProcess(first, 200);
+    await deployment.timer.advance(2500);
+    t.is(deployment.ownerMachine, fast);
+    t.is(deployment.ownerRow!.epoch, epoch + 1);
+    t.is(await deployment.untilFinal(job, 10_000), JobPhase.Completed);
+    t.is(deployment.rules.starts, 8);
+    t.deepEqual(deployment.rules.finish(), []);
+});
+
+test("an owner that is no slower than the others keeps the fleet", async t => {
+    const deployment = await begin(20);
+    await deployment.timer.advance(3000);
+    const { epoch } = deployment.ownerRow!;
+    for (const machine of deployment.processes.keys()) {
+        deployment.slowProcess(machine, 150);
+    }
+    await deployment.timer.advance(8000);
+    t.is(deployment.ownerRow!.epoch, epoch);
+});
+
+test("an owner that stands still is followed within two seconds", async t => {
+    const deployment = await begin(21);
+    const first = deployment.ownerMachine;
+    deployment.store.faults.cutMachines.add(first);
+    deployment.cutPeers.add(first);
+    await deployment.timer.advance(2000);
+    t.not(deployment.ownerMachine, first);
+});
