Orders without a reply that were on their way when a worker was born again are settled

Cause: such an order raised the token of the former life's session, so that two or more of them waited for a token that the new life's session never reached; their tasks counted as running for good. Change: the registry settles an uncertain run with the session that counts it now. Numbers of runs leave room for 100,000 runs of a task under one owner, since a lasting task may be restarted more than 64 times.

--- a/packages/fleet/src/owner/Dispatcher.ts
+++ b/packages/fleet/src/owner/Dispatcher.ts
@@ -60,7 +60,10 @@
             this.noteStarted(run);
             return;
         }
-        if (reply.outcome !== OrderOutcome.Uncertain) {
+        if (reply.outcome === OrderOutcome.Uncertain) {
+            this.registry.settleRun(run);
+        }
+        else {
             this.noteRefused(run, reply.outcome);
         }
         this.log.write(EVENTS.startRefused, {
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -60,8 +60,8 @@
 const DECISION_INTERVAL_MS = 100;
 /** Rest after a decision, as a multiple of its duration, so that the exchange with workers is never starved. */
 const REST_PER_DECISION = 1;
-/** Number of runs that one owner may give a task before its successor's numbers begin. */
-const RUNS_PER_EPOCH = 64;
+/** Number of runs that one owner may give a task before its successor's numbers begin: ten days of restarts of a lasting task. */
+const RUNS_PER_EPOCH = 100_000;
 const INTAKE_WAIT_MS = 1000;
 /** Entries tell of what they have written; the changes of the table are read for what was not told. */
 const INTAKE_GAP_MS = 250;
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -7,6 +7,7 @@
 import type { KnownWorker } from "../model/OwnerRow.js";
 import type { WorkerCalls, WorkerEntry } from "../ports/WorkerCalls.js";
 import type { FleetState } from "../state/FleetState.js";
+import type { RunState } from "../state/RunState.js";
 import { WorkerState } from "../state/WorkerState.js";
 import { FillerGuard } from "./FillerGuard.js";
 import type { RunKeeper } from "./RunKeeper.js";
@@ -69,6 +70,13 @@
         return session?.state === worker ? session : undefined;
     }
 
+    /** Settles a run whose order got no reply, with the life of the worker that counts it now. */
+    public settleRun(run: RunState): void {
+        if (run.worker.runs.get(run.task.name) === run) {
+            this.session(run.worker)?.settle(run);
+        }
+    }
+
     /** Contacts the workers that a former owner knew, and those of the directory. */
     public begin(entries: readonly WorkerEntry[], formerly: readonly KnownWorker[], unknownLeaseMs: number): void {
         for (const entry of entries) {
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -150,10 +150,6 @@
             REPLY_TIMEOUT_MS + this.timing.roundTripMs
         );
         this.noteReply(reply, token);
-        if (reply.outcome === OrderOutcome.Uncertain) {
-            run.phase = RunPhase.Uncertain;
-            this.settle(run);
-        }
         return reply;
     }
 
@@ -178,6 +174,7 @@
 
     /** Raises the token, so that orders on their way are void, and looks again at once. */
     public settle(run: RunState): void {
+        run.phase = RunPhase.Uncertain;
         this.generation++;
         run.settledByToken = this.token;
         if (!this.settling) {
