No room is kept for gangs that their team's limit holds back, or that lasting tasks leave no room for

Cause: a gang that was over its team's lowered limit reserved workers for as long as it waited, which may be for good; up to three such gangs kept equal and less urgent steps off most workers that these were allowed. The logs called this "soon". Change: only gangs within their team's limit reserve, and a reservation ends with a lowered limit; lasting tasks count as room that never comes. Logs tell "reserved" apart.

--- a/packages/fleet/src/owner/Dispatcher.ts
+++ b/packages/fleet/src/owner/Dispatcher.ts
@@ -3,6 +3,8 @@
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import { JobPhase } from "../model/JobSpec.js";
 import { type Placement, PlacementPlanner } from "../placement/PlacementPlanner.js";
+import type { RankedStep } from "../placement/StepOrder.js";
+import type { WaitReason } from "../placement/WaitReason.js";
 import { OrderOutcome } from "../ports/WorkerCalls.js";
 import type { FleetState } from "../state/FleetState.js";
 import { RunPhase, type RunState } from "../state/RunState.js";
@@ -47,6 +49,11 @@
         this.desk.request(plan.wantPermits, nowMs);
     }
 
+    /** Explains why the waiting tasks of a step do not start. */
+    public explain(ranked: RankedStep): WaitReason {
+        return this.planner.explain(ranked, this.timer.nowMs());
+    }
+
     private async start(placement: Placement, runNumber: number, checkpoint: string, nowMs: number): Promise<void> {
         const { task, worker, permit } = placement;
         const session = this.registry.session(worker);
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -247,6 +247,7 @@
                 this.fleet,
                 this.registry,
                 this.ledger,
+                this.dispatcher,
                 this.decisions,
                 this.parts.loopDelayMs,
                 timer,
--- a/packages/fleet/src/owner/StatusReporter.ts
+++ b/packages/fleet/src/owner/StatusReporter.ts
@@ -4,8 +4,8 @@
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import { JobPhase } from "../model/JobSpec.js";
 import { orderSteps } from "../placement/StepOrder.js";
-import { explainWait } from "../placement/WaitReason.js";
 import type { FleetState } from "../state/FleetState.js";
+import type { Dispatcher } from "./Dispatcher.js";
 import type { DurationMeter } from "./DurationMeter.js";
 import type { OwnerLedger } from "./OwnerLedger.js";
 import type { WorkerRegistry } from "./WorkerRegistry.js";
@@ -21,6 +21,7 @@
         private readonly fleet: FleetState,
         private readonly registry: WorkerRegistry,
         private readonly ledger: OwnerLedger,
+        private readonly dispatcher: Dispatcher,
         private readonly decisions: DurationMeter,
         private readonly loopDelayMs: () => number,
         private readonly timer: TimerService,
@@ -37,8 +38,9 @@
         const nowMs = this.timer.nowMs();
         const reasons: Record<string, number> = {};
         let longest: { readonly step: string; readonly waitMs: number; readonly reason: string; } | undefined;
-        for (const { step } of orderSteps(this.fleet, nowMs)) {
-            const reason = explainWait(this.fleet, step, nowMs);
+        for (const ranked of orderSteps(this.fleet, nowMs)) {
+            const { step } = ranked;
+            const reason = this.dispatcher.explain(ranked);
             const waitMs = Math.round(nowMs - (step.readyAtMs ?? nowMs));
             reasons[reason] = (reasons[reason] ?? 0) + 1;
             if (waitMs > (longest?.waitMs ?? -1)) {
--- a/packages/fleet/src/placement/GangReservations.ts
+++ b/packages/fleet/src/placement/GangReservations.ts
@@ -25,11 +25,11 @@
 export class GangReservations {
     private readonly reservations = new Map<StepState, Reservation>();
 
-    /** Drops the reservations of gangs that do not wait any more, or whose workers are not usable. */
-    public refresh(nowMs: number): void {
+    /** Drops the reservations of gangs that do not wait any more or may not start, or whose workers are not usable. */
+    public refresh(nowMs: number, mayStart: (step: StepState) => boolean): void {
         for (const [step, { workers }] of this.reservations) {
             const isWaiting = !step.done && !step.job.final && step.tasks.every(task => task.waiting);
-            if (!isWaiting || [...workers].some(worker => !worker.canStart(nowMs))) {
+            if (!isWaiting || !mayStart(step) || [...workers].some(worker => !worker.canStart(nowMs))) {
                 this.reservations.delete(step);
             }
         }
@@ -45,7 +45,7 @@
         const rooms = possible.filter(worker => this.holderOf(worker) === undefined).map(worker => ({
             worker,
             now: Math.min(most, worker.fits(size, filler)),
-            whole: Math.min(most, worker.fitsWhenEmpty(size))
+            whole: Math.min(most, worker.fitsInTheEnd(size))
         }));
         rooms.sort((left, right) => right.now - left.now || right.whole - left.whole);
         const needed = ranked.step.tasks.length;
--- a/packages/fleet/src/placement/PlacementPlanner.test.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.test.ts
@@ -3,6 +3,8 @@
 import { RunPhase } from "../state/RunState.js";
 import { addJob, addWorker, createFleet, PLAIN_CONFIG } from "../testing/FleetFixture.js";
 import { type PlacementPlan, PlacementPlanner } from "./PlacementPlanner.js";
+import { orderSteps } from "./StepOrder.js";
+import { WaitReason } from "./WaitReason.js";
 
 const URGENT_ID = "00000000000000b1";
 
@@ -107,3 +109,51 @@
     }
     t.is(startAll(fleet, plan(fleet, planner)).length, 3);
 });
+
+test("no room is kept for a gang that its team's limit holds back", t => {
+    const fleet = createFleet();
+    const lab = { ...PLAIN_CONFIG.teams[0]!, limit: { cpuMilli: 2000, memoryMb: 0, accelerators: 0 } };
+    const other = { ...PLAIN_CONFIG.teams[0]!, name: "other" };
+    fleet.config = { ...PLAIN_CONFIG, teams: [lab, other] };
+    const planner = new PlacementPlanner(fleet);
+    const worker = addWorker(fleet, "w1");
+    const running = addJob(fleet, [{}], "00000000000000c1");
+    fleet.openRun(running.findTask(0, 0, 0)!, worker, 1, RunPhase.Running, 0);
+    addJob(fleet, [{ taskCount: 2, gang: true }], "00000000000000d1");
+    t.is(plan(fleet, planner).starts.length, 0);
+    t.is(planner.explain(orderSteps(fleet, 10)[0]!, 10), WaitReason.TeamLimit);
+    const job = addJob(fleet, [{}], "00000000000000e1");
+    Object.assign(job.spec, { team: "other" });
+    t.deepEqual(startAll(fleet, plan(fleet, planner)), ["00000000000000e1.0.0.0@w1"]);
+});
+
+test("a reservation ends when the limit of the gang's team is lowered", t => {
+    const fleet = createFleet();
+    fleet.config = { ...PLAIN_CONFIG, teams: [...PLAIN_CONFIG.teams, { ...PLAIN_CONFIG.teams[0]!, name: "other" }] };
+    const planner = new PlacementPlanner(fleet);
+    const worker = addWorker(fleet, "w1");
+    const running = addJob(fleet, [{}], "00000000000000c1");
+    fleet.openRun(running.findTask(0, 0, 0)!, worker, 1, RunPhase.Running, 0);
+    addJob(fleet, [{ taskCount: 4, gang: true }], "00000000000000d1");
+    t.is(plan(fleet, planner).starts.length, 0);
+    const job = addJob(fleet, [{}], "00000000000000e1");
+    Object.assign(job.spec, { team: "other" });
+    t.is(plan(fleet, planner).starts.length, 0);
+    const waiting = orderSteps(fleet, 10).find(({ step }) => step.job === job)!;
+    t.is(planner.explain(waiting, 10), WaitReason.Reserved);
+    const lab = { ...PLAIN_CONFIG.teams[0]!, limit: { cpuMilli: 3000, memoryMb: 0, accelerators: 0 } };
+    fleet.config = { ...fleet.config, teams: [lab, fleet.config.teams[1]!] };
+    t.is(plan(fleet, planner).starts.length, 1);
+});
+
+test("no room is kept for a gang where lasting tasks leave too little", t => {
+    const fleet = createFleet();
+    const planner = new PlacementPlanner(fleet);
+    const worker = addWorker(fleet, "w1");
+    const lasting = addJob(fleet, [{ lasting: true }], "00000000000000c1");
+    fleet.openRun(lasting.findTask(0, 0, 0)!, worker, 1, RunPhase.Running, 0);
+    addJob(fleet, [{ taskCount: 4, gang: true }], "00000000000000d1");
+    t.is(plan(fleet, planner).starts.length, 0);
+    addJob(fleet, [{ taskCount: 2 }], "00000000000000e1");
+    t.is(startAll(fleet, plan(fleet, planner)).length, 2);
+});
--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -5,6 +5,7 @@
 import { countedSize, type WorkerState } from "../state/WorkerState.js";
 import { GangReservations, WorkerUse } from "./GangReservations.js";
 import { orderSteps, type RankedStep } from "./StepOrder.js";
+import { explainWait, type WaitReason } from "./WaitReason.js";
 
 /** A task to be started on a worker. */
 export interface Placement {
@@ -51,7 +52,7 @@
         const starts: StepPlacement[] = [];
         const wantPermits: StepState[] = [];
         const taken = new Map<WorkerState, Amount>();
-        this.reservations.refresh(nowMs);
+        this.reservations.refresh(nowMs, step => this.isWithinLimit(step));
         const largestFreeMilli = this.findLargestFree(nowMs);
         const teamTaken = new TeamTaken(this.fleet);
         for (const ranked of orderSteps(this.fleet, nowMs)) {
@@ -77,7 +78,7 @@
                 if (ranked.queue.policy) {
                     wantPermits.push(step);
                 }
-                if (step.spec.gang) {
+                if (step.spec.gang && this.isWithinLimit(step)) {
                     this.reservations.reserve(ranked, this.possibleWorkers(ranked, nowMs));
                 }
             }
@@ -85,6 +86,18 @@
         return { starts, wantPermits };
     }
 
+    /** Explains why the waiting tasks of a step do not start. */
+    public explain(ranked: RankedStep, nowMs: number): WaitReason {
+        const isReserved = (worker: WorkerState): boolean =>
+            this.reservations.useOf(ranked, worker) === WorkerUse.Reserved;
+        return explainWait(this.fleet, ranked.step, nowMs, isReserved);
+    }
+
+    /** The limit of a gang's team leaves room for all its members. */
+    private isWithinLimit(step: StepState): boolean {
+        return this.fleet.teamRoom(step.job.spec.team, step.spec.size) >= step.tasks.length;
+    }
+
     /** Most processors that are free on one worker; steps of larger tasks need not be looked at. */
     private findLargestFree(nowMs: number): number {
         let largest = 0;
--- a/packages/fleet/src/placement/WaitReason.ts
+++ b/packages/fleet/src/placement/WaitReason.ts
@@ -1,5 +1,6 @@
 import type { FleetState } from "../state/FleetState.js";
 import type { StepState } from "../state/StepState.js";
+import type { WorkerState } from "../state/WorkerState.js";
 
 /** Why the waiting tasks of a step do not start. */
 export enum WaitReason {
@@ -15,14 +16,21 @@
     NoAnswer = "no-answer",
     /** The policy allows no worker that takes tasks. */
     NotAllowed = "not-allowed",
+    /** The workers that may run it are kept free for gangs that wait. */
+    Reserved = "reserved",
     /** The workers that may run it are full. */
     NoRoom = "no-room",
     /** Its permits have lapsed, or it starts with the next decision. */
     Soon = "soon"
 }
 
-/** Explains why a step waits. */
-export function explainWait(fleet: FleetState, step: StepState, nowMs: number): WaitReason {
+/** Explains why a step waits; the last parameter tells whether a worker is kept free for others. */
+export function explainWait(
+    fleet: FleetState,
+    step: StepState,
+    nowMs: number,
+    isReserved: (worker: WorkerState) => boolean
+): WaitReason {
     const queue = fleet.queue(step.job.spec.queue);
     if (!queue) {
         return WaitReason.NoQueue;
@@ -49,6 +57,10 @@
     if (allowed.length === 0) {
         return WaitReason.NotAllowed;
     }
-    const room = allowed.reduce((sum, worker) => sum + worker.fits(step.spec.size, step.spec.filler), 0);
-    return room < needed ? WaitReason.NoRoom : WaitReason.Soon;
+    const roomOn = (workers: readonly WorkerState[]): number =>
+        workers.reduce((sum, worker) => sum + worker.fits(step.spec.size, step.spec.filler), 0);
+    if (roomOn(allowed) < needed) {
+        return WaitReason.NoRoom;
+    }
+    return roomOn(allowed.filter(worker => !isReserved(worker))) < needed ? WaitReason.Reserved : WaitReason.Soon;
 }
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -3,8 +3,6 @@
 import type { WorkerEntry } from "../ports/WorkerCalls.js";
 import type { RunState } from "./RunState.js";
 
-const NOTHING: Readonly<Amount> = createAmount();
-
 /** One life of a worker, as its owner knows it. */
 export class WorkerState {
     /** Sum of all runs that count, those being stopped too. */
@@ -52,9 +50,15 @@
         return countFits(this.entry.capacity, used, size, !filler);
     }
 
-    /** Number of tasks of a size that fit when nothing else runs. */
-    public fitsWhenEmpty(size: Size): number {
-        return countFits(this.entry.capacity, NOTHING, size);
+    /** Number of tasks of a size that fit once all has ended that ends by itself. */
+    public fitsInTheEnd(size: Size): number {
+        const lasting = createAmount();
+        for (const { task } of this.runs.values()) {
+            if (task.step.spec.lasting) {
+                addSize(lasting, countedSize(task.step.spec));
+            }
+        }
+        return countFits(this.entry.capacity, lasting, size);
     }
 
     /** Counts a run. */
