Decisions cost less: counts of waiting tasks are kept, workers are looked through once a step

Change: tasks keep their step's count of waiting tasks; steps without a permit that holds are not looked at; the workers of a pool are listed once a round; waiting jobs are counted five times a second at most; no objects for each question after a team's room.

--- a/packages/fleet/src/model/Amount.ts
+++ b/packages/fleet/src/model/Amount.ts
@@ -36,11 +36,12 @@
 
 /** Returns how many tasks of a size fit within a limit, in which zero means no limit. */
 export function countWithin(limit: Size, used: Amount, size: Size): number {
-    const bound = (amount: number): number => amount > 0 ? amount : Number.MAX_SAFE_INTEGER;
-    const capacity: Size = {
-        cpuMilli: bound(limit.cpuMilli),
-        memoryMb: bound(limit.memoryMb),
-        accelerators: bound(limit.accelerators)
-    };
-    return countFits(capacity, used, size);
+    const cpu = countAlong(limit.cpuMilli, used.cpuMilli, size.cpuMilli);
+    const memory = countAlong(limit.memoryMb, used.memoryMb, size.memoryMb);
+    const accelerators = countAlong(limit.accelerators, used.accelerators, size.accelerators);
+    return Math.max(0, Math.min(cpu, memory, accelerators));
+}
+
+function countAlong(limit: number, used: number, size: number): number {
+    return limit === 0 || size === 0 ? Number.MAX_SAFE_INTEGER : Math.floor((limit - used) / size);
 }
--- a/packages/fleet/src/owner/EntryWatchers.ts
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -11,6 +11,8 @@
 const QUESTION_BATCH_MS = 5;
 /** Changes of jobs that come within this time share a reply: replies to all entries are most of an owner's work. */
 const UPDATE_BATCH_MS = 50;
+/** Waiting jobs are counted at most this often; callers may be told what is two seconds old. */
+const COUNT_INTERVAL_MS = 200;
 const NEVER_STARTED_SEQUENCE = 0;
 /** An entry that has not watched for this long is taken as gone: two of its waits. */
 const ENTRY_LOST_MS = 1200;
@@ -28,6 +30,8 @@
 export class EntryWatchers implements Disposable {
     private readonly waiting = new Set<() => void>();
     private readonly entries = new Map<string, SeenEntry>();
+    private counts: Readonly<Record<string, number>> = {};
+    private countedMs = Number.NEGATIVE_INFINITY;
     private closed = false;
 
     constructor(
@@ -153,8 +157,14 @@
         return [...this.updates.after(NEVER_STARTED_SEQUENCE) ?? [], ...running];
     }
 
-    private countWaiting(): Record<string, number> {
+    private countWaiting(): Readonly<Record<string, number>> {
+        const nowMs = this.timer.nowMs();
+        if (nowMs - this.countedMs < COUNT_INTERVAL_MS) {
+            return this.counts;
+        }
+        this.countedMs = nowMs;
         const counts: Record<string, number> = {};
+        this.counts = counts;
         for (const { phase, spec } of this.fleet.jobs.values()) {
             if (phase === JobPhase.Queued) {
                 counts[spec.queue] = (counts[spec.queue] ?? 0) + 1;
--- a/packages/fleet/src/owner/PermitDesk.ts
+++ b/packages/fleet/src/owner/PermitDesk.ts
@@ -97,15 +97,19 @@
     /** Asks for the steps that need permits, in this order, as far as lanes are free. */
     public request(steps: readonly StepState[], nowMs: number): void {
         const budget = new RoomBudget(this.fleet, nowMs);
+        const usableByPool = new Map<string, readonly WorkerState[]>();
         for (const step of steps) {
             if (!this.hasFreeLane(nowMs) || !budget.take(step)) {
                 return;
             }
-            const policy = this.fleet.queue(step.job.spec.queue)?.policy;
+            const queue = this.fleet.queue(step.job.spec.queue);
+            const policy = queue?.policy;
             if (!policy || this.isAsked(step, policy, nowMs)) {
                 continue;
             }
-            const workers = this.chooseWorkers(step, nowMs);
+            const usable = usableByPool.get(queue.pool) ?? this.listUsable(queue.pool, nowMs);
+            usableByPool.set(queue.pool, usable);
+            const workers = this.chooseWorkers(step, usable, nowMs);
             const lane = workers.length === 0 ? undefined : this.chooseLane(costOf(policy, workers.length), nowMs);
             if (lane) {
                 this.ask(step, policy, workers, lane, nowMs);
@@ -135,15 +139,13 @@
         const policy = this.fleet.queue(step.job.spec.queue)?.policy;
         const permitMs = Math.min(delivery.permitMs ?? Number.MAX_SAFE_INTEGER, policy?.permitMs ?? 0) - ANSWER_AGE_MS;
         for (const worker of workers) {
-            step.permits.asked.add(lifeOf(worker));
+            step.permits.asked.set(worker.id, worker.entry.incarnation);
             const permit = delivery.permits.find(each => each.workerId === worker.id);
             if (permit) {
                 const { incarnation } = worker.entry;
-                step.permits.byWorker.set(worker.id, {
-                    permit: permit.permit,
-                    incarnation,
-                    expiresAtMs: Math.min(nowMs, answerMs) + permitMs
-                });
+                const expiresAtMs = Math.min(nowMs, answerMs) + permitMs;
+                step.permits.byWorker.set(worker.id, { permit: permit.permit, incarnation, expiresAtMs });
+                step.permits.latestExpiryMs = Math.max(step.permits.latestExpiryMs, expiresAtMs);
             }
         }
     }
@@ -169,36 +171,51 @@
     }
 
     /** Workers to be named: unknown ones at first, later those that are known to be allowed and have room. */
-    private chooseWorkers(step: StepState, nowMs: number): readonly WorkerState[] {
+    private chooseWorkers(step: StepState, usable: readonly WorkerState[], nowMs: number): readonly WorkerState[] {
         const { spec, permits } = step;
-        const queue = this.fleet.queue(step.job.spec.queue);
-        const usable = [...this.fleet.workers.values()].filter(worker =>
-            worker.entry.pool === queue?.pool && worker.canStart(nowMs)
-            && (spec.workerLabel === undefined || worker.entry.labels.includes(spec.workerLabel))
-        );
-        const waiting = step.tasks.filter(task => task.waiting).length;
-        const allowed = usable.filter(worker =>
-            permits.byWorker.get(worker.id)?.incarnation === worker.entry.incarnation
-        );
+        const waiting = step.waitingCount;
         const room = (worker: WorkerState): number => worker.fits(spec.size, spec.filler);
-        const allowedRoom = allowed.reduce((sum, worker) => sum + room(worker), 0);
-        const isStale = (worker: WorkerState): boolean =>
-            permits.byWorker.get(worker.id)!.expiresAtMs < nowMs + RENEWAL_MARGIN_MS;
+        const allowed: WorkerState[] = [];
+        const stale: WorkerState[] = [];
+        const unknown: WorkerState[] = [];
+        let allowedRoom = 0;
+        for (const worker of usable) {
+            const { id, incarnation } = worker.entry;
+            if (!suitsLabel(worker, step)) {
+                continue;
+            }
+            const permit = permits.byWorker.get(id);
+            if (permit?.incarnation === incarnation) {
+                const workerRoom = room(worker);
+                allowed.push(worker);
+                allowedRoom += workerRoom;
+                if (permit.expiresAtMs < nowMs + RENEWAL_MARGIN_MS && (spec.gang || workerRoom > 0)) {
+                    stale.push(worker);
+                }
+            }
+            if (permits.asked.get(id) !== incarnation) {
+                unknown.push(worker);
+            }
+        }
         if (spec.gang && allowedRoom >= waiting * GANG_ROOM_SHARE) {
             // Members start together, so all their permits are renewed together, and before the last place is free.
-            return allowed.some(isStale) ? limitWorkers(allowed, step, waiting, room) : [];
+            return stale.length > 0 ? limitWorkers(allowed, step, waiting, room) : [];
         }
         if (!spec.gang && allowedRoom >= 1) {
-            return limitWorkers(allowed.filter(worker => room(worker) > 0 && isStale(worker)), step, waiting, room);
+            return limitWorkers(stale, step, waiting, room);
         }
-        const unknown = usable.filter(worker => !permits.asked.has(lifeOf(worker)));
         if (unknown.length === 0 && allowed.length === 0 && nowMs >= permits.answeredAtMs + ASK_AGAIN_MS) {
             permits.asked.clear();
-            return limitWorkers(usable, step, waiting, room);
+            return limitWorkers(usable.filter(worker => suitsLabel(worker, step)), step, waiting, room);
         }
         return limitWorkers(unknown, step, waiting, room);
     }
 
+    /** Workers of a pool that take new tasks. */
+    private listUsable(pool: string, nowMs: number): readonly WorkerState[] {
+        return [...this.fleet.workers.values()].filter(worker => worker.entry.pool === pool && worker.canStart(nowMs));
+    }
+
     private dropLostLanes(nowMs: number): void {
         for (const [entry, lane] of this.lanes) {
             if (nowMs - lane.seenMs > LANE_FORGOTTEN_MS) {
@@ -259,8 +276,8 @@
     return policy.decideMs + policy.perWorkerMs * workerCount;
 }
 
-function lifeOf(worker: WorkerState): string {
-    return `${worker.id}@${worker.entry.incarnation}`;
+function suitsLabel(worker: WorkerState, { spec }: StepState): boolean {
+    return spec.workerLabel === undefined || worker.entry.labels.includes(spec.workerLabel);
 }
 
 function limitWorkers(
--- a/packages/fleet/src/owner/RoomBudget.ts
+++ b/packages/fleet/src/owner/RoomBudget.ts
@@ -23,7 +23,7 @@
             return false;
         }
         const { size } = step.spec;
-        const waiting = step.tasks.filter(task => task.waiting).length;
+        const waiting = step.waitingCount;
         const teamRoom = this.fleet.teamRoom(step.job.spec.team, size);
         this.cpuMilli -= size.cpuMilli * Math.min(waiting, step.spec.gang && teamRoom < waiting ? 0 : teamRoom);
         return true;
--- a/packages/fleet/src/owner/RunKeeper.ts
+++ b/packages/fleet/src/owner/RunKeeper.ts
@@ -89,8 +89,8 @@
     public breakPartialGangs(): void {
         for (const job of this.fleet.jobs.values()) {
             for (const step of job.openSteps()) {
-                const isPartial = step.spec.gang && !step.done && step.tasks.some(task => task.run)
-                    && step.tasks.some(task => task.waiting);
+                const isPartial = step.spec.gang && !step.done && step.waitingCount > 0
+                    && step.tasks.some(task => task.run);
                 for (const task of isPartial ? step.tasks : []) {
                     this.stop(task.run);
                 }
--- a/packages/fleet/src/placement/GangReservations.ts
+++ b/packages/fleet/src/placement/GangReservations.ts
@@ -28,7 +28,7 @@
     /** Drops the reservations of gangs that do not wait any more or may not start, or whose workers are not usable. */
     public refresh(nowMs: number, mayStart: (step: StepState) => boolean): void {
         for (const [step, { workers }] of this.reservations) {
-            const isWaiting = !step.done && !step.job.final && step.tasks.every(task => task.waiting);
+            const isWaiting = !step.done && !step.job.final && step.waitingCount === step.tasks.length;
             if (!isWaiting || !mayStart(step) || [...workers].some(worker => !worker.canStart(nowMs))) {
                 this.reservations.delete(step);
             }
--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -74,7 +74,7 @@
                     taken.set(worker, amount);
                 }
             }
-            if (placements.length < ranked.waiting.length) {
+            if (placements.length < step.waitingCount) {
                 if (ranked.queue.policy) {
                     wantPermits.push(step);
                 }
@@ -137,6 +137,9 @@
             }
             return candidates;
         }
+        if (step.permits.latestExpiryMs <= nowMs + PERMIT_MARGIN_MS) {
+            return candidates;
+        }
         for (const [id, permit] of step.permits.byWorker) {
             const worker = this.fleet.workers.get(id);
             if (
@@ -168,7 +171,13 @@
         const placements: Placement[] = [];
         const { step } = ranked;
         const { maximumPerWorker } = step.spec;
-        for (const task of ranked.waiting) {
+        if (candidates.length === 0) {
+            return placements;
+        }
+        for (const task of step.tasks) {
+            if (!task.waiting) {
+                continue;
+            }
             if (teamTaken.room(step) < 1) {
                 break;
             }
@@ -197,7 +206,7 @@
         const { step } = ranked;
         const { maximumPerWorker, sameRack } = step.spec;
         const needed = step.tasks.length;
-        if (ranked.waiting.length < needed || teamTaken.room(step) < needed) {
+        if (candidates.length === 0 || step.waitingCount < needed || teamTaken.room(step) < needed) {
             return [];
         }
         const roomOf = (candidate: Candidate): number =>
--- a/packages/fleet/src/placement/StepOrder.ts
+++ b/packages/fleet/src/placement/StepOrder.ts
@@ -2,13 +2,11 @@
 import type { FleetState } from "../state/FleetState.js";
 import type { JobState } from "../state/JobState.js";
 import type { StepState } from "../state/StepState.js";
-import type { TaskState } from "../state/TaskState.js";
 
 /** A step with waiting tasks and what decides its turn. */
 export interface RankedStep {
     readonly step: StepState;
     readonly queue: QueueConfig;
-    readonly waiting: readonly TaskState[];
     /** Time by which the job should be done. */
     readonly dueMs: number;
     /** It can still be done in time. */
@@ -32,14 +30,13 @@
 
 function rankJob(job: JobState, queue: QueueConfig, nowMs: number, ranked: RankedStep[]): void {
     for (const step of job.readySteps()) {
-        const waiting = step.tasks.filter(task => task.waiting);
-        const isWhole = !step.spec.gang || waiting.length === step.tasks.length;
-        if (waiting.length === 0 || !isWhole) {
+        const isWhole = !step.spec.gang || step.waitingCount === step.tasks.length;
+        if (step.waitingCount === 0 || !isWhole) {
             continue;
         }
         step.readyAtMs ??= nowMs;
         const dueMs = job.acceptedAtMs + queue.stretchFactor * job.chainMs + queue.targetLatencyMs;
-        ranked.push({ step, queue, waiting, dueMs, inTime: nowMs + step.spec.estimateMs <= dueMs });
+        ranked.push({ step, queue, dueMs, inTime: nowMs + step.spec.estimateMs <= dueMs });
     }
 }
 
--- a/packages/fleet/src/placement/WaitReason.ts
+++ b/packages/fleet/src/placement/WaitReason.ts
@@ -35,7 +35,7 @@
     if (!queue) {
         return WaitReason.NoQueue;
     }
-    const waiting = step.tasks.filter(task => task.waiting).length;
+    const waiting = step.waitingCount;
     if (step.spec.gang && waiting < step.tasks.length) {
         return WaitReason.GangEnding;
     }
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -23,6 +23,8 @@
     private teamsByName: ReadonlyMap<string, TeamConfig> = new Map();
     /** Capacity of workers whose runs are not known yet; it counts for every team. */
     public readonly unknown: Amount = createAmount();
+    /** Sum of one call, so that none is allocated for each. */
+    private readonly scratch = createAmount();
     private readonly usedByTeam = new Map<string, Amount>();
 
     public get config(): FleetConfig | undefined {
@@ -63,12 +65,13 @@
         if (!limit) {
             return 0;
         }
-        const used = { ...this.usedBy(team) };
-        addSize(used, this.unknown);
+        const { scratch } = this;
+        Object.assign(scratch, this.usedBy(team));
+        addSize(scratch, this.unknown);
         if (taken) {
-            addSize(used, taken);
+            addSize(scratch, taken);
         }
-        return countWithin(limit, used, size);
+        return countWithin(limit, scratch, size);
     }
 
     /** Remembers a job that has ended, and forgets those that no reading can list any more. */
--- a/packages/fleet/src/state/JobState.ts
+++ b/packages/fleet/src/state/JobState.ts
@@ -78,7 +78,7 @@
     public *readySteps(): Iterable<StepState> {
         for (const steps of this.occurrences.values()) {
             for (const step of steps) {
-                if (!step.done && step.spec.after.every(number => steps[number]?.done ?? false)) {
+                if (!step.done && isReady(step, steps)) {
                     yield step;
                 }
             }
@@ -125,6 +125,15 @@
     }
 }
 
+function isReady(step: StepState, steps: readonly StepState[]): boolean {
+    for (const number of step.spec.after) {
+        if (!steps[number]?.done) {
+            return false;
+        }
+    }
+    return true;
+}
+
 function encodeStep(step: StepState): StepProgress {
     const failures: Record<string, FailedRuns> = {};
     const checkpoints: Record<string, string> = {};
--- a/packages/fleet/src/state/StepState.ts
+++ b/packages/fleet/src/state/StepState.ts
@@ -7,13 +7,15 @@
 export interface StepPermits {
     /** Permits by worker, with the incarnation that they hold for. */
     readonly byWorker: Map<string, { permit: string; incarnation: number; expiresAtMs: number; }>;
-    /** Workers that were named in a question. */
-    readonly asked: Set<string>;
+    /** Workers that were named in a question, with their incarnations. */
+    readonly asked: Map<string, number>;
     /** Time of the last question that is not answered. */
     askedAtMs: number | undefined;
     /** Number of the last question. */
     question: number;
     answeredAtMs: number;
+    /** Time at which the last of the permits lapses. */
+    latestExpiryMs: number;
 }
 
 /** One step of one occurrence of a job. */
@@ -21,15 +23,18 @@
     public readonly name: string;
     public readonly tasks: readonly TaskState[];
     public doneCount = 0;
+    /** Tasks that may be started; kept by the tasks themselves. */
+    public waitingCount: number;
     /** Runs of the gang that ended as failed. */
     public gangFailures: FailedRuns = NO_FAILURE;
     public readyAtMs: number | undefined;
     public readonly permits: StepPermits = {
         byWorker: new Map(),
-        asked: new Set(),
+        asked: new Map(),
         askedAtMs: undefined,
         question: 0,
-        answeredAtMs: 0
+        answeredAtMs: 0,
+        latestExpiryMs: 0
     };
 
     constructor(
@@ -39,6 +44,7 @@
         public readonly spec: StepSpec
     ) {
         this.name = `${job.spec.id}.${occurrence}.${number}`;
+        this.waitingCount = spec.taskCount;
         this.tasks = [...Array(spec.taskCount).keys()].map(index => new TaskState(this, index));
     }
 
--- a/packages/fleet/src/state/TaskState.ts
+++ b/packages/fleet/src/state/TaskState.ts
@@ -4,23 +4,48 @@
 
 /** One task of a step. */
 export class TaskState {
-    public done = false;
     public failures: FailedRuns = NO_FAILURE;
     public checkpoint = "";
-    public run: RunState | undefined;
     /** Highest number that a run of it had. */
     public lastRun: number;
     /** Workers on which it failed or stood still. */
     public readonly avoidedWorkers = new Set<string>();
     public readonly name: string;
+    private isDone = false;
+    private currentRun: RunState | undefined;
 
     constructor(public readonly step: StepState, public readonly index: number) {
         this.name = `${step.name}.${index}`;
         this.lastRun = step.job.firstRun - 1;
     }
 
+    public get done(): boolean {
+        return this.isDone;
+    }
+
+    public set done(done: boolean) {
+        const wasWaiting = this.waiting;
+        this.isDone = done;
+        this.countWaiting(wasWaiting);
+    }
+
+    /** Run that counts as running somewhere. */
+    public get run(): RunState | undefined {
+        return this.currentRun;
+    }
+
+    public set run(run: RunState | undefined) {
+        const wasWaiting = this.waiting;
+        this.currentRun = run;
+        this.countWaiting(wasWaiting);
+    }
+
     /** It may be started: neither done nor counted as running anywhere. */
     public get waiting(): boolean {
-        return !this.done && this.run === undefined;
+        return !this.isDone && this.currentRun === undefined;
+    }
+
+    private countWaiting(wasWaiting: boolean): void {
+        this.step.waitingCount += Number(this.waiting) - Number(wasWaiting);
     }
 }
