Entries tell the owner answers and rows in one message at a time; an owner that got the fleet from a slow one keeps it longer

Cause: each answer of the policy was a call of its own to the owner, about a hundred a second under overload, when the owner's time is what is short; and under load alone the fleet was handed over every 4 s, since heirs that own nothing are always less late. Change: one message of an entry to the owner at a time, with all that came up meanwhile; replies to entries wait up to 150 ms when the owner is late; a successor of a slow owner keeps the fleet for 12 s.

--- a/packages/adapters/src/HttpOwnerLink.ts
+++ b/packages/adapters/src/HttpOwnerLink.ts
@@ -1,10 +1,9 @@
 import type { Disposable } from "@skylarkpath/common/base/Disposable";
 import {
-    type IntakeNotice,
+    type EntryReport,
     LinkFailure,
     type OwnerLink,
     type OwnerService,
-    type PermitDelivery,
     type WatchReply,
     type WatchRequest
 } from "@skylarkpath/fleet/ports/OwnerLink";
@@ -14,8 +13,7 @@
 
 const OWNER_PATH = "/owner";
 const WATCH_METHOD = "owner.watch";
-const DELIVER_METHOD = "owner.deliver";
-const NOTICE_METHOD = "owner.notice";
+const REPORT_METHOD = "owner.report";
 const REFUSED_CODE = "ECONNREFUSED";
 
 /** Calls to the owner over JSON-RPC. */
@@ -30,17 +28,8 @@
         return reply.value as unknown as WatchReply;
     }
 
-    public async deliver(
-        address: string,
-        delivery: PermitDelivery,
-        timeoutMs: number
-    ): Promise<LinkFailure | undefined> {
-        const reply = await this.client.call(address, OWNER_PATH, DELIVER_METHOD, delivery, timeoutMs);
-        return reply.isOk() ? undefined : LinkFailure.Silent;
-    }
-
-    public async notice(address: string, notice: IntakeNotice, timeoutMs: number): Promise<LinkFailure | undefined> {
-        const reply = await this.client.call(address, OWNER_PATH, NOTICE_METHOD, notice, timeoutMs);
+    public async report(address: string, report: EntryReport, timeoutMs: number): Promise<LinkFailure | undefined> {
+        const reply = await this.client.call(address, OWNER_PATH, REPORT_METHOD, report, timeoutMs);
         return reply.isOk() ? undefined : LinkFailure.Silent;
     }
 
@@ -53,12 +42,8 @@
 export function mountOwnerService(application: Hono, service: OwnerService): void {
     const endpoint = new JsonRpcEndpoint(DEFAULT_JSON_RPC_ENDPOINT_OPTIONS);
     endpoint.register(WATCH_METHOD, parameters => service.watch(parameters as WatchRequest));
-    endpoint.register(DELIVER_METHOD, async parameters => {
-        service.deliver(parameters as PermitDelivery);
-        return true;
-    });
-    endpoint.register(NOTICE_METHOD, async parameters => {
-        service.notice(parameters as IntakeNotice);
+    endpoint.register(REPORT_METHOD, async parameters => {
+        service.report(parameters as EntryReport);
         return true;
     });
     endpoint.mount(application, OWNER_PATH);
--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -15,14 +15,7 @@
 import { OwnerLedger } from "./owner/OwnerLedger.js";
 import { OwnerElection, type WonOwnership } from "./ownership/OwnerElection.js";
 import type { DirectorySource } from "./ports/DirectorySource.js";
-import type {
-    IntakeNotice,
-    OwnerLink,
-    OwnerService,
-    PermitDelivery,
-    WatchReply,
-    WatchRequest
-} from "./ports/OwnerLink.js";
+import type { EntryReport, OwnerLink, OwnerService, WatchReply, WatchRequest } from "./ports/OwnerLink.js";
 import type { PlacementPolicy } from "./ports/PlacementPolicy.js";
 import type { RowStore } from "./ports/RowStore.js";
 import type { WorkerCalls } from "./ports/WorkerCalls.js";
@@ -67,6 +60,8 @@
 const FASTER_HEIR_SHARE = 0.3;
 /** An owner does not give the fleet up for being slow before it has had it this long: a succession costs half a second. */
 const LEAST_TENURE_MS = 4000;
+/** The same for one that got it from a slow owner: when it is slow as well, the load is the cause and not the machine. */
+const TENURE_AFTER_SLOW_MS = 12_000;
 /** A slow owner tries this long to give the fleet up; others follow anyway when it does not confirm its row. */
 const YIELD_LIMIT_MS = 1500;
 /** Knowledge of the configuration that is older than this makes a process not ready: two readings and a retry. */
@@ -82,6 +77,7 @@
     private readonly loopDelay: LoopDelayMeter;
     private owner: FleetOwner | undefined;
     private ownerSinceMs = 0;
+    private tenureMs = LEAST_TENURE_MS;
     private slowSinceMs: number | undefined;
     private stopping = false;
     private readonly identity: string;
@@ -166,12 +162,8 @@
         return this.owner?.watch(request) ?? { ...NOT_OWNING, process: this.identity };
     }
 
-    public deliver(delivery: PermitDelivery): void {
-        this.owner?.deliver(delivery);
-    }
-
-    public notice(notice: IntakeNotice): void {
-        this.owner?.notice(notice);
+    public report(report: EntryReport): void {
+        this.owner?.report(report);
     }
 
     /** Stops to own anything and tells the platform to send no more callers; requests are still answered. */
@@ -179,7 +171,7 @@
         this.stopping = true;
         this.environment.log.write(EVENTS.processStopping, { owning: this.owner !== undefined });
         this.election.dispose();
-        await this.handOver("the process stops", limitMs, limitMs);
+        await this.handOver("the process stops", false, limitMs, limitMs);
     }
 
     public dispose(): void {
@@ -214,6 +206,7 @@
         );
         this.owner = owner;
         this.ownerSinceMs = timer.nowMs();
+        this.tenureMs = former?.released && former.slow ? TENURE_AFTER_SLOW_MS : LEAST_TENURE_MS;
         owner.onLost(() => {
             if (this.owner === owner) {
                 this.dropOwnership();
@@ -230,22 +223,22 @@
         const delayMs = this.loopDelay.meanMs;
         const nowMs = this.environment.timer.nowMs();
         this.slowSinceMs = delayMs < SLOW_LOOP_DELAY_MS * ONSET_SHARE ? undefined : this.slowSinceMs ?? nowMs;
-        const isHeldLong = nowMs - this.ownerSinceMs >= LEAST_TENURE_MS;
+        const isHeldLong = nowMs - this.ownerSinceMs >= this.tenureMs;
         if (this.slowSinceMs === undefined || delayMs < SLOW_LOOP_DELAY_MS || !owner?.decides || !isHeldLong) {
             return;
         }
         const { heir } = owner;
         const isFresh = heir && heir.atMs >= this.slowSinceMs;
         if (isFresh && heir.loopDelayMs < delayMs * FASTER_HEIR_SHARE) {
-            void this.handOver(`work waits ${Math.round(delayMs)} ms for this process`, 0, YIELD_LIMIT_MS);
+            void this.handOver(`work waits ${Math.round(delayMs)} ms for this process`, true, 0, YIELD_LIMIT_MS);
         }
     }
 
-    private async handOver(reason: string, commitMs: number, limitMs: number): Promise<void> {
+    private async handOver(reason: string, slow: boolean, commitMs: number, limitMs: number): Promise<void> {
         const { owner } = this;
         this.owner = undefined;
         if (owner) {
-            const confirmed = await owner.release(commitMs, limitMs);
+            const confirmed = await owner.release(slow, commitMs, limitMs);
             this.environment.log.write(EVENTS.sliceHandedOver, { epoch: owner.epoch, confirmed, reason });
         }
     }
--- a/packages/fleet/src/entry/OwnerWatch.ts
+++ b/packages/fleet/src/entry/OwnerWatch.ts
@@ -1,7 +1,7 @@
 import type { Disposable } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
-import { LinkFailure, type OwnerLink, type WatchReply } from "../ports/OwnerLink.js";
+import { LinkFailure, type OwnerLink, type PolicyReply, type WatchReply } from "../ports/OwnerLink.js";
 import type { PlacementPolicy, PolicyQuestion } from "../ports/PlacementPolicy.js";
 import type { RowChange } from "../ports/RowStore.js";
 import type { JobStates } from "./JobStates.js";
@@ -19,8 +19,8 @@
 /** An owner that has not replied this long after the wait is silent: two round trips between regions, and work. */
 const REPLY_TIMEOUT_MS = 250;
 const RETRY_MS = 80;
-const DELIVERY_TIMEOUT_MS = 500;
-const NOTICE_TIMEOUT_MS = 500;
+/** Answers of the policy hold for longer, and the owner finds rows that it was not told of. */
+const REPORT_TIMEOUT_MS = 500;
 /** Owners confirm their row twice within this time, also with a slow store. */
 const CONFIRMATION_LIMIT_MS = 1000;
 /** States are fresh when the last reply is not older than a wait and a reply. */
@@ -41,7 +41,8 @@
     private waitingCounts: Readonly<Record<string, number>> = {};
     private round = 0;
     private notices: RowChange[] = [];
-    private noticing = false;
+    private replies: { readonly epoch: number; readonly reply: PolicyReply; }[] = [];
+    private reporting = false;
     private readonly trouble = new Emitter<void>();
 
     /** The owner does not answer, does not confirm its row, or owns nothing any more. */
@@ -102,9 +103,7 @@
     /** Tells the owner of a row that this entry has written; what is not told, the owner finds by itself. */
     public notice(change: RowChange): void {
         this.notices.push(change);
-        if (!this.noticing) {
-            void this.sendNotices();
-        }
+        this.reportSoon();
     }
 
     public dispose(): void {
@@ -137,11 +136,11 @@
                 await sleep(this.timer, RETRY_MS);
                 continue;
             }
-            this.apply(address, reply);
+            this.apply(reply);
         }
     }
 
-    private apply(address: string, reply: WatchReply): void {
+    private apply(reply: WatchReply): void {
         this.portRefused = false;
         this.repliedMs = this.timer.nowMs();
         this.epoch = reply.epoch;
@@ -156,33 +155,40 @@
             this.states.note(update.id, update.phase, update.team, update.queue);
         }
         for (const question of reply.questions) {
-            void this.ask(address, reply.epoch, question);
+            void this.ask(reply.epoch, question);
         }
         if (!this.confirmed) {
             this.trouble.fire();
         }
     }
 
-    private async sendNotices(): Promise<void> {
-        this.noticing = true;
-        while (this.notices.length > 0 && this.address !== undefined) {
+    /** Sends what came up, one message at a time: what comes meanwhile joins the next one. */
+    private async sendReports(): Promise<void> {
+        this.reporting = true;
+        while (this.address !== undefined && this.notices.length + this.replies.length > 0) {
+            const { epoch } = this;
             const changes = this.notices;
+            const replies = this.replies.filter(reply => reply.epoch === epoch).map(({ reply }) => reply);
             this.notices = [];
-            await this.link.notice(this.address, { epoch: this.epoch, changes }, NOTICE_TIMEOUT_MS);
+            this.replies = [];
+            const { entry } = this.options;
+            await this.link.report(this.address, { epoch, entry, changes, replies }, REPORT_TIMEOUT_MS);
         }
         this.notices = [];
-        this.noticing = false;
+        this.replies = [];
+        this.reporting = false;
+    }
+
+    private reportSoon(): void {
+        if (!this.reporting) {
+            void this.sendReports();
+        }
     }
 
-    private async ask(address: string, epoch: number, question: PolicyQuestion): Promise<void> {
+    private async ask(epoch: number, question: PolicyQuestion): Promise<void> {
         const answer = await this.policy?.ask(question, this.options.questionTimeoutMs());
-        const { entry } = this.options;
-        await this.link.deliver(address, {
-            epoch,
-            entry,
-            question: question.number,
-            permits: answer?.permits,
-            permitMs: answer?.permitMs
-        }, DELIVERY_TIMEOUT_MS);
+        const reply = { question: question.number, permits: answer?.permits, permitMs: answer?.permitMs };
+        this.replies.push({ epoch, reply });
+        this.reportSoon();
     }
 }
--- a/packages/fleet/src/model/OwnerRow.ts
+++ b/packages/fleet/src/model/OwnerRow.ts
@@ -12,10 +12,15 @@
     readonly released: boolean;
     /** Process that should follow first. */
     readonly heir?: string;
+    /** It gave its place up since it was slow. */
+    readonly slow?: boolean;
     /** Workers that may hold tasks, so that a successor looks at them even when the directory has lost them. */
     readonly workers: readonly KnownWorker[];
 }
 
+/** What of the row stays the same while a process owns the fleet. */
+export type OwnedRow = Pick<OwnerRow, "epoch" | "holder" | "address">;
+
 /** Worker that the owner has given orders. */
 export interface KnownWorker {
     readonly id: string;
--- a/packages/fleet/src/owner/EntryWatchers.ts
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -13,6 +13,9 @@
 const UPDATE_BATCH_MS = 50;
 /** Waiting jobs are counted at most this often; callers may be told what is two seconds old. */
 const COUNT_INTERVAL_MS = 200;
+/** Batches get longer by a multiple of the owner's delay, up to three times their usual length. */
+const EXTRA_BATCH_PER_DELAY = 2;
+const LONGEST_EXTRA_BATCH_MS = 100;
 const NEVER_STARTED_SEQUENCE = 0;
 /** An entry that has not watched for this long is taken as gone: two of its waits. */
 const ENTRY_LOST_MS = 1200;
@@ -39,7 +42,8 @@
         private readonly updates: UpdateLog,
         private readonly desk: PermitDesk,
         private readonly fleet: FleetState,
-        private readonly timer: TimerService
+        private readonly timer: TimerService,
+        private readonly loopDelayMs: () => number
     ) {
         updates.onAdded(() => this.wake());
     }
@@ -93,6 +97,11 @@
         this.close();
     }
 
+    /** A late owner replies more rarely, so that it has time for the rest. */
+    private get updateBatchMs(): number {
+        return UPDATE_BATCH_MS + Math.min(LONGEST_EXTRA_BATCH_MS, this.loopDelayMs() * EXTRA_BATCH_PER_DELAY);
+    }
+
     private dropLostEntries(): void {
         const nowMs = this.timer.nowMs();
         for (const [entry, { atMs }] of this.entries) {
@@ -119,7 +128,7 @@
                 const nowMs = this.timer.nowMs();
                 const dueMs = this.closed
                     ? nowMs
-                    : nowMs + (this.desk.hasQuestions(request.entry) ? QUESTION_BATCH_MS : UPDATE_BATCH_MS);
+                    : nowMs + (this.desk.hasQuestions(request.entry) ? QUESTION_BATCH_MS : this.updateBatchMs);
                 if (dueMs < replyAtMs && this.hasNews(request)) {
                     replyAtMs = dueMs;
                     pending.dispose();
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -11,7 +11,7 @@
 import type { KnownWorker } from "../model/OwnerRow.js";
 import { FLEET_PARTITION, FleetTable } from "../model/Tables.js";
 import type { DirectorySource } from "../ports/DirectorySource.js";
-import type { IntakeNotice, OwnerService, PermitDelivery, WatchReply, WatchRequest } from "../ports/OwnerLink.js";
+import type { EntryReport, OwnerService, WatchReply, WatchRequest } from "../ports/OwnerLink.js";
 import type { RowStore } from "../ports/RowStore.js";
 import type { WorkerCalls, WorkerEntry } from "../ports/WorkerCalls.js";
 import { FleetState } from "../state/FleetState.js";
@@ -115,7 +115,7 @@
         );
         this.desk = this.disposables.add(new PermitDesk(this.fleet, timer));
         this.watchers = this.disposables.add(
-            new EntryWatchers(ledger, this.updates, this.desk, this.fleet, timer)
+            new EntryWatchers(ledger, this.updates, this.desk, this.fleet, timer, parts.loopDelayMs)
         );
         this.dispatcher = new Dispatcher(this.fleet, this.registry, this.runs, this.desk, timer, log);
         const follower = this.disposables.add(
@@ -161,16 +161,14 @@
         return this.watchers.watch(request);
     }
 
-    public deliver(delivery: PermitDelivery): void {
-        if (delivery.epoch === this.epoch) {
-            this.desk.deliver(delivery);
-            this.decideSoon();
+    public report({ epoch, entry, changes, replies }: EntryReport): void {
+        if (epoch !== this.epoch) {
+            return;
         }
-    }
-
-    public notice(notice: IntakeNotice): void {
-        if (notice.epoch === this.epoch) {
-            this.intake.notice(notice.changes);
+        this.intake.notice(changes);
+        if (replies.length > 0) {
+            replies.forEach(reply => this.desk.deliver(entry, reply));
+            this.decideSoon();
         }
     }
 
@@ -188,9 +186,9 @@
      * Gives the fleet up to the best heir. What is known is committed before, as far as that takes no longer than the limit
      * for it: ends that are not committed were not noted either, and workers tell them to the successor again.
      */
-    public async release(commitMs: number, limitMs: number): Promise<boolean> {
+    public async release(slow: boolean, commitMs: number, limitMs: number): Promise<boolean> {
         this.stopping = true;
-        const released = await this.writer.release(this.watchers.heir?.entry, commitMs, limitMs);
+        const released = await this.writer.release({ heir: this.watchers.heir?.entry, slow }, commitMs, limitMs);
         this.watchers.close();
         this.dispose();
         return released;
--- a/packages/fleet/src/owner/OwnerLedger.ts
+++ b/packages/fleet/src/owner/OwnerLedger.ts
@@ -1,5 +1,5 @@
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
-import { type KnownWorker, type OwnerRow, readOwnerRow } from "../model/OwnerRow.js";
+import { type KnownWorker, type OwnedRow, type OwnerRow, readOwnerRow } from "../model/OwnerRow.js";
 import { FLEET_PARTITION, FleetTable, OWNER_KEY } from "../model/Tables.js";
 import { type RowStore, type RowWrite, type StoredRow, StoreFailureKind } from "../ports/RowStore.js";
 
@@ -12,6 +12,14 @@
     Retry = "retry"
 }
 
+/** How an owner gives its place up. */
+export interface Release {
+    /** Process that should follow first. */
+    readonly heir?: string;
+    /** It is slow. */
+    readonly slow: boolean;
+}
+
 /** Longest wait for a reply of the store: ten times its usual time between regions. */
 const COMMIT_TIMEOUT_MS = 900;
 
@@ -27,7 +35,7 @@
     constructor(
         private readonly store: RowStore,
         private readonly timer: TimerService,
-        private readonly row: Omit<OwnerRow, "sequence" | "released" | "workers" | "heir">,
+        private readonly row: OwnedRow,
         private version: number,
         private readonly listWorkers: () => readonly KnownWorker[]
     ) {
@@ -53,13 +61,14 @@
     }
 
     /** Writes rows together with the owner's row. */
-    public async commit(writes: readonly RowWrite[], release?: { readonly heir?: string; }): Promise<LedgerOutcome> {
+    public async commit(writes: readonly RowWrite[], release?: Release): Promise<LedgerOutcome> {
         const sentAtMs = this.timer.nowMs();
         const value: OwnerRow = {
             ...this.row,
             sequence: ++this.sequence,
             released: release !== undefined,
             heir: release?.heir,
+            slow: release?.slow,
             workers: this.listWorkers()
         };
         const place = { table: FleetTable.Ownership, partition: FLEET_PARTITION, key: OWNER_KEY };
--- a/packages/fleet/src/owner/PermitDesk.test.ts
+++ b/packages/fleet/src/owner/PermitDesk.test.ts
@@ -29,10 +29,10 @@
     desk.request([step], timer.nowMs());
     const [second] = desk.takeQuestions("e1");
     t.not(first!.number, second!.number);
-    desk.deliver({ epoch: 1, entry: "e1", question: first!.number, permits: [], permitMs: 1500 });
+    desk.deliver("e1", { question: first!.number, permits: [], permitMs: 1500 });
     t.is(step.permits.asked.size, 0, "the first question is not waited for any more");
     const permits = [{ workerId: second!.workerIds[0]!, permit: "p" }];
-    desk.deliver({ epoch: 1, entry: "e1", question: second!.number, permits, permitMs: 1500 });
+    desk.deliver("e1", { question: second!.number, permits, permitMs: 1500 });
     t.is(step.permits.byWorker.size, 1);
 });
 
@@ -40,7 +40,7 @@
     const { timer, desk, step } = begin(3);
     desk.request([step], timer.nowMs());
     const [question] = desk.takeQuestions("e1");
-    desk.deliver({ epoch: 1, entry: "e1", question: question!.number, permits: [] });
+    desk.deliver("e1", { question: question!.number, permits: [] });
     desk.request([step], timer.nowMs());
     t.deepEqual(desk.takeQuestions("e1"), []);
     await timer.advance(1600);
--- a/packages/fleet/src/owner/PermitDesk.ts
+++ b/packages/fleet/src/owner/PermitDesk.ts
@@ -1,7 +1,7 @@
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import type { PolicyCost } from "../model/FleetConfig.js";
-import type { PermitDelivery } from "../ports/OwnerLink.js";
+import type { PolicyReply } from "../ports/OwnerLink.js";
 import type { PolicyQuestion } from "../ports/PlacementPolicy.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { JobState } from "../state/JobState.js";
@@ -118,9 +118,9 @@
     }
 
     /** Takes in the answer of the policy. */
-    public deliver(delivery: PermitDelivery): void {
+    public deliver(entry: string, delivery: PolicyReply): void {
         const nowMs = this.timer.nowMs();
-        const lane = this.lanes.get(delivery.entry);
+        const lane = this.lanes.get(entry);
         if (lane?.open.delete(delivery.question)) {
             const remainingMs = [...lane.open.values()].reduce((sum, costMs) => sum + costMs, 0);
             lane.busyUntilMs = Math.min(lane.busyUntilMs, nowMs + remainingMs);
--- a/packages/fleet/src/owner/ProgressWriter.ts
+++ b/packages/fleet/src/owner/ProgressWriter.ts
@@ -4,7 +4,7 @@
 import { cancelKey, FLEET_PARTITION, FleetTable } from "../model/Tables.js";
 import type { RowWrite } from "../ports/RowStore.js";
 import type { JobState } from "../state/JobState.js";
-import { LedgerOutcome, type OwnerLedger } from "./OwnerLedger.js";
+import { LedgerOutcome, type OwnerLedger, type Release } from "./OwnerLedger.js";
 
 /** Something that may forget what was committed. */
 export interface CommitWaiter {
@@ -64,7 +64,7 @@
     }
 
     /** Writes what is left for some time, then gives the place up; tells whether that was committed. */
-    public async release(heir: string | undefined, commitMs: number, limitMs: number): Promise<boolean> {
+    public async release(release: Release, commitMs: number, limitMs: number): Promise<boolean> {
         this.stopped = true;
         this.wake?.();
         const commitUntilMs = this.timer.nowMs() + commitMs;
@@ -74,7 +74,7 @@
         while (this.timer.nowMs() < endMs) {
             const round = this.takeRound();
             const isLast = this.dirty.size === 0 || this.timer.nowMs() >= commitUntilMs;
-            const outcome = await this.ledger.commit(round.writes, isLast ? { heir } : undefined);
+            const outcome = await this.ledger.commit(round.writes, isLast ? release : undefined);
             if (outcome === LedgerOutcome.Superseded) {
                 return false;
             }
--- a/packages/fleet/src/ownership/OwnerElection.ts
+++ b/packages/fleet/src/ownership/OwnerElection.ts
@@ -1,7 +1,7 @@
 import type { Disposable } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
-import { type OwnerRow, readOwnerRow } from "../model/OwnerRow.js";
+import { type OwnedRow, type OwnerRow, readOwnerRow } from "../model/OwnerRow.js";
 import { FLEET_PARTITION, FleetTable, OWNER_KEY } from "../model/Tables.js";
 import type { RowStore } from "../ports/RowStore.js";
 
@@ -13,7 +13,7 @@
 
 /** Won ownership. */
 export interface WonOwnership {
-    readonly row: Omit<OwnerRow, "sequence" | "released" | "workers" | "heir">;
+    readonly row: OwnedRow;
     readonly version: number;
     readonly former: OwnerRow | undefined;
     /** The former owner gives no orders any more. */
--- a/packages/fleet/src/ports/OwnerLink.ts
+++ b/packages/fleet/src/ports/OwnerLink.ts
@@ -41,10 +41,8 @@
     readonly confirmedAgeMs: number;
 }
 
-/** Answer of the policy that an entry passes on. */
-export interface PermitDelivery {
-    readonly epoch: number;
-    readonly entry: string;
+/** Answer of the policy to a question of the owner. */
+export interface PolicyReply {
     /** Number of the question that is answered. */
     readonly question: number;
     /** Nothing when the policy gave no answer. */
@@ -52,24 +50,25 @@
     readonly permitMs?: number;
 }
 
-/** Rows that an entry has written to the intake; the owner would also find them in its changes, but later. */
-export interface IntakeNotice {
+/** What an entry tells the owner: all that came up since its last message. */
+export interface EntryReport {
     readonly epoch: number;
+    readonly entry: string;
+    /** Rows that the entry has written to the intake; the owner would also find them in its changes, but later. */
     readonly changes: readonly RowChange[];
+    readonly replies: readonly PolicyReply[];
 }
 
 /** What the owner offers to entries. */
 export interface OwnerService {
     watch(request: WatchRequest): Promise<WatchReply>;
-    deliver(delivery: PermitDelivery): void;
-    notice(notice: IntakeNotice): void;
+    report(report: EntryReport): void;
 }
 
 /** Calls from an entry to the owner. */
 export interface OwnerLink {
     watch(address: string, request: WatchRequest, timeoutMs: number): Promise<WatchReply | LinkFailure>;
-    deliver(address: string, delivery: PermitDelivery, timeoutMs: number): Promise<LinkFailure | undefined>;
-    notice(address: string, notice: IntakeNotice, timeoutMs: number): Promise<LinkFailure | undefined>;
+    report(address: string, report: EntryReport, timeoutMs: number): Promise<LinkFailure | undefined>;
 }
 
 /** Why the owner could not be asked. */
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -291,20 +291,12 @@
                 const reply = await target.process.watch(request);
                 return target.alive ? JSON.parse(JSON.stringify(reply)) as typeof reply : LinkFailure.Refused;
             },
-            deliver: async (address, delivery) => {
+            report: async (address, report) => {
                 const target = await reach(address);
                 if (typeof target === "string") {
                     return target;
                 }
-                target.process.deliver(delivery);
-                return undefined;
-            },
-            notice: async (address, notice) => {
-                const target = await reach(address);
-                if (typeof target === "string") {
-                    return target;
-                }
-                target.process.notice(notice);
+                target.process.report(report);
                 return undefined;
             }
         };
