--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -104,7 +104,11 @@
                 this.runs,
                 calls,
                 timer,
-                { maximumLeaseMs: timing.maximumLeaseMs, roundTripMs: parts.roundTripMs },
+                {
+                    maximumLeaseMs: timing.maximumLeaseMs,
+                    roundTripMs: parts.roundTripMs,
+                    loopDelayMs: parts.loopDelayMs
+                },
                 {
                     staleOwner: () => this.lose("a worker has seen the token of a later owner"),
                     mayCommand: () => !this.stopping && ledger.confirmedAgeMs < UNCONFIRMED_LIMIT_MS,
--- a/packages/fleet/src/owner/WorkerRegistry.test.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.test.ts
@@ -42,7 +42,7 @@
         runs,
         calls,
         timer,
-        { maximumLeaseMs: 6000, roundTripMs: 10 },
+        { maximumLeaseMs: 6000, roundTripMs: 10, loopDelayMs: () => 0 },
         { staleOwner: () => t.fail(), mayCommand: () => true, awaitCommit: () => undefined },
         SILENT_LOG
     );
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -54,6 +54,8 @@
     readonly maximumLeaseMs: number;
     /** Looks at other regions take this much longer. */
     readonly roundTripMs: number;
+    /** How late this process gets to what is due. */
+    readonly loopDelayMs: () => number;
 }
 
 /** A look waits this long for an end: half of the longest wait that workers allow. */
@@ -70,6 +72,8 @@
 const UNCOMMITTED_PAUSE_MS = 300;
 /** Least time between two looks; ends that come within it share a look. */
 const LOOK_GAP_MS = 15;
+/** An owner that is late for its work looks more rarely, so that it has time for the rest. */
+const LONGEST_EXTRA_GAP_MS = 70;
 /** A worker whose port refuses connections this often, over this time, runs nothing. */
 const REFUSALS_UNTIL_DEAD = 3;
 const REFUSED_UNTIL_DEAD_MS = 450;
@@ -219,7 +223,8 @@
             else if (this.reportedEnd > this.notedEnd) {
                 await this.untilCommitted();
             }
-            const pauseMs = startedMs + LOOK_GAP_MS - this.timer.nowMs();
+            const gapMs = LOOK_GAP_MS + Math.min(LONGEST_EXTRA_GAP_MS, this.timing.loopDelayMs());
+            const pauseMs = startedMs + gapMs - this.timer.nowMs();
             if (pauseMs > 0) {
                 await sleep(this.timer, pauseMs);
             }
