A successor holds back only the tasks that a leaving worker had

Change: the owner's row names the tasks of workers that say themselves that they leave; these get no others, so a successor that does not reach one holds back just these tasks.

--- a/packages/fleet/src/model/OwnerRow.ts
+++ b/packages/fleet/src/model/OwnerRow.ts
@@ -28,6 +28,8 @@
     readonly incarnation: number;
     /** It was leaving; once the directory does not list it any more, it has left. */
     readonly draining: boolean;
+    /** Tasks that may run there, told of leaving workers only: they are given no others. */
+    readonly tasks?: readonly string[];
 }
 
 /** Reads the row of the owner; nothing when it is malformed. */
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -303,8 +303,8 @@
                 this.writer.mark(job);
             }
         }
-        const { settled } = this.registry;
-        this.dispatcher.decide(step => settled || step.job.acceptedVersion > this.succession.version);
+        const { registry, succession } = this;
+        this.dispatcher.decide(step => step.job.acceptedVersion > succession.version || registry.mayStart(step));
     }
 
     private lose(reason: string): void {
--- a/packages/fleet/src/owner/WorkerRegistry.test.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.test.ts
@@ -1,8 +1,9 @@
 import { SILENT_LOG } from "@skylarkpath/common/log/EventLog";
 import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
-import test from "ava";
-import { ok } from "neverthrow";
+import test, { type ExecutionContext } from "ava";
+import { err, ok } from "neverthrow";
 import { OrderOutcome, type OrderReply, type WorkerCalls, type WorkerEntry } from "../ports/WorkerCalls.js";
+import type { FleetState } from "../state/FleetState.js";
 import { RunPhase } from "../state/RunState.js";
 import { addJob, createFleet, EMPTY_REPORT } from "../testing/FleetFixture.js";
 import { RunKeeper } from "./RunKeeper.js";
@@ -20,32 +21,50 @@
     incarnation: 1
 };
 
-test("orders without a reply that were on their way when a worker was born again are settled", async t => {
+interface Trial {
+    readonly timer: VirtualTimer;
+    readonly fleet: FleetState;
+    readonly registry: WorkerRegistry;
+    /** Settles the starts that were ordered, in their order. */
+    readonly replies: ((reply: OrderReply) => void)[];
+    /** Workers that give no answer. */
+    readonly silent: Set<string>;
+}
+
+function begin(t: ExecutionContext): Trial {
     const timer = new VirtualTimer();
     const fleet = createFleet();
     const replies: ((reply: OrderReply) => void)[] = [];
+    const silent = new Set<string>();
     const taken: OrderReply = { outcome: OrderOutcome.Taken };
     const calls: WorkerCalls = {
-        look: async (worker, { waitMs }) => {
-            await new Promise<void>(resolve => timer.after(waitMs + 1, resolve));
-            return ok({ ...EMPTY_REPORT, incarnation: worker.incarnation, clockMs: timer.nowMs() });
+        look: async (worker, { waitMs }, timeoutMs) => {
+            const isSilent = silent.has(worker.id);
+            await new Promise<void>(resolve => timer.after(isSilent ? timeoutMs : waitMs + 1, resolve));
+            return isSilent
+                ? err({ outcome: OrderOutcome.Uncertain, message: "no answer" })
+                : ok({ ...EMPTY_REPORT, incarnation: worker.incarnation, clockMs: timer.nowMs() });
         },
         start: () => new Promise(resolve => replies.push(resolve)),
         stop: async () => taken,
         pace: async () => taken,
         forget: () => undefined
     };
-    const runs = new RunKeeper(fleet, timer);
     const registry = new WorkerRegistry(
         1,
         fleet,
-        runs,
+        new RunKeeper(fleet, timer),
         calls,
         timer,
         { maximumLeaseMs: 6000, roundTripMs: 10, loopDelayMs: () => 0 },
         { staleOwner: () => t.fail(), mayCommand: () => true, awaitCommit: () => undefined },
         SILENT_LOG
     );
+    return { timer, fleet, registry, replies, silent };
+}
+
+test("orders without a reply that were on their way when a worker was born again are settled", async t => {
+    const { timer, fleet, registry, replies } = begin(t);
     registry.begin([ENTRY], [], 0);
     await timer.advance(50);
     const worker = fleet.workers.get("w1")!;
@@ -65,3 +84,42 @@
     t.deepEqual(tasks.map(task => task.run), [undefined, undefined, undefined]);
     registry.dispose();
 });
+
+test("a successor holds back only the tasks that a leaving worker had, and all that an unknown one may have", async t => {
+    const { timer, fleet, registry, silent } = begin(t);
+    const [held, free] = ["00000000000000a1", "00000000000000b1"].map(id =>
+        [...addJob(fleet, [{}], id).openSteps()][0]!
+    );
+    const leaving = { ...ENTRY, draining: true };
+    silent.add("w1");
+    registry.begin([leaving], [{
+        id: "w1",
+        address: "w1",
+        incarnation: 1,
+        draining: true,
+        tasks: [held!.tasks[0]!.name]
+    }], 6000);
+    await timer.advance(2000);
+    t.false(registry.mayStart(held!));
+    t.true(registry.mayStart(free!));
+    t.false(registry.settled);
+    await timer.advance(8000);
+    t.true(registry.mayStart(held!));
+    registry.dispose();
+    const other = begin(t);
+    other.silent.add("w1");
+    other.registry.begin([leaving], [{ id: "w1", address: "w1", incarnation: 1, draining: true }], 6000);
+    await other.timer.advance(2000);
+    t.false(other.registry.mayStart(free!));
+    other.registry.dispose();
+});
+
+test("the tasks of a worker are told to a successor only while it says itself that it leaves", async t => {
+    const { timer, registry } = begin(t);
+    registry.begin([ENTRY, { ...ENTRY, id: "w2", address: "w2", draining: true }], [], 0);
+    await timer.advance(50);
+    t.deepEqual(registry.known.map(({ id, tasks }) => [id, tasks]), [["w1", undefined], ["w2", []]]);
+    registry.update([ENTRY]);
+    t.is(registry.known.find(({ id }) => id === "w2")?.tasks, undefined);
+    registry.dispose();
+});
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -8,6 +8,7 @@
 import type { WorkerCalls, WorkerEntry } from "../ports/WorkerCalls.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { RunState } from "../state/RunState.js";
+import type { StepState } from "../state/StepState.js";
 import { WorkerState } from "../state/WorkerState.js";
 import { FillerGuard } from "./FillerGuard.js";
 import type { RunKeeper } from "./RunKeeper.js";
@@ -30,8 +31,8 @@
     private readonly guard: FillerGuard;
     private readonly entries = new Map<string, WorkerEntry>();
     private readonly fenced = new Emitter<WorkerSession>();
-    /** Workers on which a former owner may have left tasks, until they are fenced or their leases have ended. */
-    private readonly unsettled = new Set<string>();
+    /** Workers on which a former owner may have left tasks, until they are fenced or their leases have ended; with the tasks, if known. */
+    private readonly unsettled = new Map<string, readonly string[] | undefined>();
     private disposed = false;
 
     /** A worker takes orders of this owner only. */
@@ -55,13 +56,24 @@
         return this.unsettled.size === 0;
     }
 
+    /** No worker that is not settled may run a task of the step that a former owner started. */
+    public mayStart(step: StepState): boolean {
+        for (const tasks of this.unsettled.values()) {
+            if (tasks === undefined || tasks.some(name => name.startsWith(`${step.name}.`))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Workers that may hold tasks, for the owner's row. */
     public get known(): readonly KnownWorker[] {
-        return [...this.sessions.values()].map(({ entry }) => ({
+        return [...this.sessions.values()].map(({ entry, state }) => ({
             id: entry.id,
             address: entry.address,
             incarnation: entry.incarnation,
-            draining: entry.draining
+            draining: entry.draining,
+            tasks: this.isLeaving(entry) && state.fenced && !state.hasForeignRuns ? [...state.runs.keys()] : undefined
         }));
     }
 
@@ -84,7 +96,11 @@
         }
         const unlisted = formerly.filter(known => !known.draining && !this.entries.has(known.id)).map(unlistedEntry);
         if (unknownLeaseMs > 0) {
-            [...entries, ...unlisted].forEach(entry => this.unsettled.add(entry.id));
+            const knownById = new Map(formerly.map(known => [known.id, known]));
+            for (const { id, incarnation } of [...entries, ...unlisted]) {
+                const known = knownById.get(id);
+                this.unsettled.set(id, known?.incarnation === incarnation ? known.tasks : undefined);
+            }
         }
         entries.forEach(entry => this.open(entry, unknownLeaseMs, true));
         unlisted.forEach(entry => this.open(entry, unknownLeaseMs, false));
@@ -216,11 +232,18 @@
         }
     }
 
+    /** The worker itself says that it leaves; one that is only kept free of tasks for now may get some again. */
+    private isLeaving({ id, incarnation }: WorkerEntry): boolean {
+        const listed = this.entries.get(id);
+        return listed !== undefined && listed.draining && listed.incarnation === incarnation;
+    }
+
     /** Counts the capacity of workers with runs of which nothing is known as used by every team. */
     private countUnknown(): void {
         const unknown = createAmount();
         for (const { state } of this.sessions.values()) {
-            if (this.unsettled.has(state.id) || state.hasForeignRuns) {
+            const isUnsettled = this.unsettled.has(state.id) && this.unsettled.get(state.id)?.length !== 0;
+            if (isUnsettled || state.hasForeignRuns) {
                 addSize(unknown, state.entry.capacity);
             }
         }
