Sooner succession; only processes that may own are heirs; a lane for the shortest questions

Change: owners that admit 0.7 s without a confirmed write are followed while the store answers this entry quickly, silent ones 0.1 s sooner, refused ports after 0.3 s; an owner gives no orders 5 s after its last confirmed write (8 s before); entries tell whether they may own; one lane in eight takes questions under 40 ms only. The heir test fails before.

--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -93,6 +93,7 @@
                 entry: this.identity,
                 storeRoundTripMs: () => this.directory.storeRoundTripMs,
                 loopDelayMs: () => this.loopDelay.meanMs,
+                mayOwn: () => this.mayOwn,
                 questionTimeoutMs: () => this.longestQuestionMs()
             })
         );
@@ -113,7 +114,7 @@
                 {
                     holder: this.identity,
                     address,
-                    eligible: () => this.directory.config !== undefined,
+                    eligible: () => this.mayOwn,
                     delayMs: () => this.candidateDelayMs()
                 },
                 {
@@ -131,6 +132,10 @@
         return !this.stopping && this.directory.ageMs < READY_AGE_MS;
     }
 
+    private get mayOwn(): boolean {
+        return !this.stopping && this.directory.config !== undefined;
+    }
+
     /** Longest body of a request, as the configuration says. */
     public get maximumBodyBytes(): number | undefined {
         return this.directory.config?.maximumBodyBytes;
--- a/packages/fleet/src/entry/OwnerWatch.ts
+++ b/packages/fleet/src/entry/OwnerWatch.ts
@@ -11,20 +11,21 @@
     readonly entry: string;
     readonly storeRoundTripMs: () => number;
     readonly loopDelayMs: () => number;
+    readonly mayOwn: () => boolean;
     /** Longest time that the policy takes for one question. */
     readonly questionTimeoutMs: () => number;
 }
 
-const WATCH_WAIT_MS = 500;
+const WATCH_WAIT_MS = 400;
 /** An owner that has not replied this long after the wait is silent: two round trips between regions, and work. */
 const REPLY_TIMEOUT_MS = 250;
 const RETRY_MS = 80;
 /** Answers of the policy hold for longer, and the owner finds rows that it was not told of. */
 const REPORT_TIMEOUT_MS = 500;
-/** Owners confirm their row twice within this time, also with a slow store. */
-const CONFIRMATION_LIMIT_MS = 1000;
+/** Owners confirm their row within this time: a renewal, and half as much for the store. */
+const CONFIRMATION_LIMIT_MS = 600;
 /** States are fresh when the last reply is not older than a wait and a reply. */
-const FRESH_MS = 750;
+const FRESH_MS = 650;
 /** Counts of waiting jobs may be two seconds old. */
 const COUNT_AGE_LIMIT_MS = 1900;
 
@@ -121,7 +122,8 @@
                     afterSequence: this.sequence,
                     waitMs: WATCH_WAIT_MS,
                     storeRoundTripMs: this.options.storeRoundTripMs(),
-                    loopDelayMs: Math.round(this.options.loopDelayMs())
+                    loopDelayMs: Math.round(this.options.loopDelayMs()),
+                    mayOwn: this.options.mayOwn()
                 },
                 WATCH_WAIT_MS + REPLY_TIMEOUT_MS
             );
--- a/packages/fleet/src/owner/EntryWatchers.ts
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -26,6 +26,7 @@
     readonly entry: string;
     readonly storeRoundTripMs: number;
     readonly loopDelayMs: number;
+    readonly mayOwn: boolean;
     readonly atMs: number;
 }
 
@@ -53,8 +54,8 @@
         const nowMs = this.timer.nowMs();
         let best: SeenEntry | undefined;
         for (const seen of this.entries.values()) {
-            const isOther = seen.entry !== this.ledger.holder && nowMs - seen.atMs < ENTRY_LOST_MS;
-            if (isOther && (!best || distanceOf(seen) < distanceOf(best))) {
+            const isCandidate = seen.mayOwn && seen.entry !== this.ledger.holder && nowMs - seen.atMs < ENTRY_LOST_MS;
+            if (isCandidate && (!best || distanceOf(seen) < distanceOf(best))) {
                 best = seen;
             }
         }
@@ -71,6 +72,7 @@
             entry: request.entry,
             storeRoundTripMs: request.storeRoundTripMs,
             loopDelayMs: request.loopDelayMs,
+            mayOwn: request.mayOwn,
             atMs: this.timer.nowMs()
         });
         const isKnown = request.epoch === this.ledger.epoch && this.updates.after(request.afterSequence) !== undefined;
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -53,7 +53,7 @@
 }
 
 /** Without a confirmed write for this long an owner gives no orders: others wait that long for unreached workers. */
-export const UNCONFIRMED_LIMIT_MS = 8000;
+export const UNCONFIRMED_LIMIT_MS = 5000;
 /** Pause between a change and the decisions on it, so that changes that come together are decided together. */
 const DECISION_DELAY_MS = 4;
 /** Decisions are made anew at this interval, since permits lapse and quarantines end. */
--- a/packages/fleet/src/owner/PermitDesk.test.ts
+++ b/packages/fleet/src/owner/PermitDesk.test.ts
@@ -58,3 +58,24 @@
     const questions = desk.takeQuestions("e1").length;
     t.true(questions > 5 && questions < 20, `${questions}`);
 });
+
+test("one lane is kept for the shortest questions, so that they never wait behind longer ones", t => {
+    const { fleet, timer, desk } = begin(30);
+    ["e2", "e3", "e4"].forEach(entry => desk.noteEntry(entry));
+    const longer = {
+        ...PLAIN_CONFIG.queues[0]!,
+        name: "longer",
+        policy: { decideMs: 60, perWorkerMs: 1, permitMs: 1500 }
+    };
+    fleet.config = { ...fleet.config!, queues: [...fleet.config!.queues, longer] };
+    const steps = [...Array(40).keys()].flatMap(number => {
+        const job = addJob(fleet, [{}], number.toString(16).padStart(16, "f"));
+        Object.assign(job.spec, { queue: "longer" });
+        return [...job.readySteps()];
+    });
+    desk.request(steps, timer.nowMs());
+    t.false(desk.hasQuestions("e1"));
+    t.true(["e2", "e3", "e4"].every(entry => desk.hasQuestions(entry)));
+    desk.request([...addJob(fleet, [{}]).readySteps()], timer.nowMs());
+    t.is(desk.takeQuestions("e1").length, 1);
+});
--- a/packages/fleet/src/owner/PermitDesk.ts
+++ b/packages/fleet/src/owner/PermitDesk.ts
@@ -33,6 +33,11 @@
 const LONG_QUESTION_MS = 250;
 /** Part of the lanes that takes short questions only. */
 const SHORT_LANE_SHARE = 0.25;
+/** A question that takes longer than this is kept off the lane of the shortest ones, which takes one in eight lanes. */
+const BRIEF_QUESTION_MS = 40;
+const BRIEF_LANE_SHARE = 0.125;
+/** With fewer lanes none is kept for the shortest questions. */
+const LEAST_LANES_FOR_BRIEF = 4;
 /** A lane is given no question that would wait longer than this. */
 const LONGEST_BACKLOG_MS = 150;
 /** An entry that has not watched for this long gets no questions. */
@@ -236,10 +241,10 @@
     private chooseLane(costMs: number, nowMs: number): Lane | undefined {
         const lanes = [...this.lanes.values()].filter(lane => nowMs - lane.seenMs < LANE_LOST_MS)
             .sort((left, right) => left.entry < right.entry ? -1 : 1);
-        const shortLanes = costMs > LONG_QUESTION_MS ? Math.floor(lanes.length * SHORT_LANE_SHARE) : 0;
+        const keptLanes = countKeptLanes(costMs, lanes.length);
         let best: Lane | undefined;
         let bestMs = Number.POSITIVE_INFINITY;
-        for (const lane of lanes.slice(shortLanes)) {
+        for (const lane of lanes.slice(keptLanes)) {
             const answeredMs = Math.max(lane.busyUntilMs, nowMs) + lane.roundTripMs;
             if (lane.busyUntilMs <= nowMs + LONGEST_BACKLOG_MS && answeredMs < bestMs) {
                 best = lane;
@@ -276,6 +281,14 @@
     return policy.decideMs + policy.perWorkerMs * workerCount;
 }
 
+/** Lanes that are kept for shorter questions than one that takes this long. */
+function countKeptLanes(costMs: number, lanes: number): number {
+    if (costMs > LONG_QUESTION_MS) {
+        return Math.floor(lanes * SHORT_LANE_SHARE);
+    }
+    return costMs > BRIEF_QUESTION_MS && lanes >= LEAST_LANES_FOR_BRIEF ? Math.ceil(lanes * BRIEF_LANE_SHARE) : 0;
+}
+
 function suitsLabel(worker: WorkerState, { spec }: StepState): boolean {
     return spec.workerLabel === undefined || worker.entry.labels.includes(spec.workerLabel);
 }
--- a/packages/fleet/src/ownership/OwnerElection.ts
+++ b/packages/fleet/src/ownership/OwnerElection.ts
@@ -46,10 +46,11 @@
 const OWNER_TIMEOUT_MS = 900;
 /** The same as a multiple of the time that the store takes for a reading: a slow one lets owners renew more rarely. */
 const TIMEOUT_READINGS = 6;
-/** An owner that admits that it has not confirmed its row for this long is followed soon. */
-const ADMITTED_AGE_MS = 1500;
+/** An owner that admits that it has not confirmed its row for this long is followed soon, unless the store is slow. */
+const ADMITTED_AGE_MS = 700;
+const ADMITTED_READINGS = 15;
 /** The same for one whose port refuses connections. */
-const REFUSED_TIMEOUT_MS = 500;
+const REFUSED_TIMEOUT_MS = 300;
 /** The same for one that admits that it can't confirm its row: time to see that the store serves this process. */
 const ADMITTED_TIMEOUT_MS = 300;
 /** The same for one in whose place another process replies. */
@@ -164,7 +165,7 @@
         if (this.signs.replaced(row.holder)) {
             return REPLACED_TIMEOUT_MS + delayMs;
         }
-        if (this.signs.unconfirmedMs() >= ADMITTED_AGE_MS) {
+        if (this.signs.unconfirmedMs() >= Math.max(ADMITTED_AGE_MS, this.readingMs * ADMITTED_READINGS)) {
             return ADMITTED_TIMEOUT_MS + delayMs;
         }
         return delayMs + (this.signs.refused()
--- a/packages/fleet/src/ports/OwnerLink.ts
+++ b/packages/fleet/src/ports/OwnerLink.ts
@@ -21,6 +21,8 @@
     readonly storeRoundTripMs: number;
     /** How late the entry gets to what is due. */
     readonly loopDelayMs: number;
+    /** It could own the fleet: it knows the configuration and does not stop. */
+    readonly mayOwn: boolean;
 }
 
 /** Reply of the owner to a watching entry. */
--- a/packages/proof/src/fleet/FleetRecovery.test.ts
+++ b/packages/proof/src/fleet/FleetRecovery.test.ts
@@ -316,3 +316,19 @@
     await deployment.timer.advance(2000);
     t.not(deployment.ownerMachine, first);
 });
+
+test("a process that stops is not named as the heir of an owner that stops after it", async t => {
+    const deployment = await begin(22);
+    const first = deployment.ownerMachine;
+    const others = [...deployment.processes.keys()].filter(machine => machine !== first);
+    const { epoch } = deployment.ownerRow!;
+    for (const stopping of others.slice(0, 1)) {
+        await deployment.timer.advanceUntil(deployment.processes.get(stopping)!.process.retire(1500), 5000);
+    }
+    await deployment.timer.advance(1000);
+    await deployment.timer.advanceUntil(deployment.processes.get(first)!.process.retire(1500), 5000);
+    t.is(deployment.ownerRow!.heir?.split("/")[0], others[1]);
+    await deployment.timer.advance(200);
+    t.is(deployment.ownerRow!.epoch, epoch + 1);
+    t.is(deployment.ownerMachine, others[1]);
+});
