Metrics of the fleet's processes, served where other processes reach them

Cause: on-call engineers had logs only; the deploy file named no metrics. Change: counters of events and answers, histograms of waits and durations of jobs and of calls to the store, gauges of ages, ownership and delay at /metrics of the address for other processes; series of queues are bounded.

--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -136,6 +136,26 @@
         return !this.stopping && this.directory.config !== undefined;
     }
 
+    /** This process owns the fleet. */
+    public get owning(): boolean {
+        return this.owner !== undefined;
+    }
+
+    /** Age of the last confirmed write of the owner, as far as this process knows it. */
+    public get confirmedAgeMs(): number {
+        return this.owner?.confirmedAgeMs ?? this.watcher.unconfirmedMs;
+    }
+
+    /** Age of what is known of the configuration and its keys; infinite before the first reading. */
+    public get configAgeMs(): number {
+        return this.directory.ageMs;
+    }
+
+    /** Mean delay of what is due in this process. */
+    public get loopDelayMs(): number {
+        return this.loopDelay.meanMs;
+    }
+
     /** Longest body of a request, as the configuration says. */
     public get maximumBodyBytes(): number | undefined {
         return this.directory.config?.maximumBodyBytes;
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -141,6 +141,11 @@
         return this.ledger.epoch;
     }
 
+    /** Time since the last write that is known to have taken effect. */
+    public get confirmedAgeMs(): number {
+        return this.ledger.confirmedAgeMs;
+    }
+
     /** Workers that may hold tasks. */
     public get knownWorkers(): readonly KnownWorker[] {
         return this.registry.known;
--- a/packages/skylarkd/src/fleet/FleetServer.ts
+++ b/packages/skylarkd/src/fleet/FleetServer.ts
@@ -3,8 +3,10 @@
 import { SystemTimer } from "@skylarkpath/adapters/SystemTimer";
 import { DisposableStore } from "@skylarkpath/common/base/Disposable";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventLog } from "@skylarkpath/common/log/EventLog";
 import { createSeededRandom } from "@skylarkpath/common/random/RandomSource";
 import { sleep } from "@skylarkpath/common/time/TimerService";
+import type { CallerReply, CallerRequest } from "@skylarkpath/fleet/entry/EntryTypes";
 import { FleetProcess } from "@skylarkpath/fleet/FleetProcess";
 import {
     type CallerService,
@@ -20,7 +22,10 @@
 import { Hono } from "hono";
 import { randomInt } from "node:crypto";
 import { BoundedLog } from "./BoundedLog.js";
+import { FleetMetrics } from "./FleetMetrics.js";
 
+/** Metrics are served at the address at which other processes reach this one. */
+const METRICS_PATH = "/metrics";
 const MAXIMUM_SEED = 2 ** 31;
 /** Usual round trip between regions, with some time for the work at its end. */
 const ROUND_TRIP_MS = 100;
@@ -34,19 +39,20 @@
 export class FleetServer implements CallerService {
     private readonly disposables = new DisposableStore();
     private readonly timer = new SystemTimer();
-    private readonly log: BoundedLog;
+    private readonly log: EventLog;
+    private readonly metrics = new FleetMetrics();
     private readonly fleet: FleetProcess;
     private readonly listeners: HttpListener[] = [];
     public closing = false;
 
     constructor(private readonly settings: ProcessSettings) {
-        this.log = this.disposables.add(new BoundedLog(settings.machine, this.timer));
+        this.log = this.metrics.tap(this.disposables.add(new BoundedLog(settings.machine, this.timer)));
         const storeHttp = this.disposables.add(new PlatformHttp(STORE_CONNECTIONS));
         const workerHttp = this.disposables.add(new PlatformHttp(WORKER_CONNECTIONS));
         this.fleet = new FleetProcess({
             machine: settings.machine,
             address: settings.peerAddress,
-            store: new PlatformStore(storeHttp, settings.storeAddress),
+            store: this.metrics.measure(new PlatformStore(storeHttp, settings.storeAddress)),
             workers: new PlatformWorkers(workerHttp),
             policy: settings.policyAddress === undefined
                 ? undefined
@@ -60,6 +66,7 @@
             roundTripMs: ROUND_TRIP_MS,
             processorShare: settings.processorShare
         });
+        this.metrics.observe(this.fleet);
     }
 
     public get ready(): boolean {
@@ -70,8 +77,10 @@
         return this.fleet.maximumBodyBytes ?? DEFAULT_BODY_BYTES;
     }
 
-    public handle(request: Parameters<FleetProcess["handle"]>[0]): ReturnType<FleetProcess["handle"]> {
-        return this.fleet.handle(request);
+    public async handle(request: CallerRequest): Promise<CallerReply> {
+        const reply = await this.fleet.handle(request);
+        this.metrics.countRequest(request.verb, reply.kind);
+        return reply;
     }
 
     /** Listens and begins to serve. */
@@ -81,6 +90,7 @@
         process.on("SIGHUP", () => this.log.write(EVENTS.settingsReloaded, {}));
         const peers = new Hono();
         mountOwnerService(peers, this.fleet);
+        peers.get(METRICS_PATH, async context => context.text(await this.metrics.collect()));
         const { callerAddress, readinessAddress, peerAddress } = this.settings;
         this.listeners.push(
             await HttpListener.listen(peers, peerAddress),
