A successor holds back only the tasks of silent workers too

Change: the owner's row names the tasks of workers that do not answer, like those of workers that leave. Nothing is started on them before a row that names none is committed, so the list is all that can run there. A successor passes on what it has not settled, and counts these tasks against the teams' limits, not whole workers. Silent workers are looked at without a long wait.

--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -208,9 +208,12 @@
         const { store, timer, workers, timing, log, roundTripMs } = this.environment;
         this.dropOwnership();
         const known = former?.workers ?? [];
-        const ledger = new OwnerLedger(store, timer, row, version, () => this.owner?.knownWorkers ?? known);
+        const ledger: OwnerLedger = new OwnerLedger(store, timer, row, version, {
+            list: () => owner.list(),
+            noteCommitted: workers => owner.noteCommitted(workers)
+        });
         const extraMs = formerEnded ? 0 : UNCONFIRMED_LIMIT_MS;
-        const owner = new FleetOwner(
+        const owner: FleetOwner = new FleetOwner(
             {
                 store,
                 timer,
--- a/packages/fleet/src/model/OwnerRow.ts
+++ b/packages/fleet/src/model/OwnerRow.ts
@@ -28,10 +28,18 @@
     readonly incarnation: number;
     /** It was leaving; once the directory does not list it any more, it has left. */
     readonly draining: boolean;
-    /** Tasks that may run there, told of leaving workers only: they are given no others. */
+    /** Tasks that may run there, told of workers that are given no others: those that leave, and those that do not answer. */
     readonly tasks?: readonly string[];
 }
 
+/** Workers as an owner's row names them. */
+export interface RowWorkers {
+    /** The list for the next write; from now on no task is started on a worker whose tasks it names. */
+    list(): readonly KnownWorker[];
+    /** The write with this list has taken effect; tasks may start again where it names none. */
+    noteCommitted(workers: readonly KnownWorker[]): void;
+}
+
 /** Reads the row of the owner; nothing when it is malformed. */
 export function readOwnerRow(text: string): OwnerRow | undefined {
     try {
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -8,7 +8,7 @@
 import { WorkerDirectory } from "../config/WorkerDirectory.js";
 import type { FleetTiming } from "../model/FleetTiming.js";
 import { JobPhase } from "../model/JobSpec.js";
-import type { KnownWorker } from "../model/OwnerRow.js";
+import type { KnownWorker, RowWorkers } from "../model/OwnerRow.js";
 import { FLEET_PARTITION, FleetTable } from "../model/Tables.js";
 import type { DirectorySource } from "../ports/DirectorySource.js";
 import type { EntryReport, OwnerService, WatchReply, WatchRequest } from "../ports/OwnerLink.js";
@@ -67,7 +67,7 @@
 const INTAKE_GAP_MS = 250;
 
 /** Owner of the fleet: takes every decision about its workers and jobs. */
-export class FleetOwner implements OwnerService, Disposable {
+export class FleetOwner implements OwnerService, RowWorkers, Disposable {
     private readonly fleet = new FleetState();
     private readonly disposables = new DisposableStore();
     private readonly runs: RunKeeper;
@@ -149,9 +149,13 @@
         return this.ledger.confirmedAgeMs;
     }
 
-    /** Workers that may hold tasks. */
-    public get knownWorkers(): readonly KnownWorker[] {
-        return this.registry.known;
+    /** Workers that may hold tasks; those of the former owner until they have been contacted. */
+    public list(): readonly KnownWorker[] {
+        return this.ready ? this.registry.list() : this.succession.workers;
+    }
+
+    public noteCommitted(workers: readonly KnownWorker[]): void {
+        this.registry.noteCommitted(workers);
     }
 
     /** Loads the jobs, looks at the workers and begins to decide. */
--- a/packages/fleet/src/owner/OwnerLedger.ts
+++ b/packages/fleet/src/owner/OwnerLedger.ts
@@ -1,5 +1,5 @@
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
-import { type KnownWorker, type OwnedRow, type OwnerRow, readOwnerRow } from "../model/OwnerRow.js";
+import { type OwnedRow, type OwnerRow, readOwnerRow, type RowWorkers } from "../model/OwnerRow.js";
 import { FLEET_PARTITION, FleetTable, OWNER_KEY } from "../model/Tables.js";
 import { type RowStore, type RowWrite, type StoredRow, StoreFailureKind } from "../ports/RowStore.js";
 
@@ -37,7 +37,7 @@
         private readonly timer: TimerService,
         private readonly row: OwnedRow,
         private version: number,
-        private readonly listWorkers: () => readonly KnownWorker[]
+        private readonly workers: RowWorkers
     ) {
         this.confirmedMs = timer.nowMs();
     }
@@ -69,7 +69,7 @@
             released: release !== undefined,
             heir: release?.heir,
             slow: release?.slow,
-            workers: this.listWorkers()
+            workers: this.workers.list()
         };
         const place = { table: FleetTable.Ownership, partition: FLEET_PARTITION, key: OWNER_KEY };
         const result = await this.store.commit(
@@ -80,6 +80,7 @@
         if (result.isOk()) {
             this.version = result.value;
             this.confirmedMs = sentAtMs;
+            this.workers.noteCommitted(value.workers);
             return LedgerOutcome.Committed;
         }
         this.lastFailure = `${result.error.kind}: ${result.error.message}`;
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -4,7 +4,7 @@
 import type { EventLog } from "@skylarkpath/common/log/EventLog";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import { addSize, createAmount } from "../model/Amount.js";
-import type { KnownWorker } from "../model/OwnerRow.js";
+import type { KnownWorker, RowWorkers } from "../model/OwnerRow.js";
 import type { WorkerCalls, WorkerEntry } from "../ports/WorkerCalls.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { RunState } from "../state/RunState.js";
@@ -25,7 +25,7 @@
 const RECONNECT_MS = 300;
 
 /** The sessions with all workers, one for each life of a worker. */
-export class WorkerRegistry implements Disposable {
+export class WorkerRegistry implements RowWorkers, Disposable {
     private readonly sessions = new Map<string, WorkerSession>();
     private readonly generations = new Map<string, number>();
     private readonly guard: FillerGuard;
@@ -66,15 +66,23 @@
         return true;
     }
 
-    /** Workers that may hold tasks, for the owner's row. */
-    public get known(): readonly KnownWorker[] {
-        return [...this.sessions.values()].map(({ entry, state }) => ({
-            id: entry.id,
-            address: entry.address,
-            incarnation: entry.incarnation,
-            draining: entry.draining,
-            tasks: this.isLeaving(entry) && state.fenced && !state.hasForeignRuns ? [...state.runs.keys()] : undefined
-        }));
+    /** Workers that may hold tasks; from now on nothing is started on those whose tasks the list names. */
+    public list(): readonly KnownWorker[] {
+        return [...this.sessions.values()].map(({ entry, state }) => {
+            const tasks = this.listTasks(state);
+            state.tasksTold ||= tasks !== undefined;
+            const { id, address, incarnation, draining } = entry;
+            return { id, address, incarnation, draining, tasks };
+        });
+    }
+
+    public noteCommitted(workers: readonly KnownWorker[]): void {
+        for (const { id, incarnation, tasks } of workers) {
+            const state = this.fleet.workers.get(id);
+            if (state && tasks === undefined && state.entry.incarnation === incarnation) {
+                state.tasksTold = false;
+            }
+        }
     }
 
     public session(worker: WorkerState): WorkerSession | undefined {
@@ -232,18 +240,25 @@
         }
     }
 
-    /** The worker itself says that it leaves; one that is only kept free of tasks for now may get some again. */
-    private isLeaving({ id, incarnation }: WorkerEntry): boolean {
-        const listed = this.entries.get(id);
-        return listed !== undefined && listed.draining && listed.incarnation === incarnation;
+    /** Tasks that may run on a worker that is given no others; nothing when they are not known, or it may get others. */
+    private listTasks(state: WorkerState): readonly string[] | undefined {
+        if (!state.fenced) {
+            return this.unsettled.get(state.id);
+        }
+        const isQuiet = state.entry.draining || !state.reachable;
+        return isQuiet && !state.hasForeignRuns ? [...state.runs.keys()] : undefined;
     }
 
     /** Counts the capacity of workers with runs of which nothing is known as used by every team. */
     private countUnknown(): void {
         const unknown = createAmount();
         for (const { state } of this.sessions.values()) {
-            const isUnsettled = this.unsettled.has(state.id) && this.unsettled.get(state.id)?.length !== 0;
-            if (isUnsettled || state.hasForeignRuns) {
+            const tasks = this.unsettled.get(state.id);
+            const sizes = tasks?.map(name => this.fleet.sizeOf(name));
+            if (sizes && !state.hasForeignRuns && sizes.every(size => size !== undefined)) {
+                sizes.forEach(size => addSize(unknown, size));
+            }
+            else if (this.unsettled.has(state.id) || state.hasForeignRuns) {
                 addSize(unknown, state.entry.capacity);
             }
         }
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -211,7 +211,8 @@
     private async run(): Promise<void> {
         while (!this.disposed) {
             const startedMs = this.timer.nowMs();
-            const isIdle = this.clock.known && this.state.fenced && this.reportedEnd === this.notedEnd;
+            const { fenced, reachable } = this.state;
+            const isIdle = this.clock.known && fenced && reachable && this.reportedEnd === this.notedEnd;
             const longestWaitMs = this.events.watchesClosely(this.state) ? CLOSE_LOOK_WAIT_MS : LOOK_WAIT_MS;
             const answered = await this.look(isIdle ? longestWaitMs : 0);
             if (this.disposed) {
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -3,6 +3,7 @@
 import type { Size } from "../model/JobSpec.js";
 import type { JobState } from "./JobState.js";
 import { FULL_PACE_PERCENT, RunPhase, type RunState } from "./RunState.js";
+import { readTaskName } from "./TaskName.js";
 import type { TaskState } from "./TaskState.js";
 import type { WorkerState } from "./WorkerState.js";
 
@@ -47,6 +48,12 @@
         return this.teamsByName.get(name);
     }
 
+    /** Size of a task by its name; nothing when its job is not known. */
+    public sizeOf(taskName: string): Size | undefined {
+        const parts = readTaskName(taskName);
+        return parts && this.jobs.get(parts.jobId)?.spec.steps[parts.step]?.size;
+    }
+
     public usedBy(team: string): Amount {
         let used = this.usedByTeam.get(team);
         if (!used) {
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -19,6 +19,8 @@
     public listed = true;
     /** It answered the last call. */
     public reachable = true;
+    /** The owner's row may name its tasks, so that a successor would take it to have no others. */
+    public tasksTold = false;
     /** No task is started here before this time. */
     public avoidedUntilMs = 0;
     /** Failed or stalled runs in a row, by job. */
@@ -36,8 +38,8 @@
 
     /** New tasks may be started here. */
     public canStart(nowMs: number): boolean {
-        return this.fenced && !this.hasForeignRuns && this.listed && this.reachable && !this.entry.draining
-            && nowMs >= this.avoidedUntilMs;
+        return this.fenced && !this.hasForeignRuns && !this.tasksTold && this.listed && this.reachable
+            && !this.entry.draining && nowMs >= this.avoidedUntilMs;
     }
 
     /** Number of further tasks of a size that fit, beside what is taken already. */
