--- a/packages/fleet/src/owner/RunKeeper.test.ts
+++ b/packages/fleet/src/owner/RunKeeper.test.ts
@@ -142,3 +142,35 @@
         t.is(job.phase, JobPhase.Running);
     }
 });
+
+test("lasting tasks are stopped for nothing but the cancel of their job", async t => {
+    const fleet = createFleet();
+    const timer = new VirtualTimer();
+    const keeper = new RunKeeper(fleet, timer);
+    const worker = addWorker(fleet, "w1");
+    const job = addJob(fleet, [{ taskCount: 2, lasting: true, maximumAway: 1 }]);
+    const stopped: string[] = [];
+    keeper.onUnwanted(({ task }) => stopped.push(task));
+    const tasks = [0, 1].map(index => job.findTask(0, 0, index)!);
+    const running = tasks.map(task => {
+        fleet.openRun(task, worker, 1, RunPhase.Running, 0);
+        return { task: task.name, run: 1, checkpoint: "", percent: 100 };
+    });
+    for (let look = 0; look < 20; look++) {
+        await timer.advance(1000);
+        keeper.applyReport(worker, { ...EMPTY_REPORT, running }, { sentAtMs: timer.nowMs(), token: 1 }, 0);
+    }
+    worker.entry = { ...worker.entry, draining: true };
+    const end = { number: 1, task: tasks[0]!.name, run: 1, end: RunEnd.Failed, checkpoint: "" };
+    keeper.applyReport(
+        worker,
+        { ...EMPTY_REPORT, running: running.slice(1), ended: [end] },
+        { sentAtMs: timer.nowMs(), token: 1 },
+        0
+    );
+    t.deepEqual(stopped, []);
+    t.true(tasks[0]!.waiting);
+    t.is(job.phase, JobPhase.Running);
+    keeper.finish(job, JobPhase.Cancelled);
+    t.deepEqual(stopped, [tasks[1]!.name]);
+});
