--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -14,6 +14,7 @@
 import { FleetOwner, UNCONFIRMED_LIMIT_MS } from "./owner/FleetOwner.js";
 import { OwnerLedger } from "./owner/OwnerLedger.js";
 import { OwnerElection, type WonOwnership } from "./ownership/OwnerElection.js";
+import { SlownessJudge } from "./ownership/SlownessJudge.js";
 import type { DirectorySource } from "./ports/DirectorySource.js";
 import type { EntryReport, OwnerLink, OwnerService, WatchReply, WatchRequest } from "./ports/OwnerLink.js";
 import type { PlacementPolicy } from "./ports/PlacementPolicy.js";
@@ -52,16 +53,6 @@
 const SLOW_PROCESSOR_DELAY_MS = 100;
 /** Delay of a candidate for each millisecond by which it is late for its work. */
 const DELAY_PER_LOOP_DELAY = 2;
-/** An owner that is this late for its work on average is slow; the busiest seconds of a sound machine make it 20 ms late. */
-const SLOW_LOOP_DELAY_MS = 80;
-/** Slowness counts from this share of it on; what heirs told before says nothing of their delay now. */
-const ONSET_SHARE = 0.5;
-/** An heir that is later than this share of the owner's delay would be no better. */
-const FASTER_HEIR_SHARE = 0.3;
-/** An owner does not give the fleet up for being slow before it has had it this long: a succession costs half a second. */
-const LEAST_TENURE_MS = 4000;
-/** The same for one that got it from a slow owner: when it is slow as well, the load is the cause and not the machine. */
-const TENURE_AFTER_SLOW_MS = 12_000;
 /** A slow owner tries this long to give the fleet up; others follow anyway when it does not confirm its row. */
 const YIELD_LIMIT_MS = 1500;
 /** Knowledge of the configuration that is older than this makes a process not ready: two readings and a retry. */
@@ -75,10 +66,8 @@
     private readonly election: OwnerElection;
     private readonly entry: JobEntry;
     private readonly loopDelay: LoopDelayMeter;
+    private readonly slowness: SlownessJudge;
     private owner: FleetOwner | undefined;
-    private ownerSinceMs = 0;
-    private tenureMs = LEAST_TENURE_MS;
-    private slowSinceMs: number | undefined;
     private stopping = false;
     private readonly identity: string;
 
@@ -87,6 +76,7 @@
         this.identity = `${machine}/${Math.floor(random.next() * Number.MAX_SAFE_INTEGER).toString(36)}`;
         this.directory = this.disposables.add(new ConfigDirectory(store, timer, environment.directory, log));
         this.loopDelay = this.disposables.add(new LoopDelayMeter(timer));
+        this.slowness = new SlownessJudge(this.loopDelay, timer);
         const states = new JobStates(timer, timing.stateRetentionMs);
         this.watcher = this.disposables.add(
             new OwnerWatch(environment.ownerLink, environment.policy, states, timer, {
@@ -233,8 +223,7 @@
             }
         );
         this.owner = owner;
-        this.ownerSinceMs = timer.nowMs();
-        this.tenureMs = former?.released && former.slow ? TENURE_AFTER_SLOW_MS : LEAST_TENURE_MS;
+        this.slowness.begin(former?.released === true && former.slow === true);
         owner.onLost(() => {
             if (this.owner === owner) {
                 this.dropOwnership();
@@ -248,17 +237,9 @@
     /** Gives the fleet up when this process gets to its work much later than another one would. */
     private yieldWhenSlow(): void {
         const { owner } = this;
-        const delayMs = this.loopDelay.meanMs;
-        const nowMs = this.environment.timer.nowMs();
-        this.slowSinceMs = delayMs < SLOW_LOOP_DELAY_MS * ONSET_SHARE ? undefined : this.slowSinceMs ?? nowMs;
-        const isHeldLong = nowMs - this.ownerSinceMs >= this.tenureMs;
-        if (this.slowSinceMs === undefined || delayMs < SLOW_LOOP_DELAY_MS || !owner?.decides || !isHeldLong) {
-            return;
-        }
-        const { heir } = owner;
-        const isFresh = heir && heir.atMs >= this.slowSinceMs;
-        if (isFresh && heir.loopDelayMs < delayMs * FASTER_HEIR_SHARE) {
-            void this.handOver(`work waits ${Math.round(delayMs)} ms for this process`, true, 0, YIELD_LIMIT_MS);
+        if (this.slowness.shouldYield(owner?.decides ? owner.heir : undefined)) {
+            const reason = `work waits ${Math.round(this.loopDelay.meanMs)} ms for this process`;
+            void this.handOver(reason, true, 0, YIELD_LIMIT_MS);
         }
     }
 
--- a/packages/fleet/src/owner/WorkerRegistry.test.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.test.ts
@@ -2,25 +2,13 @@
 import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
 import test, { type ExecutionContext } from "ava";
 import { err, ok } from "neverthrow";
-import { OrderOutcome, type OrderReply, type WorkerCalls, type WorkerEntry } from "../ports/WorkerCalls.js";
+import { OrderOutcome, type OrderReply, type WorkerCalls } from "../ports/WorkerCalls.js";
 import type { FleetState } from "../state/FleetState.js";
 import { RunPhase } from "../state/RunState.js";
-import { addJob, createFleet, EMPTY_REPORT } from "../testing/FleetFixture.js";
+import { addJob, createFleet, EMPTY_REPORT, PLAIN_WORKER } from "../testing/FleetFixture.js";
 import { RunKeeper } from "./RunKeeper.js";
 import { WorkerRegistry } from "./WorkerRegistry.js";
 
-const ENTRY: WorkerEntry = {
-    id: "w1",
-    address: "w1",
-    pool: "pool",
-    failureDomain: "north",
-    draining: false,
-    capacity: { cpuMilli: 4000, memoryMb: 8000, accelerators: 0 },
-    labels: [],
-    rack: "r1",
-    incarnation: 1
-};
-
 interface Trial {
     readonly timer: VirtualTimer;
     readonly fleet: FleetState;
@@ -65,7 +53,7 @@
 
 test("orders without a reply that were on their way when a worker was born again are settled", async t => {
     const { timer, fleet, registry, replies } = begin(t);
-    registry.begin([ENTRY], [], 0);
+    registry.begin([PLAIN_WORKER], [], 0);
     await timer.advance(50);
     const worker = fleet.workers.get("w1")!;
     const tasks = addJob(fleet, [{ taskCount: 3 }]).findTask(0, 0, 0)!.step.tasks;
@@ -77,7 +65,7 @@
             }
         });
     });
-    registry.update([{ ...ENTRY, incarnation: 2 }]);
+    registry.update([{ ...PLAIN_WORKER, incarnation: 2 }]);
     replies.forEach(reply => reply({ outcome: OrderOutcome.Uncertain }));
     await Promise.all(orders);
     await timer.advance(3000);
@@ -90,7 +78,7 @@
     const [held, free] = ["00000000000000a1", "00000000000000b1"].map(id =>
         [...addJob(fleet, [{}], id).openSteps()][0]!
     );
-    const leaving = { ...ENTRY, draining: true };
+    const leaving = { ...PLAIN_WORKER, draining: true };
     silent.add("w1");
     registry.begin([leaving], [{
         id: "w1",
@@ -116,7 +104,7 @@
 
 test("the tasks of a silent worker are told, and nothing starts there again before a row without them is committed", async t => {
     const { timer, fleet, registry, silent } = begin(t);
-    registry.begin([ENTRY, { ...ENTRY, id: "w2", address: "w2", draining: true }], [], 0);
+    registry.begin([PLAIN_WORKER, { ...PLAIN_WORKER, id: "w2", address: "w2", draining: true }], [], 0);
     await timer.advance(50);
     const worker = fleet.workers.get("w1")!;
     const task = addJob(fleet, [{}]).findTask(0, 0, 0)!;
@@ -142,7 +130,7 @@
     const { timer, registry, silent } = begin(t);
     silent.add("w1");
     const tasks = ["00000000000000a1.0.0.0"];
-    registry.begin([ENTRY], [{ id: "w1", address: "w1", incarnation: 1, draining: false, tasks }], 6000);
+    registry.begin([PLAIN_WORKER], [{ id: "w1", address: "w1", incarnation: 1, draining: false, tasks }], 6000);
     await timer.advance(1000);
     t.deepEqual(registry.list()[0]?.tasks, tasks);
     registry.dispose();
--- a/packages/fleet/src/testing/FleetFixture.ts
+++ b/packages/fleet/src/testing/FleetFixture.ts
@@ -41,6 +41,19 @@
     maximumBodyBytes: 1000
 };
 
+/** Worker of 4 processors. */
+export const PLAIN_WORKER: WorkerEntry = {
+    id: "w1",
+    address: "w1",
+    pool: "pool",
+    failureDomain: "north",
+    draining: false,
+    capacity: { cpuMilli: 4000, memoryMb: 8000, accelerators: 0 },
+    labels: ["standard", "r1"],
+    rack: "r1",
+    incarnation: 1
+};
+
 /** Fleet with the plain configuration. */
 export function createFleet(): FleetState {
     const fleet = new FleetState();
@@ -50,18 +63,7 @@
 
 /** Adds a worker of 4 processors that takes orders. */
 export function addWorker(fleet: FleetState, id: string, change: Partial<WorkerEntry> = {}): WorkerState {
-    const worker = new WorkerState({
-        id,
-        address: id,
-        pool: "pool",
-        failureDomain: "north",
-        draining: false,
-        capacity: { cpuMilli: 4000, memoryMb: 8000, accelerators: 0 },
-        labels: ["standard", "r1"],
-        rack: "r1",
-        incarnation: 1,
-        ...change
-    });
+    const worker = new WorkerState({ ...PLAIN_WORKER, id, address: id, ...change });
     worker.fenced = true;
     fleet.workers.set(id, worker);
     return worker;
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -11,7 +11,7 @@
 import { LinkFailure, type OwnerLink } from "@skylarkpath/fleet/ports/OwnerLink";
 import type { PlacementPolicy } from "@skylarkpath/fleet/ports/PlacementPolicy";
 import type { WorkerEntry } from "@skylarkpath/fleet/ports/WorkerCalls";
-import { PLAIN_STEP } from "@skylarkpath/fleet/testing/FleetFixture";
+import { PLAIN_STEP, PLAIN_WORKER } from "@skylarkpath/fleet/testing/FleetFixture";
 import { MemoryFleet } from "@skylarkpath/standins/fleet/MemoryFleet";
 import { MemoryRowStore } from "@skylarkpath/standins/fleet/MemoryRowStore";
 import { TaskRules } from "@skylarkpath/standins/fleet/TaskRules";
@@ -119,17 +119,7 @@
 
     /** Starts a life of a worker and lists it. */
     public startWorker(id: string): void {
-        const entry: WorkerEntry = {
-            id,
-            address: id,
-            pool: "pool",
-            failureDomain: "north",
-            draining: false,
-            capacity: { cpuMilli: 4000, memoryMb: 8000, accelerators: 0 },
-            labels: ["standard", "r1"],
-            rack: "r1",
-            incarnation: this.timer.wallClockMs() + 1
-        };
+        const entry: WorkerEntry = { ...PLAIN_WORKER, id, address: id, incarnation: this.timer.wallClockMs() + 1 };
         this.fleet.start(entry);
         this.listWorker(entry);
     }
