Paces of fillers that may not have been taken are ordered again

Cause: an order for a pace without a reply was given again only with the next change, so a filler that should stand still could go on beside a serving task over its bound; and a successor took fillers that its predecessor had slowed for unslowed ones, for good. Change: a pace that was not taken, or that a former owner may have set, is ordered again after a tenth of a second. The fixture of the guard's tests opens runs as started by this owner, which is what they mean; their checks are as before.

--- a/packages/fleet/src/owner/FillerGuard.test.ts
+++ b/packages/fleet/src/owner/FillerGuard.test.ts
@@ -16,7 +16,7 @@
     const worker = addWorker(fleet, "w1");
     const start = (id: string, change: object): RunState => {
         const task = addJob(fleet, [change], id).findTask(0, 0, 0)!;
-        return fleet.openRun(task, worker, 1, RunPhase.Running, 0);
+        return fleet.openRun(task, worker, 1, RunPhase.Starting, 0);
     };
     const serving = start("00000000000000a1", { lasting: true, targetMs: 100 });
     const filler = start("00000000000000a2", { filler: true });
@@ -48,3 +48,23 @@
     await timer.advance(600);
     t.deepEqual(paces(), [25]);
 });
+
+test("a pace that was not taken is ordered again, and one that a former owner may have set is set anew", async t => {
+    const { guard, timer, serving, filler, paces } = begin();
+    serving.load = 120;
+    t.deepEqual(paces(), [0]);
+    guard.noteLost(filler, 0);
+    t.deepEqual(paces(), [], "not with each report");
+    await timer.advance(120);
+    t.deepEqual(paces(), [0]);
+    await timer.advance(120);
+    t.deepEqual(paces(), []);
+    guard.noteLost(filler, 50);
+    await timer.advance(120);
+    t.deepEqual(paces(), [], "another pace was ordered since");
+    const fleet = createFleet();
+    const later = addWorker(fleet, "w2");
+    const task = addJob(fleet, [{ filler: true }]).findTask(0, 0, 0)!;
+    t.false(fleet.openRun(task, later, 1, RunPhase.Running, 0).paceKnown);
+    t.deepEqual(guard.decide(later).map(change => change.percent), [100]);
+});
--- a/packages/fleet/src/owner/FillerGuard.ts
+++ b/packages/fleet/src/owner/FillerGuard.ts
@@ -18,6 +18,8 @@
 const CALM_MS = 2500;
 /** A pace takes effect within a tenth of a second, and the tail is a figure for the last half second. */
 const SETTLE_MS = 500;
+/** A pace that may not have been taken is ordered again after the time within which one takes effect. */
+const REPEAT_MS = 100;
 /** A pace below this is none. */
 const LEAST_PERCENT = 10;
 
@@ -42,14 +44,23 @@
         const changes: PaceChange[] = [];
         for (const run of fillers) {
             const percent = nextPace(run, strain, nowMs);
-            if (percent !== run.pacePercent) {
+            const isDoubtful = !run.paceKnown && nowMs - run.pacedAtMs >= REPEAT_MS;
+            if (percent !== run.pacePercent || isDoubtful) {
                 run.pacePercent = percent;
+                run.paceKnown = true;
                 run.pacedAtMs = nowMs;
                 changes.push({ run, percent });
             }
         }
         return changes;
     }
+
+    /** An order for a pace was not taken; it is given again with the next report. */
+    public noteLost(run: RunState, percent: number): void {
+        if (run.pacePercent === percent) {
+            run.paceKnown = false;
+        }
+    }
 }
 
 function isServing(run: RunState): boolean {
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -10,7 +10,7 @@
 import type { RunState } from "../state/RunState.js";
 import type { StepState } from "../state/StepState.js";
 import { WorkerState } from "../state/WorkerState.js";
-import { FillerGuard } from "./FillerGuard.js";
+import { FillerGuard, type PaceChange } from "./FillerGuard.js";
 import type { RunKeeper } from "./RunKeeper.js";
 import { LapseReason, type SessionEvents, type SessionTiming, WorkerSession } from "./WorkerSession.js";
 
@@ -181,8 +181,8 @@
                 report: (source, report, look) => {
                     const hadForeignRuns = state.hasForeignRuns;
                     this.runs.applyReport(state, report, look, source.reportedEnd);
-                    for (const { run, percent } of this.guard.decide(state)) {
-                        void source.paceRun(run.task.name, run.run, percent);
+                    for (const change of this.guard.decide(state)) {
+                        void this.pace(source, change);
                     }
                     if (hadForeignRuns !== state.hasForeignRuns) {
                         this.countUnknown();
@@ -209,6 +209,12 @@
         return session;
     }
 
+    private async pace(session: WorkerSession, { run, percent }: PaceChange): Promise<void> {
+        if (!(await session.paceRun(run.task.name, run.run, percent))) {
+            this.guard.noteLost(run, percent);
+        }
+    }
+
     private lapse(session: WorkerSession, reason: LapseReason): void {
         const { state, entry } = session;
         if (this.sessions.get(entry.id) !== session) {
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -167,13 +167,16 @@
         this.noteReply(reply, token);
     }
 
-    /** Orders the pace of a run; one that gets no reply is ordered again with the next change. */
-    public async paceRun(task: string, run: number, percent: number): Promise<void> {
-        if (this.events.mayCommand()) {
-            const token = this.token;
-            const timeoutMs = REPLY_TIMEOUT_MS + this.timing.roundTripMs;
-            this.noteReply(await this.calls.pace(this.entry, task, run, percent, token, timeoutMs), token);
+    /** Orders the pace of a run; tells whether the worker has taken it. */
+    public async paceRun(task: string, run: number, percent: number): Promise<boolean> {
+        if (!this.events.mayCommand()) {
+            return false;
         }
+        const token = this.token;
+        const timeoutMs = REPLY_TIMEOUT_MS + this.timing.roundTripMs;
+        const reply = await this.calls.pace(this.entry, task, run, percent, token, timeoutMs);
+        this.noteReply(reply, token);
+        return reply.outcome === OrderOutcome.Taken;
     }
 
     /** Raises the token, so that orders on their way are void, and looks again at once. */
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -106,6 +106,7 @@
             progressedAtMs: nowMs,
             load: undefined,
             pacePercent: FULL_PACE_PERCENT,
+            paceKnown: phase === RunPhase.Starting,
             pacedAtMs: nowMs,
             stopWanted: false,
             stopSentAtMs: undefined
--- a/packages/fleet/src/state/RunState.ts
+++ b/packages/fleet/src/state/RunState.ts
@@ -33,6 +33,8 @@
     load: number | undefined;
     /** Share of its speed at which the task may work. */
     pacePercent: number;
+    /** The worker has that pace, or it was ordered; one that a former owner set is not known. */
+    paceKnown: boolean;
     pacedAtMs: number;
     /** The stop is wanted for reasons of ours, so that the end is no failure of the task. */
     stopWanted: boolean;
