Known workers are in rows of their own, written when they change

Cause: each commit of the owner carried the list of all workers in the owner's row: 90 bytes a worker, a third more in base64, some 45 KB at 378 workers with every batch of progress, and all candidates read it every 100 ms while the owner was unhealthy. Links of 2 and 20 Mbit/s were filled by it, commits came late, owners were replaced, and the next one paid the same. With the tasks of silent workers the row passed the platform's 64 KiB, and no commit was taken any more. Change: 64 rows, each rewritten only when one of its workers changes, at most 16 a transaction; tasks are left out (unknown, the careful reading) where a row would grow past 48 KiB. Rows of owners of 0.1.0 are still read. Found beside it: a new owner started tasks on a worker whose tasks the store still listed from the former one, and so did one that lost such a worker and met it again; a successor would have trusted the incomplete list.

--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -204,11 +204,10 @@
     ): void {
         const { store, timer, workers, timing, log, roundTripMs } = this.environment;
         this.dropOwnership();
-        const knownWorkers = previousRow?.workers ?? [];
         const fencedStore: FencedStore = new FencedStore(store, timer, row, version, {
             list: () => owner.list(),
             markCommitted: workers => owner.markCommitted(workers)
-        });
+        }, previousRow?.workers);
         const staleOwnerMs = isPreviousStopped ? 0 : MAX_UNCONFIRMED_MS;
         const owner: FleetOwner = new FleetOwner(
             {
@@ -225,7 +224,7 @@
             fencedStore,
             {
                 version: previousRow ? version : 0,
-                workers: knownWorkers,
+                workers: previousRow?.workers,
                 unknownLeaseMs: previousRow ? timing.maximumLeaseMs + staleOwnerMs : 0
             }
         );
--- a/packages/fleet/src/model/OwnerRow.ts
+++ b/packages/fleet/src/model/OwnerRow.ts
@@ -14,14 +14,17 @@
     readonly heir?: string;
     /** The owner released the fleet because it was slow. */
     readonly slow?: boolean;
-    /** Workers that may run tasks, so that a successor contacts them even if the directory no longer lists them. */
-    readonly workers: readonly KnownWorker[];
+    /**
+     * Workers that may run tasks; set by owners of version 0.1.0, and by their successors until these have written the
+     * rows of the known workers.
+     */
+    readonly workers?: readonly KnownWorker[];
 }
 
 /** Fields of the row that stay the same while a process owns the fleet. */
 export type OwnerIdentity = Pick<OwnerRow, "epoch" | "holder" | "address">;
 
-/** Worker to which the owner has sent orders. */
+/** Worker to which the owner has sent orders, so that a successor contacts it even if the directory drops it. */
 export interface KnownWorker {
     readonly id: string;
     readonly address: string;
@@ -32,11 +35,14 @@
     readonly tasks?: readonly string[];
 }
 
-/** Provides the workers for the owner's row. */
+/** Provides the known workers for the store. */
 export interface WorkerListSource {
-    /** Returns the list for the next write. From now on no task is started on a worker whose tasks are in the list. */
-    list(): readonly KnownWorker[];
-    /** Called when this list was committed: workers without tasks in the list may be given tasks again. */
+    /**
+     * Returns the list for the next write; undefined while the list of the previous owner stays in force. From now on
+     * no task is started on a worker whose tasks are in the list.
+     */
+    list(): readonly KnownWorker[] | undefined;
+    /** Called when these entries were committed: workers without tasks in the list may be given tasks again. */
     markCommitted(workers: readonly KnownWorker[]): void;
 }
 
--- a/packages/fleet/src/model/Tables.ts
+++ b/packages/fleet/src/model/Tables.ts
@@ -7,7 +7,9 @@
     /** Final states of jobs. */
     Outcomes = "outcomes",
     /** The owner's row. */
-    Ownership = "ownership"
+    Ownership = "ownership",
+    /** Workers that may run tasks of the owner, as far as it has told. */
+    KnownWorkers = "known-workers"
 }
 
 /** One partition for all rows, since the owner's row and rows of jobs are written in the same transactions. */
--- a/packages/fleet/src/owner/FencedStore.ts
+++ b/packages/fleet/src/owner/FencedStore.ts
@@ -1,7 +1,14 @@
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
-import { type OwnerIdentity, type OwnerRow, parseOwnerRow, type WorkerListSource } from "../model/OwnerRow.js";
+import {
+    type KnownWorker,
+    type OwnerIdentity,
+    type OwnerRow,
+    parseOwnerRow,
+    type WorkerListSource
+} from "../model/OwnerRow.js";
 import { FLEET_PARTITION, FleetTable, OWNER_KEY } from "../model/Tables.js";
 import { type RowStore, type RowWrite, type StoredRow, StoreFailureKind } from "../ports/RowStore.js";
+import { KnownWorkerRows } from "./KnownWorkerRows.js";
 
 /** Outcome of a commit of the owner. */
 export enum CommitOutcome {
@@ -31,13 +38,16 @@
     private sequence = 0;
     private confirmedAtMs: number;
     private lastFailure = "";
+    private readonly knownWorkers = new KnownWorkerRows();
 
     constructor(
         private readonly store: RowStore,
         private readonly timer: TimerService,
         private readonly row: OwnerIdentity,
         private version: number,
-        private readonly workers: WorkerListSource
+        private readonly workers: WorkerListSource,
+        /** Workers in the row of the previous owner, kept there until this owner has written the known workers. */
+        private inheritedWorkers?: readonly KnownWorker[]
     ) {
         this.confirmedAtMs = timer.nowMs();
     }
@@ -60,7 +70,7 @@
         return this.lastFailure;
     }
 
-    /** Writes rows and the owner's row in one transaction. */
+    /** Writes rows, the known workers that have changed and the owner's row in one transaction. */
     public async commit(writes: readonly RowWrite[], release?: OwnershipRelease): Promise<CommitOutcome> {
         const sentAtMs = this.timer.nowMs();
         const value: OwnerRow = {
@@ -69,20 +79,29 @@
             released: release !== undefined,
             heir: release?.successor,
             slow: release?.slow,
-            workers: this.workers.list()
+            workers: this.inheritedWorkers
         };
+        const workers = this.workers.list();
+        const update = workers && this.knownWorkers.prepare(workers);
         const rowKey = { table: FleetTable.Ownership, partition: FLEET_PARTITION, key: OWNER_KEY };
         const result = await this.store.commit(
             [{ ...rowKey, version: this.version }],
-            [{ ...rowKey, value: JSON.stringify(value) }, ...writes],
+            [{ ...rowKey, value: JSON.stringify(value) }, ...update?.writes ?? [], ...writes],
             COMMIT_TIMEOUT_MS
         );
         if (result.isOk()) {
             this.version = result.value;
             this.confirmedAtMs = sentAtMs;
-            this.workers.markCommitted(value.workers);
+            if (update) {
+                this.knownWorkers.confirm(update);
+                this.inheritedWorkers = this.knownWorkers.complete ? undefined : this.inheritedWorkers;
+                this.workers.markCommitted(update.stored);
+            }
             return CommitOutcome.Committed;
         }
+        if (update) {
+            this.knownWorkers.forget(update);
+        }
         this.lastFailure = `${result.error.kind}: ${result.error.message}`;
         return result.error.kind === StoreFailureKind.Conflict
             ? this.resolveConflict(result.error.rows)
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -2,8 +2,9 @@
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import type { EventLog } from "@skylarkpath/common/log/EventLog";
-import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
 import type { ConfigDirectory } from "../config/ConfigDirectory.js";
+import { readTable } from "../config/readTable.js";
 import { TableFollower } from "../config/TableFollower.js";
 import { WorkerDirectory } from "../config/WorkerDirectory.js";
 import type { FleetTiming } from "../model/FleetTiming.js";
@@ -21,6 +22,7 @@
 import { EntryWatchers, type WatchingEntry } from "./EntryWatchers.js";
 import type { FencedStore } from "./FencedStore.js";
 import { IntakeReader } from "./IntakeReader.js";
+import { parseKnownWorkers } from "./KnownWorkerRows.js";
 import { PermitRequester } from "./PermitRequester.js";
 import { ProgressWriter } from "./ProgressWriter.js";
 import { RunTracker } from "./RunTracker.js";
@@ -47,8 +49,8 @@
 export interface Takeover {
     /** Version of the store at the takeover; zero when the fleet had no owner before. */
     readonly version: number;
-    /** Workers in the row of the previous owner. */
-    readonly workers: readonly KnownWorker[];
+    /** Workers in the row of the previous owner; undefined when it has written them to rows of their own. */
+    readonly workers: readonly KnownWorker[] | undefined;
     /** Longest time for which leases of the previous owner may keep tasks running that this owner does not know of. */
     readonly unknownLeaseMs: number;
 }
@@ -72,6 +74,8 @@
  * follow them.
  */
 const RUNS_PER_EPOCH = 100_000;
+const READ_TIMEOUT_MS = 1500;
+const READ_RETRY_DELAY_MS = 100;
 const INTAKE_POLL_WAIT_MS = 1000;
 /**
  * Minimum time between two reads of the intake's changes. Entries report the rows that they write; the reads find rows
@@ -95,6 +99,7 @@
     private readonly ownershipLost = new Emitter<string>();
     private planningTimer: Disposable | undefined;
     private loaded = false;
+    private previousWorkers: readonly KnownWorker[] = [];
     /** Last list of the directory that arrived before the jobs were loaded. */
     private earlyWorkers: readonly WorkerEntry[] | undefined;
     private ready = false;
@@ -169,9 +174,8 @@
         return this.fencedStore.confirmedAgeMs;
     }
 
-    /** Workers that may run tasks: those in the previous owner's row until the sessions of this owner have started. */
-    public list(): readonly KnownWorker[] {
-        return this.ready ? this.registry.list() : this.takeover.workers;
+    public list(): readonly KnownWorker[] | undefined {
+        return this.ready ? this.registry.list() : undefined;
     }
 
     public markCommitted(workers: readonly KnownWorker[]): void {
@@ -183,10 +187,11 @@
         this.writer.start();
         this.disposables.add(this.workers.onWorkers(entries => this.updateWorkers(entries)));
         this.workers.start();
-        const loaded = await this.intake.load();
-        if (!loaded || this.stopping) {
+        const [loaded, previousWorkers] = await Promise.all([this.intake.load(), this.loadKnownWorkers()]);
+        if (!loaded || !previousWorkers || this.stopping) {
             return;
         }
+        this.previousWorkers = previousWorkers;
         this.loaded = true;
         for (const job of this.fleet.jobs.values()) {
             job.openDueOccurrences(this.dependencies.timer.wallClockMs());
@@ -275,6 +280,25 @@
         this.disposables.add(this.intake.onJobCancelled(job => this.runs.finishJob(job, JobPhase.Cancelled)));
     }
 
+    /**
+     * Returns the workers that the previous owner told; undefined when this owner was stopped before. Nobody else
+     * writes them, since this process owns the fleet.
+     */
+    private async loadKnownWorkers(): Promise<readonly KnownWorker[] | undefined> {
+        if (this.takeover.workers) {
+            return this.takeover.workers;
+        }
+        const { store, timer } = this.dependencies;
+        while (!this.stopping) {
+            const content = await readTable(store, FleetTable.KnownWorkers, FLEET_PARTITION, READ_TIMEOUT_MS);
+            if (content.isOk()) {
+                return parseKnownWorkers(content.value.rows);
+            }
+            await sleep(timer, READ_RETRY_DELAY_MS);
+        }
+        return undefined;
+    }
+
     private updateWorkers(entries: readonly WorkerEntry[]): void {
         if (!this.loaded) {
             this.earlyWorkers = entries;
@@ -285,8 +309,7 @@
             this.schedulePlanning();
             return;
         }
-        const { workers, unknownLeaseMs } = this.takeover;
-        this.registry.start(entries, workers, unknownLeaseMs);
+        this.registry.start(entries, this.previousWorkers, this.takeover.unknownLeaseMs);
         this.runs.failExhausted();
         const { timer, log } = this.dependencies;
         this.disposables.add(
--- a/packages/fleet/src/owner/ProgressWriter.ts
+++ b/packages/fleet/src/owner/ProgressWriter.ts
@@ -5,6 +5,7 @@
 import type { RowWrite } from "../ports/RowStore.js";
 import type { JobState } from "../state/JobState.js";
 import { CommitOutcome, type FencedStore, type OwnershipRelease } from "./FencedStore.js";
+import { MAX_GROUPS_PER_COMMIT } from "./KnownWorkerRows.js";
 
 /** Waits until the state that it has reported so far is committed. */
 export interface CommitWaiter {
@@ -22,10 +23,10 @@
 }
 
 /**
- * Maximum number of job rows in a transaction. The platform accepts 100 entries, including the owner's row and its
- * condition.
+ * Maximum number of job rows in a transaction. The platform accepts 100 entries, including the owner's row, its
+ * condition and the rows of the known workers.
  */
-const MAX_ROWS = 90;
+const MAX_ROWS = 98 - MAX_GROUPS_PER_COMMIT;
 const MAX_ROWS_PER_JOB = 4;
 /** An idle owner renews its row at this interval: at least twice within the time after which others take over. */
 const RENEWAL_INTERVAL_MS = 400;
--- a/packages/fleet/src/owner/WorkerRegistry.test.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.test.ts
@@ -135,3 +135,34 @@
     t.deepEqual(registry.list()[0]?.tasks, tasks);
     registry.dispose();
 });
+
+test("nothing starts on a worker whose tasks the previous owner listed, until a list without them is committed", async t => {
+    const { timer, fleet, registry } = setUp(t);
+    const tasks = ["00000000000000a1.0.0.0"];
+    registry.start([PLAIN_WORKER], [{ id: "w1", address: "w1", incarnation: 1, draining: false, tasks }], 6000);
+    await timer.advance(50);
+    const worker = fleet.workers.get("w1")!;
+    t.true(worker.fenced);
+    t.false(worker.canStart(timer.nowMs()));
+    registry.markCommitted(registry.list());
+    t.true(worker.canStart(timer.nowMs()));
+    registry.dispose();
+});
+
+test("a worker that was lost while its tasks were listed starts nothing until a list without them is committed", async t => {
+    const { timer, fleet, registry, unresponsive } = setUp(t);
+    registry.start([PLAIN_WORKER], [], 0);
+    await timer.advance(50);
+    unresponsive.add("w1");
+    await timer.advance(3000);
+    registry.markCommitted(registry.list());
+    await timer.advance(6000);
+    unresponsive.clear();
+    await timer.advance(3000);
+    const worker = fleet.workers.get("w1")!;
+    t.true(worker.reachable && worker.fenced);
+    t.false(worker.canStart(timer.nowMs()));
+    registry.markCommitted(registry.list());
+    t.true(worker.canStart(timer.nowMs()));
+    registry.dispose();
+});
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -39,6 +39,8 @@
      * tasks, if known.
      */
     private readonly unsettled = new Map<string, readonly string[] | undefined>();
+    /** Workers without a session whose tasks the store may still list. */
+    private readonly listedInStore = new Set<string>();
     private disposed = false;
 
     /** A worker accepts only orders of this owner now. */
@@ -123,7 +125,11 @@
             const knownById = new Map(previousWorkers.map(known => [known.id, known]));
             for (const { id, incarnation } of [...entries, ...unlisted]) {
                 const known = knownById.get(id);
-                this.unsettled.set(id, known?.incarnation === incarnation ? known.tasks : undefined);
+                const tasks = known?.incarnation === incarnation ? known.tasks : undefined;
+                this.unsettled.set(id, tasks);
+                if (tasks) {
+                    this.listedInStore.add(id);
+                }
             }
         }
         entries.forEach(entry => this.open(entry, unknownLeaseMs, true));
@@ -189,6 +195,7 @@
     private open(entry: WorkerEntry, unknownLeaseMs: number, listed: boolean): WorkerSession {
         const state = new WorkerState(entry);
         state.listed = listed;
+        state.tasksPublished = this.listedInStore.delete(entry.id);
         const session = new WorkerSession(
             state,
             this.epoch,
@@ -242,6 +249,9 @@
         }
         this.log.write(EVENTS.workerLost, { worker: entry.id, reason, runs: state.runs.size });
         session.dispose();
+        if (state.tasksPublished) {
+            this.listedInStore.add(entry.id);
+        }
         this.sessions.delete(entry.id);
         this.fleet.workers.delete(entry.id);
         this.generations.set(entry.id, session.nextGeneration);
--- a/packages/fleet/src/ownership/OwnerElection.ts
+++ b/packages/fleet/src/ownership/OwnerElection.ts
@@ -193,7 +193,7 @@
         const rowKey = { table: FleetTable.Ownership, partition: FLEET_PARTITION, key: OWNER_KEY };
         const isPreviousStopped = !previousRow || previousRow.released || this.ownerHealth.refused()
             || this.ownerHealth.replaced(previousRow.holder);
-        const value: OwnerRow = { ...row, sequence: 0, released: false, workers: previousRow?.workers ?? [] };
+        const value: OwnerRow = { ...row, sequence: 0, released: false, workers: previousRow?.workers };
         const result = await this.store.commit(
             [{ ...rowKey, version }],
             [{ ...rowKey, value: JSON.stringify(value) }],
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -19,7 +19,7 @@
     public listed = true;
     /** The worker answered the last call. */
     public reachable = true;
-    /** The owner's row may list the worker's tasks, and a successor relies on that list to be complete. */
+    /** The store may list the worker's tasks, and a successor relies on that list to be complete. */
     public tasksPublished = false;
     /** No task is started here before this time. */
     public avoidedUntilMs = 0;
--- a/packages/proof/src/fleet/FleetRecovery.test.ts
+++ b/packages/proof/src/fleet/FleetRecovery.test.ts
@@ -332,3 +332,18 @@
     t.is(deployment.ownerRow!.epoch, epoch + 1);
     t.is(deployment.ownerMachine, others[1]);
 });
+
+test("the owner's row stays small in a fleet of 100 workers, and a successor learns the workers from rows of their own", async t => {
+    const deployment = await startDeployment(24, 100);
+    t.true(JSON.stringify(deployment.ownerRow).length < 500);
+    const job = deployment.createJob([{ taskCount: 1, estimateMs: 8000 }]);
+    await deployment.timer.advanceUntil(deployment.submit("m0", job));
+    await deployment.timer.advance(1000);
+    const worker = [...deployment.fleet.workers.values()].find(each => each.running.size > 0)!;
+    deployment.updateDirectory(worker.entry.id);
+    await deployment.timer.advance(1000);
+    deployment.killProcess(deployment.ownerMachine);
+    t.is(await deployment.waitUntilFinal(job, 20_000), JobPhase.Completed);
+    t.is(deployment.rules.startCount, 1);
+    t.deepEqual(deployment.rules.allViolations(), []);
+});
