Owners tell the states of jobs to the entries that follow them, and nothing before the jobs are loaded

Cause: each change of a job's state went to every entry, some 90 bytes each, and each entry that came anew or met a new owner got up to 5,000 of them. At 97 entries and 240 changes a second that is 2 MB/s, as much as a link of 20 Mbit/s carries; on the small twin (2 Mbit/s) owners with an idle processor (event loop 5 ms late) had commits unanswered for 1.6 s and were replaced. Change: an entry follows the jobs that its callers handed in or asked for; it names all of them after a failed call, else only new ones, and the owner answers with the states that differ. A job that an entry does not know is read from the store, with its progress, so that a running one is not told as queued.

--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -82,7 +82,7 @@
         );
         this.loopDelay = this.disposables.add(new EventLoopDelayMeter(timer));
         this.slownessDetector = new SlownessDetector(this.loopDelay, timer);
-        const states = new JobStateCache(timer, timing.stateRetentionMs);
+        const states = this.disposables.add(new JobStateCache(timer, timing.stateRetentionMs));
         this.ownerWatcher = this.disposables.add(
             new OwnerWatcher(environment.ownerClient, environment.policy, states, timer, {
                 entry: this.identity,
@@ -285,7 +285,6 @@
     epoch: 0,
     owning: false,
     sequence: 0,
-    whole: false,
     updates: [],
     waiting: {},
     questions: [],
--- a/packages/fleet/src/entry/JobStateCache.ts
+++ b/packages/fleet/src/entry/JobStateCache.ts
@@ -1,3 +1,5 @@
+import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import { Emitter } from "@skylarkpath/common/base/Emitter";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import { isFinal, JobPhase } from "../model/JobSpec.js";
 
@@ -12,9 +14,15 @@
 /** The oldest states are dropped above this number; they can be read from the store again. */
 const MAX_CACHED_JOBS = 50_000;
 
-/** Cache of job states, so that most state requests need neither the owner nor the store. */
-export class JobStateCache {
+/** Cache of the states of jobs that were handed in or asked for here; the owner tells their changes. */
+export class JobStateCache implements Disposable {
     private readonly jobs = new Map<string, CachedJob>();
+    /** Jobs that are not final. */
+    private readonly unfinished = new Set<string>();
+    private readonly unfinishedAdded = new Emitter<string>();
+
+    /** Fires when a job is recorded for the first time, in a state that is not final. */
+    public readonly onUnfinishedAdded = this.unfinishedAdded.event;
 
     constructor(private readonly timer: TimerService, private readonly retentionMs: number) {}
 
@@ -22,6 +30,11 @@
         return this.jobs.get(id);
     }
 
+    /** States of the jobs that are not final. */
+    public unfinishedPhases(): Record<string, JobPhase> {
+        return Object.fromEntries([...this.unfinished].map(id => [id, this.jobs.get(id)!.phase]));
+    }
+
     /** Records a state; a final state is never replaced, nor a running one by a queued one. */
     public record(id: string, phase: JobPhase, team: string, queue: string): void {
         const previous = this.jobs.get(id);
@@ -32,18 +45,36 @@
         }
         this.jobs.delete(id);
         this.jobs.set(id, { phase, team, queue, recordedAtMs: this.timer.nowMs() });
+        if (isFinal(phase)) {
+            this.unfinished.delete(id);
+        }
+        else {
+            this.unfinished.add(id);
+        }
         this.prune();
+        if (!previous && !isFinal(phase)) {
+            this.unfinishedAdded.fire(id);
+        }
     }
 
-    /** Drops all states that are not final: they may have changed without this process being notified. */
-    public dropNonFinal(): void {
-        for (const [id, job] of this.jobs) {
-            if (!isFinal(job.phase)) {
-                this.jobs.delete(id);
-            }
+    /** Records a new state of a job that is in the cache; others are ignored. */
+    public update(id: string, phase: JobPhase): void {
+        const job = this.jobs.get(id);
+        if (job) {
+            this.record(id, phase, job.team, job.queue);
         }
     }
 
+    /** Drops a state; it is read from the store when it is asked for again. */
+    public drop(id: string): void {
+        this.jobs.delete(id);
+        this.unfinished.delete(id);
+    }
+
+    public dispose(): void {
+        this.unfinishedAdded.dispose();
+    }
+
     private prune(): void {
         const oldestMs = this.timer.nowMs() - this.retentionMs;
         for (const [id, job] of this.jobs) {
@@ -51,7 +82,7 @@
             if (!isOld && this.jobs.size <= MAX_CACHED_JOBS) {
                 return;
             }
-            this.jobs.delete(id);
+            this.drop(id);
         }
     }
 }
--- a/packages/fleet/src/entry/OwnerWatcher.ts
+++ b/packages/fleet/src/entry/OwnerWatcher.ts
@@ -1,7 +1,14 @@
 import type { Disposable } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
-import { OwnerCallFailure, type OwnerClient, type PolicyReply, type WatchReply } from "../ports/OwnerClient.js";
+import { isFinal, type JobPhase } from "../model/JobSpec.js";
+import {
+    type FollowedJobs,
+    OwnerCallFailure,
+    type OwnerClient,
+    type PolicyReply,
+    type WatchReply
+} from "../ports/OwnerClient.js";
 import type { PlacementPolicy, PolicyQuestion } from "../ports/PlacementPolicy.js";
 import type { RowChange } from "../ports/RowStore.js";
 import type { JobStateCache } from "./JobStateCache.js";
@@ -26,6 +33,8 @@
 const MAX_CONFIRMED_AGE_MS = 600;
 /** States are fresh while the last reply is not older than this: one long poll and its reply timeout. */
 const MAX_FRESH_AGE_MS = 650;
+/** A stored job reaches the owner within this time, by a report or by the store's change feed. */
+const MAX_DELIVERY_MS = 1000;
 /** Callers may be given counts of waiting jobs that are two seconds old. */
 const MAX_COUNT_AGE_MS = 1900;
 
@@ -35,6 +44,11 @@
     private epoch = 0;
     private sequence = 0;
     private lastReplyAtMs = Number.NEGATIVE_INFINITY;
+    /** Time of the last reply that told the states of the jobs that are followed here. */
+    private lastStatesAtMs = Number.NEGATIVE_INFINITY;
+    /** Jobs that the owner has not been told to follow for this entry, unless it has to be told all of them. */
+    private readonly unfollowed = new Set<string>();
+    private mustFollowAll = true;
     private confirmed = true;
     private confirmedAgeMs = 0;
     private connectionRefused = false;
@@ -45,6 +59,7 @@
     private pendingReplies: { readonly epoch: number; readonly reply: PolicyReply; }[] = [];
     private reporting = false;
     private readonly becameUnhealthy = new Emitter<void>();
+    private readonly followSubscription: Disposable;
 
     /** Fires when the owner does not answer, has not confirmed its row in time, or no longer owns the fleet. */
     public readonly onUnhealthy = this.becameUnhealthy.event;
@@ -55,16 +70,18 @@
         private readonly states: JobStateCache,
         private readonly timer: TimerService,
         private readonly options: OwnerWatcherOptions
-    ) {}
+    ) {
+        this.followSubscription = states.onUnfinishedAdded(jobId => this.unfollowed.add(jobId));
+    }
 
     /** Whether the owner answers and confirms its row in time. */
     public get healthy(): boolean {
-        return this.fresh && this.confirmed;
+        return this.answering && this.confirmed;
     }
 
     /** Whether the cached states of running jobs are up to date. */
     public get fresh(): boolean {
-        return this.timer.nowMs() - this.lastReplyAtMs < MAX_FRESH_AGE_MS;
+        return this.timer.nowMs() - this.lastStatesAtMs < MAX_FRESH_AGE_MS;
     }
 
     /** Whether the owner's port refuses connections. */
@@ -74,7 +91,7 @@
 
     /** Age in ms of the owner's last confirmed write, as of its last reply; zero when that reply is too old. */
     public get unconfirmedMs(): number {
-        return this.fresh ? this.confirmedAgeMs : 0;
+        return this.answering ? this.confirmedAgeMs : 0;
     }
 
     /** Process that sent the last reply from the owner's address; undefined when the last call failed. */
@@ -84,7 +101,7 @@
 
     /** Number of jobs without a started task, by queue; undefined when the counts are too old. */
     public get waiting(): Readonly<Record<string, number>> | undefined {
-        return this.timer.nowMs() - this.lastReplyAtMs < MAX_COUNT_AGE_MS ? this.waitingCounts : undefined;
+        return this.timer.nowMs() - this.lastStatesAtMs < MAX_COUNT_AGE_MS ? this.waitingCounts : undefined;
     }
 
     /** Starts to watch the owner at this address, or stops when the address is undefined. */
@@ -108,16 +125,24 @@
     }
 
     public dispose(): void {
+        this.followSubscription.dispose();
         this.setOwnerAddress(undefined);
         this.becameUnhealthy.dispose();
     }
 
+    private get answering(): boolean {
+        return this.timer.nowMs() - this.lastReplyAtMs < MAX_FRESH_AGE_MS;
+    }
+
     private async run(address: string, generation: number): Promise<void> {
+        this.mustFollowAll = true;
         while (generation === this.generation) {
+            const follows = this.takeFollows();
             const reply = await this.ownerClient.watch(
                 address,
                 {
                     entry: this.options.entry,
+                    follows,
                     epoch: this.epoch,
                     afterSequence: this.sequence,
                     waitMs: LONG_POLL_MS,
@@ -132,6 +157,7 @@
             }
             this.respondingProcess = typeof reply === "string" ? undefined : reply.process;
             if (typeof reply === "string" || !reply.owning) {
+                this.mustFollowAll = true;
                 this.connectionRefused = reply === OwnerCallFailure.Refused;
                 this.confirmed = false;
                 this.becameUnhealthy.fire();
@@ -147,14 +173,11 @@
         this.lastReplyAtMs = this.timer.nowMs();
         this.epoch = reply.epoch;
         this.sequence = reply.sequence;
-        this.waitingCounts = reply.waiting;
+        this.mustFollowAll = reply.resend === true;
         this.confirmedAgeMs = reply.confirmedAgeMs;
         this.confirmed = reply.confirmedAgeMs < MAX_CONFIRMED_AGE_MS;
-        if (reply.whole) {
-            this.states.dropNonFinal();
-        }
-        for (const update of reply.updates) {
-            this.states.record(update.id, update.phase, update.team, update.queue);
+        if (reply.loading !== true && reply.resend !== true) {
+            this.applyStates(reply);
         }
         for (const question of reply.questions) {
             void this.askPolicy(reply.epoch, question);
@@ -164,6 +187,47 @@
         }
     }
 
+    private applyStates({ waiting, updates, unknown }: WatchReply): void {
+        this.lastStatesAtMs = this.timer.nowMs();
+        this.waitingCounts = waiting;
+        for (const { id, phase } of updates) {
+            this.states.update(id, phase);
+        }
+        for (const id of unknown ?? []) {
+            this.handleUnknownJob(id);
+        }
+    }
+
+    /** A job that was stored just now may not have reached the owner yet; the state of any other is in the store. */
+    private handleUnknownJob(id: string): void {
+        const ageMs = this.timer.nowMs() - (this.states.get(id)?.recordedAtMs ?? Number.NEGATIVE_INFINITY);
+        if (ageMs < MAX_DELIVERY_MS) {
+            this.unfollowed.add(id);
+        }
+        else {
+            this.states.drop(id);
+        }
+    }
+
+    /** Returns the jobs to follow in the next request. */
+    private takeFollows(): FollowedJobs {
+        const whole = this.mustFollowAll;
+        const phases = whole ? this.states.unfinishedPhases() : this.unfollowedPhases();
+        this.unfollowed.clear();
+        return { whole, phases };
+    }
+
+    private unfollowedPhases(): Record<string, JobPhase> {
+        const phases: Record<string, JobPhase> = {};
+        for (const id of this.unfollowed) {
+            const phase = this.states.get(id)?.phase;
+            if (phase !== undefined && !isFinal(phase)) {
+                phases[id] = phase;
+            }
+        }
+        return phases;
+    }
+
     /** Sends pending changes and policy replies, one message at a time; later ones go into the next message. */
     private async sendReports(): Promise<void> {
         this.reporting = true;
--- a/packages/fleet/src/entry/RequestHandler.ts
+++ b/packages/fleet/src/entry/RequestHandler.ts
@@ -1,9 +1,10 @@
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import type { EventLog } from "@skylarkpath/common/log/EventLog";
 import type { ConfigDirectory } from "../config/ConfigDirectory.js";
+import type { JobProgress } from "../model/JobProgress.js";
 import { isFinal, JobPhase, type JobSpec } from "../model/JobSpec.js";
 import { cancelKey, FLEET_PARTITION, FleetTable } from "../model/Tables.js";
-import { type RowKey, type RowStore, StoreFailureKind } from "../ports/RowStore.js";
+import { type RowKey, type RowStore, type StoredRow, StoreFailureKind } from "../ports/RowStore.js";
 import { type CallerReply, type CallerRequest, CallerVerb, ReplyKind, type RoutedRequest } from "./EntryTypes.js";
 import { IntakeOutcome, IntakeWriter } from "./IntakeWriter.js";
 import type { CachedJob, JobStateCache } from "./JobStateCache.js";
@@ -198,8 +199,7 @@
         }
         const active = intake.value.rows[0];
         if (active) {
-            const phase = states.get(jobId)?.phase ?? JobPhase.Queued;
-            return { ...parseTeamAndQueue(active.value), phase };
+            return this.readActiveState(active);
         }
         const outcomes = await store.read({ ...range, table: FleetTable.Outcomes }, READ_TIMEOUT_MS);
         if (outcomes.isErr()) {
@@ -215,6 +215,32 @@
         return { phase, team, queue };
     }
 
+    /** Returns the state of a job that is not final, and follows it; undefined when the store does not answer. */
+    private async readActiveState({ key, value }: StoredRow): Promise<Omit<CachedJob, "recordedAtMs"> | undefined> {
+        const { store, states } = this.parts;
+        const { team, queue } = parseTeamAndQueue(value);
+        const known = states.get(key);
+        if (known) {
+            return { team, queue, phase: known.phase };
+        }
+        const range = {
+            table: FleetTable.Progress,
+            partition: FLEET_PARTITION,
+            from: key,
+            to: key + "\u0000",
+            limit: 1
+        };
+        const progress = await store.read(range, READ_TIMEOUT_MS);
+        if (progress.isErr()) {
+            return undefined;
+        }
+        const [row] = progress.value.rows;
+        const isStarted = row !== undefined && (JSON.parse(row.value) as JobProgress).started;
+        const phase = isStarted ? JobPhase.Running : JobPhase.Queued;
+        states.record(key, phase, team, queue);
+        return { team, queue, phase };
+    }
+
     private logRefusal(request: CallerRequest, reply: CallerReply, jobId?: string): void {
         this.parts.log.write(EVENTS.requestRefused, {
             requestId: jobId,
--- a/packages/fleet/src/owner/EntryWatchers.ts
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -1,11 +1,11 @@
-import type { Disposable } from "@skylarkpath/common/base/Disposable";
+import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import { JobPhase } from "../model/JobSpec.js";
 import type { JobUpdate, WatchReply, WatchRequest } from "../ports/OwnerClient.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { FencedStore } from "./FencedStore.js";
+import { JobFollowers, type JobKnowledge } from "./JobFollowers.js";
 import type { PermitRequester } from "./PermitRequester.js";
-import type { UpdateLog } from "./UpdateLog.js";
 
 /** Policy questions that arise within this time are sent in one reply. */
 const QUESTION_BATCH_MS = 5;
@@ -17,7 +17,6 @@
 const EXTRA_BATCH_FACTOR = 2;
 /** Makes the longest batch three times as long as the usual one. */
 const MAX_EXTRA_BATCH_MS = 100;
-const BEFORE_FIRST_SEQUENCE = 0;
 /** An entry that has not sent a watch request for this long is inactive: three times the wait of a request. */
 const ENTRY_INACTIVE_MS = 1200;
 const ENTRY_RETENTION_MS = 60_000;
@@ -36,21 +35,26 @@
  * policy.
  */
 export class EntryWatchers implements Disposable {
-    private readonly waiting = new Set<() => void>();
+    private readonly disposables = new DisposableStore();
+    private readonly followers: JobFollowers;
+    /** Callbacks of the waiting requests, which check whether there is something new, by entry. */
+    private readonly waiting = new Map<string, Set<() => void>>();
     private readonly entries = new Map<string, WatchingEntry>();
     private waitingCounts: Readonly<Record<string, number>> = {};
     private countedAtMs = Number.NEGATIVE_INFINITY;
+    private loaded = false;
     private closed = false;
 
     constructor(
         private readonly fencedStore: FencedStore,
-        private readonly updates: UpdateLog,
         private readonly permitRequester: PermitRequester,
         private readonly fleet: FleetState,
         private readonly timer: TimerService,
         private readonly loopDelayMs: () => number
     ) {
-        updates.onAdded(() => this.wake());
+        this.followers = this.disposables.add(new JobFollowers(jobId => this.knowledgeOf(jobId)));
+        this.disposables.add(this.followers.onNews(entry => this.wake(entry)));
+        this.disposables.add(permitRequester.onQuestion(entry => this.wake(entry)));
     }
 
     /**
@@ -83,29 +87,59 @@
             mayOwn: request.mayOwn,
             atMs: this.timer.nowMs()
         });
-        const canResume = request.epoch === this.fencedStore.epoch
-            && this.updates.after(request.afterSequence) !== undefined;
-        if (canResume && !this.closed) {
-            await this.waitForUpdates(request);
+        const isKnown = !request.follows || this.followers.follow(request.entry, request.follows);
+        if (isKnown && !this.closed) {
+            await this.waitForNews(request);
         }
-        return this.reply(request, canResume);
+        return this.reply(request, isKnown);
     }
 
-    /** Makes waiting requests check whether there is something new. */
-    public wake(): void {
-        for (const callback of this.waiting) {
-            callback();
-        }
+    /** The jobs are loaded; before, nothing is told about them. */
+    public markLoaded(): void {
+        this.loaded = true;
+        this.wakeAll();
+    }
+
+    /** Tells the change of a job to the entries that follow it. */
+    public jobChanged(jobId: string): void {
+        this.followers.jobChanged(jobId);
+    }
+
+    /** Follows a job for the entry that has just stored it. */
+    public followStored(entry: string, jobId: string): void {
+        this.followers.followStored(entry, jobId, JobPhase.Queued);
     }
 
     /** Answers all requests at once, since this process is no longer the owner. */
     public close(): void {
         this.closed = true;
-        this.wake();
+        this.wakeAll();
     }
 
     public dispose(): void {
         this.close();
+        this.disposables.dispose();
+    }
+
+    private wake(entry: string): void {
+        for (const check of [...this.waiting.get(entry) ?? []]) {
+            check();
+        }
+    }
+
+    private wakeAll(): void {
+        for (const entry of [...this.waiting.keys()]) {
+            this.wake(entry);
+        }
+    }
+
+    private knowledgeOf(jobId: string): JobKnowledge {
+        const job = this.fleet.jobs.get(jobId);
+        if (job) {
+            return { known: true, phase: job.final ? undefined : job.phase };
+        }
+        const ended = this.fleet.endedJobs.get(jobId);
+        return { known: ended !== undefined, phase: ended?.phase };
     }
 
     /** An overloaded owner replies less often, which leaves time for its other work. */
@@ -118,65 +152,73 @@
         for (const [entry, { atMs }] of this.entries) {
             if (nowMs - atMs > ENTRY_RETENTION_MS) {
                 this.entries.delete(entry);
+                this.followers.drop(entry);
             }
         }
     }
 
-    private hasUpdates(request: WatchRequest): boolean {
-        return this.closed || this.updates.sequence > request.afterSequence
-            || this.permitRequester.hasQuestions(request.entry);
+    private hasNews(entry: string): boolean {
+        return this.closed || (this.loaded && this.followers.hasNews(entry))
+            || this.permitRequester.hasQuestions(entry);
     }
 
-    private waitForUpdates(request: WatchRequest): Promise<void> {
+    private waitForNews({ entry, waitMs }: WatchRequest): Promise<void> {
         return new Promise(resolve => {
+            const checks = this.waiting.get(entry) ?? new Set();
+            this.waiting.set(entry, checks);
             const done = (): void => {
-                this.waiting.delete(check);
+                checks.delete(check);
+                if (checks.size === 0) {
+                    this.waiting.delete(entry);
+                }
                 pending.dispose();
                 resolve();
             };
-            const startedAtMs = this.timer.nowMs();
-            let replyAtMs = startedAtMs + request.waitMs;
+            let replyAtMs = this.timer.nowMs() + waitMs;
             const check = (): void => {
                 const nowMs = this.timer.nowMs();
-                const dueMs = this.closed
-                    ? nowMs
-                    : nowMs
-                        + (this.permitRequester.hasQuestions(request.entry) ? QUESTION_BATCH_MS : this.updateBatchMs);
-                if (dueMs < replyAtMs && this.hasUpdates(request)) {
+                const batchMs = this.permitRequester.hasQuestions(entry) ? QUESTION_BATCH_MS : this.updateBatchMs;
+                const dueMs = this.closed ? nowMs : nowMs + batchMs;
+                if (dueMs < replyAtMs && this.hasNews(entry)) {
                     replyAtMs = dueMs;
                     pending.dispose();
                     pending = this.timer.after(dueMs - nowMs, done);
                 }
             };
-            let pending = this.timer.after(request.waitMs, done);
-            this.waiting.add(check);
+            let pending = this.timer.after(waitMs, done);
+            checks.add(check);
             check();
         });
     }
 
-    private reply(request: WatchRequest, canResume: boolean): WatchReply {
-        const since = canResume ? this.updates.after(request.afterSequence) : undefined;
+    private reply(request: WatchRequest, isKnown: boolean): WatchReply {
+        const news = this.loaded && request.follows ? this.followers.takeNews(request.entry) : undefined;
         return {
             process: this.fencedStore.holder,
             epoch: this.fencedStore.epoch,
             owning: !this.closed,
-            sequence: this.updates.sequence,
-            whole: since === undefined,
-            updates: since ?? this.allUpdates(),
-            waiting: this.countWaiting(),
+            loading: this.loaded ? undefined : true,
+            resend: isKnown ? undefined : true,
+            updates: news?.updates ?? [],
+            unknown: news?.unknown,
+            ...this.loaded && !request.follows ? { whole: true, updates: this.allPhases() } : undefined,
+            sequence: 0,
+            waiting: this.loaded ? this.countWaiting() : {},
             questions: this.closed ? [] : this.permitRequester.takeQuestions(request.entry),
             confirmedAgeMs: this.fencedStore.confirmedAgeMs
         };
     }
 
-    private allUpdates(): readonly JobUpdate[] {
-        const unfinished = [...this.fleet.jobs.values()].filter(job => !job.final).map(job => ({
-            id: job.spec.id,
-            phase: job.phase,
-            queue: job.spec.queue,
-            team: job.spec.team
+    /** States of all jobs, for an entry process of version 0.1.0. */
+    private allPhases(): readonly JobUpdate[] {
+        const ended = [...this.fleet.endedJobs].map(([id, { phase, queue, team }]) => ({ id, phase, queue, team }));
+        const unfinished = [...this.fleet.jobs.values()].filter(job => !job.final).map(({ spec, phase }) => ({
+            id: spec.id,
+            phase,
+            queue: spec.queue,
+            team: spec.team
         }));
-        return [...this.updates.after(BEFORE_FIRST_SEQUENCE) ?? [], ...unfinished];
+        return [...ended, ...unfinished];
     }
 
     private countWaiting(): Readonly<Record<string, number>> {
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -10,7 +10,7 @@
 import type { FleetTiming } from "../model/FleetTiming.js";
 import { JobPhase } from "../model/JobSpec.js";
 import type { KnownWorker, WorkerListSource } from "../model/OwnerRow.js";
-import { FLEET_PARTITION, FleetTable } from "../model/Tables.js";
+import { FLEET_PARTITION, FleetTable, parseIntakeKey } from "../model/Tables.js";
 import type { DirectorySchema } from "../ports/DirectorySchema.js";
 import type { EntryReport, OwnerService, WatchReply, WatchRequest } from "../ports/OwnerClient.js";
 import type { RowStore } from "../ports/RowStore.js";
@@ -27,7 +27,6 @@
 import { ProgressWriter } from "./ProgressWriter.js";
 import { RunTracker } from "./RunTracker.js";
 import { StatusReporter } from "./StatusReporter.js";
-import { UpdateLog } from "./UpdateLog.js";
 import { WorkerRegistry } from "./WorkerRegistry.js";
 
 /** Services and settings that an owner needs. */
@@ -91,7 +90,6 @@
     private readonly writer: ProgressWriter;
     private readonly registry: WorkerRegistry;
     private readonly permitRequester: PermitRequester;
-    private readonly updates = new UpdateLog();
     private readonly watchers: EntryWatchers;
     private readonly dispatcher: Dispatcher;
     private readonly intake: IntakeReader;
@@ -142,7 +140,6 @@
         this.watchers = this.disposables.add(
             new EntryWatchers(
                 fencedStore,
-                this.updates,
                 this.permitRequester,
                 this.fleet,
                 timer,
@@ -195,8 +192,8 @@
         this.loaded = true;
         for (const job of this.fleet.jobs.values()) {
             job.openDueOccurrences(this.dependencies.timer.wallClockMs());
-            this.updates.add(job);
         }
+        this.watchers.markLoaded();
         if (this.earlyWorkers) {
             this.updateWorkers(this.earlyWorkers);
         }
@@ -211,6 +208,12 @@
             return;
         }
         this.intake.applyReported(changes);
+        for (const { key } of changes) {
+            const { jobId, cancel } = parseIntakeKey(key);
+            if (!cancel) {
+                this.watchers.followStored(entry, jobId);
+            }
+        }
         if (replies.length > 0) {
             replies.forEach(reply => this.permitRequester.handleReply(entry, reply));
             this.schedulePlanning();
@@ -249,14 +252,13 @@
         this.planningTimer?.dispose();
         this.watchers.close();
         this.disposables.dispose();
-        this.updates.dispose();
         this.ownershipLost.dispose();
     }
 
     private subscribe(config: ConfigDirectory): void {
         this.disposables.add(this.runs.onJobChanged(job => {
             if (!job.final) {
-                this.updates.add(job);
+                this.watchers.jobChanged(job.spec.id);
             }
             this.writer.markDirty(job);
         }));
@@ -266,7 +268,6 @@
         }));
         this.disposables.add(this.writer.onFinal(job => this.closeJob(job)));
         this.disposables.add(this.writer.onSuperseded(() => this.reportLost("the owner's row names another process")));
-        this.disposables.add(this.permitRequester.onQuestion(() => this.watchers.wake()));
         this.disposables.add(config.onConfig(updated => {
             this.fleet.config = updated;
             this.runs.failExhausted();
@@ -274,7 +275,7 @@
         }));
         this.disposables.add(this.intake.onJobAdded(job => {
             job.openDueOccurrences(this.dependencies.timer.wallClockMs());
-            this.updates.add(job);
+            this.watchers.jobChanged(job.spec.id);
             this.schedulePlanning();
         }));
         this.disposables.add(this.intake.onJobCancelled(job => this.runs.finishJob(job, JobPhase.Cancelled)));
@@ -332,9 +333,9 @@
 
     private closeJob(job: JobState): void {
         this.fleet.jobs.delete(job.spec.id);
-        this.fleet.recordEnded(job.spec.id, this.dependencies.timer.nowMs());
+        this.fleet.recordEnded(job, this.dependencies.timer.nowMs());
         this.permitRequester.dropQuestions(job);
-        this.updates.add(job);
+        this.watchers.jobChanged(job.spec.id);
         const { startedAtMs, acceptedAtMs } = job;
         this.dependencies.log.write(EVENTS.requestEnded, {
             requestId: job.spec.id,
--- a/packages/fleet/src/ports/OwnerClient.ts
+++ b/packages/fleet/src/ports/OwnerClient.ts
@@ -6,14 +6,26 @@
 export interface JobUpdate {
     readonly id: string;
     readonly phase: JobPhase;
-    readonly queue: string;
-    readonly team: string;
+    /** Only in replies to entry processes of version 0.1.0. */
+    readonly queue?: string;
+    /** Only in replies to entry processes of version 0.1.0. */
+    readonly team?: string;
+}
+
+/** Jobs whose changes an entry process wants to be told. */
+export interface FollowedJobs {
+    /** These are all its jobs; otherwise they are added to those that it has named before. */
+    readonly whole: boolean;
+    /** State that the entry process knows, by job. */
+    readonly phases: Readonly<Record<string, JobPhase>>;
 }
 
 /** Long poll of an entry process for changed job states and for questions to the placement policy. */
 export interface WatchRequest {
     readonly entry: string;
-    /** Epoch and sequence of the last reply that the entry process has received. */
+    /** Undefined in requests of version 0.1.0, which are told all jobs. */
+    readonly follows?: FollowedJobs;
+    /** Epoch and sequence of the last reply, for owners of version 0.1.0. */
     readonly epoch: number;
     readonly afterSequence: number;
     readonly waitMs: number;
@@ -32,10 +44,17 @@
     readonly epoch: number;
     /** False when this process does not own the fleet or is releasing it. */
     readonly owning: boolean;
-    readonly sequence: number;
-    /** The updates are a snapshot that replaces all states of running jobs known to the entry process. */
-    readonly whole: boolean;
+    /** The owner has not loaded the jobs yet, so that the reply tells nothing about them. */
+    readonly loading?: boolean;
+    /** The owner does not know which jobs the entry process follows; the next request must name all of them. */
+    readonly resend?: boolean;
     readonly updates: readonly JobUpdate[];
+    /** Followed jobs that the owner does not know: the store has their state, if there is any. */
+    readonly unknown?: readonly string[];
+    /** For entry processes of version 0.1.0: the updates replace all states of running jobs that they know. */
+    readonly whole?: boolean;
+    /** For entry processes of version 0.1.0. */
+    readonly sequence: number;
     /** Number of jobs without a started task, by queue. */
     readonly waiting: Readonly<Record<string, number>>;
     readonly questions: readonly PolicyQuestion[];
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -1,5 +1,5 @@
 import type { FleetConfig, QueueConfig, TeamConfig } from "../model/FleetConfig.js";
-import type { ResourceAmounts } from "../model/JobSpec.js";
+import type { JobPhase, ResourceAmounts } from "../model/JobSpec.js";
 import { addResources, countWithinLimit, createResourceSum, type ResourceSum } from "../model/ResourceSum.js";
 import type { JobState } from "./JobState.js";
 import { FULL_SPEED_PERCENT, RunPhase, type RunState } from "./RunState.js";
@@ -13,12 +13,20 @@
 /** Team name of requests without an API key, which open queues allow. */
 export const NO_TEAM = "";
 
+/** Job whose final state was committed. */
+export interface EndedJob {
+    readonly phase: JobPhase;
+    readonly queue: string;
+    readonly team: string;
+    readonly endedAtMs: number;
+}
+
 /** In-memory state of the owner: jobs, workers, runs and the resources that teams use. */
 export class FleetState {
     public readonly jobs = new Map<string, JobState>();
     public readonly workers = new Map<string, WorkerState>();
-    /** Jobs whose final state was committed, with the time; a read that began before may still return their rows. */
-    public readonly endedJobs = new Map<string, number>();
+    /** Jobs whose final state was committed; a read that began before may still return their rows. */
+    public readonly endedJobs = new Map<string, EndedJob>();
     private currentConfig: FleetConfig | undefined;
     private queuesByName: ReadonlyMap<string, QueueConfig> = new Map();
     private teamsByName: ReadonlyMap<string, TeamConfig> = new Map();
@@ -83,9 +91,9 @@
     }
 
     /** Records an ended job, and drops those that no read can return any more. */
-    public recordEnded(jobId: string, nowMs: number): void {
-        this.endedJobs.set(jobId, nowMs);
-        for (const [id, endedAtMs] of this.endedJobs) {
+    public recordEnded({ phase, spec }: JobState, nowMs: number): void {
+        this.endedJobs.set(spec.id, { phase, queue: spec.queue, team: spec.team, endedAtMs: nowMs });
+        for (const [id, { endedAtMs }] of this.endedJobs) {
             if (endedAtMs > nowMs - ENDED_RETENTION_MS) {
                 break;
             }
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -61,6 +61,8 @@
     public readonly processes = new Map<string, RunningProcess>();
     /** Machines on one side of a network partition; their processes reach each other, but not those of the rest. */
     public readonly partitionedMachines = new Set<string>();
+    /** Number of states of jobs that owners have told entries so far. */
+    public toldStateCount = 0;
     private jobCount = 0;
     private configVersion = 0;
 
@@ -217,6 +219,11 @@
         return this.call(machine, CallerVerb.State, job.id, TEAM_KEY);
     }
 
+    /** Queries the number of waiting jobs at the process on a machine. */
+    public async countWaiting(machine: string): Promise<CallerReply> {
+        return this.call(machine, CallerVerb.State, "", TEAM_KEY);
+    }
+
     /** Cancels a job at the process on a machine. */
     public async cancel(machine: string, job: JobSpec): Promise<CallerReply> {
         return this.call(machine, CallerVerb.Cancel, job.id, TEAM_KEY);
@@ -281,6 +288,7 @@
                     return target;
                 }
                 const reply = await target.process.watch(request);
+                this.toldStateCount += reply.updates.length;
                 return target.alive ? JSON.parse(JSON.stringify(reply)) as typeof reply : OwnerCallFailure.Refused;
             },
             report: async (address, report) => {
--- a/packages/proof/src/fleet/FleetRecovery.test.ts
+++ b/packages/proof/src/fleet/FleetRecovery.test.ts
@@ -347,3 +347,51 @@
     t.is(deployment.rules.startCount, 1);
     t.deepEqual(deployment.rules.allViolations(), []);
 });
+
+test("an owner tells the states of jobs to the entries that follow them, and not to all", async t => {
+    const deployment = new FleetDeployment({ processes: 20, workers: 10, seed: 25 });
+    await deployment.timer.advance(SETTLE_MS);
+    const jobs = Array.from({ length: 40 }, () => deployment.createJob([{ taskCount: 2 }]));
+    for (const [number, job] of jobs.entries()) {
+        await deployment.timer.advanceUntil(deployment.submit(`m${number % 20}`, job));
+    }
+    for (const job of jobs) {
+        t.is(await deployment.waitUntilFinal(job, 10_000), JobPhase.Completed);
+    }
+    // Running and completed, to the entry that accepted the job and to those that were asked for it while it ran.
+    t.true(deployment.toldStateCount <= jobs.length * 2 * 3, `${deployment.toldStateCount} states were told`);
+});
+
+test("an entry that did not accept a job and is asked for it tells its states, also after a change of the owner", async t => {
+    const deployment = await startDeployment(26);
+    const job = deployment.createJob([{ taskCount: 1, estimateMs: 4000 }]);
+    await deployment.timer.advanceUntil(deployment.submit("m0", job));
+    await deployment.timer.advance(1000);
+    const others = ["m1", "m2"].filter(machine => machine !== deployment.ownerMachine);
+    for (const machine of others) {
+        t.is((await deployment.timer.advanceUntil(deployment.state(machine, job))).phase, JobPhase.Running);
+    }
+    deployment.killProcess(deployment.ownerMachine);
+    await deployment.timer.advance(6000);
+    for (const machine of deployment.processes.keys()) {
+        t.is((await deployment.timer.advanceUntil(deployment.state(machine, job))).phase, JobPhase.Completed);
+    }
+});
+
+test("no entry says that no job waits while a new owner has not loaded the jobs", async t => {
+    const deployment = await startDeployment(27);
+    const large = { cpuMilli: 100_000, memoryMb: 100, accelerators: 0 };
+    await deployment.timer.advanceUntil(deployment.submit("m0", deployment.createJob([{ size: large }])));
+    await deployment.timer.advance(1000);
+    deployment.store.faults.answerMs = 150;
+    deployment.killProcess(deployment.ownerMachine);
+    const counts: (number | undefined)[] = [];
+    for (let waitedMs = 0; waitedMs < 6000; waitedMs += 50) {
+        await deployment.timer.advance(50);
+        for (const machine of deployment.processes.keys()) {
+            counts.push((await deployment.timer.advanceUntil(deployment.countWaiting(machine))).waiting);
+        }
+    }
+    t.deepEqual([...new Set(counts.filter(count => count !== undefined))], [1]);
+    t.is(counts.at(-1), 1);
+});
