Questions to the policy go where the answer is expected first, and again when the reply was lost

Cause, from a trace of every question on the large site's small twin: a channel counted as free once its answer was due, though the way there and back took 300 ms more, so three of 23 entries got most questions, the owner's own among them (the slowest, 1,436 ms for one of 18 ms). And 36 of 335 questions went out with a reply to a request that the entry had given up 650 ms after it; they were asked again 2.6 s later. Change: PolicyChannels learns how late each entry's answers arrive and takes the owner's own last; a request of an entry ends the one before it, replies are numbered and the questions of one that was lost go out again; a late owner is not called again within the same second; the age of an answer is told, so that permits last as long as they do.

--- a/packages/fleet/src/entry/OwnerWatcher.ts
+++ b/packages/fleet/src/entry/OwnerWatcher.ts
@@ -23,15 +23,25 @@
     readonly policyTimeoutMs: () => number;
 }
 
+/** Answer of the policy that the owner has not been told. */
+interface PendingReply {
+    readonly epoch: number;
+    readonly reply: PolicyReply;
+    readonly answeredAtMs: number;
+}
+
 const LONG_POLL_MS = 400;
-/** A call times out this long after the end of its long poll: two round trips between regions, and processing. */
-const REPLY_TIMEOUT_MS = 250;
+/**
+ * A call times out this long after the end of its long poll. An overloaded owner replies late; to call again would only
+ * add to its load. Its health and the age of the states are judged by the time since its last reply.
+ */
+const REPLY_TIMEOUT_MS = 700;
 const RETRY_DELAY_MS = 80;
 /** Shorter than the validity of permits; the owner also finds the rows of a lost report in the store's change feed. */
 const REPORT_TIMEOUT_MS = 500;
 /** A healthy owner confirms its row within this time: one renewal interval, and half of it for the store. */
 const MAX_CONFIRMED_AGE_MS = 600;
-/** States are fresh while the last reply is not older than this: one long poll and its reply timeout. */
+/** States are fresh while the last reply is not older than this: one long poll, two round trips and processing. */
 const MAX_FRESH_AGE_MS = 650;
 /** A stored job reaches the owner within this time, by a report or by the store's change feed. */
 const MAX_DELIVERY_MS = 1000;
@@ -56,7 +66,7 @@
     private waitingCounts: Readonly<Record<string, number>> = {};
     private generation = 0;
     private pendingChanges: RowChange[] = [];
-    private pendingReplies: { readonly epoch: number; readonly reply: PolicyReply; }[] = [];
+    private pendingReplies: PendingReply[] = [];
     private reporting = false;
     private readonly becameUnhealthy = new Emitter<void>();
     private readonly followSubscription: Disposable;
@@ -234,7 +244,9 @@
         while (this.address !== undefined && this.pendingChanges.length + this.pendingReplies.length > 0) {
             const { epoch } = this;
             const changes = this.pendingChanges;
-            const replies = this.pendingReplies.filter(reply => reply.epoch === epoch).map(({ reply }) => reply);
+            const nowMs = this.timer.nowMs();
+            const replies = this.pendingReplies.filter(pending => pending.epoch === epoch)
+                .map(({ reply, answeredAtMs }) => ({ ...reply, ageMs: Math.round(nowMs - answeredAtMs) }));
             this.pendingChanges = [];
             this.pendingReplies = [];
             const { entry } = this.options;
@@ -254,7 +266,7 @@
     private async askPolicy(epoch: number, question: PolicyQuestion): Promise<void> {
         const answer = await this.policy?.ask(question, this.options.policyTimeoutMs());
         const reply = { question: question.number, permits: answer?.permits, permitMs: answer?.permitMs };
-        this.pendingReplies.push({ epoch, reply });
+        this.pendingReplies.push({ epoch, reply, answeredAtMs: this.timer.nowMs() });
         this.scheduleReport();
     }
 }
--- a/packages/fleet/src/owner/EntryWatchers.ts
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -2,6 +2,7 @@
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import { JobPhase } from "../model/JobSpec.js";
 import type { JobUpdate, WatchReply, WatchRequest } from "../ports/OwnerClient.js";
+import type { PolicyQuestion } from "../ports/PlacementPolicy.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { FencedStore } from "./FencedStore.js";
 import { JobFollowers, type JobKnowledge } from "./JobFollowers.js";
@@ -21,6 +22,20 @@
 const ENTRY_INACTIVE_MS = 1200;
 const ENTRY_RETENTION_MS = 60_000;
 
+/** Request that waits for news. */
+interface WaitingRequest {
+    /** Ends the wait; `isCurrent` tells that the entry still waits for the reply. */
+    readonly finish: (isCurrent: boolean) => void;
+    /** Ends the wait soon if there is news. */
+    readonly check: () => void;
+}
+
+/** Reply that may not have arrived. */
+interface SentReply {
+    readonly sequence: number;
+    readonly questions: readonly PolicyQuestion[];
+}
+
 /** Last watch request of an entry. */
 export interface WatchingEntry {
     readonly entry: string;
@@ -37,8 +52,11 @@
 export class EntryWatchers implements Disposable {
     private readonly disposables = new DisposableStore();
     private readonly followers: JobFollowers;
-    /** Callbacks of the waiting requests, which check whether there is something new, by entry. */
-    private readonly waiting = new Map<string, Set<() => void>>();
+    /** Requests that wait for news, by entry. */
+    private readonly waiting = new Map<string, WaitingRequest>();
+    /** Last reply to each entry, until its next request shows whether it has arrived. */
+    private readonly lastReplies = new Map<string, SentReply>();
+    private replyCount = 0;
     private readonly entries = new Map<string, WatchingEntry>();
     private waitingCounts: Readonly<Record<string, number>> = {};
     private countedAtMs = Number.NEGATIVE_INFINITY;
@@ -88,8 +106,11 @@
             atMs: this.timer.nowMs()
         });
         const isKnown = !request.follows || this.followers.follow(request.entry, request.follows);
-        if (isKnown && !this.closed) {
-            await this.waitForNews(request);
+        this.redeliverQuestions(request);
+        // An entry has one request at a time, so it has given up the one that still waits.
+        this.waiting.get(request.entry)?.finish(false);
+        if (isKnown && !this.closed && !(await this.waitForNews(request))) {
+            return this.emptyReply(isKnown);
         }
         return this.reply(request, isKnown);
     }
@@ -122,9 +143,7 @@
     }
 
     private wake(entry: string): void {
-        for (const check of [...this.waiting.get(entry) ?? []]) {
-            check();
-        }
+        this.waiting.get(entry)?.check();
     }
 
     private wakeAll(): void {
@@ -153,6 +172,7 @@
             if (nowMs - atMs > ENTRY_RETENTION_MS) {
                 this.entries.delete(entry);
                 this.followers.drop(entry);
+                this.lastReplies.delete(entry);
             }
         }
     }
@@ -162,53 +182,76 @@
             || this.permitRequester.hasQuestions(entry);
     }
 
-    private waitForNews({ entry, waitMs }: WatchRequest): Promise<void> {
+    /** Waits until there is news for an entry or its wait is over; returns false if another request replaced it. */
+    private waitForNews({ entry, waitMs }: WatchRequest): Promise<boolean> {
         return new Promise(resolve => {
-            const checks = this.waiting.get(entry) ?? new Set();
-            this.waiting.set(entry, checks);
-            const done = (): void => {
-                checks.delete(check);
-                if (checks.size === 0) {
-                    this.waiting.delete(entry);
-                }
-                pending.dispose();
-                resolve();
-            };
             let replyAtMs = this.timer.nowMs() + waitMs;
-            const check = (): void => {
-                const nowMs = this.timer.nowMs();
-                const batchMs = this.permitRequester.hasQuestions(entry) ? QUESTION_BATCH_MS : this.updateBatchMs;
-                const dueMs = this.closed ? nowMs : nowMs + batchMs;
-                if (dueMs < replyAtMs && this.hasNews(entry)) {
-                    replyAtMs = dueMs;
+            const request: WaitingRequest = {
+                finish: isCurrent => {
+                    if (this.waiting.get(entry) === request) {
+                        this.waiting.delete(entry);
+                    }
                     pending.dispose();
-                    pending = this.timer.after(dueMs - nowMs, done);
+                    resolve(isCurrent);
+                },
+                check: () => {
+                    const nowMs = this.timer.nowMs();
+                    const batchMs = this.permitRequester.hasQuestions(entry) ? QUESTION_BATCH_MS : this.updateBatchMs;
+                    const dueMs = this.closed ? nowMs : nowMs + batchMs;
+                    if (dueMs < replyAtMs && this.hasNews(entry)) {
+                        replyAtMs = dueMs;
+                        pending.dispose();
+                        pending = this.timer.after(dueMs - nowMs, () => request.finish(true));
+                    }
                 }
             };
-            let pending = this.timer.after(waitMs, done);
-            checks.add(check);
-            check();
+            let pending = this.timer.after(waitMs, () => request.finish(true));
+            this.waiting.set(entry, request);
+            request.check();
         });
     }
 
-    private reply(request: WatchRequest, isKnown: boolean): WatchReply {
-        const news = this.loaded && request.follows ? this.followers.takeNews(request.entry) : undefined;
+    /** Hands out again the questions of a reply that did not arrive. */
+    private redeliverQuestions({ entry, follows, afterSequence }: WatchRequest): void {
+        const last = this.lastReplies.get(entry);
+        this.lastReplies.delete(entry);
+        if (last && follows && afterSequence !== last.sequence) {
+            this.permitRequester.returnQuestions(entry, last.questions);
+        }
+    }
+
+    private emptyReply(isKnown: boolean): WatchReply {
         return {
             process: this.fencedStore.holder,
             epoch: this.fencedStore.epoch,
             owning: !this.closed,
             loading: this.loaded ? undefined : true,
             resend: isKnown ? undefined : true,
-            updates: news?.updates ?? [],
-            unknown: news?.unknown,
-            ...this.loaded && !request.follows ? { whole: true, updates: this.allPhases() } : undefined,
+            updates: [],
             sequence: 0,
             waiting: this.loaded ? this.countWaiting() : {},
-            questions: this.closed ? [] : this.permitRequester.takeQuestions(request.entry),
+            questions: [],
             confirmedAgeMs: this.fencedStore.confirmedAgeMs
         };
     }
 
+    private reply(request: WatchRequest, isKnown: boolean): WatchReply {
+        const { entry, follows } = request;
+        const empty = this.emptyReply(isKnown);
+        if (this.closed) {
+            return empty;
+        }
+        const questions = this.permitRequester.takeQuestions(entry);
+        if (!follows) {
+            return this.loaded
+                ? { ...empty, questions, whole: true, updates: this.allPhases() }
+                : { ...empty, questions };
+        }
+        const sequence = ++this.replyCount;
+        this.lastReplies.set(entry, { sequence, questions });
+        return { ...empty, ...this.loaded ? this.followers.takeNews(entry) : undefined, questions, sequence };
+    }
+
     /** States of all jobs, for an entry process of version 0.1.0. */
     private allPhases(): readonly JobUpdate[] {
         const ended = [...this.fleet.endedJobs].map(([id, { phase, queue, team }]) => ({ id, phase, queue, team }));
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -136,7 +136,7 @@
                 log
             )
         );
-        this.permitRequester = this.disposables.add(new PermitRequester(this.fleet, timer));
+        this.permitRequester = this.disposables.add(new PermitRequester(this.fleet, timer, fencedStore.holder));
         this.watchers = this.disposables.add(
             new EntryWatchers(
                 fencedStore,
--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -8,47 +8,18 @@
 import type { StepState } from "../state/StepState.js";
 import type { WorkerState } from "../state/WorkerState.js";
 import { CapacityBudget } from "./CapacityBudget.js";
-
-/** Questions to the policy through one entry, which asks them one after the other. */
-interface EntryChannel {
-    readonly entry: string;
-    /** Questions that the entry has not fetched yet. */
-    readonly unsent: PolicyQuestion[];
-    /** Expected duration in ms of each question that is not answered yet, by number. */
-    readonly unanswered: Map<number, number>;
-    /** Time at which all its questions are expected to be answered. */
-    busyUntilMs: number;
-    lastSeenMs: number;
-    /** Round-trip time of the entry to the store, as a measure of its distance. */
-    roundTripMs: number;
-}
+import { ANSWER_TIMEOUT_MS, MAX_BACKLOG_MS, type PolicyChannel, PolicyChannels } from "./PolicyChannels.js";
 
 /** A question without an answer so far. */
 interface PendingQuestion {
     readonly step: StepState;
     readonly workers: readonly WorkerState[];
-    /** Latest time at which the answer is expected; the validity of permits starts no later than this. */
+    /** Latest time at which the answer is expected; the validity of permits starts no later, if its age is not told. */
     readonly answerDueMs: number;
 }
 
 /** Maximum number of workers in one question. */
 const MAX_WORKERS_PER_QUESTION = 100;
-/** A question that takes longer than this is long; some channels take no long questions. */
-const LONG_QUESTION_MS = 250;
-/** Share of the channels that take no long questions. */
-const CHANNEL_SHARE_CLOSED_TO_LONG = 0.25;
-/** A question that takes no longer than this is short; one in eight channels takes short questions only. */
-const SHORT_QUESTION_MS = 40;
-const CHANNEL_SHARE_SHORT_ONLY = 0.125;
-/** With fewer channels none is reserved for short questions. */
-const MIN_CHANNELS_FOR_SHORT_ONLY = 4;
-/** A channel gets no question that would wait longer than this. */
-const MAX_BACKLOG_MS = 150;
-/** An entry that has not sent a watch request for this long gets no questions. */
-const ENTRY_INACTIVE_MS = 1500;
-const ENTRY_RETENTION_MS = 60_000;
-/** A question is given up when its answer is later than expected by this much. */
-const ANSWER_TIMEOUT_MS = 1000;
 /** Age that an answer may have on arrival: one-way latency between regions, and the batching of messages. */
 const ANSWER_DELAY_MARGIN_MS = 60;
 /** Workers in a question for each waiting task, and the minimum number, unless the step is a gang. */
@@ -63,7 +34,7 @@
 
 /** Requests permits from the placement policy, through entries that each ask it one question at a time. */
 export class PermitRequester {
-    private readonly channels = new Map<string, EntryChannel>();
+    private readonly channels: PolicyChannels;
     private readonly pendingQuestions = new Map<number, PendingQuestion>();
     private nextQuestionNumber = 1;
     private readonly questionAdded = new Emitter<string>();
@@ -71,36 +42,27 @@
     /** A question waits for the entry with this name. */
     public readonly onQuestion = this.questionAdded.event;
 
-    constructor(private readonly fleet: FleetState, private readonly timer: TimerService) {}
+    constructor(private readonly fleet: FleetState, private readonly timer: TimerService, ownEntry?: string) {
+        this.channels = new PolicyChannels(ownEntry);
+    }
 
     /** Records a watch request of an entry, which can be given questions. */
     public recordEntry(entry: string, roundTripMs = 0): void {
-        const nowMs = this.timer.nowMs();
-        const channel = this.channels.get(entry);
-        if (channel) {
-            channel.lastSeenMs = nowMs;
-            channel.roundTripMs = roundTripMs;
-        }
-        else {
-            this.dropExpiredChannels(nowMs);
-            this.channels.set(entry, {
-                entry,
-                unsent: [],
-                unanswered: new Map(),
-                busyUntilMs: nowMs,
-                lastSeenMs: nowMs,
-                roundTripMs
-            });
-        }
+        this.channels.recordEntry(entry, roundTripMs, this.timer.nowMs());
     }
 
     /** Returns the questions that wait for an entry, and removes them. */
     public takeQuestions(entry: string): readonly PolicyQuestion[] {
-        return this.channels.get(entry)?.unsent.splice(0) ?? [];
+        return this.channels.takeQuestions(entry);
+    }
+
+    /** Lets an entry fetch questions again, as far as they are still open. */
+    public returnQuestions(entry: string, questions: readonly PolicyQuestion[]): void {
+        this.channels.returnQuestions(entry, questions.filter(question => this.pendingQuestions.has(question.number)));
     }
 
     public hasQuestions(entry: string): boolean {
-        return (this.channels.get(entry)?.unsent.length ?? 0) > 0;
+        return this.channels.hasQuestions(entry);
     }
 
     /** Requests permits for steps, in this order, until no channel is free or no capacity is left to use them. */
@@ -108,7 +70,7 @@
         const budget = new CapacityBudget(this.fleet, nowMs);
         const usableByPool = new Map<string, readonly WorkerState[]>();
         for (const step of steps) {
-            if (!this.hasFreeChannel(nowMs) || !budget.consume(step)) {
+            if (!this.channels.hasFree(nowMs) || !budget.consume(step)) {
                 return;
             }
             const queue = this.fleet.queue(step.job.spec.queue);
@@ -121,7 +83,7 @@
             const workers = this.chooseWorkers(step, usable, nowMs);
             const channel = workers.length === 0
                 ? undefined
-                : this.chooseChannel(costOf(policy, workers.length), nowMs);
+                : this.channels.choose(costOf(policy, workers.length), nowMs);
             if (channel) {
                 this.ask(step, policy, workers, channel, nowMs);
             }
@@ -131,17 +93,14 @@
     /** Records the answer of the policy, or that it gave none. */
     public handleReply(entry: string, reply: PolicyReply): void {
         const nowMs = this.timer.nowMs();
-        const channel = this.channels.get(entry);
-        if (channel?.unanswered.delete(reply.question)) {
-            const remainingMs = [...channel.unanswered.values()].reduce((sum, costMs) => sum + costMs, 0);
-            channel.busyUntilMs = Math.min(channel.busyUntilMs, nowMs + remainingMs);
-        }
+        this.channels.recordAnswer(entry, reply.question, nowMs);
         const pending = this.pendingQuestions.get(reply.question);
         if (!pending) {
             return;
         }
         this.pendingQuestions.delete(reply.question);
         const { step, workers, answerDueMs } = pending;
+        const answeredAtMs = reply.ageMs === undefined ? Math.min(nowMs, answerDueMs) : nowMs - reply.ageMs;
         step.permits.askedAtMs = undefined;
         step.permits.answeredAtMs = nowMs;
         if (!reply.permits) {
@@ -155,7 +114,7 @@
             const permit = reply.permits.find(each => each.workerId === worker.id);
             if (permit) {
                 const { incarnation } = worker.entry;
-                const expiresAtMs = Math.min(nowMs, answerDueMs) + permitMs;
+                const expiresAtMs = answeredAtMs + permitMs;
                 step.permits.byWorker.set(worker.id, { permit: permit.permit, incarnation, expiresAtMs });
                 step.permits.latestExpiryMs = Math.max(step.permits.latestExpiryMs, expiresAtMs);
             }
@@ -232,58 +191,20 @@
         return [...this.fleet.workers.values()].filter(worker => worker.entry.pool === pool && worker.canStart(nowMs));
     }
 
-    private dropExpiredChannels(nowMs: number): void {
-        for (const [entry, channel] of this.channels) {
-            if (nowMs - channel.lastSeenMs > ENTRY_RETENTION_MS) {
-                this.channels.delete(entry);
-            }
-        }
-    }
-
-    private hasFreeChannel(nowMs: number): boolean {
-        for (const channel of this.channels.values()) {
-            if (channel.busyUntilMs <= nowMs + MAX_BACKLOG_MS && nowMs - channel.lastSeenMs < ENTRY_INACTIVE_MS) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private chooseChannel(costMs: number, nowMs: number): EntryChannel | undefined {
-        const active = [...this.channels.values()].filter(channel => nowMs - channel.lastSeenMs < ENTRY_INACTIVE_MS)
-            .sort((left, right) => left.entry < right.entry ? -1 : 1);
-        const reservedCount = countReservedChannels(costMs, active.length);
-        let best: EntryChannel | undefined;
-        let bestMs = Number.POSITIVE_INFINITY;
-        for (const channel of active.slice(reservedCount)) {
-            const answerMs = Math.max(channel.busyUntilMs, nowMs) + channel.roundTripMs;
-            if (channel.busyUntilMs <= nowMs + MAX_BACKLOG_MS && answerMs < bestMs) {
-                best = channel;
-                bestMs = answerMs;
-            }
-        }
-        return best;
-    }
-
     private ask(
         step: StepState,
         policy: PolicyTiming,
         workers: readonly WorkerState[],
-        channel: EntryChannel,
+        channel: PolicyChannel,
         nowMs: number
     ): void {
         step.permits.askedAtMs = nowMs;
-        const costMs = costOf(policy, workers.length);
-        channel.busyUntilMs = Math.max(channel.busyUntilMs, nowMs) + costMs;
-        if (channel.busyUntilMs === nowMs + costMs) {
-            channel.unanswered.clear();
-        }
         const number = this.nextQuestionNumber++;
         this.pendingQuestions.delete(step.permits.question);
         step.permits.question = number;
-        channel.unanswered.set(number, costMs);
-        this.pendingQuestions.set(number, { step, workers, answerDueMs: channel.busyUntilMs + MAX_BACKLOG_MS });
-        channel.unsent.push({ number, step: step.name, workerIds: workers.map(worker => worker.id) });
+        const question = { number, step: step.name, workerIds: workers.map(worker => worker.id) };
+        const dueMs = this.channels.ask(channel, question, costOf(policy, workers.length), nowMs);
+        this.pendingQuestions.set(number, { step, workers, answerDueMs: dueMs + MAX_BACKLOG_MS });
         this.questionAdded.fire(channel.entry);
     }
 }
@@ -292,18 +213,6 @@
     return policy.decideMs + policy.perWorkerMs * workerCount;
 }
 
-/**
- * Returns the number of channels that are closed to a question of this duration, as they are reserved for shorter ones.
- */
-function countReservedChannels(costMs: number, channelCount: number): number {
-    if (costMs > LONG_QUESTION_MS) {
-        return Math.floor(channelCount * CHANNEL_SHARE_CLOSED_TO_LONG);
-    }
-    return costMs > SHORT_QUESTION_MS && channelCount >= MIN_CHANNELS_FOR_SHORT_ONLY
-        ? Math.ceil(channelCount * CHANNEL_SHARE_SHORT_ONLY)
-        : 0;
-}
-
 function matchesLabel(worker: WorkerState, { spec }: StepState): boolean {
     return spec.workerLabel === undefined || worker.entry.labels.includes(spec.workerLabel);
 }
--- /dev/null
+++ b/packages/fleet/src/owner/PolicyChannels.ts
@@ -0,0 +1,179 @@
+import type { PolicyQuestion } from "../ports/PlacementPolicy.js";
+
+/** Entry through which the policy is asked, one question after the other. */
+export interface PolicyChannel {
+    readonly entry: string;
+    /** Questions that the entry has not fetched yet. */
+    readonly unsent: PolicyQuestion[];
+    /** When each question that is not answered yet is due, by number; the time on the way is not included. */
+    readonly dueByQuestion: Map<number, number>;
+    /** Time at which all its questions are due. */
+    busyUntilMs: number;
+    lastSeenMs: number;
+    /** Round-trip time of the entry to the store, as a measure of its distance. */
+    roundTripMs: number;
+    /** Moving average of how much later than due its answers arrive. */
+    delayMs: number;
+    delayMeasuredAtMs: number;
+}
+
+/** A question that takes longer than this is long; some channels take no long questions. */
+const LONG_QUESTION_MS = 250;
+/** Share of the channels that take no long questions. */
+const CHANNEL_SHARE_CLOSED_TO_LONG = 0.25;
+/** A question that takes no longer than this is short; one in eight channels takes short questions only. */
+const SHORT_QUESTION_MS = 40;
+const CHANNEL_SHARE_SHORT_ONLY = 0.125;
+/** With fewer channels none is reserved for short questions. */
+const MIN_CHANNELS_FOR_SHORT_ONLY = 4;
+/** A channel gets no question that would wait longer than this. */
+export const MAX_BACKLOG_MS = 150;
+/** An entry that has not sent a watch request for this long gets no questions. */
+const ENTRY_INACTIVE_MS = 1500;
+const ENTRY_RETENTION_MS = 60_000;
+/** An answer that is overdue by this much is no longer expected. */
+export const ANSWER_TIMEOUT_MS = 1000;
+/** The owner's own entry is used only if all others are slower by this much: each exchange takes the owner's time. */
+const OWN_ENTRY_DELAY_MS = 500;
+/** Weight of a new measurement in the moving average of the delay. */
+const DELAY_WEIGHT = 0.3;
+/** A measured delay counts half after this time, so that an entry that was slow is tried again. */
+const DELAY_HALF_LIFE_MS = 3000;
+
+/**
+ * Chooses the entry for each question to the policy: the one whose answer is expected first, by what it still has to
+ * ask and by how late its answers have been. Answers that load: many short questions beside a few that take a second,
+ * through entries on machines of unlike speed, some of them overloaded.
+ */
+export class PolicyChannels {
+    private readonly channels = new Map<string, PolicyChannel>();
+
+    constructor(private readonly ownEntry?: string) {}
+
+    /** Records a watch request of an entry, which can be given questions. */
+    public recordEntry(entry: string, roundTripMs: number, nowMs: number): void {
+        const channel = this.channels.get(entry);
+        if (channel) {
+            channel.lastSeenMs = nowMs;
+            channel.roundTripMs = roundTripMs;
+            return;
+        }
+        this.dropExpired(nowMs);
+        this.channels.set(entry, {
+            entry,
+            unsent: [],
+            dueByQuestion: new Map(),
+            busyUntilMs: nowMs,
+            lastSeenMs: nowMs,
+            roundTripMs,
+            delayMs: 0,
+            delayMeasuredAtMs: nowMs
+        });
+    }
+
+    /** Returns the questions that wait for an entry, and removes them. */
+    public takeQuestions(entry: string): readonly PolicyQuestion[] {
+        return this.channels.get(entry)?.unsent.splice(0) ?? [];
+    }
+
+    /** Lets an entry fetch questions again. */
+    public returnQuestions(entry: string, questions: readonly PolicyQuestion[]): void {
+        this.channels.get(entry)?.unsent.unshift(...questions);
+    }
+
+    public hasQuestions(entry: string): boolean {
+        return (this.channels.get(entry)?.unsent.length ?? 0) > 0;
+    }
+
+    /** Whether any entry may be given a question now. */
+    public hasFree(nowMs: number): boolean {
+        for (const channel of this.channels.values()) {
+            if (isFree(channel, nowMs)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns the free channel with the earliest expected answer to a question of this duration. */
+    public choose(costMs: number, nowMs: number): PolicyChannel | undefined {
+        const active = [...this.channels.values()].filter(channel => nowMs - channel.lastSeenMs < ENTRY_INACTIVE_MS)
+            .sort((left, right) => left.entry < right.entry ? -1 : 1);
+        let best: PolicyChannel | undefined;
+        let bestMs = Number.POSITIVE_INFINITY;
+        for (const channel of active.slice(countReservedChannels(costMs, active.length))) {
+            const answerMs = Math.max(channel.busyUntilMs, nowMs) + this.expectedDelayMs(channel, nowMs);
+            if (isFree(channel, nowMs) && answerMs < bestMs) {
+                best = channel;
+                bestMs = answerMs;
+            }
+        }
+        return best;
+    }
+
+    /** Gives a question to a channel; returns when it is due. */
+    public ask(channel: PolicyChannel, question: PolicyQuestion, costMs: number, nowMs: number): number {
+        channel.busyUntilMs = Math.max(channel.busyUntilMs, nowMs) + costMs;
+        channel.dueByQuestion.set(question.number, channel.busyUntilMs);
+        channel.unsent.push(question);
+        return channel.busyUntilMs;
+    }
+
+    /** Records that an entry has answered a question, and how late. */
+    public recordAnswer(entry: string, question: number, nowMs: number): void {
+        const channel = this.channels.get(entry);
+        const dueMs = channel?.dueByQuestion.get(question);
+        if (!channel || dueMs === undefined) {
+            return;
+        }
+        channel.dueByQuestion.delete(question);
+        if (channel.dueByQuestion.size === 0) {
+            channel.busyUntilMs = Math.min(channel.busyUntilMs, nowMs);
+        }
+        const previousMs = decayedDelayMs(channel, nowMs);
+        channel.delayMs = previousMs + (Math.max(0, nowMs - dueMs) - previousMs) * DELAY_WEIGHT;
+        channel.delayMeasuredAtMs = nowMs;
+    }
+
+    private expectedDelayMs(channel: PolicyChannel, nowMs: number): number {
+        let overdueMs = 0;
+        for (const [question, dueMs] of channel.dueByQuestion) {
+            if (nowMs > dueMs + ANSWER_TIMEOUT_MS) {
+                channel.dueByQuestion.delete(question);
+            }
+            else {
+                overdueMs = Math.max(overdueMs, nowMs - dueMs);
+            }
+        }
+        return channel.roundTripMs + Math.max(overdueMs, decayedDelayMs(channel, nowMs))
+            + (channel.entry === this.ownEntry ? OWN_ENTRY_DELAY_MS : 0);
+    }
+
+    private dropExpired(nowMs: number): void {
+        for (const [entry, channel] of this.channels) {
+            if (nowMs - channel.lastSeenMs > ENTRY_RETENTION_MS) {
+                this.channels.delete(entry);
+            }
+        }
+    }
+}
+
+function isFree(channel: PolicyChannel, nowMs: number): boolean {
+    return channel.busyUntilMs <= nowMs + MAX_BACKLOG_MS && nowMs - channel.lastSeenMs < ENTRY_INACTIVE_MS;
+}
+
+function decayedDelayMs({ delayMs, delayMeasuredAtMs }: PolicyChannel, nowMs: number): number {
+    return delayMs * 0.5 ** ((nowMs - delayMeasuredAtMs) / DELAY_HALF_LIFE_MS);
+}
+
+/**
+ * Returns the number of channels that are closed to a question of this duration, as they are reserved for shorter ones.
+ */
+function countReservedChannels(costMs: number, channelCount: number): number {
+    if (costMs > LONG_QUESTION_MS) {
+        return Math.floor(channelCount * CHANNEL_SHARE_CLOSED_TO_LONG);
+    }
+    return costMs > SHORT_QUESTION_MS && channelCount >= MIN_CHANNELS_FOR_SHORT_ONLY
+        ? Math.ceil(channelCount * CHANNEL_SHARE_SHORT_ONLY)
+        : 0;
+}
--- a/packages/fleet/src/ports/OwnerClient.ts
+++ b/packages/fleet/src/ports/OwnerClient.ts
@@ -25,8 +25,9 @@
     readonly entry: string;
     /** Undefined in requests of version 0.1.0, which are told all jobs. */
     readonly follows?: FollowedJobs;
-    /** Epoch and sequence of the last reply, for owners of version 0.1.0. */
+    /** Epoch of the last reply, for owners of version 0.1.0. */
     readonly epoch: number;
+    /** Sequence of the last reply that has arrived. */
     readonly afterSequence: number;
     readonly waitMs: number;
     /** Round-trip time from the entry process to the store. */
@@ -53,7 +54,7 @@
     readonly unknown?: readonly string[];
     /** For entry processes of version 0.1.0: the updates replace all states of running jobs that they know. */
     readonly whole?: boolean;
-    /** For entry processes of version 0.1.0. */
+    /** Number of the reply; the next request names it. */
     readonly sequence: number;
     /** Number of jobs without a started task, by queue. */
     readonly waiting: Readonly<Record<string, number>>;
@@ -69,6 +70,8 @@
     /** Undefined when the policy did not answer. */
     readonly permits?: readonly Permit[];
     readonly permitMs?: number;
+    /** Time since the answer arrived at the entry process; undefined in messages of version 0.1.0. */
+    readonly ageMs?: number;
 }
 
 /** Message of an entry process to the owner, with everything since its last report. */
