An overloaded owner is slowed, in proportion, and is not replaced

Change: the owner tells how late its event loop is, and candidates wait longer for one that is late and replies; replacements in a row wait longer each time, unless the owner is known to have ended; a late owner hands over only when its machine has become slow (a fixed piece of work takes twice as long as some seconds before) or the successor has half as many processors again; start orders without a reply are limited by a window that shrinks while the event loop is late; polls of a late owner are rarer.

--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from "@skylarkpath/common/log/EventLog";
 import type { RandomSource } from "@skylarkpath/common/random/RandomSource";
 import { EventLoopDelayMeter } from "@skylarkpath/common/time/EventLoopDelayMeter";
+import { MachineSpeedMeter } from "@skylarkpath/common/time/MachineSpeedMeter";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import { ConfigDirectory } from "./config/ConfigDirectory.js";
 import type { CallerReply, CallerRequest } from "./entry/EntryTypes.js";
@@ -40,6 +41,8 @@
     readonly roundTripMs: number;
     /** Number of processors that the process may use; below one for a fraction of a processor. */
     readonly availableProcessors: number;
+    /** Times a fixed piece of work, in ms. */
+    readonly timeFixedWork: () => number;
 }
 
 /** Known API keys may be at most this old, as a share of the time within which a withdrawn key must stop working. */
@@ -81,13 +84,17 @@
             new ConfigDirectory(store, timer, environment.directorySchema, log)
         );
         this.loopDelay = this.disposables.add(new EventLoopDelayMeter(timer));
-        this.slownessDetector = new SlownessDetector(this.loopDelay, timer);
+        const speed = this.disposables.add(new MachineSpeedMeter(timer, environment.timeFixedWork));
+        speed.start();
+        const machineSpeed = { processors: environment.availableProcessors, slowdown: () => speed.slowdown };
+        this.slownessDetector = new SlownessDetector(this.loopDelay, machineSpeed, timer);
         const states = this.disposables.add(new JobStateCache(timer, timing.stateRetentionMs));
         this.ownerWatcher = this.disposables.add(
             new OwnerWatcher(environment.ownerClient, environment.policy, states, timer, {
                 entry: this.identity,
                 storeRoundTripMs: () => this.configDirectory.storeRoundTripMs,
                 loopDelayMs: () => this.loopDelay.meanMs,
+                processors: environment.availableProcessors,
                 mayOwn: () => this.mayOwn,
                 policyTimeoutMs: () => this.policyTimeoutMs()
             })
@@ -116,6 +123,8 @@
                     healthy: () => this.ownerWatcher.healthy,
                     refused: () => this.ownerWatcher.refused,
                     unconfirmedMs: () => this.ownerWatcher.unconfirmedMs,
+                    loopDelayMs: () => this.ownerWatcher.loopDelayMs,
+                    alive: () => this.ownerWatcher.alive,
                     replaced: holder => this.ownerWatcher.process !== undefined && this.ownerWatcher.process !== holder
                 }
             )
--- a/packages/fleet/src/entry/OwnerWatcher.ts
+++ b/packages/fleet/src/entry/OwnerWatcher.ts
@@ -18,6 +18,7 @@
     readonly entry: string;
     readonly storeRoundTripMs: () => number;
     readonly loopDelayMs: () => number;
+    readonly processors: number;
     readonly mayOwn: () => boolean;
     /** Timeout for one question to the placement policy. */
     readonly policyTimeoutMs: () => number;
@@ -61,6 +62,7 @@
     private mustFollowAll = true;
     private confirmed = true;
     private confirmedAgeMs = 0;
+    private ownerLoopDelayMs = 0;
     private connectionRefused = false;
     private respondingProcess: string | undefined;
     private waitingCounts: Readonly<Record<string, number>> = {};
@@ -94,6 +96,11 @@
         return this.timer.nowMs() - this.lastStatesAtMs < MAX_FRESH_AGE_MS;
     }
 
+    /** Whether the owner has replied within the time of one call. */
+    public get alive(): boolean {
+        return this.timer.nowMs() - this.lastReplyAtMs < LONG_POLL_MS + REPLY_TIMEOUT_MS;
+    }
+
     /** Whether the owner's port refuses connections. */
     public get refused(): boolean {
         return this.connectionRefused;
@@ -104,6 +111,11 @@
         return this.answering ? this.confirmedAgeMs : 0;
     }
 
+    /** Event-loop delay of the owner in ms, as of its last reply. */
+    public get loopDelayMs(): number {
+        return this.ownerLoopDelayMs;
+    }
+
     /** Process that sent the last reply from the owner's address; undefined when the last call failed. */
     public get process(): string | undefined {
         return this.respondingProcess;
@@ -120,6 +132,7 @@
             return;
         }
         this.address = address;
+        this.ownerLoopDelayMs = 0;
         this.connectionRefused = false;
         this.respondingProcess = undefined;
         this.generation++;
@@ -158,6 +171,7 @@
                     waitMs: LONG_POLL_MS,
                     storeRoundTripMs: this.options.storeRoundTripMs(),
                     loopDelayMs: Math.round(this.options.loopDelayMs()),
+                    processors: this.options.processors,
                     mayOwn: this.options.mayOwn()
                 },
                 LONG_POLL_MS + REPLY_TIMEOUT_MS
@@ -185,6 +199,7 @@
         this.sequence = reply.sequence;
         this.mustFollowAll = reply.resend === true;
         this.confirmedAgeMs = reply.confirmedAgeMs;
+        this.ownerLoopDelayMs = reply.loopDelayMs ?? 0;
         this.confirmed = reply.confirmedAgeMs < MAX_CONFIRMED_AGE_MS;
         if (reply.loading !== true && reply.resend !== true) {
             this.applyStates(reply);
--- a/packages/fleet/src/model/OwnerRow.ts
+++ b/packages/fleet/src/model/OwnerRow.ts
@@ -12,6 +12,11 @@
     readonly released: boolean;
     /** Preferred successor after a release. */
     readonly heir?: string;
+    /**
+     * How often in a row an owner was replaced that had neither released the fleet nor ended, and had owned it for a
+     * short time only.
+     */
+    readonly replacements?: number;
     /** The owner released the fleet because it was slow. */
     readonly slow?: boolean;
     /**
@@ -22,7 +27,7 @@
 }
 
 /** Fields of the row that stay the same while a process owns the fleet. */
-export type OwnerIdentity = Pick<OwnerRow, "epoch" | "holder" | "address">;
+export type OwnerIdentity = Pick<OwnerRow, "epoch" | "holder" | "address" | "replacements">;
 
 /** Worker to which the owner has sent orders, so that a successor contacts it even if the directory drops it. */
 export interface KnownWorker {
--- a/packages/fleet/src/owner/Dispatcher.ts
+++ b/packages/fleet/src/owner/Dispatcher.ts
@@ -11,6 +11,7 @@
 import type { StepState } from "../state/StepState.js";
 import type { PermitRequester } from "./PermitRequester.js";
 import type { RunTracker } from "./RunTracker.js";
+import type { StartWindow } from "./StartWindow.js";
 import type { WorkerRegistry } from "./WorkerRegistry.js";
 
 /** Time for which a worker gets no tasks after it refused one, unless for a missing permit or a stale order. */
@@ -27,6 +28,7 @@
         private readonly registry: WorkerRegistry,
         private readonly runs: RunTracker,
         private readonly permitRequester: PermitRequester,
+        private readonly window: StartWindow,
         private readonly timer: TimerService,
         private readonly log: EventLog
     ) {
@@ -37,11 +39,18 @@
     public planAndDispatch(mayStart: (step: StepState) => boolean): void {
         const nowMs = this.timer.nowMs();
         const plan = this.planner.plan(nowMs, mayStart);
+        this.window.adjust();
         for (const { step, placements } of plan.starts) {
+            if (!this.window.open) {
+                break;
+            }
             const gangRun = Math.max(...step.tasks.map(task => task.lastRun)) + 1;
             const gangCheckpoint = step.gangCheckpoint;
             for (const placement of placements) {
                 const { task } = placement;
+                if (!step.spec.gang && !this.window.open) {
+                    break;
+                }
                 const run = step.spec.gang ? gangRun : task.lastRun + 1;
                 void this.start(placement, run, step.spec.gang ? gangCheckpoint : task.checkpoint, nowMs);
             }
@@ -62,7 +71,9 @@
         }
         const { job } = task.step;
         const run = this.fleet.openRun(task, worker, runNumber, RunPhase.Starting, nowMs);
+        this.window.begin();
         const reply = await session.startRun(run, job.spec.payload, checkpoint, permit);
+        this.window.end();
         if (reply.outcome === OrderOutcome.Accepted) {
             this.handleStarted(run);
             return;
--- a/packages/fleet/src/owner/EntryWatchers.ts
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -21,6 +21,8 @@
 /** An entry that has not sent a watch request for this long is inactive: three times the wait of a request. */
 const ENTRY_INACTIVE_MS = 1200;
 const ENTRY_RETENTION_MS = 60_000;
+/** Time that a whole processor takes for what an owner handles at one go. */
+const USUAL_WORK_MS = 20;
 
 /** Request that waits for news. */
 interface WaitingRequest {
@@ -41,6 +43,7 @@
     readonly entry: string;
     readonly storeRoundTripMs: number;
     readonly loopDelayMs: number;
+    readonly processors: number;
     readonly mayOwn: boolean;
     readonly atMs: number;
 }
@@ -77,7 +80,7 @@
 
     /**
      * The best process to take over: among the other active entries that may own the fleet, the one with the lowest sum
-     * of event-loop delay and round-trip time to the store.
+     * of event-loop delay, round-trip time to the store and time that its processor takes for a usual piece of work.
      */
     public get successor(): WatchingEntry | undefined {
         const nowMs = this.timer.nowMs();
@@ -102,6 +105,7 @@
             entry: request.entry,
             storeRoundTripMs: request.storeRoundTripMs,
             loopDelayMs: request.loopDelayMs,
+            processors: request.processors ?? 1,
             mayOwn: request.mayOwn,
             atMs: this.timer.nowMs()
         });
@@ -231,7 +235,8 @@
             sequence: 0,
             waiting: this.loaded ? this.countWaiting() : {},
             questions: [],
-            confirmedAgeMs: this.fencedStore.confirmedAgeMs
+            confirmedAgeMs: this.fencedStore.confirmedAgeMs,
+            loopDelayMs: Math.round(this.loopDelayMs())
         };
     }
 
@@ -281,6 +286,6 @@
     }
 }
 
-function expectedDelayMs({ storeRoundTripMs, loopDelayMs }: WatchingEntry): number {
-    return storeRoundTripMs + loopDelayMs;
+function expectedDelayMs({ storeRoundTripMs, loopDelayMs, processors }: WatchingEntry): number {
+    return storeRoundTripMs + loopDelayMs + USUAL_WORK_MS / processors;
 }
--- a/packages/fleet/src/owner/FencedStore.ts
+++ b/packages/fleet/src/owner/FencedStore.ts
@@ -30,12 +30,16 @@
 /** Timeout of a commit: ten times the usual time of the store between regions. */
 const COMMIT_TIMEOUT_MS = 900;
 
+/** After this time an owner counts as stable: its replacement is not one more in a row. */
+const STABLE_TENURE_MS = 10_000;
+
 /**
  * Fenced writes of the owner, one at a time. Each is conditional on the owner's row as the previous write left it, so
  * that a write that the store carries out late, or one of a previous owner, never takes effect.
  */
 export class FencedStore {
     private sequence = 0;
+    private readonly ownerSinceMs: number;
     private confirmedAtMs: number;
     private lastFailure = "";
     private readonly knownWorkers = new KnownWorkerRows();
@@ -49,7 +53,8 @@
         /** Workers in the row of the previous owner, kept there until this owner has written the known workers. */
         private inheritedWorkers?: readonly KnownWorker[]
     ) {
-        this.confirmedAtMs = timer.nowMs();
+        this.ownerSinceMs = timer.nowMs();
+        this.confirmedAtMs = this.ownerSinceMs;
     }
 
     public get epoch(): number {
@@ -75,6 +80,7 @@
         const sentAtMs = this.timer.nowMs();
         const value: OwnerRow = {
             ...this.row,
+            replacements: sentAtMs - this.ownerSinceMs < STABLE_TENURE_MS ? this.row.replacements : 0,
             sequence: ++this.sequence,
             released: release !== undefined,
             heir: release?.successor,
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -26,6 +26,7 @@
 import { PermitRequester } from "./PermitRequester.js";
 import { ProgressWriter } from "./ProgressWriter.js";
 import { RunTracker } from "./RunTracker.js";
+import { StartWindow } from "./StartWindow.js";
 import { StatusReporter } from "./StatusReporter.js";
 import { WorkerRegistry } from "./WorkerRegistry.js";
 
@@ -146,7 +147,16 @@
                 dependencies.loopDelayMs
             )
         );
-        this.dispatcher = new Dispatcher(this.fleet, this.registry, this.runs, this.permitRequester, timer, log);
+        const window = new StartWindow(timer, dependencies.loopDelayMs);
+        this.dispatcher = new Dispatcher(
+            this.fleet,
+            this.registry,
+            this.runs,
+            this.permitRequester,
+            window,
+            timer,
+            log
+        );
         const follower = this.disposables.add(
             new TableFollower(store, timer, {
                 table: FleetTable.Intake,
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -76,7 +76,7 @@
  * The interval grows by the event-loop delay, up to this much: an overloaded owner polls less and has time for other
  * work.
  */
-const MAX_EXTRA_INTERVAL_MS = 70;
+const MAX_EXTRA_INTERVAL_MS = 300;
 /** A worker is lost, with all its runs, after this many refused connections in a row over at least the time below. */
 const LOST_AFTER_REFUSALS = 3;
 const LOST_AFTER_REFUSED_MS = 450;
--- a/packages/fleet/src/ownership/OwnerElection.ts
+++ b/packages/fleet/src/ownership/OwnerElection.ts
@@ -40,6 +40,10 @@
     readonly replaced: (holder: string) => boolean;
     /** Age in ms of its last confirmed write, as the owner itself reports it. */
     readonly unconfirmedMs: () => number;
+    /** Its event-loop delay in ms, as it last reported it. */
+    readonly loopDelayMs: () => number;
+    /** Whether it has replied since its current calls began. */
+    readonly alive: () => boolean;
 }
 
 /** An owner whose row has not changed for this long, while the store answers, counts as dead: two renewals. */
@@ -50,6 +54,16 @@
 const REPORTED_UNCONFIRMED_AGE_MS = 700;
 /** The same as a multiple of the duration of a read. */
 const REPORTED_UNCONFIRMED_READ_FACTOR = 15;
+/**
+ * An overloaded owner confirms its row late, and its successor would have the same load and that of the takeover. Each
+ * millisecond of its event-loop delay adds this much to the timeouts, up to the maximum.
+ */
+const TIMEOUT_PER_LOOP_DELAY = 8;
+const MAX_LOOP_DELAY_ALLOWANCE_MS = 3000;
+/** The maximum for an owner that has stopped replying. */
+const MAX_SILENT_ALLOWANCE_MS = 800;
+/** The timeouts double with each further replacement in a row, up to this factor. */
+const MAX_REPLACEMENT_FACTOR = 8;
 /** Timeout for an owner whose port refuses connections. */
 const REFUSED_TIMEOUT_MS = 300;
 /** Timeout for an owner that reports an unconfirmed row: enough to see that the store serves this process. */
@@ -173,26 +187,35 @@
         if (this.ownerHealth.replaced(row.holder)) {
             return REPLACED_TIMEOUT_MS + delayMs;
         }
-        if (
-            this.ownerHealth.unconfirmedMs()
-                >= Math.max(REPORTED_UNCONFIRMED_AGE_MS, this.lastReadDurationMs * REPORTED_UNCONFIRMED_READ_FACTOR)
-        ) {
+        if (this.ownerHealth.refused()) {
+            return REFUSED_TIMEOUT_MS + delayMs;
+        }
+        const allowanceMs = this.overloadAllowanceMs;
+        const factor = replacementFactor(row);
+        const unconfirmedAgeMs = allowanceMs
+            + Math.max(REPORTED_UNCONFIRMED_AGE_MS, this.lastReadDurationMs * REPORTED_UNCONFIRMED_READ_FACTOR);
+        if (this.ownerHealth.unconfirmedMs() >= unconfirmedAgeMs * factor) {
             return REPORTED_UNCONFIRMED_TIMEOUT_MS + delayMs;
         }
-        return delayMs + (this.ownerHealth.refused()
-            ? REFUSED_TIMEOUT_MS
-            : Math.max(OWNER_TIMEOUT_MS, this.lastReadDurationMs * OWNER_TIMEOUT_READ_FACTOR));
+        const timeoutMs = Math.max(OWNER_TIMEOUT_MS, this.lastReadDurationMs * OWNER_TIMEOUT_READ_FACTOR);
+        return delayMs + (timeoutMs + allowanceMs) * factor;
+    }
+
+    private get overloadAllowanceMs(): number {
+        const maximumMs = this.ownerHealth.alive() ? MAX_LOOP_DELAY_ALLOWANCE_MS : MAX_SILENT_ALLOWANCE_MS;
+        return Math.min(maximumMs, this.ownerHealth.loopDelayMs() * TIMEOUT_PER_LOOP_DELAY);
     }
 
     private async takeOver({ row: previousRow, version }: VersionedOwnerRow): Promise<void> {
-        const row = {
-            epoch: (previousRow?.epoch ?? 0) + 1,
-            holder: this.candidate.holder,
-            address: this.candidate.address
-        };
         const rowKey = { table: FleetTable.Ownership, partition: FLEET_PARTITION, key: OWNER_KEY };
         const isPreviousStopped = !previousRow || previousRow.released || this.ownerHealth.refused()
             || this.ownerHealth.replaced(previousRow.holder);
+        const row: OwnerIdentity = {
+            epoch: (previousRow?.epoch ?? 0) + 1,
+            holder: this.candidate.holder,
+            address: this.candidate.address,
+            replacements: (previousRow?.replacements ?? 0) + (isPreviousStopped ? 0 : 1)
+        };
         const value: OwnerRow = { ...row, sequence: 0, released: false, workers: previousRow?.workers };
         const result = await this.store.commit(
             [{ ...rowKey, version }],
@@ -208,3 +231,8 @@
         }
     }
 }
+
+/** The first replacement after a stable owner is no reason to wait longer. */
+function replacementFactor({ replacements = 0 }: OwnerRow): number {
+    return Math.min(MAX_REPLACEMENT_FACTOR, 2 ** Math.max(0, replacements - 1));
+}
--- a/packages/fleet/src/ownership/SlownessDetector.ts
+++ b/packages/fleet/src/ownership/SlownessDetector.ts
@@ -5,12 +5,26 @@
 export interface SuccessorDelay {
     /** Mean event-loop delay. */
     readonly loopDelayMs: number;
+    /** Number of processors that it may use. */
+    readonly processors: number;
     /** Time of the report. */
     readonly atMs: number;
 }
 
+/** What the detector knows of its own machine. */
+export interface OwnMachine {
+    /** Number of processors that this process may use. */
+    readonly processors: number;
+    /** Factor by which the machine is slower than at its best. */
+    readonly slowdown: () => number;
+}
+
 /** An owner with this mean event-loop delay is slow; a sound machine has 20 ms in its busiest seconds. */
 const SLOW_LOOP_DELAY_MS = 80;
+/** A machine with this slowdown is slow itself; below it the delay comes from the load, which a successor would have too. */
+const SLOW_MACHINE_FACTOR = 2;
+/** A successor with this many times the processors is better placed, whatever the delay comes from. */
+const BETTER_PROCESSORS_FACTOR = 1.5;
 /** The owner starts to count as slow at this share of the threshold; earlier reports of the successor are outdated. */
 const SLOW_ONSET_RATIO = 0.5;
 /** A successor must have less than this share of the owner's delay; otherwise it would be no better. */
@@ -26,7 +40,11 @@
     private minTenureMs = MIN_TENURE_MS;
     private slowSinceMs: number | undefined;
 
-    constructor(private readonly loopDelay: EventLoopDelayMeter, private readonly timer: TimerService) {}
+    constructor(
+        private readonly loopDelay: EventLoopDelayMeter,
+        private readonly machine: OwnMachine,
+        private readonly timer: TimerService
+    ) {}
 
     /** Called when this process becomes the owner. */
     public startTenure(previousWasSlow: boolean): void {
@@ -43,6 +61,12 @@
         if (!isSlow || !successor || nowMs - this.ownerSinceMs < this.minTenureMs) {
             return false;
         }
-        return successor.atMs >= this.slowSinceMs! && successor.loopDelayMs < delayMs * MAX_SUCCESSOR_DELAY_RATIO;
+        return successor.atMs >= this.slowSinceMs! && successor.loopDelayMs < delayMs * MAX_SUCCESSOR_DELAY_RATIO
+            && this.isBetterPlaced(successor);
+    }
+
+    private isBetterPlaced({ processors }: SuccessorDelay): boolean {
+        return this.machine.slowdown() >= SLOW_MACHINE_FACTOR
+            || processors >= this.machine.processors * BETTER_PROCESSORS_FACTOR;
     }
 }
--- a/packages/fleet/src/ports/OwnerClient.ts
+++ b/packages/fleet/src/ports/OwnerClient.ts
@@ -34,6 +34,8 @@
     readonly storeRoundTripMs: number;
     /** Mean event-loop delay of the entry process. */
     readonly loopDelayMs: number;
+    /** Number of processors that the entry process may use; undefined in requests of version 0.1.0. */
+    readonly processors?: number;
     /** The entry process may own the fleet: it knows the configuration and is not stopping. */
     readonly mayOwn: boolean;
 }
@@ -61,6 +63,8 @@
     readonly questions: readonly PolicyQuestion[];
     /** Age of the owner's last confirmed write. */
     readonly confirmedAgeMs: number;
+    /** Mean event-loop delay of the owner; undefined in replies of version 0.1.0. */
+    readonly loopDelayMs?: number;
 }
 
 /** Answer of the policy to a question of the owner. */
--- a/packages/skylarkd/src/fleet/FleetServer.ts
+++ b/packages/skylarkd/src/fleet/FleetServer.ts
@@ -1,6 +1,7 @@
 import { HttpListener } from "@skylarkpath/adapters/HttpListener";
 import { HttpOwnerClient, mountOwnerService } from "@skylarkpath/adapters/HttpOwnerClient";
 import { SystemTimer } from "@skylarkpath/adapters/SystemTimer";
+import { timeFixedWork } from "@skylarkpath/adapters/timeFixedWork";
 import { DisposableStore } from "@skylarkpath/common/base/Disposable";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import type { EventLog } from "@skylarkpath/common/log/EventLog";
@@ -64,7 +65,8 @@
             random: createSeededRandom(randomInt(SEED_RANGE)),
             log: this.log,
             roundTripMs: EXPECTED_ROUND_TRIP_MS,
-            availableProcessors: settings.availableProcessors
+            availableProcessors: settings.availableProcessors,
+            timeFixedWork
         });
         this.metrics.observeProcess(this.fleet);
     }
