Jobs that waited for ever: a gang beside a lasting task, and the last worker of a slice in quarantine

The slice told 28,000 as the largest unit, the planner divides allotments in multiples of it and granted 28,000, of which the gang never gets all. Only schedulable workers count now, the last of them is not quarantined, and leaves its quarantine when its peers are gone.

--- a/packages/control/src/limits/TaskDemandScheduler.ts
+++ b/packages/control/src/limits/TaskDemandScheduler.ts
@@ -59,13 +59,18 @@
         return waiting;
     }
 
-    /** Largest waiting unit of a team that must start at once: all waiting tasks of a gang, otherwise one task. */
+    /**
+     * Largest amount that a team must be allotted at once: what all waiting tasks of a gang need beside what the team
+     * runs here, which may last; otherwise what one task needs.
+     */
     public quantumOf(team: string): Resources {
         let largest = NO_RESOURCES;
         for (const { group, waiting } of this.groups.values()) {
             if (group.team === team && waiting.size > 0) {
-                const count = group.kind === GroupKind.Gang ? waiting.size : 1;
-                largest = maxResources(largest, scaleResources(group.resources, count));
+                const needed = group.kind === GroupKind.Gang
+                    ? addResources(this.inner.usage(team), scaleResources(group.resources, waiting.size))
+                    : group.resources;
+                largest = maxResources(largest, needed);
             }
         }
         return largest;
--- a/packages/decisions/src/SliceTaskScheduler.ts
+++ b/packages/decisions/src/SliceTaskScheduler.ts
@@ -35,7 +35,7 @@
 export class SliceTaskScheduler implements TaskScheduler {
     private readonly state = new SliceState();
     private readonly estimator = new RunTimeEstimator();
-    private readonly health = new WorkerHealth(() => this.state.fleet.workerCount);
+    private readonly health = new WorkerHealth(() => this.state.fleet.schedulableWorkerCount);
     private readonly placer: Placer;
     private readonly gangs: GangPlanner;
     private readonly starvationGuard: StarvationGuard;
--- a/packages/decisions/src/fleet/Fleet.ts
+++ b/packages/decisions/src/fleet/Fleet.ts
@@ -19,6 +19,7 @@
     private committedProcessorMillicores = 0;
     private committedMemoryBytes = 0;
     private acceptingWorkers: readonly WorkerNode[] | undefined;
+    private schedulableCount = 0;
     private viewVersion = 0;
     private orderingResource = OrderingResource.Processor;
 
@@ -40,6 +41,11 @@
         return this.workers.size;
     }
 
+    /** Number of workers that the platform lets take tasks, quarantined ones included. */
+    public get schedulableWorkerCount(): number {
+        return this.schedulableCount;
+    }
+
     public get rackCount(): number {
         return this.racks.size;
     }
@@ -201,7 +207,9 @@
     private replaceView(worker: WorkerNode, replace: () => void): void {
         this.totalCapacity = subtractResources(this.totalCapacity, worker.capacity);
         this.countRack(worker, -1);
+        this.schedulableCount -= worker.schedulable ? 1 : 0;
         replace();
+        this.schedulableCount += worker.schedulable ? 1 : 0;
         this.countRack(worker, 1);
         this.totalCapacity = addResources(this.totalCapacity, worker.capacity);
         this.viewVersion++;
--- a/packages/decisions/src/health/WorkerHealth.test.ts
+++ b/packages/decisions/src/health/WorkerHealth.test.ts
@@ -63,3 +63,20 @@
     const conditions = [...Array(WORKERS).keys()].map(worker => health.conditionOf(`w${worker}`));
     t.is(conditions.filter(condition => condition === WorkerCondition.Quarantined).length, 2);
 });
+
+test("the last worker that may take tasks is not quarantined, and leaves its quarantine when its peers have left", t => {
+    let workers = 2;
+    const health = new WorkerHealth(() => workers);
+    const failOn = (workerId: string): void => {
+        for (let number = 0; number < 3; number++) {
+            health.taskFailed(workerId, `task-${number}`, { hasSucceeded: true, failedWorkerCount: 1 }, 0);
+        }
+    };
+    failOn("w1");
+    t.is(health.conditionOf("w1"), WorkerCondition.Quarantined);
+    failOn("w2");
+    t.is(health.conditionOf("w2"), WorkerCondition.Healthy);
+    workers = 1;
+    health.advance(1);
+    t.is(health.conditionOf("w1"), WorkerCondition.Probation);
+});
--- a/packages/decisions/src/health/WorkerHealth.ts
+++ b/packages/decisions/src/health/WorkerHealth.ts
@@ -26,6 +26,8 @@
 }
 
 const MIN_QUARANTINE_LIMIT = 1;
+/** A worker without peers in use is not quarantined: nothing shows that its failures are its own, and all work would wait. */
+const MIN_PEERS = 1;
 const MAX_RECORDED_TASKS = 8;
 const MAX_RECORDED_SOURCES = 8;
 
@@ -41,7 +43,11 @@
 
     public readonly onChanged: Event<ConditionChange> = this.changed.event;
 
-    constructor(private readonly workerCount: () => number, options: Partial<HealthOptions> = {}) {
+    constructor(
+        /** Number of workers that may take tasks, quarantined ones included. */
+        private readonly workerCount: () => number,
+        options: Partial<HealthOptions> = {}
+    ) {
         this.options = { ...DEFAULT_HEALTH_OPTIONS, ...options };
     }
 
@@ -98,10 +104,11 @@
         return failing > this.workerCount() * this.options.fleetFailureFraction;
     }
 
-    /** Moves workers whose quarantine has ended to probation. */
+    /** Moves workers whose quarantine has ended to probation, and all of them when no other worker is left. */
     public advance(nowMs: number): void {
+        const isLast = this.peerCount < MIN_PEERS;
         for (const record of this.quarantined) {
-            if (nowMs >= record.quarantinedUntilMs) {
+            if (isLast || nowMs >= record.quarantinedUntilMs) {
                 this.setCondition(record, WorkerCondition.Probation);
             }
         }
@@ -114,7 +121,15 @@
         }
     }
 
+    /** Number of workers that may take tasks and are not quarantined. */
+    private get peerCount(): number {
+        return this.workerCount() - this.quarantined.size;
+    }
+
     private shouldQuarantine(record: WorkerRecord): boolean {
+        if (this.peerCount - 1 < MIN_PEERS) {
+            return false;
+        }
         if (record.condition === WorkerCondition.Probation) {
             return this.countAttributableTasks(record) > 0;
         }
