Refused connections are no proof that a worker or an owner has ended

Cause: a worker was given up after three refused connections in 450 ms, and an owner whose port refused counted as ended, which shortens the wait for leases by 5 s. Change: only the end of all leases, a later life, or leaving the directory while draining ends a worker; only a release, or another process at its address, ends an owner. Both are still followed as fast: the refused port shortens the time until a successor takes over, not what it waits for. Price: tasks on a worker that crashed and stays away wait for its leases, up to 6 s or 10 s.

--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -33,8 +33,6 @@
 
 /** Why nothing runs any more on an incarnation of a worker. */
 export enum WorkerLossReason {
-    /** Its address refuses connections. */
-    Refused = "refused",
     /** It was draining, is no longer listed in the directory and does not reply. */
     Left = "left",
     /** It has restarted. */
@@ -77,9 +75,6 @@
  * work.
  */
 const MAX_EXTRA_INTERVAL_MS = 300;
-/** A worker is lost, with all its runs, after this many refused connections in a row over at least the time below. */
-const LOST_AFTER_REFUSALS = 3;
-const LOST_AFTER_REFUSED_MS = 450;
 /** Factor by which a worker's clock may be slow. */
 const CLOCK_RATE_MARGIN = 1.02;
 /** Fencing tokens per epoch and worker; each start order without a reply and each new session uses up one. */
@@ -96,8 +91,6 @@
     private generation: number;
     private disposed = false;
     private resolving = false;
-    private refusedSinceMs: number | undefined;
-    private refusals = 0;
     private onCommitted: (() => void) | undefined;
 
     constructor(
@@ -283,8 +276,6 @@
             this.events.workerRestarted(this, report.incarnation ?? UNKNOWN_INCARNATION);
             return false;
         }
-        this.refusals = 0;
-        this.refusedSinceMs = undefined;
         this.state.reachable = true;
         this.clock.update(report.clockMs);
         this.events.report(this, report, { sentAtMs, token });
@@ -307,7 +298,6 @@
     }
 
     private handleFailure(outcome: OrderOutcome, token: number): void {
-        const nowMs = this.timer.nowMs();
         if (outcome === OrderOutcome.StaleToken) {
             if (token === this.token) {
                 this.events.staleOwner(this);
@@ -321,15 +311,8 @@
         if (outcome !== OrderOutcome.Unreachable && outcome !== OrderOutcome.Uncertain) {
             return;
         }
+        // Refused connections are no proof that a worker has ended: a cut may refuse them while it runs on.
         this.state.reachable = false;
-        if (outcome === OrderOutcome.Unreachable) {
-            this.refusals++;
-            this.refusedSinceMs ??= nowMs;
-            if (this.refusals >= LOST_AFTER_REFUSALS && nowMs - this.refusedSinceMs >= LOST_AFTER_REFUSED_MS) {
-                this.events.workerLost(this, WorkerLossReason.Refused);
-                return;
-            }
-        }
         this.checkIfLeft();
         if (!this.disposed && this.clock.leasesEnded(CLOCK_RATE_MARGIN)) {
             this.events.workerLost(this, WorkerLossReason.LeaseEnded);
--- a/packages/fleet/src/ownership/OwnerElection.ts
+++ b/packages/fleet/src/ownership/OwnerElection.ts
@@ -64,7 +64,10 @@
 const MAX_SILENT_ALLOWANCE_MS = 800;
 /** The timeouts double with each further replacement in a row, up to this factor. */
 const MAX_REPLACEMENT_FACTOR = 8;
-/** Timeout for an owner whose port refuses connections. */
+/**
+ * Timeout for an owner whose port refuses connections. It has most likely ended, but a cut may refuse them as well, so
+ * what it may still start is waited for all the same.
+ */
 const REFUSED_TIMEOUT_MS = 300;
 /** Timeout for an owner that reports an unconfirmed row: enough to see that the store serves this process. */
 const REPORTED_UNCONFIRMED_TIMEOUT_MS = 300;
@@ -208,13 +211,12 @@
 
     private async takeOver({ row: previousRow, version }: VersionedOwnerRow): Promise<void> {
         const rowKey = { table: FleetTable.Ownership, partition: FLEET_PARTITION, key: OWNER_KEY };
-        const isPreviousStopped = !previousRow || previousRow.released || this.ownerHealth.refused()
-            || this.ownerHealth.replaced(previousRow.holder);
+        const isPreviousStopped = !previousRow || previousRow.released || this.ownerHealth.replaced(previousRow.holder);
         const row: OwnerIdentity = {
             epoch: (previousRow?.epoch ?? 0) + 1,
             holder: this.candidate.holder,
             address: this.candidate.address,
-            replacements: (previousRow?.replacements ?? 0) + (isPreviousStopped ? 0 : 1)
+            replacements: (previousRow?.replacements ?? 0) + (isPreviousStopped || this.ownerHealth.refused() ? 0 : 1)
         };
         const value: OwnerRow = { ...row, sequence: 0, released: false, workers: previousRow?.workers };
         const result = await this.store.commit(
--- /dev/null
+++ b/packages/proof/src/fleet/FleetCuts.test.ts
@@ -0,0 +1,125 @@
+import { JobPhase } from "@skylarkpath/fleet/model/JobSpec";
+import test from "ava";
+import { FleetDeployment } from "./FleetDeployment.js";
+
+const SETTLE_MS = 3000;
+
+async function startDeployment(seed: number, workers = 4): Promise<FleetDeployment> {
+    const deployment = new FleetDeployment({ processes: 3, workers, seed });
+    await deployment.timer.advance(SETTLE_MS);
+    return deployment;
+}
+
+test("the owner's row stays small in a fleet of 100 workers, and a successor learns the workers from rows of their own", async t => {
+    const deployment = await startDeployment(24, 100);
+    t.true(JSON.stringify(deployment.ownerRow).length < 500);
+    const job = deployment.createJob([{ taskCount: 1, estimateMs: 8000 }]);
+    await deployment.timer.advanceUntil(deployment.submit("m0", job));
+    await deployment.timer.advance(1000);
+    const worker = [...deployment.fleet.workers.values()].find(each => each.running.size > 0)!;
+    deployment.updateDirectory(worker.entry.id);
+    await deployment.timer.advance(1000);
+    deployment.killProcess(deployment.ownerMachine);
+    t.is(await deployment.waitUntilFinal(job, 20_000), JobPhase.Completed);
+    t.is(deployment.rules.startCount, 1);
+    t.deepEqual(deployment.rules.allViolations(), []);
+});
+
+test("an owner tells the states of jobs to the entries that follow them, and not to all", async t => {
+    const deployment = new FleetDeployment({ processes: 20, workers: 10, seed: 25 });
+    await deployment.timer.advance(SETTLE_MS);
+    const jobs = Array.from({ length: 40 }, () => deployment.createJob([{ taskCount: 2 }]));
+    for (const [number, job] of jobs.entries()) {
+        await deployment.timer.advanceUntil(deployment.submit(`m${number % 20}`, job));
+    }
+    for (const job of jobs) {
+        t.is(await deployment.waitUntilFinal(job, 10_000), JobPhase.Completed);
+    }
+    // Running and completed, to the entry that accepted the job and to those that were asked for it while it ran.
+    t.true(deployment.toldStateCount <= jobs.length * 2 * 3, `${deployment.toldStateCount} states were told`);
+});
+
+test("an entry that did not accept a job and is asked for it tells its states, also after a change of the owner", async t => {
+    const deployment = await startDeployment(26);
+    const job = deployment.createJob([{ taskCount: 1, estimateMs: 4000 }]);
+    await deployment.timer.advanceUntil(deployment.submit("m0", job));
+    await deployment.timer.advance(1000);
+    const others = ["m1", "m2"].filter(machine => machine !== deployment.ownerMachine);
+    for (const machine of others) {
+        t.is((await deployment.timer.advanceUntil(deployment.state(machine, job))).phase, JobPhase.Running);
+    }
+    deployment.killProcess(deployment.ownerMachine);
+    await deployment.timer.advance(6000);
+    for (const machine of deployment.processes.keys()) {
+        t.is((await deployment.timer.advanceUntil(deployment.state(machine, job))).phase, JobPhase.Completed);
+    }
+});
+
+test("no entry says that no job waits while a new owner has not loaded the jobs", async t => {
+    const deployment = await startDeployment(27);
+    const large = { cpuMilli: 100_000, memoryMb: 100, accelerators: 0 };
+    await deployment.timer.advanceUntil(deployment.submit("m0", deployment.createJob([{ size: large }])));
+    await deployment.timer.advance(1000);
+    deployment.store.faults.answerMs = 150;
+    deployment.killProcess(deployment.ownerMachine);
+    const counts: (number | undefined)[] = [];
+    for (let waitedMs = 0; waitedMs < 6000; waitedMs += 50) {
+        await deployment.timer.advance(50);
+        for (const machine of deployment.processes.keys()) {
+            counts.push((await deployment.timer.advanceUntil(deployment.countWaiting(machine))).waiting);
+        }
+    }
+    t.deepEqual([...new Set(counts.filter(count => count !== undefined))], [1]);
+    t.is(counts.at(-1), 1);
+});
+
+test("a worker behind a cut that refuses connections runs on, and its tasks start nowhere else", async t => {
+    const deployment = await startDeployment(28);
+    const job = deployment.createJob([{ taskCount: 1, estimateMs: 5000 }]);
+    await deployment.timer.advanceUntil(deployment.submit("m0", job));
+    await deployment.timer.advance(1000);
+    const worker = [...deployment.fleet.workers.values()].find(each => each.running.size > 0)!;
+    deployment.fleet.faults.refusingWorkers.add(worker.entry.id);
+    await deployment.timer.advance(3000);
+    deployment.fleet.faults.refusingWorkers.clear();
+    t.is(await deployment.waitUntilFinal(job, 10_000), JobPhase.Completed);
+    t.is(deployment.rules.startCount, 1);
+    t.deepEqual(deployment.rules.allViolations(), []);
+});
+
+test("the tasks of a worker that refuses connections for good start elsewhere once their leases have ended", async t => {
+    const deployment = await startDeployment(29);
+    const job = deployment.createJob([{ taskCount: 1, estimateMs: 3000 }]);
+    await deployment.timer.advanceUntil(deployment.submit("m0", job));
+    await deployment.timer.advance(1000);
+    const worker = [...deployment.fleet.workers.values()].find(each => each.running.size > 0)!;
+    deployment.fleet.faults.refusingWorkers.add(worker.entry.id);
+    t.is(await deployment.waitUntilFinal(job, 15_000), JobPhase.Completed);
+    t.deepEqual(deployment.rules.allViolations(), []);
+});
+
+test("a port that refuses is no proof that an owner has ended: tasks that it may still start are waited for", async t => {
+    const deployment = await startDeployment(30);
+    const job = deployment.createJob([{ taskCount: 1, estimateMs: 60_000 }]);
+    const first = deployment.ownerMachine;
+    const other = [...deployment.processes.keys()].find(machine => machine !== first)!;
+    await deployment.timer.advanceUntil(deployment.submit(other, job));
+    await deployment.timer.advance(1000);
+    const worker = [...deployment.fleet.workers.values()].find(each => each.running.size > 0)!;
+    // The others can't reach the owner and this worker; the owner, which the store does not serve, reaches only that.
+    deployment.store.faults.refusedMachines.add(first);
+    deployment.refusingMachines.add(first);
+    for (const machine of deployment.processes.keys()) {
+        if (machine !== first) {
+            deployment.fleet.faults.cutLinks.add(`${machine} ${worker.entry.id}`);
+        }
+    }
+    for (const { entry } of deployment.fleet.workers.values()) {
+        if (entry.id !== worker.entry.id) {
+            deployment.fleet.faults.cutLinks.add(`${first} ${entry.id}`);
+        }
+    }
+    await deployment.timer.advance(15_000);
+    t.not(deployment.ownerMachine, first);
+    t.deepEqual(deployment.rules.allViolations(), []);
+});
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -70,6 +70,8 @@
     public readonly processes = new Map<string, RunningProcess>();
     /** Machines on one side of a network partition; their processes reach each other, but not those of the rest. */
     public readonly partitionedMachines = new Set<string>();
+    /** Machines whose processes run on, while a cut refuses the connections of other processes to them. */
+    public readonly refusingMachines = new Set<string>();
     /** Number of states of jobs that owners have told entries so far. */
     public toldStateCount = 0;
     private jobCount = 0;
@@ -292,6 +294,9 @@
                 return OwnerCallFailure.NoReply;
             }
             await sleep(this.timer, LINK_DELAY_MS);
+            if (this.refusingMachines.has(address) && machine !== address) {
+                return OwnerCallFailure.Refused;
+            }
             return this.processes.get(address) ?? OwnerCallFailure.Refused;
         };
         return {
--- a/packages/standins/src/fleet/MemoryFleet.ts
+++ b/packages/standins/src/fleet/MemoryFleet.ts
@@ -22,6 +22,10 @@
     readonly isolatedMachines: Set<string>;
     /** Workers that no machine can reach. */
     readonly isolatedWorkers: Set<string>;
+    /** Workers that run on, while a cut refuses all connections to them. */
+    readonly refusingWorkers: Set<string>;
+    /** Pairs of a machine and a worker that it can't reach, as `machine worker`. */
+    readonly cutLinks: Set<string>;
 }
 
 const ONE_WAY_DELAY_MS = 1;
@@ -32,7 +36,13 @@
 /** Workers of a simulated deployment and the network between them and the machines that call them. */
 export class MemoryFleet {
     public readonly workers = new Map<string, MemoryFleetWorker>();
-    public readonly faults: FleetFaults = { lateShare: 0, isolatedMachines: new Set(), isolatedWorkers: new Set() };
+    public readonly faults: FleetFaults = {
+        lateShare: 0,
+        isolatedMachines: new Set(),
+        isolatedWorkers: new Set(),
+        refusingWorkers: new Set(),
+        cutLinks: new Set()
+    };
 
     constructor(
         private readonly timer: TimerService,
@@ -115,11 +125,13 @@
     }
 
     private async transmit(machine: string, entry: WorkerEntry, timeoutMs: number): Promise<OrderOutcome | undefined> {
-        if (this.faults.isolatedMachines.has(machine) || this.faults.isolatedWorkers.has(entry.id)) {
+        const { isolatedMachines, isolatedWorkers, cutLinks } = this.faults;
+        if (isolatedMachines.has(machine) || isolatedWorkers.has(entry.id) || cutLinks.has(`${machine} ${entry.id}`)) {
             await sleep(this.timer, timeoutMs);
             return OrderOutcome.Uncertain;
         }
         await sleep(this.timer, ONE_WAY_DELAY_MS);
-        return this.workers.get(entry.id)?.alive ? undefined : OrderOutcome.Unreachable;
+        const accepts = this.workers.get(entry.id)?.alive && !this.faults.refusingWorkers.has(entry.id);
+        return accepts ? undefined : OrderOutcome.Unreachable;
     }
 }
