Entries ask the owner for jobs that they do not follow; a calm owner asks the policy itself too

And the owner's own entry, the one without a way, asked the policy last. Change: one call to the owner, which also follows the job from then on; the store is asked when the owner does not answer. The own entry counts as slower by ten times the event-loop delay only.

--- a/packages/adapters/src/HttpOwnerClient.ts
+++ b/packages/adapters/src/HttpOwnerClient.ts
@@ -1,6 +1,8 @@
 import type { Disposable } from "@skylarkpath/common/base/Disposable";
 import {
     type EntryReport,
+    type JobAnswer,
+    type JobQuery,
     OwnerCallFailure,
     type OwnerClient,
     type OwnerService,
@@ -14,6 +16,7 @@
 const OWNER_PATH = "/owner";
 const WATCH_METHOD = "owner.watch";
 const REPORT_METHOD = "owner.report";
+const QUERY_METHOD = "owner.query";
 const CONNECTION_REFUSED_CODE = "ECONNREFUSED";
 
 /** Calls the process that owns the fleet over JSON-RPC. */
@@ -41,6 +44,12 @@
         return reply.isOk() ? undefined : OwnerCallFailure.NoReply;
     }
 
+    public async query(address: string, query: JobQuery, timeoutMs: number): Promise<JobAnswer | undefined> {
+        const reply = await this.client.call(address, OWNER_PATH, QUERY_METHOD, query, timeoutMs);
+        const answer = reply.isOk() ? reply.value as Partial<JobAnswer> : {};
+        return answer.phase === undefined ? undefined : answer as JobAnswer;
+    }
+
     public dispose(): void {
         this.client.dispose();
     }
@@ -54,5 +63,6 @@
         service.report(parameters as EntryReport);
         return true;
     });
+    endpoint.register(QUERY_METHOD, async parameters => service.query(parameters as JobQuery) ?? {});
     endpoint.mount(application, OWNER_PATH);
 }
--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -17,7 +17,15 @@
 import { OwnerElection, type WonOwnership } from "./ownership/OwnerElection.js";
 import { SlownessDetector } from "./ownership/SlownessDetector.js";
 import type { DirectorySchema } from "./ports/DirectorySchema.js";
-import type { EntryReport, OwnerClient, OwnerService, WatchReply, WatchRequest } from "./ports/OwnerClient.js";
+import type {
+    EntryReport,
+    JobAnswer,
+    JobQuery,
+    OwnerClient,
+    OwnerService,
+    WatchReply,
+    WatchRequest
+} from "./ports/OwnerClient.js";
 import type { PlacementPolicy } from "./ports/PlacementPolicy.js";
 import type { RowStore } from "./ports/RowStore.js";
 import type { WorkerClient } from "./ports/WorkerClient.js";
@@ -195,6 +203,10 @@
         this.owner?.report(report);
     }
 
+    public query(query: JobQuery): JobAnswer | undefined {
+        return this.owner?.query(query);
+    }
+
     /** Releases the fleet if this process owns it, and is not ready from now on; requests are still answered. */
     public async drain(limitMs: number): Promise<void> {
         this.stopping = true;
--- a/packages/fleet/src/entry/OwnerWatcher.ts
+++ b/packages/fleet/src/entry/OwnerWatcher.ts
@@ -4,6 +4,7 @@
 import { isFinal, type JobPhase } from "../model/JobSpec.js";
 import {
     type FollowedJobs,
+    type JobAnswer,
     OwnerCallFailure,
     type OwnerClient,
     type PolicyReply,
@@ -40,6 +41,8 @@
 const RETRY_DELAY_MS = 80;
 /** Shorter than the validity of permits; the owner also finds the rows of a lost report in the store's change feed. */
 const REPORT_TIMEOUT_MS = 500;
+/** Three round trips between regions, and processing; then the store is asked. */
+const QUERY_TIMEOUT_MS = 250;
 /** A healthy owner confirms its row within this time: one renewal interval, and half of it for the store. */
 const MAX_CONFIRMED_AGE_MS = 600;
 /** States are fresh while the last reply is not older than this: one long poll, two round trips and processing. */
@@ -147,6 +150,14 @@
         this.scheduleReport();
     }
 
+    /** Asks the owner for a job that is not followed here; undefined when the store has to be asked. */
+    public async queryJob(jobId: string): Promise<JobAnswer | undefined> {
+        if (this.address === undefined || !this.fresh) {
+            return undefined;
+        }
+        return this.ownerClient.query(this.address, { entry: this.options.entry, jobId }, QUERY_TIMEOUT_MS);
+    }
+
     public dispose(): void {
         this.followSubscription.dispose();
         this.setOwnerAddress(undefined);
--- a/packages/fleet/src/entry/RequestHandler.ts
+++ b/packages/fleet/src/entry/RequestHandler.ts
@@ -111,6 +111,11 @@
         if (known && (isFinal(known.phase) || ownerWatcher.fresh)) {
             return stateReply(known, teamName);
         }
+        const answer = known ? undefined : await ownerWatcher.queryJob(jobId);
+        if (answer) {
+            states.record(jobId, answer.phase, answer.team, answer.queue);
+            return stateReply(answer, teamName);
+        }
         const stored = await this.readStoredState(jobId);
         if (stored === "unknown") {
             return { kind: ReplyKind.UnknownJob, message: "there is no such job" };
--- a/packages/fleet/src/owner/EntryWatchers.test.ts
+++ b/packages/fleet/src/owner/EntryWatchers.test.ts
@@ -34,7 +34,7 @@
         list: () => undefined,
         markCommitted: () => undefined
     });
-    const requester = new PermitRequester(fleet, timer, "owner");
+    const requester = new PermitRequester(fleet, timer, { entry: "owner", loopDelayMs: () => 0 });
     const watchers = new EntryWatchers(fencedStore, requester, fleet, timer, () => 0);
     t.teardown(() => watchers.dispose());
     return { timer, fleet, requester, watchers };
--- a/packages/fleet/src/owner/EntryWatchers.ts
+++ b/packages/fleet/src/owner/EntryWatchers.ts
@@ -1,7 +1,7 @@
 import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
-import { JobPhase } from "../model/JobSpec.js";
-import type { JobUpdate, WatchReply, WatchRequest } from "../ports/OwnerClient.js";
+import { isFinal, JobPhase } from "../model/JobSpec.js";
+import type { JobAnswer, JobUpdate, WatchReply, WatchRequest } from "../ports/OwnerClient.js";
 import type { PolicyQuestion } from "../ports/PlacementPolicy.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { FencedStore } from "./FencedStore.js";
@@ -135,6 +135,19 @@
         this.followers.followStored(entry, jobId, JobPhase.Queued);
     }
 
+    /** Returns what is known of a job, and follows it for an entry. */
+    public query(entry: string, jobId: string): JobAnswer | undefined {
+        const { phase } = this.knowledgeOf(jobId);
+        const names = this.fleet.jobs.get(jobId)?.spec ?? this.fleet.endedJobs.get(jobId);
+        if (phase === undefined || !names) {
+            return undefined;
+        }
+        if (!isFinal(phase)) {
+            this.followers.followStored(entry, jobId, phase);
+        }
+        return { phase, queue: names.queue, team: names.team };
+    }
+
     /** Answers all requests at once, since this process is no longer the owner. */
     public close(): void {
         this.closed = true;
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -12,7 +12,7 @@
 import type { KnownWorker, WorkerListSource } from "../model/OwnerRow.js";
 import { FLEET_PARTITION, FleetTable, parseIntakeKey } from "../model/Tables.js";
 import type { DirectorySchema } from "../ports/DirectorySchema.js";
-import type { EntryReport, OwnerService, WatchReply, WatchRequest } from "../ports/OwnerClient.js";
+import type { EntryReport, JobAnswer, JobQuery, OwnerService, WatchReply, WatchRequest } from "../ports/OwnerClient.js";
 import type { RowStore } from "../ports/RowStore.js";
 import type { WorkerClient, WorkerEntry } from "../ports/WorkerClient.js";
 import { FleetState } from "../state/FleetState.js";
@@ -137,7 +137,12 @@
                 log
             )
         );
-        this.permitRequester = this.disposables.add(new PermitRequester(this.fleet, timer, fencedStore.holder));
+        this.permitRequester = this.disposables.add(
+            new PermitRequester(this.fleet, timer, {
+                entry: fencedStore.holder,
+                loopDelayMs: dependencies.loopDelayMs
+            })
+        );
         this.watchers = this.disposables.add(
             new EntryWatchers(
                 fencedStore,
@@ -230,6 +235,10 @@
         }
     }
 
+    public query({ entry, jobId }: JobQuery): JobAnswer | undefined {
+        return this.loaded ? this.watchers.query(entry, jobId) : undefined;
+    }
+
     /** The best process to take over the ownership, if any. */
     public get successor(): WatchingEntry | undefined {
         return this.watchers.successor;
--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -8,7 +8,13 @@
 import type { StepState } from "../state/StepState.js";
 import type { WorkerState } from "../state/WorkerState.js";
 import { CapacityBudget } from "./CapacityBudget.js";
-import { ANSWER_TIMEOUT_MS, MAX_BACKLOG_MS, type PolicyChannel, PolicyChannels } from "./PolicyChannels.js";
+import {
+    ANSWER_TIMEOUT_MS,
+    MAX_BACKLOG_MS,
+    type OwnEntry,
+    type PolicyChannel,
+    PolicyChannels
+} from "./PolicyChannels.js";
 
 /** A question without an answer so far. */
 interface PendingQuestion {
@@ -42,7 +48,7 @@
     /** A question waits for the entry with this name. */
     public readonly onQuestion = this.questionAdded.event;
 
-    constructor(private readonly fleet: FleetState, private readonly timer: TimerService, ownEntry?: string) {
+    constructor(private readonly fleet: FleetState, private readonly timer: TimerService, ownEntry?: OwnEntry) {
         this.channels = new PolicyChannels(ownEntry);
     }
 
--- a/packages/fleet/src/owner/PolicyChannels.test.ts
+++ b/packages/fleet/src/owner/PolicyChannels.test.ts
@@ -50,9 +50,9 @@
     t.true(latest < SHORT_ANSWER_TARGET_MS, `95 of 100 answers within ${Math.round(latest)} ms`);
 });
 
-test("the owner asks through other entries while one of them is free", async t => {
+test("an overloaded owner asks through other entries while one of them is free", async t => {
     const delays = new Map([["owner", 1], ["e1", 60], ["e2", 60], ["e3", 60]]);
-    const channels = new PolicyChannels("owner");
+    const channels = new PolicyChannels({ entry: "owner", loopDelayMs: () => 50 });
     await playShortQuestions(channels, delays, 100, 30);
     channels.recordEntry("owner", 5, 10_000);
     channels.recordEntry("e1", 5, 10_000);
--- a/packages/fleet/src/owner/PolicyChannels.ts
+++ b/packages/fleet/src/owner/PolicyChannels.ts
@@ -17,6 +17,13 @@
     delayMeasuredAtMs: number;
 }
 
+/** Entry of the owner's own process. */
+export interface OwnEntry {
+    readonly entry: string;
+    /** Event-loop delay of the process. */
+    readonly loopDelayMs: () => number;
+}
+
 /** A question that takes longer than this is long; some channels take no long questions. */
 const LONG_QUESTION_MS = 250;
 /** Share of the channels that take no long questions. */
@@ -33,8 +40,8 @@
 const ENTRY_RETENTION_MS = 60_000;
 /** An answer that is overdue by this much is no longer expected. */
 export const ANSWER_TIMEOUT_MS = 1000;
-/** The owner's own entry is used only if all others are slower by this much: each exchange takes the owner's time. */
-const OWN_ENTRY_DELAY_MS = 500;
+/** The owner's own entry counts as slower by this multiple of the event-loop delay: its exchanges wait for it as well. */
+const OWN_ENTRY_DELAY_FACTOR = 10;
 /** Weight of a new measurement in the moving average of the delay. */
 const DELAY_WEIGHT = 0.3;
 /** A measured delay counts half after this time, so that an entry that was slow is tried again. */
@@ -48,7 +55,7 @@
 export class PolicyChannels {
     private readonly channels = new Map<string, PolicyChannel>();
 
-    constructor(private readonly ownEntry?: string) {}
+    constructor(private readonly ownEntry?: OwnEntry) {}
 
     /** Records a watch request of an entry, which can be given questions. */
     public recordEntry(entry: string, roundTripMs: number, nowMs: number): void {
@@ -146,7 +153,7 @@
             }
         }
         return channel.roundTripMs + Math.max(overdueMs, decayedDelayMs(channel, nowMs))
-            + (channel.entry === this.ownEntry ? OWN_ENTRY_DELAY_MS : 0);
+            + (channel.entry === this.ownEntry?.entry ? this.ownEntry.loopDelayMs() * OWN_ENTRY_DELAY_FACTOR : 0);
     }
 
     private dropExpired(nowMs: number): void {
--- a/packages/fleet/src/ports/OwnerClient.ts
+++ b/packages/fleet/src/ports/OwnerClient.ts
@@ -87,16 +87,33 @@
     readonly replies: readonly PolicyReply[];
 }
 
+/** Question of an entry process about a job that it does not follow yet; it follows the job from now on. */
+export interface JobQuery {
+    readonly entry: string;
+    readonly jobId: string;
+}
+
+/** What the owner knows of a job. */
+export interface JobAnswer {
+    readonly phase: JobPhase;
+    readonly queue: string;
+    readonly team: string;
+}
+
 /** Calls that the owner serves to entry processes. */
 export interface OwnerService {
     watch(request: WatchRequest): Promise<WatchReply>;
     report(report: EntryReport): void;
+    /** Returns undefined when this process does not own the fleet or does not know the job. */
+    query(query: JobQuery): JobAnswer | undefined;
 }
 
 /** Client of an entry process for calls to the owner. */
 export interface OwnerClient {
     watch(address: string, request: WatchRequest, timeoutMs: number): Promise<WatchReply | OwnerCallFailure>;
     report(address: string, report: EntryReport, timeoutMs: number): Promise<OwnerCallFailure | undefined>;
+    /** Returns undefined when the owner does not know the job or does not answer. */
+    query(address: string, query: JobQuery, timeoutMs: number): Promise<JobAnswer | undefined>;
 }
 
 /** Why a call to the owner failed. */
--- a/packages/proof/src/fleet/FleetCuts.test.ts
+++ b/packages/proof/src/fleet/FleetCuts.test.ts
@@ -123,3 +123,17 @@
     t.not(deployment.ownerMachine, first);
     t.deepEqual(deployment.rules.allViolations(), []);
 });
+
+test("states that an entry does not follow come from the owner; the store is asked only without one", async t => {
+    const deployment = await startDeployment(31);
+    const job = deployment.createJob([{ taskCount: 1, estimateMs: 3000 }]);
+    const [first, other] = deployment.processes.keys();
+    await deployment.timer.advanceUntil(deployment.submit(first!, job));
+    await deployment.timer.advance(500);
+    const reads = deployment.store.reads;
+    t.is((await deployment.timer.advanceUntil(deployment.state(other!, job))).phase, JobPhase.Running);
+    t.is(deployment.store.reads, reads);
+    await deployment.timer.advance(4000);
+    t.is((await deployment.timer.advanceUntil(deployment.state(other!, job))).phase, JobPhase.Completed);
+    t.is(deployment.store.reads, reads);
+});
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -318,6 +318,14 @@
                 await target.processor.handleMessage();
                 target.process.report(report);
                 return undefined;
+            },
+            query: async (address, query) => {
+                const target = await connect(address);
+                if (typeof target === "string") {
+                    return undefined;
+                }
+                await target.processor.handleMessage();
+                return target.process.query(query);
             }
         };
     }
--- a/packages/standins/src/fleet/MemoryRowStore.ts
+++ b/packages/standins/src/fleet/MemoryRowStore.ts
@@ -51,6 +51,7 @@
     private compactedVersion = 0;
     private version = 0;
     private callCount = 0;
+    private readCount = 0;
 
     constructor(private readonly timer: TimerService, private readonly random: RandomSource) {}
 
@@ -59,11 +60,19 @@
         return this.callCount;
     }
 
+    /** Number of reads of rows so far. */
+    public get reads(): number {
+        return this.readCount;
+    }
+
     /** Returns the client through which a machine calls the store. */
     public clientFor(machine: string): RowStore {
         return {
             commit: (conditions, writes, timeoutMs) => this.commit(machine, conditions, writes, timeoutMs),
-            read: (range, timeoutMs) => this.answer(machine, timeoutMs, () => ok(this.readRange(range))),
+            read: (range, timeoutMs) => {
+                this.readCount++;
+                return this.answer(machine, timeoutMs, () => ok(this.readRange(range)));
+            },
             changes: (table, after, waitMs, timeoutMs) => this.changes(machine, table, after, waitMs, timeoutMs)
         };
     }
