--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -2,9 +2,8 @@
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import type { EventLog } from "@skylarkpath/common/log/EventLog";
-import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import type { ConfigDirectory } from "../config/ConfigDirectory.js";
-import { readTable } from "../config/readTable.js";
 import { TableFollower } from "../config/TableFollower.js";
 import { WorkerDirectory } from "../config/WorkerDirectory.js";
 import type { FleetTiming } from "../model/FleetTiming.js";
@@ -22,7 +21,7 @@
 import { EntryWatchers, type WatchingEntry } from "./EntryWatchers.js";
 import type { FencedStore } from "./FencedStore.js";
 import { IntakeReader } from "./IntakeReader.js";
-import { parseKnownWorkers } from "./KnownWorkerRows.js";
+import { readKnownWorkers } from "./KnownWorkerRows.js";
 import { PermitRequester } from "./PermitRequester.js";
 import { ProgressWriter } from "./ProgressWriter.js";
 import { RunTracker } from "./RunTracker.js";
@@ -74,8 +73,6 @@
  * follow them.
  */
 const RUNS_PER_EPOCH = 100_000;
-const READ_TIMEOUT_MS = 1500;
-const READ_RETRY_DELAY_MS = 100;
 const INTAKE_POLL_WAIT_MS = 1000;
 /**
  * Minimum time between two reads of the intake's changes. Entries report the rows that they write; the reads find rows
@@ -199,7 +196,11 @@
         this.writer.start();
         this.disposables.add(this.workers.onWorkers(entries => this.updateWorkers(entries)));
         this.workers.start();
-        const [loaded, previousWorkers] = await Promise.all([this.intake.load(), this.loadKnownWorkers()]);
+        const { store, timer } = this.dependencies;
+        const [loaded, previousWorkers] = await Promise.all([
+            this.intake.load(),
+            this.takeover.workers ?? readKnownWorkers(store, timer, () => this.stopping)
+        ]);
         if (!loaded || !previousWorkers || this.stopping) {
             return;
         }
@@ -300,25 +301,6 @@
         this.disposables.add(this.intake.onJobCancelled(job => this.runs.finishJob(job, JobPhase.Cancelled)));
     }
 
-    /**
-     * Returns the workers that the previous owner told; undefined when this owner was stopped before. Nobody else
-     * writes them, since this process owns the fleet.
-     */
-    private async loadKnownWorkers(): Promise<readonly KnownWorker[] | undefined> {
-        if (this.takeover.workers) {
-            return this.takeover.workers;
-        }
-        const { store, timer } = this.dependencies;
-        while (!this.stopping) {
-            const content = await readTable(store, FleetTable.KnownWorkers, FLEET_PARTITION, READ_TIMEOUT_MS);
-            if (content.isOk()) {
-                return parseKnownWorkers(content.value.rows);
-            }
-            await sleep(timer, READ_RETRY_DELAY_MS);
-        }
-        return undefined;
-    }
-
     private updateWorkers(entries: readonly WorkerEntry[]): void {
         if (!this.loaded) {
             this.earlyWorkers = entries;
--- a/packages/fleet/src/owner/KnownWorkerRows.ts
+++ b/packages/fleet/src/owner/KnownWorkerRows.ts
@@ -1,6 +1,8 @@
+import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
+import { readTable } from "../config/readTable.js";
 import type { KnownWorker } from "../model/OwnerRow.js";
 import { FLEET_PARTITION, FleetTable } from "../model/Tables.js";
-import type { RowWrite, StoredRow } from "../ports/RowStore.js";
+import type { RowStore, RowWrite, StoredRow } from "../ports/RowStore.js";
 
 /** Number of rows that hold the known workers, so that a change of one worker rewrites a small part of the list. */
 const GROUP_COUNT = 64;
@@ -9,6 +11,8 @@
 /** Stays below the platform's limit of 64 KiB a row. */
 const MAX_ROW_BYTES = 48 * 1024;
 const HASH_FACTOR = 31;
+const READ_TIMEOUT_MS = 1500;
+const READ_RETRY_DELAY_MS = 100;
 
 /** Rows to write and what they change once they are committed. */
 export interface KnownWorkerUpdate {
@@ -90,6 +94,25 @@
     });
 }
 
+/**
+ * Reads the workers that the previous owner has written, with retries until the store answers; undefined when the owner
+ * was stopped before. Nobody else writes them while this process owns the fleet.
+ */
+export async function readKnownWorkers(
+    store: RowStore,
+    timer: TimerService,
+    isStopped: () => boolean
+): Promise<readonly KnownWorker[] | undefined> {
+    while (!isStopped()) {
+        const content = await readTable(store, FleetTable.KnownWorkers, FLEET_PARTITION, READ_TIMEOUT_MS);
+        if (content.isOk()) {
+            return parseKnownWorkers(content.value.rows);
+        }
+        await sleep(timer, READ_RETRY_DELAY_MS);
+    }
+    return undefined;
+}
+
 function groupRowKey(group: number): Omit<RowWrite, "value"> {
     return { table: FleetTable.KnownWorkers, partition: FLEET_PARTITION, key: String(group).padStart(2, "0") };
 }
