Long questions about many workers are asked in parts through several entries

Change: a question of more than 250 ms is split into parts of 20 workers or more, as long as a step takes at most a fifth of the free entries.

--- a/packages/fleet/src/owner/PermitRequester.test.ts
+++ b/packages/fleet/src/owner/PermitRequester.test.ts
@@ -61,6 +61,30 @@
     t.true(questions > 5 && questions < 20, `${questions}`);
 });
 
+test("a long question about many workers is asked in parts through several entries, unless few are free", t => {
+    const { fleet, timer, requester } = setUp(80);
+    const policy = { decideMs: 300, perWorkerMs: 5, permitMs: 1500 };
+    fleet.config = { ...PLAIN_CONFIG, queues: [{ ...PLAIN_CONFIG.queues[0]!, policy }] };
+    const [step] = [...addJob(fleet, [{ taskCount: 20, gang: true }]).readySteps()];
+    requester.request([step!], timer.nowMs());
+    t.deepEqual(requester.takeQuestions("e1").map(question => question.workerIds.length), [80]);
+    const entries = Array.from({ length: 30 }, (...[, number]) => `f${number}`);
+    entries.forEach(entry => requester.recordEntry(entry));
+    const [other] = [...addJob(fleet, [{ taskCount: 20, gang: true }], "00000000000000b1").readySteps()];
+    requester.request([other!], timer.nowMs());
+    const questions = entries.flatMap(entry => requester.takeQuestions(entry).map(question => ({ entry, question })));
+    t.deepEqual(questions.map(({ question }) => question.workerIds.length), [20, 20, 20, 20]);
+    t.is(new Set(questions.map(({ entry }) => entry)).size, 4);
+    t.is(new Set(questions.flatMap(({ question }) => question.workerIds)).size, 80);
+    for (const { entry, question } of questions) {
+        t.not(other!.permits.askedAtMs, undefined);
+        const permits = question.workerIds.map(workerId => ({ workerId, permit: "p" }));
+        requester.handleReply(entry, { question: question.number, permits, permitMs: 1500 });
+    }
+    t.is(other!.permits.askedAtMs, undefined);
+    t.is(other!.permits.byWorker.size, 80);
+});
+
 test("one channel is reserved for short questions, so that they never wait behind longer ones", t => {
     const { fleet, timer, requester } = setUp(30);
     ["e2", "e3", "e4"].forEach(entry => requester.recordEntry(entry));
--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -8,13 +8,7 @@
 import type { StepState } from "../state/StepState.js";
 import type { WorkerState } from "../state/WorkerState.js";
 import { CapacityBudget } from "./CapacityBudget.js";
-import {
-    ANSWER_TIMEOUT_MS,
-    MAX_BACKLOG_MS,
-    type OwnEntry,
-    type PolicyChannel,
-    PolicyChannels
-} from "./PolicyChannels.js";
+import { ANSWER_TIMEOUT_MS, MAX_BACKLOG_MS, type OwnEntry, PolicyChannels } from "./PolicyChannels.js";
 
 /** A question without an answer so far. */
 interface PendingQuestion {
@@ -26,6 +20,11 @@
 
 /** Maximum number of workers in one question. */
 const MAX_WORKERS_PER_QUESTION = 100;
+/** A question that takes longer than this is split into parts, which several entries ask at the same time. */
+const SPLIT_COST_MS = 250;
+const MIN_WORKERS_PER_PART = 20;
+/** One step takes at most this share of the free channels. */
+const MAX_SPLIT_CHANNEL_SHARE = 0.2;
 /** Age that an answer may have on arrival: one-way latency between regions, and the batching of messages. */
 const ANSWER_DELAY_MARGIN_MS = 60;
 /** Workers in a question for each waiting task, and the minimum number, unless the step is a gang. */
@@ -86,13 +85,7 @@
             }
             const usable = usableByPool.get(queue.pool) ?? this.listUsable(queue.pool, nowMs);
             usableByPool.set(queue.pool, usable);
-            const workers = this.chooseWorkers(step, usable, nowMs);
-            const channel = workers.length === 0
-                ? undefined
-                : this.channels.choose(costOf(policy, workers.length), nowMs);
-            if (channel) {
-                this.ask(step, policy, workers, channel, nowMs);
-            }
+            this.ask(step, policy, this.chooseWorkers(step, usable, nowMs), nowMs);
         }
     }
 
@@ -107,7 +100,8 @@
         this.pendingQuestions.delete(reply.question);
         const { step, workers, answerDueMs } = pending;
         const answeredAtMs = reply.ageMs === undefined ? Math.min(nowMs, answerDueMs) : nowMs - reply.ageMs;
-        step.permits.askedAtMs = undefined;
+        step.permits.openQuestions.delete(reply.question);
+        step.permits.askedAtMs = step.permits.openQuestions.size > 0 ? step.permits.askedAtMs : undefined;
         step.permits.answeredAtMs = nowMs;
         if (!reply.permits) {
             return;
@@ -130,7 +124,7 @@
     /** Drops the pending questions about a job that has ended. */
     public dropQuestions(job: JobState): void {
         for (const step of job.openSteps()) {
-            this.pendingQuestions.delete(step.permits.question);
+            this.dropOpenQuestions(step);
         }
     }
 
@@ -197,21 +191,40 @@
         return [...this.fleet.workers.values()].filter(worker => worker.entry.pool === pool && worker.canStart(nowMs));
     }
 
-    private ask(
-        step: StepState,
-        policy: PolicyTiming,
-        workers: readonly WorkerState[],
-        channel: PolicyChannel,
-        nowMs: number
-    ): void {
-        step.permits.askedAtMs = nowMs;
-        const number = this.nextQuestionNumber++;
-        this.pendingQuestions.delete(step.permits.question);
-        step.permits.question = number;
-        const question = { number, step: step.name, workerIds: workers.map(worker => worker.id) };
-        const dueMs = this.channels.ask(channel, question, costOf(policy, workers.length), nowMs);
-        this.pendingQuestions.set(number, { step, workers, answerDueMs: dueMs + MAX_BACKLOG_MS });
-        this.questionAdded.fire(channel.entry);
+    /** Asks about workers, through several entries at a time if one alone would take long and enough are free. */
+    private ask(step: StepState, policy: PolicyTiming, workers: readonly WorkerState[], nowMs: number): void {
+        const partCount = this.countParts(policy, workers.length, nowMs);
+        for (let part = 0; part < partCount; part++) {
+            const partWorkers = workers.filter((...[, index]) => index % partCount === part);
+            const costMs = costOf(policy, partWorkers.length);
+            const channel = partWorkers.length === 0 ? undefined : this.channels.choose(costMs, nowMs);
+            if (!channel) {
+                return;
+            }
+            if (part === 0) {
+                this.dropOpenQuestions(step);
+                step.permits.askedAtMs = nowMs;
+            }
+            const number = this.nextQuestionNumber++;
+            step.permits.openQuestions.add(number);
+            const question = { number, step: step.name, workerIds: partWorkers.map(worker => worker.id) };
+            const dueMs = this.channels.ask(channel, question, costMs, nowMs);
+            this.pendingQuestions.set(number, { step, workers: partWorkers, answerDueMs: dueMs + MAX_BACKLOG_MS });
+            this.questionAdded.fire(channel.entry);
+        }
+    }
+
+    private countParts(policy: PolicyTiming, workerCount: number, nowMs: number): number {
+        if (costOf(policy, workerCount) <= SPLIT_COST_MS) {
+            return 1;
+        }
+        const freeShare = Math.floor(this.channels.countFree(nowMs) * MAX_SPLIT_CHANNEL_SHARE);
+        return Math.max(1, Math.min(Math.ceil(workerCount / MIN_WORKERS_PER_PART), freeShare));
+    }
+
+    private dropOpenQuestions({ permits }: StepState): void {
+        permits.openQuestions.forEach(number => this.pendingQuestions.delete(number));
+        permits.openQuestions.clear();
     }
 }
 
--- a/packages/fleet/src/owner/PolicyChannels.ts
+++ b/packages/fleet/src/owner/PolicyChannels.ts
@@ -102,6 +102,11 @@
         return false;
     }
 
+    /** Number of entries that may be given a question now. */
+    public countFree(nowMs: number): number {
+        return [...this.channels.values()].filter(channel => isFree(channel, nowMs)).length;
+    }
+
     /** Returns the free channel with the earliest expected answer to a question of this duration. */
     public choose(costMs: number, nowMs: number): PolicyChannel | undefined {
         const active = [...this.channels.values()].filter(channel => nowMs - channel.lastSeenMs < ENTRY_INACTIVE_MS)
--- a/packages/fleet/src/state/StepState.ts
+++ b/packages/fleet/src/state/StepState.ts
@@ -9,10 +9,10 @@
     readonly byWorker: Map<string, { permit: string; incarnation: number; expiresAtMs: number; }>;
     /** Workers that an answered question named, with their incarnations. */
     readonly answeredWorkers: Map<string, number>;
-    /** Time of the question that is not answered yet; undefined when there is none. */
+    /** Time of the questions that are not answered yet; undefined when there are none. */
     askedAtMs: number | undefined;
-    /** Number of the last question. */
-    question: number;
+    /** Numbers of the questions that are not answered yet. */
+    readonly openQuestions: Set<number>;
     answeredAtMs: number;
     /** Time at which the last permit expires. */
     latestExpiryMs: number;
@@ -32,7 +32,7 @@
         byWorker: new Map(),
         answeredWorkers: new Map(),
         askedAtMs: undefined,
-        question: 0,
+        openQuestions: new Set(),
         answeredAtMs: 0,
         latestExpiryMs: 0
     };
