--- a/packages/fleet/src/owner/PolicyChannels.test.ts
+++ b/packages/fleet/src/owner/PolicyChannels.test.ts
@@ -77,3 +77,17 @@
     channels.recordEntry("e2", 6, 30_000);
     t.is(channels.choose(SHORT_COST_MS, 30_000)?.entry, "e1");
 });
+
+test("long questions leave the entries near the store to short ones", t => {
+    const channels = new PolicyChannels();
+    const far = ["a1", "a2", "a3", "a4", "a5", "a6"];
+    far.forEach(entry => channels.recordEntry(entry, 44, 0));
+    ["z1", "z2"].forEach(entry => channels.recordEntry(entry, 4, 0));
+    for (let number = 1; number <= far.length; number++) {
+        const channel = channels.choose(600, 0)!;
+        t.true(far.includes(channel.entry), channel.entry);
+        channels.ask(channel, { number, step: "s", workerIds: [] }, 600, 0);
+    }
+    t.is(channels.choose(600, 0), undefined);
+    t.is(channels.choose(SHORT_COST_MS, 0)?.entry, "z1");
+});
--- a/packages/fleet/src/owner/PolicyChannels.ts
+++ b/packages/fleet/src/owner/PolicyChannels.ts
@@ -42,6 +42,8 @@
 export const ANSWER_TIMEOUT_MS = 1000;
 /** The owner's own entry counts as slower by this multiple of the event-loop delay: its exchanges wait for it as well. */
 const OWN_ENTRY_DELAY_FACTOR = 10;
+/** Round trips in the same step count as the same distance: within a region, or to another one. */
+const DISTANCE_STEP_MS = 20;
 /** Weight of a new measurement in the moving average of the delay. */
 const DELAY_WEIGHT = 0.3;
 /** A measured delay counts half after this time, so that an entry that was slow is tried again. */
@@ -110,7 +112,7 @@
     /** Returns the free channel with the earliest expected answer to a question of this duration. */
     public choose(costMs: number, nowMs: number): PolicyChannel | undefined {
         const active = [...this.channels.values()].filter(channel => nowMs - channel.lastSeenMs < ENTRY_INACTIVE_MS)
-            .sort((left, right) => left.entry < right.entry ? -1 : 1);
+            .sort(compareDistance);
         let best: PolicyChannel | undefined;
         let bestMs = Number.POSITIVE_INFINITY;
         for (const channel of active.slice(countReservedChannels(costMs, active.length))) {
@@ -170,6 +172,17 @@
     }
 }
 
+/** Orders channels from near to far, so that those reserved for short questions are near. */
+function compareDistance(left: PolicyChannel, right: PolicyChannel): number {
+    const difference = distanceClass(left) - distanceClass(right);
+    return difference || (left.entry < right.entry ? -1 : 1);
+}
+
+/** Rounded, since each entry measures its round trip only now and then. */
+function distanceClass({ roundTripMs }: PolicyChannel): number {
+    return Math.round(roundTripMs / DISTANCE_STEP_MS);
+}
+
 function isFree(channel: PolicyChannel, nowMs: number): boolean {
     return channel.busyUntilMs <= nowMs + MAX_BACKLOG_MS && nowMs - channel.lastSeenMs < ENTRY_INACTIVE_MS;
 }
