Malformed rows and replies stop no part of a process

Change: stored jobs and replies of owners are checked before they are used, refused ones are logged (1604, 1701), and a job without readable progress is left alone.

--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -103,6 +103,7 @@
                 storeRoundTripMs: () => this.configDirectory.storeRoundTripMs,
                 loopDelayMs: () => this.loopDelay.meanMs,
                 processors: environment.availableProcessors,
+                log,
                 mayOwn: () => this.mayOwn,
                 policyTimeoutMs: () => this.policyTimeoutMs()
             })
--- a/packages/fleet/src/entry/OwnerWatcher.ts
+++ b/packages/fleet/src/entry/OwnerWatcher.ts
@@ -1,5 +1,7 @@
 import type { Disposable } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventLog } from "@skylarkpath/common/log/EventLog";
 import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
 import { isFinal, type JobPhase } from "../model/JobSpec.js";
 import {
@@ -12,6 +14,7 @@
 } from "../ports/OwnerClient.js";
 import type { PlacementPolicy, PolicyQuestion } from "../ports/PlacementPolicy.js";
 import type { RowChange } from "../ports/RowStore.js";
+import { isWatchReply } from "./isWatchReply.js";
 import type { JobStateCache } from "./JobStateCache.js";
 
 /** Identity of this entry process, the measurements that it reports to the owner, and its policy timeout. */
@@ -20,6 +23,7 @@
     readonly storeRoundTripMs: () => number;
     readonly loopDelayMs: () => number;
     readonly processors: number;
+    readonly log: EventLog;
     readonly mayOwn: () => boolean;
     /** Timeout for one question to the placement policy. */
     readonly policyTimeoutMs: () => number;
@@ -190,8 +194,15 @@
             if (generation !== this.generation) {
                 return;
             }
-            this.respondingProcess = typeof reply === "string" ? undefined : reply.process;
-            if (typeof reply === "string" || !reply.owning) {
+            const isMalformed = typeof reply !== "string" && !isWatchReply(reply);
+            if (isMalformed) {
+                this.options.log.write(EVENTS.messageRefused, {
+                    address,
+                    reason: "the reply of the owner is malformed"
+                });
+            }
+            this.respondingProcess = typeof reply === "string" || isMalformed ? undefined : reply.process;
+            if (typeof reply === "string" || isMalformed || !reply.owning) {
                 this.mustFollowAll = true;
                 this.connectionRefused = reply === OwnerCallFailure.Refused;
                 this.confirmed = false;
--- a/packages/fleet/src/entry/RequestHandler.ts
+++ b/packages/fleet/src/entry/RequestHandler.ts
@@ -95,7 +95,7 @@
                 log.write(EVENTS.requestAccepted, { requestId: jobId, queue: queue.name, team: teamName });
                 return { kind: ReplyKind.Accepted };
             case IntakeOutcome.AlreadyStored:
-                return parseTeam(row?.value) === teamName
+                return row && this.parseRow<{ team?: string; }>(row)?.team === teamName
                     ? { kind: ReplyKind.Accepted }
                     : { kind: ReplyKind.Malformed, message: "the id belongs to a job of another team" };
             case IntakeOutcome.Unavailable:
@@ -214,16 +214,39 @@
         if (!ended) {
             return "unknown";
         }
-        const { phase } = JSON.parse(ended.value) as { phase: JobPhase; };
-        const { team, queue } = parseTeamAndQueue(ended.value);
+        const outcome = this.parseRow<{ phase: JobPhase; team: string; queue: string; }>(ended);
+        if (outcome?.phase === undefined) {
+            return undefined;
+        }
+        const { phase, team, queue } = outcome;
         states.record(jobId, phase, team, queue);
         return { phase, team, queue };
     }
 
+    /** Parses a row; an unreadable one is logged, and its job is answered like one that the store does not tell. */
+    private parseRow<T extends object>(row: StoredRow): T | undefined {
+        try {
+            const value = JSON.parse(row.value) as T | undefined;
+            if (typeof value === "object" && value) {
+                return value;
+            }
+        }
+        catch {
+            // Logged below, like a value of another type.
+        }
+        this.parts.log.write(EVENTS.rowUnreadable, { table: row.table, key: row.key });
+        return undefined;
+    }
+
     /** Returns the state of a job that is not final, and follows it; undefined when the store does not answer. */
-    private async readActiveState({ key, value }: StoredRow): Promise<Omit<CachedJob, "recordedAtMs"> | undefined> {
+    private async readActiveState(active: StoredRow): Promise<Omit<CachedJob, "recordedAtMs"> | undefined> {
         const { store, states } = this.parts;
-        const { team, queue } = parseTeamAndQueue(value);
+        const { key } = active;
+        const spec = this.parseRow<{ team?: string; queue?: string; }>(active);
+        if (!spec) {
+            return undefined;
+        }
+        const { team = "", queue = "" } = spec;
         const known = states.get(key);
         if (known) {
             return { team, queue, phase: known.phase };
@@ -240,7 +263,7 @@
             return undefined;
         }
         const [row] = progress.value.rows;
-        const isStarted = row !== undefined && (JSON.parse(row.value) as JobProgress).started;
+        const isStarted = row !== undefined && this.parseRow<JobProgress>(row)?.started === true;
         const phase = isStarted ? JobPhase.Running : JobPhase.Queued;
         states.record(key, phase, team, queue);
         return { team, queue, phase };
@@ -267,12 +290,3 @@
         ? { kind: ReplyKind.State, phase: known.phase }
         : { kind: ReplyKind.UnknownJob, message: "there is no such job" };
 }
-
-function parseTeamAndQueue(value: string): { readonly team: string; readonly queue: string; } {
-    const { team, queue } = JSON.parse(value) as { team?: string; queue?: string; };
-    return { team: team ?? "", queue: queue ?? "" };
-}
-
-function parseTeam(value: string | undefined): string | undefined {
-    return value === undefined ? undefined : parseTeamAndQueue(value).team;
-}
--- /dev/null
+++ b/packages/fleet/src/entry/isWatchReply.ts
@@ -0,0 +1,17 @@
+import type { WatchReply } from "../ports/OwnerClient.js";
+
+/** Returns whether a value has the form of an owner's reply, as far as an entry process relies on it. */
+export function isWatchReply(value: unknown): value is WatchReply {
+    const reply = value as Partial<WatchReply> | undefined;
+    if (typeof reply !== "object" || !reply || typeof reply.owning !== "boolean") {
+        return false;
+    }
+    return !reply.owning || (typeof reply.epoch === "number" && typeof reply.sequence === "number"
+        && typeof reply.confirmedAgeMs === "number" && typeof reply.waiting === "object" && Boolean(reply.waiting)
+        && isListOfObjects(reply.updates) && isListOfObjects(reply.questions)
+        && (reply.unknown === undefined || Array.isArray(reply.unknown)));
+}
+
+function isListOfObjects(value: unknown): boolean {
+    return Array.isArray(value) && value.every(element => typeof element === "object" && Boolean(element));
+}
--- a/packages/fleet/src/owner/IntakeReader.ts
+++ b/packages/fleet/src/owner/IntakeReader.ts
@@ -5,9 +5,9 @@
 import { readTable, type TableContent } from "../config/readTable.js";
 import type { TableFollower } from "../config/TableFollower.js";
 import type { JobProgress } from "../model/JobProgress.js";
-import type { JobSpec } from "../model/JobSpec.js";
+import { parseJobSpec } from "../model/parseJobSpec.js";
 import { FLEET_PARTITION, FleetTable, parseIntakeKey } from "../model/Tables.js";
-import type { RowChange, RowStore } from "../ports/RowStore.js";
+import type { RowChange, RowStore, StoredRow } from "../ports/RowStore.js";
 import type { FleetState } from "../state/FleetState.js";
 import { JobState } from "../state/JobState.js";
 import { TeamRateLimiter } from "./TeamRateLimiter.js";
@@ -22,6 +22,8 @@
     private readonly added = new Emitter<JobState>();
     private readonly cancelled = new Emitter<JobState>();
     private readonly rateLimiter = new TeamRateLimiter();
+    /** Jobs whose progress can't be read; their steps are not started again. */
+    private readonly unreadableJobs = new Set<string>();
     private loadedVersion: number | undefined;
     private stopped = false;
 
@@ -52,10 +54,7 @@
         }
         this.apply([...intake.rows].sort((left, right) => left.version - right.version), false);
         for (const row of progress.rows) {
-            const stored = parse<JobProgress>(row);
-            if (stored) {
-                this.fleet.jobs.get(row.key)?.restore(stored);
-            }
+            this.restoreProgress(row);
         }
         for (const job of this.fleet.jobs.values()) {
             if (job.cancelRequested) {
@@ -90,7 +89,7 @@
             if (cancel) {
                 cancels.push(jobId);
             }
-            else if (!this.fleet.jobs.has(jobId) && !this.fleet.endedJobs.has(jobId)) {
+            else if (!this.isKnown(jobId)) {
                 this.addJob(change, notify);
             }
         }
@@ -105,8 +104,12 @@
         }
     }
 
+    private isKnown(jobId: string): boolean {
+        return this.fleet.jobs.has(jobId) || this.fleet.endedJobs.has(jobId) || this.unreadableJobs.has(jobId);
+    }
+
     private addJob(change: RowChange, notify: boolean): void {
-        const spec = parse<JobSpec>(change);
+        const spec = parseJobSpec(change.value ?? "");
         if (!spec) {
             this.log.write(EVENTS.rowUnreadable, { table: change.table, key: change.key });
             return;
@@ -121,6 +124,18 @@
         }
     }
 
+    private restoreProgress(row: StoredRow): void {
+        try {
+            this.fleet.jobs.get(row.key)?.restore(JSON.parse(row.value) as JobProgress);
+        }
+        catch {
+            // The job is left alone: nothing tells which of its tasks have run.
+            this.fleet.jobs.delete(row.key);
+            this.unreadableJobs.add(row.key);
+            this.log.write(EVENTS.rowUnreadable, { table: row.table, key: row.key });
+        }
+    }
+
     /** Reads a table, with retries until the store answers; returns undefined when the reader was disposed. */
     private async readAll(table: FleetTable): Promise<TableContent | undefined> {
         while (!this.stopped) {
@@ -133,12 +148,3 @@
         return undefined;
     }
 }
-
-function parse<T>(row: RowChange): T | undefined {
-    try {
-        return JSON.parse(row.value ?? "") as T;
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -15,7 +15,7 @@
 import { MemoryFleet } from "@skylarkpath/standins/fleet/MemoryFleet";
 import { MemoryRowStore } from "@skylarkpath/standins/fleet/MemoryRowStore";
 import { TaskRules } from "@skylarkpath/standins/fleet/TaskRules";
-import { ok } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import { LaggingTimer } from "./LaggingTimer.js";
 import { ModelledProcessor } from "./ModelledProcessor.js";
 
@@ -72,6 +72,8 @@
     public readonly partitionedMachines = new Set<string>();
     /** Machines whose processes run on, while a cut refuses the connections of other processes to them. */
     public readonly refusingMachines = new Set<string>();
+    /** Replies to the next watch requests in place of those of the owner. */
+    public readonly malformedReplies: unknown[] = [];
     /** Number of states of jobs that owners have told entries so far. */
     public toldStateCount = 0;
     private jobCount = 0;
@@ -167,7 +169,7 @@
                     workerTable: "workers",
                     partition: "",
                     decodeConfig: text => ok(JSON.parse(text) as FleetConfig),
-                    decodeWorker: (...[, text]) => ok(JSON.parse(text) as WorkerEntry)
+                    decodeWorker: (...[, text]) => decodeWorkerEntry(text)
                 },
                 timing: {
                     maximumLeaseMs: 6000,
@@ -307,6 +309,9 @@
                 }
                 await target.processor.handleMessage();
                 const reply = await target.process.watch(request);
+                if (this.malformedReplies.length > 0) {
+                    return this.malformedReplies.shift() as typeof reply;
+                }
                 this.toldStateCount += reply.updates.length;
                 return target.alive ? JSON.parse(JSON.stringify(reply)) as typeof reply : OwnerCallFailure.Refused;
             },
@@ -347,6 +352,16 @@
     }
 }
 
+function decodeWorkerEntry(text: string): Result<WorkerEntry, string> {
+    try {
+        const entry = JSON.parse(text) as WorkerEntry | undefined;
+        return typeof entry?.id === "string" && entry.capacity ? ok(entry) : err("the entry is malformed");
+    }
+    catch (error) {
+        return err((error as Error).message);
+    }
+}
+
 /** Wraps a client so that the processor handles each reply before the caller gets it. */
 function chargeReplies<T extends object>(client: T, processor: ModelledProcessor): T {
     return new Proxy(client, {
