An unexpected error ends neither the following of a table nor the polls of a worker

Cause: an exception while changes or a report were applied ended the loop that had read them, for good: an owner no longer saw new jobs, an entry kept an old configuration, a worker was not polled again and its leases ran out. Both tests fail before it.

--- a/packages/fleet/src/config/ConfigDirectory.ts
+++ b/packages/fleet/src/config/ConfigDirectory.ts
@@ -1,3 +1,4 @@
+import { describeError } from "@skylarkpath/common/base/describeError";
 import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
@@ -27,7 +28,13 @@
         const { partition, configTable } = schema;
         this.changed = this.disposables.add(new Emitter<FleetConfig>());
         this.follower = this.disposables.add(
-            new TableFollower(store, timer, { table: configTable, partition, waitMs: LONG_POLL_MS, minIntervalMs: 0 })
+            new TableFollower(store, timer, {
+                table: configTable,
+                partition,
+                waitMs: LONG_POLL_MS,
+                minIntervalMs: 0,
+                onError: error => log.write(EVENTS.processFailed, { reason: describeError(error) })
+            })
         );
         this.disposables.add(this.follower.onChange(changes => this.apply(changes)));
     }
--- a/packages/fleet/src/config/TableFollower.test.ts
+++ b/packages/fleet/src/config/TableFollower.test.ts
@@ -4,7 +4,7 @@
 import { type RowChange, type RowStore, type StoreFailure, StoreFailureKind } from "../ports/RowStore.js";
 import { TableFollower } from "./TableFollower.js";
 
-const OPTIONS = { table: "t", partition: "p", waitMs: 100, minIntervalMs: 50 };
+const OPTIONS = { table: "t", partition: "p", waitMs: 100, minIntervalMs: 50, onError: () => undefined };
 
 function row(key: string, version: number): Required<RowChange> {
     return { table: "t", partition: "p", key, value: key, version };
@@ -115,3 +115,23 @@
     t.true(follower.ageMs < 200);
     follower.dispose();
 });
+
+test("changes that could not be applied are read again, and later ones still arrive", async t => {
+    const { timer, store, follower, received } = startFollower();
+    let throwsLeft = 1;
+    follower.onChange(() => {
+        if (throwsLeft-- > 0) {
+            throw new Error("the change can't be applied");
+        }
+    });
+    store.rows = [row("a", 1)];
+    store.version = 1;
+    follower.start();
+    await timer.advance(1000);
+    store.rows.push(row("b", 2));
+    store.version = 2;
+    await timer.advance(1000);
+    t.true(received.some(text => text.includes("a")) && received.some(text => text.includes("b")));
+    t.true(follower.ageMs < 500);
+    follower.dispose();
+});
--- a/packages/fleet/src/config/TableFollower.ts
+++ b/packages/fleet/src/config/TableFollower.ts
@@ -13,6 +13,8 @@
     readonly waitMs: number;
     /** Minimum time between the starts of two calls. */
     readonly minIntervalMs: number;
+    /** Called when changes could not be applied; the table is read in full again. */
+    readonly onError: (error: unknown) => void;
 }
 
 /** Changed rows or, if `whole` is set, all rows of the partition, which replace the earlier ones. */
@@ -83,9 +85,7 @@
         while (!this.stopped) {
             const startedMs = this.timer.nowMs();
             const isReread = this.rereadAtMs !== undefined && startedMs >= this.rereadAtMs;
-            const answered = this.version === undefined || isReread
-                ? await this.readSnapshot(isReread)
-                : await this.readChanges(this.version);
+            const answered = await this.readNext(isReread);
             if (this.stopped) {
                 return;
             }
@@ -103,6 +103,19 @@
         }
     }
 
+    private async readNext(isReread: boolean): Promise<boolean> {
+        try {
+            return this.version === undefined || isReread
+                ? await this.readSnapshot(isReread)
+                : await this.readChanges(this.version);
+        }
+        catch (error) {
+            this.version = undefined;
+            this.options.onError(error);
+            return false;
+        }
+    }
+
     private async readSnapshot(isReread: boolean): Promise<boolean> {
         const { table, partition } = this.options;
         const sentAt = this.freshness.readClocks();
--- a/packages/fleet/src/config/WorkerDirectory.ts
+++ b/packages/fleet/src/config/WorkerDirectory.ts
@@ -1,3 +1,4 @@
+import { describeError } from "@skylarkpath/common/base/describeError";
 import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
@@ -32,7 +33,8 @@
                 table: workerTable,
                 partition,
                 waitMs: LONG_POLL_MS,
-                minIntervalMs: MIN_POLL_INTERVAL_MS
+                minIntervalMs: MIN_POLL_INTERVAL_MS,
+                onError: error => log.write(EVENTS.processFailed, { reason: describeError(error) })
             })
         );
         this.disposables.add(this.follower.onChange(changes => this.apply(changes)));
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -1,3 +1,4 @@
+import { describeError } from "@skylarkpath/common/base/describeError";
 import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
@@ -164,7 +165,8 @@
                 table: FleetTable.Intake,
                 partition: FLEET_PARTITION,
                 waitMs: INTAKE_POLL_WAIT_MS,
-                minIntervalMs: MIN_INTAKE_POLL_INTERVAL_MS
+                minIntervalMs: MIN_INTAKE_POLL_INTERVAL_MS,
+                onError: error => log.write(EVENTS.processFailed, { reason: describeError(error) })
             })
         );
         const firstRun = (fencedStore.epoch - 1) * RUNS_PER_EPOCH + 1;
--- a/packages/fleet/src/owner/WorkerRegistry.test.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.test.ts
@@ -17,6 +17,8 @@
     readonly replies: ((reply: OrderReply) => void)[];
     /** Workers that do not reply to polls. */
     readonly unresponsive: Set<string>;
+    /** Workers whose next poll throws an error. */
+    readonly throwing: Set<string>;
 }
 
 function setUp(t: ExecutionContext): Fixture {
@@ -24,9 +26,13 @@
     const fleet = createFleet();
     const replies: ((reply: OrderReply) => void)[] = [];
     const unresponsive = new Set<string>();
+    const throwing = new Set<string>();
     const accepted: OrderReply = { outcome: OrderOutcome.Accepted };
     const workerClient: WorkerClient = {
         poll: async (worker, { waitMs }, timeoutMs) => {
+            if (throwing.delete(worker.id)) {
+                throw new Error("unexpected");
+            }
             const isUnresponsive = unresponsive.has(worker.id);
             await new Promise<void>(resolve => timer.after(isUnresponsive ? timeoutMs : waitMs + 1, resolve));
             return isUnresponsive
@@ -48,7 +54,7 @@
         { staleOwner: () => t.fail(), maySendOrders: () => true, awaitCommit: () => undefined },
         SILENT_LOG
     );
-    return { timer, fleet, registry, replies, unresponsive };
+    return { timer, fleet, registry, replies, unresponsive, throwing };
 }
 
 test("start orders in flight when a worker restarts are resolved if they get no reply", async t => {
@@ -166,3 +172,13 @@
     t.true(worker.canStart(timer.nowMs()));
     registry.dispose();
 });
+
+test("a worker whose report led to an unexpected error is polled again", async t => {
+    const { timer, fleet, registry, throwing } = setUp(t);
+    throwing.add("w1");
+    registry.start([PLAIN_WORKER], [], 0);
+    await timer.advance(1000);
+    t.is(throwing.size, 0);
+    t.true(fleet.workers.get("w1")!.fenced);
+    registry.dispose();
+});
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -1,3 +1,4 @@
+import { describeError } from "@skylarkpath/common/base/describeError";
 import type { Disposable } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
@@ -227,7 +228,9 @@
                 staleOwner: () => this.events.staleOwner(),
                 needsFrequentPolls: worker => this.fillerThrottle.needsFrequentPolls(worker),
                 maySendOrders: () => this.events.maySendOrders(),
-                awaitCommit: waiter => this.events.awaitCommit(waiter)
+                awaitCommit: waiter => this.events.awaitCommit(waiter),
+                pollFailed: error =>
+                    this.log.write(EVENTS.processFailed, { worker: entry.id, reason: describeError(error) })
             }
         );
         this.sessions.set(entry.id, session);
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -29,6 +29,8 @@
     readonly needsFrequentPolls: (worker: WorkerState) => boolean;
     /** Requests a commit of what was reported so far. */
     readonly awaitCommit: (waiter: CommitWaiter) => void;
+    /** A report could not be applied; the worker is polled again. */
+    readonly pollFailed: (error: unknown) => void;
 }
 
 /** Why nothing runs any more on an incarnation of a worker. */
@@ -242,6 +244,17 @@
         }
     }
 
+    /** Polls the worker and applies its report; returns false when that failed. */
+    private async poll(waitMs: number): Promise<boolean> {
+        try {
+            return await this.pollAndApply(waitMs);
+        }
+        catch (error) {
+            this.events.pollFailed(error);
+            return false;
+        }
+    }
+
     private async pollWhileUncertain(): Promise<void> {
         while (!this.disposed && [...this.state.runs.values()].some(run => run.phase === RunPhase.Uncertain)) {
             if (!(await this.poll(0))) {
@@ -251,7 +264,7 @@
         this.resolving = false;
     }
 
-    private async poll(waitMs: number): Promise<boolean> {
+    private async pollAndApply(waitMs: number): Promise<boolean> {
         const token = this.token;
         const sentAtMs = this.timer.nowMs();
         // An unreachable worker gets no new leases, so that everything that may run there ends after a bounded time.
--- a/packages/skylarkd/src/fleet/FleetServer.ts
+++ b/packages/skylarkd/src/fleet/FleetServer.ts
@@ -2,6 +2,7 @@
 import { HttpOwnerClient, mountOwnerService } from "@skylarkpath/adapters/HttpOwnerClient";
 import { SystemTimer } from "@skylarkpath/adapters/SystemTimer";
 import { timeFixedWork } from "@skylarkpath/adapters/timeFixedWork";
+import { describeError } from "@skylarkpath/common/base/describeError";
 import { DisposableStore } from "@skylarkpath/common/base/Disposable";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import type { EventLog } from "@skylarkpath/common/log/EventLog";
@@ -120,7 +121,7 @@
     }
 
     private logFailure(error: unknown): void {
-        this.log.write(EVENTS.processFailed, { reason: error instanceof Error ? error.stack : String(error) });
+        this.log.write(EVENTS.processFailed, { reason: describeError(error) });
     }
 }
 
