Stand-in of workers: an acknowledgement after the lease has lapsed does not count

Trace: the third failed run ended at 15.9 s on a worker that had been cut off, the owner waited for its leases until 22.8 s and started the task elsewhere, and noted the third end at 27.1 s, once the worker was back. The platform's rules allow it: an end is taken note of when ackCursor reaches it, unless the executor's lease lapsed between the two. The stand-in left that out; the rule and its bound stay.

--- a/packages/standins/src/fleet/MemoryFleetWorker.ts
+++ b/packages/standins/src/fleet/MemoryFleetWorker.ts
@@ -38,13 +38,18 @@
     public failsAllTasks = false;
     /** Runs make no progress; leases still end. */
     public stalled = false;
-    /** Called once for each end that the owner has acknowledged. */
+    /**
+     * Called once for each end that the owner has acknowledged. By the platform's rules an acknowledgement does not
+     * count when the lease has lapsed since the end: the owner may have started the task elsewhere by then.
+     */
     public onEndAcknowledged: (end: ReportedEnd) => void = () => undefined;
     private readonly unacknowledgedEnds: ReportedEnd[] = [];
     /** Run of each task that ended here or was stopped before it started; starts up to it are refused. */
     private readonly lastEndedRuns = new Map<string, number>();
     private highestToken = 0;
     private nextEndNumber = 1;
+    /** Ends up to this number were listed when the lease lapsed. */
+    private lapsedEnd = 0;
     private leaseEndMs = 0;
     private readonly startedAtMs: number;
     private dead = false;
@@ -82,7 +87,10 @@
         }
         this.highestToken = request.token;
         while (this.unacknowledgedEnds[0] && this.unacknowledgedEnds[0].number <= request.acknowledgedEnd) {
-            this.onEndAcknowledged(this.unacknowledgedEnds.shift()!);
+            const end = this.unacknowledgedEnds.shift()!;
+            if (end.number > this.lapsedEnd) {
+                this.onEndAcknowledged(end);
+            }
         }
         this.extendLease(request.leaseEndMs);
         return ok(this.report());
@@ -187,6 +195,9 @@
     }
 
     private tick(): void {
+        if (this.clockMs > this.leaseEndMs) {
+            this.lapsedEnd = this.nextEndNumber - 1;
+        }
         for (const run of [...this.running.values()]) {
             if (this.clockMs > this.leaseEndMs) {
                 this.end(run.task, RunEnd.LeaseExpired);
