--- a/packages/fleet/src/entry/OwnerWatcher.ts
+++ b/packages/fleet/src/entry/OwnerWatcher.ts
@@ -168,6 +168,7 @@
         this.becameUnhealthy.dispose();
     }
 
+    /** Whether the owner replies in time; one that is only overloaded may be alive and not answering. */
     private get answering(): boolean {
         return this.timer.nowMs() - this.lastReplyAtMs < MAX_FRESH_AGE_MS;
     }
@@ -194,24 +195,30 @@
             if (generation !== this.generation) {
                 return;
             }
-            const isMalformed = typeof reply !== "string" && !isWatchReply(reply);
-            if (isMalformed) {
-                this.options.log.write(EVENTS.messageRefused, {
-                    address,
-                    reason: "the reply of the owner is malformed"
-                });
-            }
-            this.respondingProcess = typeof reply === "string" || isMalformed ? undefined : reply.process;
-            if (typeof reply === "string" || isMalformed || !reply.owning) {
-                this.mustFollowAll = true;
-                this.connectionRefused = reply === OwnerCallFailure.Refused;
-                this.confirmed = false;
-                this.becameUnhealthy.fire();
-                await sleep(this.timer, RETRY_DELAY_MS);
+            const usable = this.checkReply(reply, address);
+            this.respondingProcess = usable?.process;
+            if (usable?.owning) {
+                this.apply(usable);
                 continue;
             }
-            this.apply(reply);
+            this.mustFollowAll = true;
+            this.connectionRefused = reply === OwnerCallFailure.Refused;
+            this.confirmed = false;
+            this.becameUnhealthy.fire();
+            await sleep(this.timer, RETRY_DELAY_MS);
+        }
+    }
+
+    /** Returns a well-formed reply; undefined when there was none. */
+    private checkReply(reply: WatchReply | OwnerCallFailure, address: string): WatchReply | undefined {
+        if (typeof reply === "string") {
+            return undefined;
+        }
+        if (isWatchReply(reply)) {
+            return reply;
         }
+        this.options.log.write(EVENTS.messageRefused, { address, reason: "the reply of the owner is malformed" });
+        return undefined;
     }
 
     private apply(reply: WatchReply): void {
