Long questions are not split while most entries are asking

Change: nothing is split while fewer than six of ten entries are free. The test plays twelve gangs at once.

--- a/packages/fleet/src/owner/PermitRequester.test.ts
+++ b/packages/fleet/src/owner/PermitRequester.test.ts
@@ -85,6 +85,22 @@
     t.is(other!.permits.byWorker.size, 80);
 });
 
+test("long questions are not split while most entries are asking: they leave the others to more steps", t => {
+    const { fleet, timer, requester } = setUp(80);
+    const policy = { decideMs: 300, perWorkerMs: 5, permitMs: 1500 };
+    fleet.config = { ...PLAIN_CONFIG, queues: [{ ...PLAIN_CONFIG.queues[0]!, policy }] };
+    const entries = ["e1", ...Array.from({ length: 19 }, (...[, number]) => `f${number}`)];
+    entries.forEach(entry => requester.recordEntry(entry));
+    const gangs = [...Array(12).keys()].flatMap(number => [
+        ...addJob(fleet, [{ taskCount: 8, gang: true }], number.toString(16).padStart(16, "a")).readySteps()
+    ]);
+    requester.request(gangs, timer.nowMs());
+    const sizes = entries.flatMap(entry => requester.takeQuestions(entry).map(question => question.workerIds.length));
+    const whole = sizes.filter(size => size === 80).length;
+    t.true(whole >= 5, `${whole} whole questions of ${sizes.length}`);
+    t.true(sizes.some(size => size < 80));
+});
+
 test("one channel is reserved for short questions, so that they never wait behind longer ones", t => {
     const { fleet, timer, requester } = setUp(30);
     ["e2", "e3", "e4"].forEach(entry => requester.recordEntry(entry));
--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -23,6 +23,8 @@
 /** A question that takes longer than this is split into parts, which several entries ask at the same time. */
 const SPLIT_COST_MS = 250;
 const MIN_WORKERS_PER_PART = 20;
+/** Nothing is split while fewer channels than this are free: the parts together take more of them than the whole. */
+const MIN_FREE_SHARE_TO_SPLIT = 0.6;
 /** One step takes at most this share of the free channels. */
 const MAX_SPLIT_CHANNEL_SHARE = 0.2;
 /** Age that an answer may have on arrival: one-way latency between regions, and the batching of messages. */
@@ -215,11 +217,12 @@
     }
 
     private countParts(policy: PolicyTiming, workerCount: number, nowMs: number): number {
-        if (costOf(policy, workerCount) <= SPLIT_COST_MS) {
+        const { free, active } = this.channels.count(nowMs);
+        if (costOf(policy, workerCount) <= SPLIT_COST_MS || free < active * MIN_FREE_SHARE_TO_SPLIT) {
             return 1;
         }
-        const freeShare = Math.floor(this.channels.countFree(nowMs) * MAX_SPLIT_CHANNEL_SHARE);
-        return Math.max(1, Math.min(Math.ceil(workerCount / MIN_WORKERS_PER_PART), freeShare));
+        const maximum = Math.floor(free * MAX_SPLIT_CHANNEL_SHARE);
+        return Math.max(1, Math.min(Math.ceil(workerCount / MIN_WORKERS_PER_PART), maximum));
     }
 
     private dropOpenQuestions({ permits }: StepState): void {
--- a/packages/fleet/src/owner/PolicyChannels.ts
+++ b/packages/fleet/src/owner/PolicyChannels.ts
@@ -104,9 +104,10 @@
         return false;
     }
 
-    /** Number of entries that may be given a question now. */
-    public countFree(nowMs: number): number {
-        return [...this.channels.values()].filter(channel => isFree(channel, nowMs)).length;
+    /** Number of active entries, and of those among them that may be given a question now. */
+    public count(nowMs: number): { readonly active: number; readonly free: number; } {
+        const active = [...this.channels.values()].filter(channel => nowMs - channel.lastSeenMs < ENTRY_INACTIVE_MS);
+        return { active: active.length, free: active.filter(channel => isFree(channel, nowMs)).length };
     }
 
     /** Returns the free channel with the earliest expected answer to a question of this duration. */
