A job accepted around a takeover is not started by both owners

Change: unless the former owner is known to have stopped, such jobs wait until every worker that may still answer is fenced.

--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -247,6 +247,7 @@
             {
                 version: previousRow ? version : 0,
                 workers: previousRow?.workers,
+                previousStopped: isPreviousStopped,
                 unknownLeaseMs: previousRow ? timing.maximumLeaseMs + staleOwnerMs : 0
             }
         );
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -51,6 +51,8 @@
     readonly version: number;
     /** Workers in the row of the previous owner; undefined when it has written them to rows of their own. */
     readonly workers: readonly KnownWorker[] | undefined;
+    /** The previous owner sends no more orders. */
+    readonly previousStopped: boolean;
     /** Longest time for which leases of the previous owner may keep tasks running that this owner does not know of. */
     readonly unknownLeaseMs: number;
 }
@@ -376,7 +378,11 @@
             }
         }
         const { registry, takeover } = this;
-        this.dispatcher.planAndDispatch(step => step.job.acceptedVersion > takeover.version || registry.mayStart(step));
+        // A previous owner that does not know of the takeover yet may start new jobs on workers that are not fenced.
+        const mayStartNew = takeover.previousStopped || !registry.awaitsFencing;
+        this.dispatcher.planAndDispatch(step =>
+            (mayStartNew && step.job.acceptedVersion > takeover.version) || registry.mayStart(step)
+        );
     }
 
     private reportLost(reason: string): void {
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -77,6 +77,11 @@
         return true;
     }
 
+    /** Whether a worker that has not failed to answer is not fenced yet, so that it still accepts orders of others. */
+    public get awaitsFencing(): boolean {
+        return [...this.sessions.values()].some(({ state }) => !state.fenced && state.reachable);
+    }
+
     /** Workers that may run tasks. On those whose tasks are listed nothing is started from now on. */
     public list(): readonly KnownWorker[] {
         return [...this.sessions.values()].map(({ entry, state }) => {
--- a/packages/proof/src/fleet/FleetCuts.test.ts
+++ b/packages/proof/src/fleet/FleetCuts.test.ts
@@ -137,3 +137,28 @@
     t.is((await deployment.timer.advanceUntil(deployment.state(other!, job))).phase, JobPhase.Completed);
     t.is(deployment.store.reads, reads);
 });
+
+test("a job that is accepted around a takeover, and reported to the former owner only, starts once", async t => {
+    const deployment = await startDeployment(32);
+    const first = deployment.ownerMachine;
+    const [next, entry] = [...deployment.processes.keys()].filter(machine => machine !== first);
+    // The store does not serve the owner, and of the others only one may follow it.
+    deployment.store.faults.refusedMachines.add(first);
+    const { epoch } = deployment.ownerRow!;
+    for (const { entry: worker } of deployment.fleet.workers.values()) {
+        [next, entry].forEach(machine => deployment.fleet.faults.cutLinks.add(`${machine} ${worker.id}`));
+    }
+    const spare = deployment.fleet.workers.get("w3")!.entry.id;
+    [next, entry].forEach(machine => deployment.fleet.faults.cutLinks.delete(`${machine} ${spare}`));
+    while (deployment.ownerRow!.epoch === epoch) {
+        await deployment.timer.advance(1);
+    }
+    const successor = deployment.ownerMachine;
+    const other = successor === next ? entry! : next!;
+    const jobs = Array.from({ length: 12 }, () => deployment.createJob([{ taskCount: 1, estimateMs: 5000 }]));
+    jobs.forEach(job => void deployment.submit(other, job));
+    await deployment.timer.advance(300);
+    deployment.fleet.faults.cutLinks.clear();
+    await deployment.timer.advance(8000);
+    t.deepEqual(deployment.rules.allViolations(), []);
+});
