The owner's status tells how questions to the placement policy fare, and what is free

New fields of fleet-status: waitingByQueue, freeProcessors, startsInFlight, answers with mean and longest time, lateAnswers, questionsOpen, channels, channelsFree. No decision changes.

--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -93,6 +93,7 @@
     private readonly permitRequester: PermitRequester;
     private readonly watchers: EntryWatchers;
     private readonly dispatcher: Dispatcher;
+    private readonly window: StartWindow;
     private readonly intake: IntakeReader;
     private readonly workers: WorkerDirectory;
     private readonly ownershipLost = new Emitter<string>();
@@ -152,13 +153,13 @@
                 dependencies.loopDelayMs
             )
         );
-        const window = new StartWindow(timer, dependencies.loopDelayMs);
+        this.window = new StartWindow(timer, dependencies.loopDelayMs);
         this.dispatcher = new Dispatcher(
             this.fleet,
             this.registry,
             this.runs,
             this.permitRequester,
-            window,
+            this.window,
             timer,
             log
         );
@@ -324,6 +325,8 @@
                 this.registry,
                 this.fencedStore,
                 this.dispatcher,
+                this.permitRequester,
+                this.window,
                 this.planningDurations,
                 this.dependencies.loopDelayMs,
                 timer,
--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -8,6 +8,7 @@
 import type { StepState } from "../state/StepState.js";
 import type { WorkerState } from "../state/WorkerState.js";
 import { CapacityBudget } from "./CapacityBudget.js";
+import { DurationMeter, type Durations } from "./DurationMeter.js";
 import { ANSWER_TIMEOUT_MS, MAX_BACKLOG_MS, type OwnEntry, PolicyChannels } from "./PolicyChannels.js";
 
 /** A question without an answer so far. */
@@ -16,6 +17,18 @@
     readonly workers: readonly WorkerState[];
     /** Latest time at which the answer is expected; the validity of permits starts no later, if its age is not told. */
     readonly answerDueMs: number;
+    readonly askedAtMs: number;
+}
+
+/** Questions to the policy since the previous reading, and those that are open. */
+export interface QuestionStatistics {
+    /** Time from a question to its answer. */
+    readonly answers: Durations;
+    /** Answers that came after their question had been asked again or its job had ended. */
+    readonly lateAnswers: number;
+    readonly open: number;
+    readonly activeChannels: number;
+    readonly freeChannels: number;
 }
 
 /** Maximum number of workers in one question. */
@@ -45,6 +58,8 @@
     private readonly pendingQuestions = new Map<number, PendingQuestion>();
     private nextQuestionNumber = 1;
     private readonly questionAdded = new Emitter<string>();
+    private readonly answerTimes = new DurationMeter();
+    private lateAnswers = 0;
 
     /** A question waits for the entry with this name. */
     public readonly onQuestion = this.questionAdded.event;
@@ -97,9 +112,11 @@
         this.channels.recordAnswer(entry, reply.question, nowMs);
         const pending = this.pendingQuestions.get(reply.question);
         if (!pending) {
+            this.lateAnswers++;
             return;
         }
         this.pendingQuestions.delete(reply.question);
+        this.answerTimes.record(nowMs - pending.askedAtMs);
         const { step, workers, answerDueMs } = pending;
         const answeredAtMs = reply.ageMs === undefined ? Math.min(nowMs, answerDueMs) : nowMs - reply.ageMs;
         step.permits.openQuestions.delete(reply.question);
@@ -123,6 +140,20 @@
         }
     }
 
+    /** Returns the statistics of the questions and resets them. */
+    public readStatistics(): QuestionStatistics {
+        const { active, free } = this.channels.count(this.timer.nowMs());
+        const { lateAnswers } = this;
+        this.lateAnswers = 0;
+        return {
+            answers: this.answerTimes.read(),
+            lateAnswers,
+            open: this.pendingQuestions.size,
+            activeChannels: active,
+            freeChannels: free
+        };
+    }
+
     /** Drops the pending questions about a job that has ended. */
     public dropQuestions(job: JobState): void {
         for (const step of job.openSteps()) {
@@ -211,7 +242,12 @@
             step.permits.openQuestions.add(number);
             const question = { number, step: step.name, workerIds: partWorkers.map(worker => worker.id) };
             const dueMs = this.channels.ask(channel, question, costMs, nowMs);
-            this.pendingQuestions.set(number, { step, workers: partWorkers, answerDueMs: dueMs + MAX_BACKLOG_MS });
+            this.pendingQuestions.set(number, {
+                step,
+                workers: partWorkers,
+                answerDueMs: dueMs + MAX_BACKLOG_MS,
+                askedAtMs: nowMs
+            });
             this.questionAdded.fire(channel.entry);
         }
     }
--- a/packages/fleet/src/owner/StartWindow.ts
+++ b/packages/fleet/src/owner/StartWindow.ts
@@ -27,6 +27,11 @@
         return this.inFlight < this.limit;
     }
 
+    /** Start orders without a reply so far. */
+    public get inFlightCount(): number {
+        return this.inFlight;
+    }
+
     /** Adapts the limit to the event-loop delay. */
     public adjust(): void {
         const nowMs = this.timer.nowMs();
--- a/packages/fleet/src/owner/StatusReporter.ts
+++ b/packages/fleet/src/owner/StatusReporter.ts
@@ -5,9 +5,12 @@
 import { JobPhase } from "../model/JobSpec.js";
 import { orderSteps } from "../placement/StepOrder.js";
 import type { FleetState } from "../state/FleetState.js";
+import type { WorkerState } from "../state/WorkerState.js";
 import type { Dispatcher } from "./Dispatcher.js";
 import type { DurationMeter } from "./DurationMeter.js";
 import type { FencedStore } from "./FencedStore.js";
+import type { PermitRequester } from "./PermitRequester.js";
+import type { StartWindow } from "./StartWindow.js";
 import type { WorkerRegistry } from "./WorkerRegistry.js";
 
 const REPORT_INTERVAL_MS = 2000;
@@ -21,6 +24,8 @@
         private readonly registry: WorkerRegistry,
         private readonly fencedStore: FencedStore,
         private readonly dispatcher: Dispatcher,
+        private readonly permitRequester: PermitRequester,
+        private readonly window: StartWindow,
         private readonly planningDurations: DurationMeter,
         private readonly loopDelayMs: () => number,
         private readonly timer: TimerService,
@@ -36,18 +41,22 @@
     private report(): void {
         const nowMs = this.timer.nowMs();
         const reasons: Record<string, number> = {};
+        const reasonsByQueue: Record<string, number> = {};
         let longest: { readonly step: string; readonly waitMs: number; readonly reason: string; } | undefined;
         for (const ranked of orderSteps(this.fleet, nowMs)) {
             const { step } = ranked;
             const reason = this.dispatcher.explain(ranked);
             const waitMs = Math.round(nowMs - (step.readyAtMs ?? nowMs));
             reasons[reason] = (reasons[reason] ?? 0) + 1;
+            const queueReason = `${ranked.queue.name}/${reason}`;
+            reasonsByQueue[queueReason] = (reasonsByQueue[queueReason] ?? 0) + 1;
             if (waitMs > (longest?.waitMs ?? -1)) {
                 longest = { step: step.name, waitMs, reason };
             }
         }
         const workers = [...this.fleet.workers.values()];
         const planning = this.planningDurations.read();
+        const questions = this.permitRequester.readStatistics();
         const fields: EventFields = {
             epoch: this.fencedStore.epoch,
             confirmedAgeMs: Math.round(this.fencedStore.confirmedAgeMs),
@@ -58,7 +67,17 @@
             runs: workers.reduce((sum, worker) => sum + worker.runs.size, 0),
             workers: workers.length,
             workersUsable: workers.filter(worker => worker.canStart(nowMs)).length,
-            waiting: Object.entries(reasons).map(([reason, count]) => `${reason}:${count}`).join(" "),
+            waiting: formatCounts(reasons),
+            waitingByQueue: formatCounts(reasonsByQueue),
+            freeProcessors: Math.round(workers.reduce((sum, worker) => sum + freeProcessors(worker, nowMs), 0)),
+            startsInFlight: this.window.inFlightCount,
+            answers: questions.answers.count,
+            answerMeanMs: Math.round(questions.answers.meanMs),
+            answerLongestMs: Math.round(questions.answers.maxMs),
+            lateAnswers: questions.lateAnswers,
+            questionsOpen: questions.open,
+            channels: questions.activeChannels,
+            channelsFree: questions.freeChannels,
             decisions: planning.count,
             decisionMeanMs: Number(planning.meanMs.toFixed(2)),
             decisionLongestMs: Number(planning.maxMs.toFixed(1)),
@@ -69,3 +88,12 @@
         this.log.write(EVENTS.fleetStatus, fields);
     }
 }
+
+function formatCounts(counts: Readonly<Record<string, number>>): string {
+    return Object.entries(counts).map(([name, count]) => `${name}:${count}`).join(" ");
+}
+
+/** Processors that new tasks can use on a worker. */
+function freeProcessors(worker: WorkerState, nowMs: number): number {
+    return worker.canStart(nowMs) ? Math.max(0, worker.entry.capacity.cpuMilli - worker.used.cpuMilli) / 1000 : 0;
+}
