The owner's status tells how long entries wait for the policy, and which questions it did not answer

Not told: whether the policy or the way takes the time. Entries now tell how long they waited for the policy (an optional field of a report).

--- a/packages/fleet/src/entry/OwnerWatcher.ts
+++ b/packages/fleet/src/entry/OwnerWatcher.ts
@@ -308,8 +308,14 @@
     }
 
     private async askPolicy(epoch: number, question: PolicyQuestion): Promise<void> {
+        const askedAtMs = this.timer.nowMs();
         const answer = await this.policy?.ask(question, this.options.policyTimeoutMs());
-        const reply = { question: question.number, permits: answer?.permits, permitMs: answer?.permitMs };
+        const reply = {
+            question: question.number,
+            permits: answer?.permits,
+            permitMs: answer?.permitMs,
+            waitedMs: Math.round(this.timer.nowMs() - askedAtMs)
+        };
         this.pendingReplies.push({ epoch, reply, answeredAtMs: this.timer.nowMs() });
         this.scheduleReport();
     }
--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -26,6 +26,10 @@
     readonly answers: Durations;
     /** Answers that came after their question had been asked again or its job had ended. */
     readonly lateAnswers: number;
+    /** Questions that the policy did not answer. */
+    readonly failedQuestions: number;
+    /** Part of the time to the answer for which entries waited for the policy. */
+    readonly policyTimes: Durations;
     readonly open: number;
     readonly activeChannels: number;
     readonly freeChannels: number;
@@ -59,7 +63,9 @@
     private nextQuestionNumber = 1;
     private readonly questionAdded = new Emitter<string>();
     private readonly answerTimes = new DurationMeter();
+    private readonly policyTimes = new DurationMeter();
     private lateAnswers = 0;
+    private failedQuestions = 0;
 
     /** A question waits for the entry with this name. */
     public readonly onQuestion = this.questionAdded.event;
@@ -110,6 +116,8 @@
     public handleReply(entry: string, reply: PolicyReply): void {
         const nowMs = this.timer.nowMs();
         this.channels.recordAnswer(entry, reply.question, nowMs);
+        this.policyTimes.record(reply.waitedMs ?? 0);
+        this.failedQuestions += reply.permits ? 0 : 1;
         const pending = this.pendingQuestions.get(reply.question);
         if (!pending) {
             this.lateAnswers++;
@@ -143,11 +151,14 @@
     /** Returns the statistics of the questions and resets them. */
     public readStatistics(): QuestionStatistics {
         const { active, free } = this.channels.count(this.timer.nowMs());
-        const { lateAnswers } = this;
+        const { lateAnswers, failedQuestions } = this;
         this.lateAnswers = 0;
+        this.failedQuestions = 0;
         return {
             answers: this.answerTimes.read(),
             lateAnswers,
+            failedQuestions,
+            policyTimes: this.policyTimes.read(),
             open: this.pendingQuestions.size,
             activeChannels: active,
             freeChannels: free
--- a/packages/fleet/src/ports/OwnerClient.ts
+++ b/packages/fleet/src/ports/OwnerClient.ts
@@ -76,6 +76,8 @@
     readonly permitMs?: number;
     /** Time since the answer arrived at the entry process; undefined in messages of version 0.1.0. */
     readonly ageMs?: number;
+    /** Time that the entry process has waited for the policy. */
+    readonly waitedMs?: number;
 }
 
 /** Message of an entry process to the owner, with everything since its last report. */
