Late answers of the placement policy are used, and are waited for as long as an entry's answers are late

Cause: an owner gave a question up at a fixed time (1.2 s for a short one), asked again and threw the answer away when it came. Once answers took longer than that, after a takeover in which hundreds of steps ask at once, most of the policy's work was for nothing and the backlog never went: a livelock. Change: an answer holds for its own workers whenever it comes, with its age; the later permit wins. A question is asked again when its entry is gone or the answer is twice as late as the entry's answers have been (1 s to 3 s). Questions older than 10 s are forgotten.

--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -9,10 +9,11 @@
 import type { WorkerState } from "../state/WorkerState.js";
 import { CapacityBudget } from "./CapacityBudget.js";
 import { DurationMeter, type Durations } from "./DurationMeter.js";
-import { ANSWER_TIMEOUT_MS, MAX_BACKLOG_MS, type OwnEntry, PolicyChannels } from "./PolicyChannels.js";
+import { MAX_BACKLOG_MS, type OwnEntry, PolicyChannels } from "./PolicyChannels.js";
 
 /** A question without an answer so far. */
 interface PendingQuestion {
+    readonly entry: string;
     readonly step: StepState;
     readonly workers: readonly WorkerState[];
     /** Latest time at which the answer is expected; the validity of permits starts no later, if its age is not told. */
@@ -24,7 +25,7 @@
 export interface QuestionStatistics {
     /** Time from a question to its answer. */
     readonly answers: Durations;
-    /** Answers that came after their question had been asked again or its job had ended. */
+    /** Answers that were no longer of use, since their job had ended or their permits had expired. */
     readonly lateAnswers: number;
     /** Questions that the policy did not answer. */
     readonly failedQuestions: number;
@@ -44,6 +45,8 @@
 const MIN_FREE_SHARE_TO_SPLIT = 0.6;
 /** One step takes at most this share of the free channels. */
 const MAX_SPLIT_CHANNEL_SHARE = 0.2;
+/** An answer that arrives later than this is of no use: its permits have expired. */
+const MAX_ANSWER_AGE_MS = 10_000;
 /** Age that an answer may have on arrival: one-way latency between regions, and the batching of messages. */
 const ANSWER_DELAY_MARGIN_MS = 60;
 /** Workers in a question for each waiting task, and the minimum number, unless the step is a gang. */
@@ -95,6 +98,7 @@
 
     /** Requests permits for steps, in this order, until no channel is free or no capacity is left to use them. */
     public request(steps: readonly StepState[], nowMs: number): void {
+        this.dropExpiredQuestions(nowMs);
         const budget = new CapacityBudget(this.fleet, nowMs);
         const usableByPool = new Map<string, readonly WorkerState[]>();
         for (const step of steps) {
@@ -103,7 +107,7 @@
             }
             const queue = this.fleet.queue(step.job.spec.queue);
             const policy = queue?.policy;
-            if (!policy || this.isAwaitingAnswer(step, policy, nowMs)) {
+            if (!policy || this.isAwaitingAnswer(step, nowMs)) {
                 continue;
             }
             const usable = usableByPool.get(queue.pool) ?? this.listUsable(queue.pool, nowMs);
@@ -128,7 +132,6 @@
         const { step, workers, answerDueMs } = pending;
         const answeredAtMs = reply.ageMs === undefined ? Math.min(nowMs, answerDueMs) : nowMs - reply.ageMs;
         step.permits.openQuestions.delete(reply.question);
-        step.permits.askedAtMs = step.permits.openQuestions.size > 0 ? step.permits.askedAtMs : undefined;
         step.permits.answeredAtMs = nowMs;
         if (!reply.permits) {
             return;
@@ -139,9 +142,11 @@
         for (const worker of workers) {
             step.permits.answeredWorkers.set(worker.id, worker.entry.incarnation);
             const permit = reply.permits.find(each => each.workerId === worker.id);
-            if (permit) {
-                const { incarnation } = worker.entry;
-                const expiresAtMs = answeredAtMs + permitMs;
+            const { incarnation } = worker.entry;
+            const expiresAtMs = answeredAtMs + permitMs;
+            const known = step.permits.byWorker.get(worker.id);
+            const isNewer = known?.incarnation !== incarnation || known.expiresAtMs < expiresAtMs;
+            if (permit && isNewer) {
                 step.permits.byWorker.set(worker.id, { permit: permit.permit, incarnation, expiresAtMs });
                 step.permits.latestExpiryMs = Math.max(step.permits.latestExpiryMs, expiresAtMs);
             }
@@ -176,13 +181,15 @@
         this.questionAdded.dispose();
     }
 
-    private isAwaitingAnswer(step: StepState, policy: PolicyTiming, nowMs: number): boolean {
-        const { askedAtMs } = step.permits;
-        if (askedAtMs === undefined) {
-            return false;
+    /** Whether an answer about a step is still expected; one that is not may yet arrive, and is used then. */
+    private isAwaitingAnswer({ permits }: StepState, nowMs: number): boolean {
+        for (const number of permits.openQuestions) {
+            const entry = this.pendingQuestions.get(number)?.entry;
+            if (entry !== undefined && this.channels.isAnswerExpected(entry, number, nowMs)) {
+                return true;
+            }
         }
-        const timeoutMs = costOf(policy, MAX_WORKERS_PER_QUESTION) + MAX_BACKLOG_MS + ANSWER_TIMEOUT_MS;
-        return nowMs < askedAtMs + timeoutMs;
+        return false;
     }
 
     /**
@@ -245,15 +252,12 @@
             if (!channel) {
                 return;
             }
-            if (part === 0) {
-                this.dropOpenQuestions(step);
-                step.permits.askedAtMs = nowMs;
-            }
             const number = this.nextQuestionNumber++;
             step.permits.openQuestions.add(number);
             const question = { number, step: step.name, workerIds: partWorkers.map(worker => worker.id) };
             const dueMs = this.channels.ask(channel, question, costMs, nowMs);
             this.pendingQuestions.set(number, {
+                entry: channel.entry,
                 step,
                 workers: partWorkers,
                 answerDueMs: dueMs + MAX_BACKLOG_MS,
@@ -272,6 +276,16 @@
         return Math.max(1, Math.min(Math.ceil(workerCount / MIN_WORKERS_PER_PART), maximum));
     }
 
+    private dropExpiredQuestions(nowMs: number): void {
+        for (const [number, { step, askedAtMs }] of this.pendingQuestions) {
+            if (nowMs - askedAtMs < MAX_ANSWER_AGE_MS) {
+                return;
+            }
+            this.pendingQuestions.delete(number);
+            step.permits.openQuestions.delete(number);
+        }
+    }
+
     private dropOpenQuestions({ permits }: StepState): void {
         permits.openQuestions.forEach(number => this.pendingQuestions.delete(number));
         permits.openQuestions.clear();
--- a/packages/fleet/src/owner/PolicyChannels.ts
+++ b/packages/fleet/src/owner/PolicyChannels.ts
@@ -5,8 +5,10 @@
     readonly entry: string;
     /** Questions that the entry has not fetched yet. */
     readonly unsent: PolicyQuestion[];
-    /** When each question that is not answered yet is due, by number; the time on the way is not included. */
+    /** When each question whose answer is expected is due, by number; the time on the way is not included. */
     readonly dueByQuestion: Map<number, number>;
+    /** The same for questions whose answer is overdue and no longer expected. */
+    readonly overdueQuestions: Map<number, number>;
     /** Time at which all its questions are due. */
     busyUntilMs: number;
     lastSeenMs: number;
@@ -38,8 +40,13 @@
 /** An entry that has not sent a watch request for this long gets no questions. */
 const ENTRY_INACTIVE_MS = 1500;
 const ENTRY_RETENTION_MS = 60_000;
-/** An answer that is overdue by this much is no longer expected. */
-export const ANSWER_TIMEOUT_MS = 1000;
+/** An answer that is overdue by this much is no longer expected, unless answers of its entry have been as late. */
+const ANSWER_TIMEOUT_MS = 1000;
+/** The same as a multiple of how late the answers of an entry have been. */
+const ANSWER_TIMEOUT_DELAY_FACTOR = 2;
+const MAX_ANSWER_TIMEOUT_MS = 3000;
+/** An answer that is overdue by this much does not come any more. */
+const ANSWER_RETENTION_MS = 10_000;
 /** The owner's own entry counts as slower by this multiple of the event-loop delay: its exchanges wait for it as well. */
 const OWN_ENTRY_DELAY_FACTOR = 10;
 /** Round trips in the same step count as the same distance: within a region, or to another one. */
@@ -72,6 +79,7 @@
             entry,
             unsent: [],
             dueByQuestion: new Map(),
+            overdueQuestions: new Map(),
             busyUntilMs: nowMs,
             lastSeenMs: nowMs,
             roundTripMs,
@@ -106,14 +114,13 @@
 
     /** Number of active entries, and of those among them that may be given a question now. */
     public count(nowMs: number): { readonly active: number; readonly free: number; } {
-        const active = [...this.channels.values()].filter(channel => nowMs - channel.lastSeenMs < ENTRY_INACTIVE_MS);
+        const active = [...this.channels.values()].filter(channel => isActive(channel, nowMs));
         return { active: active.length, free: active.filter(channel => isFree(channel, nowMs)).length };
     }
 
     /** Returns the free channel with the earliest expected answer to a question of this duration. */
     public choose(costMs: number, nowMs: number): PolicyChannel | undefined {
-        const active = [...this.channels.values()].filter(channel => nowMs - channel.lastSeenMs < ENTRY_INACTIVE_MS)
-            .sort(compareDistance);
+        const active = [...this.channels.values()].filter(channel => isActive(channel, nowMs)).sort(compareDistance);
         let best: PolicyChannel | undefined;
         let bestMs = Number.POSITIVE_INFINITY;
         for (const channel of active.slice(countReservedChannels(costMs, active.length))) {
@@ -134,14 +141,25 @@
         return channel.busyUntilMs;
     }
 
+    /** Whether the answer of an entry to a question is still expected. */
+    public isAnswerExpected(entry: string, question: number, nowMs: number): boolean {
+        const channel = this.channels.get(entry);
+        if (!channel || !isActive(channel, nowMs)) {
+            return false;
+        }
+        dropOverdue(channel, nowMs);
+        return channel.dueByQuestion.has(question);
+    }
+
     /** Records that an entry has answered a question, and how late. */
     public recordAnswer(entry: string, question: number, nowMs: number): void {
         const channel = this.channels.get(entry);
-        const dueMs = channel?.dueByQuestion.get(question);
+        const dueMs = channel?.dueByQuestion.get(question) ?? channel?.overdueQuestions.get(question);
         if (!channel || dueMs === undefined) {
             return;
         }
         channel.dueByQuestion.delete(question);
+        channel.overdueQuestions.delete(question);
         if (channel.dueByQuestion.size === 0) {
             channel.busyUntilMs = Math.min(channel.busyUntilMs, nowMs);
         }
@@ -151,14 +169,10 @@
     }
 
     private expectedDelayMs(channel: PolicyChannel, nowMs: number): number {
+        dropOverdue(channel, nowMs);
         let overdueMs = 0;
-        for (const [question, dueMs] of channel.dueByQuestion) {
-            if (nowMs > dueMs + ANSWER_TIMEOUT_MS) {
-                channel.dueByQuestion.delete(question);
-            }
-            else {
-                overdueMs = Math.max(overdueMs, nowMs - dueMs);
-            }
+        for (const dueMs of channel.dueByQuestion.values()) {
+            overdueMs = Math.max(overdueMs, nowMs - dueMs);
         }
         return channel.roundTripMs + Math.max(overdueMs, decayedDelayMs(channel, nowMs))
             + (channel.entry === this.ownEntry?.entry ? this.ownEntry.loopDelayMs() * OWN_ENTRY_DELAY_FACTOR : 0);
@@ -185,7 +199,30 @@
 }
 
 function isFree(channel: PolicyChannel, nowMs: number): boolean {
-    return channel.busyUntilMs <= nowMs + MAX_BACKLOG_MS && nowMs - channel.lastSeenMs < ENTRY_INACTIVE_MS;
+    return channel.busyUntilMs <= nowMs + MAX_BACKLOG_MS && isActive(channel, nowMs);
+}
+
+function isActive({ lastSeenMs }: PolicyChannel, nowMs: number): boolean {
+    return nowMs - lastSeenMs < ENTRY_INACTIVE_MS;
+}
+
+/** Gives up the expectation of answers that are overdue by more than the answers of the entry have been late. */
+function dropOverdue(channel: PolicyChannel, nowMs: number): void {
+    const timeoutMs = Math.min(
+        MAX_ANSWER_TIMEOUT_MS,
+        Math.max(ANSWER_TIMEOUT_MS, channel.delayMs * ANSWER_TIMEOUT_DELAY_FACTOR)
+    );
+    for (const [question, dueMs] of channel.dueByQuestion) {
+        if (nowMs > dueMs + timeoutMs) {
+            channel.dueByQuestion.delete(question);
+            channel.overdueQuestions.set(question, dueMs);
+        }
+    }
+    for (const [question, dueMs] of channel.overdueQuestions) {
+        if (nowMs > dueMs + ANSWER_RETENTION_MS) {
+            channel.overdueQuestions.delete(question);
+        }
+    }
 }
 
 function decayedDelayMs({ delayMs, delayMeasuredAtMs }: PolicyChannel, nowMs: number): number {
--- a/packages/fleet/src/state/StepState.ts
+++ b/packages/fleet/src/state/StepState.ts
@@ -9,8 +9,6 @@
     readonly byWorker: Map<string, { permit: string; incarnation: number; expiresAtMs: number; }>;
     /** Workers that an answered question named, with their incarnations. */
     readonly answeredWorkers: Map<string, number>;
-    /** Time of the questions that are not answered yet; undefined when there are none. */
-    askedAtMs: number | undefined;
     /** Numbers of the questions that are not answered yet. */
     readonly openQuestions: Set<number>;
     answeredAtMs: number;
@@ -31,7 +29,6 @@
     public readonly permits: StepPermits = {
         byWorker: new Map(),
         answeredWorkers: new Map(),
-        askedAtMs: undefined,
         openQuestions: new Set(),
         answeredAtMs: 0,
         latestExpiryMs: 0
