An entry that lags behind with its questions to the policy gets no more of them

Cause: an entry counted as free once its questions were due by the owner's own reckoning, whether their answers had come or not. Every question that took longer than reckoned (a takeover, a slow machine) let more be handed out, so that short questions stood behind long ones. Test failed before: PolicyChannels, "an entry that lags behind with its answers gets no more questions until it has caught up". The way is measured apart from the wait for the policy, which entries tell, so that a long way alone closes no entry (second test).

--- a/packages/fleet/src/owner/PermitBacklog.test.ts
+++ b/packages/fleet/src/owner/PermitBacklog.test.ts
@@ -6,8 +6,6 @@
 import { PermitRequester } from "./PermitRequester.js";
 
 const ENTRIES = Array.from({ length: 20 }, (...[, number]) => `e${number}`);
-/** Time from the answer of the policy until the owner handles it, and from a question until the policy has it. */
-const WAY_MS = 600;
 const PLANNING_INTERVAL_MS = 50;
 const SHORT_STEPS_PER_SECOND = 90;
 const SHORT: QueueConfig = {
@@ -41,7 +39,10 @@
     private readonly addedAtMs = new Map<StepState, number>();
     private jobCount = 0;
 
-    constructor() {
+    constructor(
+        /** Time until the policy has a question of the owner, and until the owner handles its answer. */
+        private readonly wayMs: number
+    ) {
         this.fleet.config = CONFIG;
         for (let number = 0; number < 100; number++) {
             addWorker(this.fleet, `w${number}`, { capacity: { cpuMilli: 64_000, memoryMb: 1e6, accelerators: 0 } });
@@ -78,12 +79,13 @@
             for (const { number, step, workerIds } of this.requester.takeQuestions(entry)) {
                 const { policy } = this.fleet.queue(this.fleet.jobs.get(step.split(".")[0]!)!.spec.queue)!;
                 const costMs = policy!.decideMs + policy!.perWorkerMs * workerIds.length;
-                const doneAtMs = Math.max(this.freeAtMs.get(entry) ?? 0, nowMs + WAY_MS) + costMs;
+                const doneAtMs = Math.max(this.freeAtMs.get(entry) ?? 0, nowMs + this.wayMs) + costMs;
+                const waitedMs = doneAtMs - nowMs - this.wayMs;
                 this.freeAtMs.set(entry, doneAtMs);
                 const permits = workerIds.map(workerId => ({ workerId, permit: "p" }));
-                this.timer.after(doneAtMs + WAY_MS - nowMs, () => {
+                this.timer.after(doneAtMs + this.wayMs - nowMs, () => {
                     this.answerCount++;
-                    this.requester.handleReply(entry, { question: number, permits, ageMs: WAY_MS });
+                    this.requester.handleReply(entry, { question: number, permits, ageMs: this.wayMs, waitedMs });
                 });
             }
         }
@@ -95,7 +97,7 @@
 }
 
 test("short steps start while answers of the policy take longer than the timeout of a question", async t => {
-    const model = new PolicyModel();
+    const model = new PolicyModel(600);
     await model.timer.advance(PLANNING_INTERVAL_MS);
     model.add(SHORT, 350);
     model.add(MIDDLE, 50, 25);
--- a/packages/fleet/src/owner/PolicyChannels.test.ts
+++ b/packages/fleet/src/owner/PolicyChannels.test.ts
@@ -91,3 +91,28 @@
     t.is(channels.choose(600, 0), undefined);
     t.is(channels.choose(SHORT_COST_MS, 0)?.entry, "z1");
 });
+
+test("an entry that lags behind with its answers gets no more questions until it has caught up", t => {
+    const channels = new PolicyChannels();
+    channels.recordEntry("e1", 5, 0);
+    const channel = channels.choose(SHORT_COST_MS, 0)!;
+    channels.ask(channel, { number: 1, step: "s", workerIds: [] }, 1000, 0);
+    channels.ask(channel, { number: 2, step: "s", workerIds: [] }, SHORT_COST_MS, 0);
+    channels.recordEntry("e1", 5, 1300);
+    t.is(channels.choose(SHORT_COST_MS, 1300), undefined);
+    channels.recordAnswer("e1", 1, 1310, 1300);
+    t.is(channels.choose(SHORT_COST_MS, 1310), undefined);
+    channels.recordAnswer("e1", 2, 1330, 1320);
+    t.is(channels.choose(SHORT_COST_MS, 1330)?.entry, "e1");
+});
+
+test("a long way to an entry is no lag: it gets questions while answers are on the way", t => {
+    const channels = new PolicyChannels();
+    channels.recordEntry("e1", 5, 0);
+    const channel = channels.choose(SHORT_COST_MS, 0)!;
+    channels.ask(channel, { number: 1, step: "s", workerIds: [] }, SHORT_COST_MS, 0);
+    channels.recordAnswer("e1", 1, 620, SHORT_COST_MS);
+    channels.ask(channel, { number: 2, step: "s", workerIds: [] }, SHORT_COST_MS, 700);
+    channels.recordEntry("e1", 5, 1200);
+    t.is(channels.choose(SHORT_COST_MS, 1200)?.entry, "e1");
+});
--- a/packages/fleet/src/owner/PolicyChannels.ts
+++ b/packages/fleet/src/owner/PolicyChannels.ts
@@ -1,14 +1,21 @@
 import type { PolicyQuestion } from "../ports/PlacementPolicy.js";
 
+/** A question that an entry has not answered yet. */
+interface OpenQuestion {
+    readonly askedAtMs: number;
+    /** Time at which the policy is done with it; the time on the way is not included. */
+    readonly dueMs: number;
+}
+
 /** Entry through which the policy is asked, one question after the other. */
 export interface PolicyChannel {
     readonly entry: string;
     /** Questions that the entry has not fetched yet. */
     readonly unsent: PolicyQuestion[];
-    /** When each question whose answer is expected is due, by number; the time on the way is not included. */
-    readonly dueByQuestion: Map<number, number>;
-    /** The same for questions whose answer is overdue and no longer expected. */
-    readonly overdueQuestions: Map<number, number>;
+    /** Questions whose answer is expected, by number, in the order in which they were asked. */
+    readonly openQuestions: Map<number, OpenQuestion>;
+    /** Questions whose answer is overdue and no longer expected. */
+    readonly overdueQuestions: Map<number, OpenQuestion>;
     /** Time at which all its questions are due. */
     busyUntilMs: number;
     lastSeenMs: number;
@@ -17,6 +24,8 @@
     /** Moving average of how much later than due its answers arrive. */
     delayMs: number;
     delayMeasuredAtMs: number;
+    /** Moving average of the time that a question and its answer are on the way; undefined before the first answer. */
+    wayMs: number | undefined;
 }
 
 /** Entry of the owner's own process. */
@@ -78,13 +87,14 @@
         this.channels.set(entry, {
             entry,
             unsent: [],
-            dueByQuestion: new Map(),
+            openQuestions: new Map(),
             overdueQuestions: new Map(),
             busyUntilMs: nowMs,
             lastSeenMs: nowMs,
             roundTripMs,
             delayMs: 0,
-            delayMeasuredAtMs: nowMs
+            delayMeasuredAtMs: nowMs,
+            wayMs: undefined
         });
     }
 
@@ -136,7 +146,7 @@
     /** Gives a question to a channel; returns when it is due. */
     public ask(channel: PolicyChannel, question: PolicyQuestion, costMs: number, nowMs: number): number {
         channel.busyUntilMs = Math.max(channel.busyUntilMs, nowMs) + costMs;
-        channel.dueByQuestion.set(question.number, channel.busyUntilMs);
+        channel.openQuestions.set(question.number, { askedAtMs: nowMs, dueMs: channel.busyUntilMs });
         channel.unsent.push(question);
         return channel.busyUntilMs;
     }
@@ -148,33 +158,33 @@
             return false;
         }
         dropOverdue(channel, nowMs);
-        return channel.dueByQuestion.has(question);
+        return channel.openQuestions.has(question);
     }
 
-    /** Records that an entry has answered a question, and how late. */
-    public recordAnswer(entry: string, question: number, nowMs: number): void {
+    /**
+     * Records that an entry has answered a question, for which it waited `waitedMs`; undefined if it does not tell.
+     */
+    public recordAnswer(entry: string, number: number, nowMs: number, waitedMs?: number): void {
         const channel = this.channels.get(entry);
-        const dueMs = channel?.dueByQuestion.get(question) ?? channel?.overdueQuestions.get(question);
-        if (!channel || dueMs === undefined) {
+        const question = channel?.openQuestions.get(number) ?? channel?.overdueQuestions.get(number);
+        if (!channel || !question) {
             return;
         }
-        channel.dueByQuestion.delete(question);
-        channel.overdueQuestions.delete(question);
-        if (channel.dueByQuestion.size === 0) {
+        channel.openQuestions.delete(number);
+        channel.overdueQuestions.delete(number);
+        if (channel.openQuestions.size === 0) {
             channel.busyUntilMs = Math.min(channel.busyUntilMs, nowMs);
         }
-        const previousMs = decayedDelayMs(channel, nowMs);
-        channel.delayMs = previousMs + (Math.max(0, nowMs - dueMs) - previousMs) * DELAY_WEIGHT;
+        const lateMs = Math.max(0, nowMs - question.dueMs);
+        channel.delayMs = average(decayedDelayMs(channel, nowMs), lateMs);
         channel.delayMeasuredAtMs = nowMs;
+        const wayMs = waitedMs === undefined ? lateMs : Math.max(0, nowMs - question.askedAtMs - waitedMs);
+        channel.wayMs = channel.wayMs === undefined ? wayMs : average(channel.wayMs, wayMs);
     }
 
     private expectedDelayMs(channel: PolicyChannel, nowMs: number): number {
         dropOverdue(channel, nowMs);
-        let overdueMs = 0;
-        for (const dueMs of channel.dueByQuestion.values()) {
-            overdueMs = Math.max(overdueMs, nowMs - dueMs);
-        }
-        return channel.roundTripMs + Math.max(overdueMs, decayedDelayMs(channel, nowMs))
+        return channel.roundTripMs + Math.max(overdueMs(channel, nowMs), decayedDelayMs(channel, nowMs))
             + (channel.entry === this.ownEntry?.entry ? this.ownEntry.loopDelayMs() * OWN_ENTRY_DELAY_FACTOR : 0);
     }
 
@@ -198,8 +208,25 @@
     return Math.round(roundTripMs / DISTANCE_STEP_MS);
 }
 
+/** An entry that is later than the way explains has more to ask than its due times tell, and gets no more. */
 function isFree(channel: PolicyChannel, nowMs: number): boolean {
-    return channel.busyUntilMs <= nowMs + MAX_BACKLOG_MS && isActive(channel, nowMs);
+    if (!isActive(channel, nowMs) || channel.busyUntilMs > nowMs + MAX_BACKLOG_MS) {
+        return false;
+    }
+    dropOverdue(channel, nowMs);
+    return overdueMs(channel, nowMs) <= MAX_BACKLOG_MS + Math.max(channel.roundTripMs, channel.wayMs ?? 0);
+}
+
+/** How late the oldest expected answer is; an entry asks one question after the other. */
+function overdueMs({ openQuestions }: PolicyChannel, nowMs: number): number {
+    for (const { dueMs } of openQuestions.values()) {
+        return Math.max(0, nowMs - dueMs);
+    }
+    return 0;
+}
+
+function average(previous: number, measured: number): number {
+    return previous + (measured - previous) * DELAY_WEIGHT;
 }
 
 function isActive({ lastSeenMs }: PolicyChannel, nowMs: number): boolean {
@@ -212,15 +239,15 @@
         MAX_ANSWER_TIMEOUT_MS,
         Math.max(ANSWER_TIMEOUT_MS, channel.delayMs * ANSWER_TIMEOUT_DELAY_FACTOR)
     );
-    for (const [question, dueMs] of channel.dueByQuestion) {
-        if (nowMs > dueMs + timeoutMs) {
-            channel.dueByQuestion.delete(question);
-            channel.overdueQuestions.set(question, dueMs);
+    for (const [number, question] of channel.openQuestions) {
+        if (nowMs > question.dueMs + timeoutMs) {
+            channel.openQuestions.delete(number);
+            channel.overdueQuestions.set(number, question);
         }
     }
-    for (const [question, dueMs] of channel.overdueQuestions) {
+    for (const [number, { dueMs }] of channel.overdueQuestions) {
         if (nowMs > dueMs + ANSWER_RETENTION_MS) {
-            channel.overdueQuestions.delete(question);
+            channel.overdueQuestions.delete(number);
         }
     }
 }
