Asking the policy looks at the workers that a step may use, not at the whole fleet

The longer the backlog, the slower the owner. Test failed before: PermitRequester, 210 reads of workers for one more step with permits; fewer than the 200 workers are allowed. Change: the workers that the policy has allowed are found by the step's permits; the fleet is searched only for a step without room there.

--- a/packages/fleet/src/owner/PermitRequester.test.ts
+++ b/packages/fleet/src/owner/PermitRequester.test.ts
@@ -165,3 +165,28 @@
     requester.request([step!], timer.nowMs());
     t.deepEqual(requester.takeQuestions("e1"), []);
 });
+
+test("a step with permits for workers that have room is not compared with the whole fleet in each plan", t => {
+    const { fleet, timer, requester, step } = setUp(200);
+    const [other] = addJob(fleet, [{}], "00000000000000e1").readySteps();
+    const steps = [step, other!];
+    requester.request(steps, timer.nowMs());
+    for (const { number, workerIds } of requester.takeQuestions("e1")) {
+        requester.handleReply("e1", {
+            question: number,
+            permits: workerIds.map(workerId => ({ workerId, permit: "p" }))
+        });
+    }
+    let reads = 0;
+    for (const worker of fleet.workers.values()) {
+        const { entry } = worker;
+        Object.defineProperty(worker, "entry", { get: () => (reads++, entry) });
+    }
+    const countReads = (count: number): number => {
+        reads = 0;
+        requester.request(steps.slice(0, count), timer.nowMs());
+        return reads;
+    };
+    const readsPerStep = countReads(2) - countReads(1);
+    t.true(readsPerStep < 200, `${readsPerStep} reads of workers for one more step`);
+});
--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -200,26 +200,15 @@
         const { spec, permits } = step;
         const waiting = step.waitingCount;
         const countFits = (worker: WorkerState): number => worker.countFits(spec.size, spec.filler);
-        const allowed: WorkerState[] = [];
-        const expiring: WorkerState[] = [];
-        const unknown: WorkerState[] = [];
+        const allowed = this.listAllowed(step, nowMs);
         let allowedCount = 0;
-        for (const worker of usable) {
-            const { id, incarnation } = worker.entry;
-            if (!matchesLabel(worker, step)) {
-                continue;
-            }
-            const permit = permits.byWorker.get(id);
-            if (permit?.incarnation === incarnation) {
-                const fitCount = countFits(worker);
-                allowed.push(worker);
-                allowedCount += fitCount;
-                if (permit.expiresAtMs < nowMs + RENEWAL_MARGIN_MS && (spec.gang || fitCount > 0)) {
-                    expiring.push(worker);
-                }
-            }
-            if (permits.answeredWorkers.get(id) !== incarnation) {
-                unknown.push(worker);
+        const expiring: WorkerState[] = [];
+        for (const worker of allowed) {
+            const fitCount = countFits(worker);
+            allowedCount += fitCount;
+            const expiresAtMs = permits.byWorker.get(worker.id)?.expiresAtMs ?? 0;
+            if (expiresAtMs < nowMs + RENEWAL_MARGIN_MS && (spec.gang || fitCount > 0)) {
+                expiring.push(worker);
             }
         }
         if (spec.gang && allowedCount >= waiting * MIN_GANG_FREE_SHARE) {
@@ -230,6 +219,9 @@
         if (!spec.gang && allowedCount >= 1) {
             return limitWorkers(expiring, step, waiting, countFits);
         }
+        const unknown = usable.filter(worker =>
+            matchesLabel(worker, step) && permits.answeredWorkers.get(worker.id) !== worker.entry.incarnation
+        );
         if (unknown.length === 0 && allowed.length === 0 && nowMs >= permits.answeredAtMs + DENIED_RETRY_MS) {
             permits.answeredWorkers.clear();
             return limitWorkers(usable.filter(worker => matchesLabel(worker, step)), step, waiting, countFits);
@@ -237,6 +229,20 @@
         return limitWorkers(unknown, step, waiting, countFits);
     }
 
+    /** Workers that the policy has allowed for a step, also if the permit has expired, and that take new tasks. */
+    private listAllowed(step: StepState, nowMs: number): readonly WorkerState[] {
+        const pool = this.fleet.queue(step.job.spec.queue)?.pool;
+        const allowed: WorkerState[] = [];
+        for (const [id, { incarnation }] of step.permits.byWorker) {
+            const worker = this.fleet.workers.get(id);
+            const isCurrent = worker?.entry.incarnation === incarnation && worker.entry.pool === pool;
+            if (worker && isCurrent && matchesLabel(worker, step) && worker.canStart(nowMs)) {
+                allowed.push(worker);
+            }
+        }
+        return allowed;
+    }
+
     /** Workers of a pool that take new tasks. */
     private listUsable(pool: string, nowMs: number): readonly WorkerState[] {
         return [...this.fleet.workers.values()].filter(worker => worker.entry.pool === pool && worker.canStart(nowMs));
