Runs and ends of jobs that a successor does not know yet are held until it has read the intake

What callers would see: a task that must run once runs twice, or again after its end was noted.

Cause: a job accepted after a successor has read the jobs may still be started by the former owner, to which its entry reported it. The successor saw the run in a worker's first report, knew no such job, ordered a stop and started the task elsewhere once the change feed brought the job (250 ms or more later), while the first run was still stopping. If the run had ended as done, the end was dropped and acknowledged, and the task ran again.

Why it works: a job's row is committed before its first start can be ordered, and reads of the store are linearizable. So a read of the intake that begins after the report shows the row, unless the job has ended. Until then the run is neither adopted nor stopped, its worker gets no task, and the end is not acknowledged. If the job comes (by this read, the feed or an entry), the reports apply before planning; if the read does not show it, the run is stopped and the end acknowledged. Jobs named within 50 ms share one read of the range of their ids. While the store does not answer, the reports stay held. A job accepted after the load has no progress row: writes of progress are conditional on the owner's row, which the takeover changed.

The former test "nothing is started on a worker that lists an unknown run" asked for a stop with the first report, which is the fault. It now asks for none before the look-up, one look-up, and a stop with each report after it; the rest is as before.

--- a/packages/fleet/src/config/readTable.ts
+++ b/packages/fleet/src/config/readTable.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import type { RowStore, StoredRow, StoreFailure } from "../ports/RowStore.js";
+import type { RowRange, RowStore, StoredRow, StoreFailure } from "../ports/RowStore.js";
 
 /** All rows of one partition of a table, and the version of the store at the first page. */
 export interface TableContent {
@@ -7,17 +7,23 @@
     readonly version: number;
 }
 
-/** Reads all rows of a partition, page by page; later pages may show later versions than the first. */
+/** Part of a partition, from the first key up to the first one that is not part of it. */
+export type KeyRange = Pick<RowRange, "from" | "to">;
+
+/**
+ * Reads the rows of a partition or of a range of it, page by page; later pages may show later versions than the first.
+ */
 export async function readTable(
     store: RowStore,
     table: string,
     partition: string,
-    timeoutMs: number
+    timeoutMs: number,
+    range: KeyRange = {}
 ): Promise<Result<TableContent, StoreFailure>> {
     const rows: StoredRow[] = [];
     let version: number | undefined;
-    for (let from: string | undefined, hasMore = true; hasMore;) {
-        const page = await store.read({ table, partition, from }, timeoutMs);
+    for (let from = range.from, hasMore = true; hasMore;) {
+        const page = await store.read({ table, partition, from, to: range.to }, timeoutMs);
         if (page.isErr()) {
             return err(page.error);
         }
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -291,6 +291,8 @@
         this.disposables.add(this.runs.onStopRequested(({ worker, task, run }) => {
             void this.registry.session(worker)?.stopRun(task, run);
         }));
+        this.disposables.add(this.runs.onUnknownJob(jobId => this.intake.lookUp(jobId)));
+        this.disposables.add(this.intake.onJobAbsent(jobId => this.runs.recordAbsentJob(jobId)));
         this.disposables.add(this.writer.onFinal(job => this.closeJob(job)));
         this.disposables.add(this.writer.onSuperseded(() => this.reportLost("the owner's row names another process")));
         this.disposables.add(config.onConfig(updated => {
@@ -300,6 +302,7 @@
         }));
         this.disposables.add(this.intake.onJobAdded(job => {
             job.openDueOccurrences(this.dependencies.timer.wallClockMs());
+            this.runs.applyHeldReports(job.spec.id);
             this.watchers.jobChanged(job.spec.id);
             this.schedulePlanning();
         }));
--- a/packages/fleet/src/owner/IntakeReader.ts
+++ b/packages/fleet/src/owner/IntakeReader.ts
@@ -1,12 +1,13 @@
+import { describeError } from "@skylarkpath/common/base/describeError";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
 import type { EventLog } from "@skylarkpath/common/log/EventLog";
 import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
-import { readTable, type TableContent } from "../config/readTable.js";
+import { type KeyRange, readTable, type TableContent } from "../config/readTable.js";
 import type { TableFollower } from "../config/TableFollower.js";
 import type { JobProgress } from "../model/JobProgress.js";
 import { parseJobSpec } from "../model/parseJobSpec.js";
-import { FLEET_PARTITION, FleetTable, parseIntakeKey } from "../model/Tables.js";
+import { cancelKey, FLEET_PARTITION, FleetTable, parseIntakeKey } from "../model/Tables.js";
 import type { RowChange, RowStore, StoredRow } from "../ports/RowStore.js";
 import type { FleetState } from "../state/FleetState.js";
 import { JobState } from "../state/JobState.js";
@@ -14,6 +15,8 @@
 
 const READ_TIMEOUT_MS = 1500;
 const RETRY_DELAY_MS = 100;
+/** Delay before jobs are looked up, so that jobs reported at about the same time share a read. */
+const LOOK_UP_DELAY_MS = 50;
 /** Limit for the age of a job by wall clock: a higher age comes from a clock that was set, or makes no difference. */
 const MAX_AGE_MS = 120_000;
 
@@ -21,9 +24,13 @@
 export class IntakeReader {
     private readonly added = new Emitter<JobState>();
     private readonly cancelled = new Emitter<JobState>();
+    private readonly absent = new Emitter<string>();
     private readonly rateLimiter = new TeamRateLimiter();
     /** Jobs whose progress can't be read; their steps are not started again. */
     private readonly unreadableJobs = new Set<string>();
+    /** Jobs to look up. */
+    private readonly wanted = new Set<string>();
+    private lookingUp = false;
     private loadedVersion: number | undefined;
     private stopped = false;
 
@@ -31,6 +38,8 @@
     public readonly onJobAdded = this.added.event;
     /** A job that is not final was cancelled. */
     public readonly onJobCancelled = this.cancelled.event;
+    /** A job that was looked up has no row: it has ended. */
+    public readonly onJobAbsent = this.absent.event;
 
     constructor(
         private readonly fleet: FleetState,
@@ -75,10 +84,41 @@
         }
     }
 
+    /** Reads the row of a job from now on; tells whether it was added or is absent. */
+    public lookUp(jobId: string): void {
+        this.wanted.add(jobId);
+        if (!this.lookingUp) {
+            this.lookingUp = true;
+            void this.lookUpWanted();
+        }
+    }
+
     public dispose(): void {
         this.stopped = true;
     }
 
+    private async lookUpWanted(): Promise<void> {
+        while (this.wanted.size > 0 && !this.stopped) {
+            await sleep(this.timer, LOOK_UP_DELAY_MS);
+            const jobIds = [...this.wanted].sort();
+            this.wanted.clear();
+            const range = { from: jobIds[0]!, to: `${cancelKey(jobIds.at(-1)!)}\u0000` };
+            const content = await this.readAll(FleetTable.Intake, range);
+            if (!content || this.stopped) {
+                return;
+            }
+            try {
+                this.apply([...content.rows].sort((left, right) => left.version - right.version), true);
+                jobIds.filter(jobId => !this.fleet.jobs.has(jobId)).forEach(jobId => this.absent.fire(jobId));
+            }
+            catch (error) {
+                jobIds.forEach(jobId => this.wanted.add(jobId));
+                this.log.write(EVENTS.processFailed, { reason: describeError(error) });
+            }
+        }
+        this.lookingUp = false;
+    }
+
     private apply(changes: readonly RowChange[], notify: boolean): void {
         const cancels: string[] = [];
         for (const change of changes) {
@@ -136,10 +176,10 @@
         }
     }
 
-    /** Reads a table, with retries until the store answers; returns undefined when the reader was disposed. */
-    private async readAll(table: FleetTable): Promise<TableContent | undefined> {
+    /** Reads a table or a range of it, with retries until the store answers; undefined when the reader was disposed. */
+    private async readAll(table: FleetTable, range?: KeyRange): Promise<TableContent | undefined> {
         while (!this.stopped) {
-            const content = await readTable(this.store, table, FLEET_PARTITION, READ_TIMEOUT_MS);
+            const content = await readTable(this.store, table, FLEET_PARTITION, READ_TIMEOUT_MS, range);
             if (content.isOk()) {
                 return content.value;
             }
--- a/packages/fleet/src/owner/RunTracker.test.ts
+++ b/packages/fleet/src/owner/RunTracker.test.ts
@@ -44,20 +44,48 @@
     t.is(same.findTask(0, 0, 0)!.failures.length, 1);
 });
 
-test("nothing is started on a worker that lists an unknown run", t => {
+test("nothing is started on a worker that lists an unknown run, which is stopped once the intake does not hold its job", t => {
     const fleet = createFleet();
     const worker = addWorker(fleet, "w1");
     const tracker = new RunTracker(fleet, new VirtualTimer());
     const stopped: string[] = [];
     tracker.onStopRequested(({ task }) => stopped.push(task));
+    const lookedUp: string[] = [];
+    tracker.onUnknownJob(jobId => lookedUp.push(jobId));
     const unknownRun = { task: "00000000000000ff.0.0.0", run: 4, checkpoint: "", percent: 3 };
     tracker.applyReport(worker, { ...EMPTY_REPORT, running: [unknownRun] }, POLL, 0);
+    tracker.applyReport(worker, { ...EMPTY_REPORT, running: [unknownRun] }, POLL, 0);
     t.false(worker.canStart(1));
+    t.deepEqual([stopped, lookedUp], [[], ["00000000000000ff"]]);
+    tracker.recordAbsentJob("00000000000000ff");
     t.deepEqual(stopped, [unknownRun.task]);
+    tracker.applyReport(worker, { ...EMPTY_REPORT, running: [unknownRun] }, POLL, 0);
+    t.false(worker.canStart(1));
+    t.deepEqual([stopped.length, lookedUp.length], [2, 1]);
     tracker.applyReport(worker, EMPTY_REPORT, POLL, 0);
     t.true(worker.canStart(1));
 });
 
+test("a run that is reported before its job is known goes on, and one that was done is not repeated", t => {
+    const fleet = createFleet();
+    const [busy, idle] = [addWorker(fleet, "w1"), addWorker(fleet, "w2")];
+    const tracker = new RunTracker(fleet, new VirtualTimer());
+    tracker.onStopRequested(() => t.fail());
+    const [running, done] = ["00000000000000a1", "00000000000000b1"].map(id => ({
+        task: `${id}.0.0.0`,
+        run: 1,
+        checkpoint: ""
+    }));
+    tracker.applyReport(busy, { ...EMPTY_REPORT, running: [{ ...running!, percent: 3 }] }, POLL, 0);
+    tracker.applyReport(idle, { ...EMPTY_REPORT, ended: [{ ...done!, number: 1, end: RunEnd.Done }] }, POLL, 0);
+    t.deepEqual([...idle.heldEnds.keys()], [1]);
+    const jobs = ["00000000000000a1", "00000000000000b1"].map(id => addJob(fleet, [{}], id));
+    jobs.forEach(job => tracker.applyHeldReports(job.spec.id));
+    t.is(jobs[0]!.findTask(0, 0, 0)!.run?.worker, busy);
+    t.is(jobs[1]!.phase, JobPhase.Completed);
+    t.false(busy.awaitsIntake || idle.awaitsIntake);
+});
+
 test("a run whose start order got no reply counts until a poll with a later token does not list it", t => {
     const fleet = createFleet();
     const worker = addWorker(fleet, "w1");
--- a/packages/fleet/src/owner/RunTracker.ts
+++ b/packages/fleet/src/owner/RunTracker.ts
@@ -8,6 +8,7 @@
 import { parseTaskName } from "../state/TaskName.js";
 import type { TaskState } from "../state/TaskState.js";
 import type { WorkerState } from "../state/WorkerState.js";
+import { UnknownJobReports } from "./UnknownJobReports.js";
 import { WorkerHealth } from "./WorkerHealth.js";
 import type { PollContext } from "./WorkerSession.js";
 
@@ -28,7 +29,9 @@
     private readonly jobChanged = new Emitter<JobState>();
     private readonly stopRequested = new Emitter<StopRequest>();
     private readonly capacityFreed = new Emitter<void>();
+    private readonly unknownJob = new Emitter<string>();
     private readonly health: WorkerHealth;
+    private readonly unknownJobs: UnknownJobReports;
 
     /** The progress or the state of a job has changed and must be committed. */
     public readonly onJobChanged = this.jobChanged.event;
@@ -36,9 +39,12 @@
     public readonly onStopRequested = this.stopRequested.event;
     /** Tasks may have become ready to start, or capacity may have become free. */
     public readonly onCapacityFreed = this.capacityFreed.event;
+    /** A worker reports a job that is not known; the intake must be read for it from now on. */
+    public readonly onUnknownJob = this.unknownJob.event;
 
     constructor(private readonly fleet: FleetState, private readonly timer: TimerService) {
         this.health = new WorkerHealth(timer);
+        this.unknownJobs = new UnknownJobReports(timer);
     }
 
     /** Applies the report of a worker; ended runs up to number `afterEnd` were applied before. */
@@ -50,6 +56,7 @@
             }
         }
         worker.hasUncountedRuns = false;
+        worker.heldRuns.clear();
         for (const run of report.running) {
             listedTasks.add(run.task);
             this.applyRunning(worker, run);
@@ -62,8 +69,37 @@
         this.capacityFreed.fire();
     }
 
+    /** Applies what workers have reported of a job that has become known now. */
+    public applyHeldReports(jobId: string): void {
+        const workers = this.unknownJobs.take(jobId).filter(worker => this.fleet.workers.get(worker.id) === worker);
+        for (const worker of workers) {
+            for (const [number, end] of [...worker.heldEnds]) {
+                if (parseTaskName(end.task)?.jobId === jobId) {
+                    worker.heldEnds.delete(number);
+                    this.applyEnd(worker, end);
+                }
+            }
+        }
+        for (const worker of workers) {
+            for (const [name, run] of [...worker.heldRuns]) {
+                if (parseTaskName(name)?.jobId === jobId) {
+                    worker.heldRuns.delete(name);
+                    this.applyRunning(worker, run);
+                }
+            }
+        }
+    }
+
+    /** Stops the reported runs of a job, and drops its ends, since the intake no longer holds it. */
+    public recordAbsentJob(jobId: string): void {
+        this.unknownJobs.recordAbsent(jobId);
+        this.applyHeldReports(jobId);
+    }
+
     /** Closes all runs of a lost worker. */
     public closeAllRuns(worker: WorkerState): void {
+        worker.heldRuns.clear();
+        worker.heldEnds.clear();
         for (const run of [...worker.runs.values()]) {
             this.fleet.closeRun(run);
             this.stopGang(run);
@@ -138,6 +174,11 @@
     }
 
     private applyRunning(worker: WorkerState, listed: ReportedRun): void {
+        if (this.awaitsIntake(worker, listed.task)) {
+            worker.hasUncountedRuns = true;
+            worker.heldRuns.set(listed.task, listed);
+            return;
+        }
         const run = worker.runs.get(listed.task) ?? this.adopt(worker, listed);
         if (!run || run.run !== listed.run) {
             worker.hasUncountedRuns = true;
@@ -195,6 +236,10 @@
     }
 
     private applyEnd(worker: WorkerState, listed: ReportedEnd): void {
+        if (this.awaitsIntake(worker, listed.task)) {
+            worker.heldEnds.set(listed.number, listed);
+            return;
+        }
         const run = worker.runs.get(listed.task);
         const matching = run?.run === listed.run ? run : undefined;
         const task = matching?.task ?? this.findTask(listed.task);
@@ -274,6 +319,23 @@
         }
     }
 
+    /**
+     * Whether a report names a job that may have been accepted after the last read of the intake: a previous owner may
+     * have started it.
+     */
+    private awaitsIntake(worker: WorkerState, taskName: string): boolean {
+        const jobId = parseTaskName(taskName)?.jobId;
+        const isKnown = jobId === undefined || this.fleet.jobs.has(jobId) || this.fleet.endedJobs.has(jobId)
+            || worker.runs.has(taskName) || this.unknownJobs.isAbsent(jobId);
+        if (isKnown) {
+            return false;
+        }
+        if (this.unknownJobs.add(jobId, worker)) {
+            this.unknownJob.fire(jobId);
+        }
+        return true;
+    }
+
     private findTask(name: string): TaskState | undefined {
         const parts = parseTaskName(name);
         return parts && this.fleet.jobs.get(parts.jobId)?.findTask(parts.occurrence, parts.step, parts.index);
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -201,7 +201,7 @@
 
     /** Makes the ended runs reported so far part of a commit; the returned callback marks them as committed. */
     public beginBatch(): () => void {
-        const candidate = this.reportedEnd;
+        const candidate = Math.min(this.reportedEnd, ...[...this.state.heldEnds.keys()].map(number => number - 1));
         return () => {
             this.committedEnd = Math.max(this.committedEnd, candidate);
             this.onCommitted?.();
@@ -224,18 +224,19 @@
         while (!this.disposed) {
             const startedAtMs = this.timer.nowMs();
             const { fenced, reachable } = this.state;
-            const isIdle = this.clock.known && fenced && reachable && this.reportedEnd === this.committedEnd;
+            const isIdle = this.clock.known && fenced && reachable && this.reportedEnd === this.committedEnd
+                && !this.state.awaitsIntake;
             const maxWaitMs = this.events.needsFrequentPolls(this.state) ? FREQUENT_POLL_WAIT_MS : POLL_WAIT_MS;
             const answered = await this.poll(isIdle ? maxWaitMs : 0);
             if (this.disposed) {
                 return;
             }
-            if (!answered) {
-                await sleep(this.timer, RETRY_DELAY_MS);
-            }
-            else if (this.reportedEnd > this.committedEnd) {
+            if (answered && this.reportedEnd > this.committedEnd) {
                 await this.waitForCommit();
             }
+            if (!answered || this.state.awaitsIntake) {
+                await sleep(this.timer, RETRY_DELAY_MS);
+            }
             const intervalMs = MIN_POLL_INTERVAL_MS + Math.min(MAX_EXTRA_INTERVAL_MS, this.timing.loopDelayMs());
             const pauseMs = startedAtMs + intervalMs - this.timer.nowMs();
             if (pauseMs > 0) {
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -1,6 +1,6 @@
 import type { ResourceAmounts, StepSpec } from "../model/JobSpec.js";
 import { addResources, countFits, createResourceSum, type ResourceSum } from "../model/ResourceSum.js";
-import type { WorkerEntry } from "../ports/WorkerClient.js";
+import type { ReportedEnd, ReportedRun, WorkerEntry } from "../ports/WorkerClient.js";
 import type { RunState } from "./RunState.js";
 
 /** One incarnation of a worker, as known to the owner. */
@@ -15,6 +15,10 @@
     public fenced = false;
     /** The worker reports runs that are not in `runs`, so that its free capacity is unknown. */
     public hasUncountedRuns = false;
+    /** Reported runs of jobs that are not known yet, by task name. */
+    public readonly heldRuns = new Map<string, ReportedRun>();
+    /** Ended runs of jobs that are not known yet, by number; they are not acknowledged. */
+    public readonly heldEnds = new Map<number, ReportedEnd>();
     /** The directory lists the worker. */
     public listed = true;
     /** The worker answered the last call. */
@@ -36,6 +40,11 @@
         return this.entry.id;
     }
 
+    /** Whether a report names jobs that are not known yet. */
+    public get awaitsIntake(): boolean {
+        return this.heldRuns.size > 0 || this.heldEnds.size > 0;
+    }
+
     /** Whether new tasks may be started here. */
     public canStart(nowMs: number): boolean {
         return this.fenced && !this.hasUncountedRuns && !this.tasksPublished && this.listed && this.reachable
--- a/packages/proof/src/fleet/FleetCuts.test.ts
+++ b/packages/proof/src/fleet/FleetCuts.test.ts
@@ -138,11 +138,13 @@
     t.is(deployment.store.reads, reads);
 });
 
-test("a job that is accepted around a takeover, and reported to the former owner only, starts once", async t => {
-    const deployment = await startDeployment(32);
+/**
+ * Waits until the fleet is taken over from an owner that the store does not serve, by a successor that reaches only one
+ * worker; returns the successor, and an entry that tells the former owner of its jobs for a while.
+ */
+async function takeOver(deployment: FleetDeployment): Promise<{ readonly successor: string; readonly entry: string; }> {
     const first = deployment.ownerMachine;
     const [next, entry] = [...deployment.processes.keys()].filter(machine => machine !== first);
-    // The store does not serve the owner, and of the others only one may follow it.
     deployment.store.faults.refusedMachines.add(first);
     const { epoch } = deployment.ownerRow!;
     for (const { entry: worker } of deployment.fleet.workers.values()) {
@@ -154,11 +156,39 @@
         await deployment.timer.advance(1);
     }
     const successor = deployment.ownerMachine;
-    const other = successor === next ? entry! : next!;
-    const jobs = Array.from({ length: 12 }, () => deployment.createJob([{ taskCount: 1, estimateMs: 5000 }]));
-    jobs.forEach(job => void deployment.submit(other, job));
+    return { successor, entry: successor === next ? entry! : next! };
+}
+
+function submitJobs(deployment: FleetDeployment, entry: string, estimateMs: number): void {
+    const jobs = Array.from({ length: 12 }, () => deployment.createJob([{ taskCount: 1, estimateMs }]));
+    jobs.forEach(job => void deployment.submit(entry, job));
+}
+
+test("a job that is accepted around a takeover, and reported to the former owner only, starts once", async t => {
+    const deployment = await startDeployment(32);
+    const { entry } = await takeOver(deployment);
+    submitJobs(deployment, entry, 5000);
     await deployment.timer.advance(300);
     deployment.fleet.faults.cutLinks.clear();
     await deployment.timer.advance(8000);
     t.deepEqual(deployment.rules.allViolations(), []);
 });
+
+for (const estimateMs of [300, 5000]) {
+    test(`runs of ${estimateMs} ms of jobs that a successor learns of after its workers report them are not repeated`, async t => {
+        for (const unservedMs of [600, 800, 1500]) {
+            const deployment = await startDeployment(33);
+            const { successor, entry } = await takeOver(deployment);
+            await deployment.timer.advance(10);
+            deployment.store.faults.refusedMachines.add(successor);
+            submitJobs(deployment, entry, estimateMs);
+            await deployment.timer.advance(300);
+            t.true(deployment.rules.startCount > 0);
+            deployment.fleet.faults.cutLinks.clear();
+            await deployment.timer.advance(unservedMs - 300);
+            deployment.store.faults.refusedMachines.delete(successor);
+            await deployment.timer.advance(8000);
+            t.deepEqual(deployment.rules.allViolations(), [], `the store serves the successor after ${unservedMs} ms`);
+        }
+    });
+}
