A draining worker that is silent counts as left only when its leases have ended or nothing runs there

What callers would see: a task that must run once runs twice, while a worker that leaves is cut off.

Cause: the directory drops an entry after three silent heartbeat intervals, also while the store does not serve the worker. For a draining worker that it does not list, one call without a reply counted as proof of its end, so its tasks started elsewhere while they ran on. A successor left such workers out entirely.

Why it works: silence proves nothing but the end of the leases, so that is waited for, by the owner and, with the tasks that the row of the known workers names, by its successor. Only a worker of which the last report leaves no run is given up at once. What it costs: the tasks of a worker that has really left start elsewhere later by the rest of a lease.

--- a/packages/fleet/src/model/OwnerRow.ts
+++ b/packages/fleet/src/model/OwnerRow.ts
@@ -34,7 +34,7 @@
     readonly id: string;
     readonly address: string;
     readonly incarnation: number;
-    /** The worker was draining; it has left once the directory no longer lists it. */
+    /** The worker was draining; without tasks it has left once the directory no longer lists it. */
     readonly draining: boolean;
     /** Tasks that may run on the worker; set only while it gets no new ones, as it is draining or does not answer. */
     readonly tasks?: readonly string[];
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -124,7 +124,7 @@
         for (const entry of entries) {
             this.entries.set(entry.id, entry);
         }
-        const unlisted = previousWorkers.filter(known => !known.draining && !this.entries.has(known.id)).map(
+        const unlisted = previousWorkers.filter(known => !hasLeft(known) && !this.entries.has(known.id)).map(
             unlistedEntry
         );
         if (unknownLeaseMs > 0) {
@@ -317,6 +317,11 @@
     }
 }
 
+/** Returns whether a worker that the directory does not list was draining without a task, so that nothing runs there. */
+function hasLeft({ draining, tasks }: KnownWorker): boolean {
+    return draining && tasks?.length === 0;
+}
+
 /** Creates an entry for a worker that the directory does not list; it is draining, so nothing is started there. */
 function unlistedEntry(known: KnownWorker): WorkerEntry {
     return {
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -35,7 +35,7 @@
 
 /** Why nothing runs any more on an incarnation of a worker. */
 export enum WorkerLossReason {
-    /** It was draining, is no longer listed in the directory and does not reply. */
+    /** It was draining without a run, is no longer listed in the directory and does not reply. */
     Left = "left",
     /** It has restarted. */
     Restarted = "reborn",
@@ -60,10 +60,18 @@
 
 /** Time for which a poll waits for a run to end: half of the maximum that workers allow. */
 const POLL_WAIT_MS = 1000;
-/** The same on workers that must be polled often: the tail latency that serving tasks report covers half a second. */
+/**
+ * The same on workers that must be polled often: the tail latency that serving tasks report covers half a second, and
+ * leases on draining workers are short.
+ */
 const FREQUENT_POLL_WAIT_MS = 400;
 /** Timeout of a call, after the time for which it waits on the worker: five round trips between regions. */
 const REPLY_TIMEOUT_MS = 500;
+/**
+ * Lease on a draining worker: it covers a change of the owner, and is short, since the worker may leave before its tasks
+ * have ended.
+ */
+const DRAINING_LEASE_MS = 3000;
 /** Lease of a start; a worker refuses a start order that arrives after it has ended. */
 const START_LEASE_MS = 1400;
 /** Delay between polls of a worker that does not reply. */
@@ -208,9 +216,13 @@
         };
     }
 
-    /** Reports the worker as lost if it was draining and is neither listed nor reachable any more. */
+    /**
+     * Reports the worker as lost if it was draining without a run and is neither listed nor reachable any more. Silence
+     * is no proof that runs have ended.
+     */
     public checkIfLeft(): void {
-        if (this.entry.draining && !this.state.listed && !this.state.reachable && this.state.fenced) {
+        const { listed, reachable, fenced } = this.state;
+        if (this.entry.draining && !listed && !reachable && fenced && this.state.knownIdle) {
             this.events.workerLost(this, WorkerLossReason.Left);
         }
     }
@@ -226,7 +238,8 @@
             const { fenced, reachable } = this.state;
             const isIdle = this.clock.known && fenced && reachable && this.reportedEnd === this.committedEnd
                 && !this.state.awaitsIntake;
-            const maxWaitMs = this.events.needsFrequentPolls(this.state) ? FREQUENT_POLL_WAIT_MS : POLL_WAIT_MS;
+            const isFrequent = this.entry.draining || this.events.needsFrequentPolls(this.state);
+            const maxWaitMs = isFrequent ? FREQUENT_POLL_WAIT_MS : POLL_WAIT_MS;
             const answered = await this.poll(isIdle ? maxWaitMs : 0);
             if (this.disposed) {
                 return;
@@ -270,7 +283,9 @@
         const sentAtMs = this.timer.nowMs();
         // An unreachable worker gets no new leases, so that everything that may run there ends after a bounded time.
         const mayExtend = this.state.reachable && this.events.maySendOrders();
-        const leaseEndMs = mayExtend ? this.clock.leaseEnd(this.timing.maximumLeaseMs) : undefined;
+        const { maximumLeaseMs } = this.timing;
+        const leaseMs = this.entry.draining ? Math.min(DRAINING_LEASE_MS, maximumLeaseMs) : maximumLeaseMs;
+        const leaseEndMs = mayExtend ? this.clock.leaseEnd(leaseMs) : undefined;
         const result = await this.workerClient.poll(
             this.entry,
             { token, acknowledgedEnd: this.committedEnd, leaseEndMs, waitMs },
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -45,6 +45,11 @@
         return this.heldRuns.size > 0 || this.heldEnds.size > 0;
     }
 
+    /** Whether the last report and the orders since then leave nothing that may run here. */
+    public get knownIdle(): boolean {
+        return this.runs.size === 0 && !this.hasUncountedRuns && this.heldEnds.size === 0;
+    }
+
     /** Whether new tasks may be started here. */
     public canStart(nowMs: number): boolean {
         return this.fenced && !this.hasUncountedRuns && !this.tasksPublished && this.listed && this.reachable
--- a/packages/proof/src/fleet/FleetCuts.test.ts
+++ b/packages/proof/src/fleet/FleetCuts.test.ts
@@ -192,3 +192,39 @@
         }
     });
 }
+
+for (const isOwnerKilled of [false, true]) {
+    const name = isOwnerKilled ? "a successor" : "the owner";
+    test(`${name} waits for the leases of a draining worker that is cut off and that the directory has dropped`, async t => {
+        const deployment = await startDeployment(34);
+        const job = deployment.createJob([{ taskCount: 1, estimateMs: 8000 }]);
+        await deployment.timer.advanceUntil(deployment.submit("m0", job));
+        await deployment.timer.advance(500);
+        const { entry } = [...deployment.fleet.workers.values()].find(each => each.running.size > 0)!;
+        deployment.updateDirectory({ ...entry, draining: true });
+        await deployment.timer.advance(1500);
+        deployment.fleet.faults.isolatedWorkers.add(entry.id);
+        deployment.updateDirectory(entry.id);
+        if (isOwnerKilled) {
+            await deployment.timer.advance(1000);
+            deployment.killProcess(deployment.ownerMachine);
+        }
+        t.is(await deployment.waitUntilFinal(job, 30_000), JobPhase.Completed);
+        t.deepEqual(deployment.rules.allViolations(), []);
+    });
+}
+
+test("the tasks of a draining worker that has ended start elsewhere once its short leases have ended", async t => {
+    const deployment = await startDeployment(35);
+    const job = deployment.createJob([{ taskCount: 1, estimateMs: 8000 }]);
+    await deployment.timer.advanceUntil(deployment.submit("m0", job));
+    await deployment.timer.advance(500);
+    const worker = [...deployment.fleet.workers.values()].find(each => each.running.size > 0)!;
+    deployment.updateDirectory({ ...worker.entry, draining: true });
+    await deployment.timer.advance(4000);
+    worker.kill();
+    deployment.updateDirectory(worker.entry.id);
+    await deployment.timer.advance(4500);
+    t.is(deployment.rules.startCount, 2);
+    t.deepEqual(deployment.rules.allViolations(), []);
+});
