--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -18,6 +18,7 @@
 import { FleetState } from "../state/FleetState.js";
 import type { JobState } from "../state/JobState.js";
 import type { StepState } from "../state/StepState.js";
+import { describeEndedJob } from "./describeEndedJob.js";
 import { Dispatcher } from "./Dispatcher.js";
 import { DurationMeter } from "./DurationMeter.js";
 import { EntryWatchers, type WatchingEntry } from "./EntryWatchers.js";
@@ -348,18 +349,7 @@
         this.fleet.recordEnded(job, this.dependencies.timer.nowMs());
         this.permitRequester.dropQuestions(job);
         this.watchers.jobChanged(job.spec.id);
-        const { startedAtMs, acceptedAtMs } = job;
-        this.dependencies.log.write(EVENTS.requestEnded, {
-            requestId: job.spec.id,
-            state: job.phase,
-            queue: job.spec.queue,
-            team: job.spec.team,
-            epoch: this.epoch,
-            waitedMs: startedAtMs === undefined ? undefined : Math.round(startedAtMs - acceptedAtMs),
-            totalMs: Math.round(this.dependencies.timer.nowMs() - acceptedAtMs),
-            runs: job.runCount,
-            withinShare: job.withinShare
-        });
+        this.dependencies.log.write(EVENTS.requestEnded, describeEndedJob(job, this.epoch, this.dependencies.timer));
     }
 
     private schedulePlanning(): void {
--- /dev/null
+++ b/packages/fleet/src/owner/describeEndedJob.ts
@@ -0,0 +1,19 @@
+import type { EventFields } from "@skylarkpath/common/log/EventLog";
+import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import type { JobState } from "../state/JobState.js";
+
+/** Returns the fields of the log event of an ended job; times are in ms. */
+export function describeEndedJob(job: JobState, epoch: number, timer: TimerService): EventFields {
+    const { spec, phase, startedAtMs, acceptedAtMs, runCount, withinShare } = job;
+    return {
+        requestId: spec.id,
+        state: phase,
+        queue: spec.queue,
+        team: spec.team,
+        epoch,
+        waitedMs: startedAtMs === undefined ? undefined : Math.round(startedAtMs - acceptedAtMs),
+        totalMs: Math.round(timer.nowMs() - acceptedAtMs),
+        runs: runCount,
+        withinShare
+    };
+}
