A process that has just become the owner does not replace itself

What callers would see: after a takeover in a quiet fleet, a second one some 100 ms later; sessions with all workers begin anew, and one more replacement counts, so that the next takeover waits longer.

Cause: the election measures how long the owner's row has been unchanged. Its own takeover changed the row, but the time went on counting from the former owner's last write. Until the new owner's first commit (up to 400 ms when nothing is to be written) the next read of the row, 100 ms later, took it for the row of a silent owner.

Tests of packages/fleet and packages/proof/src/fleet: 130 passed.

Why it works: the takeover is a change of the row, so the time counts from it.

--- a/packages/fleet/src/ownership/OwnerElection.test.ts
+++ b/packages/fleet/src/ownership/OwnerElection.test.ts
@@ -17,15 +17,18 @@
 };
 const STORE_MS = 4;
 
-/** Plays an owner that no longer writes its row; returns the time until it is replaced and the successor's row. */
+/**
+ * Plays an owner that no longer writes its row; returns the time until it is replaced, the successor's row, and how
+ * often the successor has won within 300 ms, in which it writes nothing.
+ */
 async function playTakeover(
     t: ExecutionContext,
     previous: Partial<OwnerRow>,
     health: Partial<OwnerHealth>
-): Promise<{ readonly afterMs: number; readonly won: WonOwnership; }> {
+): Promise<{ readonly afterMs: number; readonly won: WonOwnership; readonly wins: number; }> {
     const timer = new VirtualTimer();
     const row: OwnerRow = { epoch: 5, holder: "former", address: "former", sequence: 9, released: false, ...previous };
-    const stored = {
+    let stored = {
         table: FleetTable.Ownership,
         partition: FLEET_PARTITION,
         key: OWNER_KEY,
@@ -33,10 +36,13 @@
         version: 7
     };
     const store: RowStore = {
-        commit: async () => ok(8),
+        commit: async (...[, [write]]) => {
+            stored = { ...stored, value: write!.value!, version: stored.version + 1 };
+            return ok(stored.version);
+        },
         read: async () => {
             await sleep(timer, STORE_MS);
-            return ok({ rows: [stored], hasMore: false, version: 7 });
+            return ok({ rows: [stored], hasMore: false, version: stored.version });
         },
         changes: async () => err({ kind: StoreFailureKind.Unavailable, message: "", rows: [] })
     };
@@ -44,14 +50,25 @@
     const election = new OwnerElection(store, timer, candidate, { ...SILENT, ...health });
     t.teardown(() => election.dispose());
     let won: WonOwnership | undefined;
-    election.onWon(each => won ??= each);
+    let wins = 0;
+    election.onWon(each => {
+        won ??= each;
+        wins++;
+    });
     election.start();
     while (!won) {
         await timer.advance(10);
     }
-    return { afterMs: timer.nowMs(), won };
+    const afterMs = timer.nowMs();
+    await timer.advance(300);
+    return { afterMs, won, wins };
 }
 
+test("a process that has just become the owner does not replace itself before its first write", async t => {
+    const { wins } = await playTakeover(t, {}, {});
+    t.is(wins, 1);
+});
+
 test("an owner that is silent is replaced within 1.2 s", async t => {
     const { afterMs, won } = await playTakeover(t, {}, {});
     t.true(afterMs < 1200, `${afterMs} ms`);
--- a/packages/fleet/src/ownership/OwnerElection.ts
+++ b/packages/fleet/src/ownership/OwnerElection.ts
@@ -229,6 +229,7 @@
         }
         if (result.isOk()) {
             this.lastRead = { row: value, version: result.value };
+            this.unchangedSinceMs = this.timer.nowMs();
             this.won.fire({ row, version: result.value, previous: previousRow, previousStopped: isPreviousStopped });
         }
     }
