An entry whose answers were given up is spared until it answers

Cause: an answer that was given up no longer counted, so that its entry counted as free at once and got more questions, while it still had the old ones to ask; questions that it had not fetched yet were kept for it, and asked for nothing when it came back. Every check of an entry went through all of its open and overdue questions besides. A step's entry checks cost a walk through these. Test failed before: PolicyChannels, "an entry whose answer was given up gets no more questions until it answers, and does not fetch the old one". Change: such an entry pauses for as long again, or until it answers; an unfetched question that was given up is dropped; overdue questions are found from the front of the list.

--- a/packages/fleet/src/owner/PolicyChannels.test.ts
+++ b/packages/fleet/src/owner/PolicyChannels.test.ts
@@ -116,3 +116,18 @@
     channels.recordEntry("e1", 5, 1200);
     t.is(channels.choose(SHORT_COST_MS, 1200)?.entry, "e1");
 });
+
+test("an entry whose answer was given up gets no more questions until it answers, and does not fetch the old one", t => {
+    const channels = new PolicyChannels();
+    channels.recordEntry("e1", 5, 0);
+    const channel = channels.choose(SHORT_COST_MS, 0)!;
+    channels.ask(channel, { number: 1, step: "s", workerIds: [] }, SHORT_COST_MS, 0);
+    channels.takeQuestions("e1");
+    channels.ask(channel, { number: 2, step: "s", workerIds: [] }, SHORT_COST_MS, 0);
+    channels.recordEntry("e1", 5, 1200);
+    t.false(channels.isAnswerExpected("e1", 1, 1200));
+    t.is(channels.choose(SHORT_COST_MS, 1200), undefined);
+    t.deepEqual(channels.takeQuestions("e1"), []);
+    channels.recordAnswer("e1", 1, 1300, 1250);
+    t.is(channels.choose(SHORT_COST_MS, 1300)?.entry, "e1");
+});
--- a/packages/fleet/src/owner/PolicyChannels.ts
+++ b/packages/fleet/src/owner/PolicyChannels.ts
@@ -26,6 +26,8 @@
     delayMeasuredAtMs: number;
     /** Moving average of the time that a question and its answer are on the way; undefined before the first answer. */
     wayMs: number | undefined;
+    /** It gets no questions until then, or until it answers one, since an answer was given up. */
+    pausedUntilMs: number;
 }
 
 /** Entry of the owner's own process. */
@@ -94,7 +96,8 @@
             roundTripMs,
             delayMs: 0,
             delayMeasuredAtMs: nowMs,
-            wayMs: undefined
+            wayMs: undefined,
+            pausedUntilMs: nowMs
         });
     }
 
@@ -172,6 +175,7 @@
         }
         channel.openQuestions.delete(number);
         channel.overdueQuestions.delete(number);
+        channel.pausedUntilMs = nowMs;
         if (channel.openQuestions.size === 0) {
             channel.busyUntilMs = Math.min(channel.busyUntilMs, nowMs);
         }
@@ -214,7 +218,15 @@
         return false;
     }
     dropOverdue(channel, nowMs);
-    return overdueMs(channel, nowMs) <= MAX_BACKLOG_MS + Math.max(channel.roundTripMs, channel.wayMs ?? 0);
+    return nowMs >= channel.pausedUntilMs
+        && overdueMs(channel, nowMs) <= MAX_BACKLOG_MS + Math.max(channel.roundTripMs, channel.wayMs ?? 0);
+}
+
+function removeUnsent({ unsent }: PolicyChannel, number: number): void {
+    const index = unsent.findIndex(question => question.number === number);
+    if (index >= 0) {
+        unsent.splice(index, 1);
+    }
 }
 
 /** How late the oldest expected answer is; an entry asks one question after the other. */
@@ -240,15 +252,19 @@
         Math.max(ANSWER_TIMEOUT_MS, channel.delayMs * ANSWER_TIMEOUT_DELAY_FACTOR)
     );
     for (const [number, question] of channel.openQuestions) {
-        if (nowMs > question.dueMs + timeoutMs) {
-            channel.openQuestions.delete(number);
-            channel.overdueQuestions.set(number, question);
+        if (nowMs <= question.dueMs + timeoutMs) {
+            break;
         }
+        channel.openQuestions.delete(number);
+        channel.overdueQuestions.set(number, question);
+        channel.pausedUntilMs = Math.max(channel.pausedUntilMs, question.dueMs + timeoutMs * 2);
+        removeUnsent(channel, number);
     }
     for (const [number, { dueMs }] of channel.overdueQuestions) {
-        if (nowMs > dueMs + ANSWER_RETENTION_MS) {
-            channel.overdueQuestions.delete(number);
+        if (nowMs <= dueMs + ANSWER_RETENTION_MS) {
+            break;
         }
+        channel.overdueQuestions.delete(number);
     }
 }
 
