Entries ask the policy in order, few questions at a time, and none that nobody waits for

Cause: an entry sent all questions of the owner to the policy at once, over eight connections, and those of a former owner as well; a question waited there up to 4.3 s, after the owner had asked elsewhere, and those behind it waited for nothing.

--- a/packages/fleet/src/entry/OwnerWatcher.ts
+++ b/packages/fleet/src/entry/OwnerWatcher.ts
@@ -16,6 +16,7 @@
 import type { RowChange } from "../ports/RowStore.js";
 import { isWatchReply } from "./isWatchReply.js";
 import type { JobStateCache } from "./JobStateCache.js";
+import { PolicyQueue } from "./PolicyQueue.js";
 
 /** Identity of this entry process, the measurements that it reports to the owner, and its policy timeout. */
 export interface OwnerWatcherOptions {
@@ -79,17 +80,19 @@
     private reporting = false;
     private readonly becameUnhealthy = new Emitter<void>();
     private readonly followSubscription: Disposable;
+    private readonly policyQueue: PolicyQueue;
 
     /** Fires when the owner does not answer, has not confirmed its row in time, or no longer owns the fleet. */
     public readonly onUnhealthy = this.becameUnhealthy.event;
 
     constructor(
         private readonly ownerClient: OwnerClient,
-        private readonly policy: PlacementPolicy | undefined,
+        policy: PlacementPolicy | undefined,
         private readonly states: JobStateCache,
         private readonly timer: TimerService,
         private readonly options: OwnerWatcherOptions
     ) {
+        this.policyQueue = new PolicyQueue(policy, timer, options.policyTimeoutMs);
         this.followSubscription = states.onUnfinishedAdded(jobId => this.unfollowed.add(jobId));
     }
 
@@ -309,7 +312,7 @@
 
     private async askPolicy(epoch: number, question: PolicyQuestion): Promise<void> {
         const askedAtMs = this.timer.nowMs();
-        const answer = await this.policy?.ask(question, this.options.policyTimeoutMs());
+        const answer = await this.policyQueue.ask(question, () => epoch === this.epoch);
         const reply = {
             question: question.number,
             permits: answer?.permits,
