Tasks that crash their workers: counted, kept apart, and their jobs fail

Cause: only ends that a worker reports as failed count against a task. A run whose worker crashes ends without a report: the worker comes back with no runs, under its id in a later incarnation or under another id, and the run was closed and started elsewhere.

Change: CrashTracker counts the crash under every run that may have been there, by number of the run, when the worker has restarted, or when its leases have ended and the directory drops it (taken back if it answers again). Not counted: orders in flight, draining workers, lasting tasks that ran for 30 s. The counts are stored with the progress (new optional field), from the second crash on before the next start; a successor also counts the tasks that rows of the known workers name. At three crashes the job fails, unless another task on that worker has more, then at four. Such tasks are placed apart from each other and from other tasks as far as there is room (CrashIsolation).

--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -102,6 +102,12 @@
         EventLevel.Warning,
         "A worker is lost: its leases have lapsed, or it has left, restarted or refuses connections."
     ),
+    workerCrashed: define(
+        1414,
+        "worker-crashed",
+        EventLevel.Warning,
+        "A worker crashed under a task; the event names the task and the number of its crashes."
+    ),
     holdReleased: define(1413, "hold-released", EventLevel.Info, "Tasks claimed under earlier epochs may start again."),
     requestAccepted: define(1501, "request-accepted", EventLevel.Info, "A request was accepted durably."),
     requestRefused: define(
@@ -130,6 +136,12 @@
         EventLevel.Warning,
         "The outcome of a look-up whose entry process died was determined and committed."
     ),
+    jobGivenUp: define(
+        1507,
+        "job-given-up",
+        EventLevel.Warning,
+        "A job fails because workers crash under one of its tasks."
+    ),
     taskStarted: define(1511, "task-started", EventLevel.Debug, "The start of a task was requested from a worker."),
     taskEnded: define(1512, "task-ended", EventLevel.Debug, "A task ended."),
     storeUnavailable: define(1601, "store-unavailable", EventLevel.Warning, "The table service cannot be reached."),
--- a/packages/fleet/src/model/JobProgress.ts
+++ b/packages/fleet/src/model/JobProgress.ts
@@ -9,6 +9,8 @@
     readonly failures: Readonly<Record<string, FailedRuns>>;
     readonly checkpoints: Readonly<Record<string, string>>;
     readonly gangFailures: FailedRuns;
+    /** Runs under which a worker crashed, by task index; not set by version 0.1.0. */
+    readonly crashes?: Readonly<Record<string, FailedRuns>>;
 }
 
 /** Stored progress of a job. */
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -380,7 +380,7 @@
         const isNew = takeover.previousStopped
             ? ({ job }: StepState) => job.acceptedVersion > takeover.version
             : ({ job }: StepState) => job.reportedHere && !awaitsFencing;
-        this.dispatcher.planAndDispatch(step => isNew(step) || registry.mayStart(step));
+        this.dispatcher.planAndDispatch(step => !step.job.held && (isNew(step) || registry.mayStart(step)));
     }
 
     private reportLost(reason: string): void {
--- a/packages/fleet/src/owner/ProgressWriter.ts
+++ b/packages/fleet/src/owner/ProgressWriter.ts
@@ -164,6 +164,7 @@
     private takeBatch(): CommitBatch {
         const jobs: JobState[] = [];
         const writes: RowWrite[] = [];
+        const callbacks: (() => void)[] = [];
         for (const job of this.dirty) {
             if (writes.length > MAX_ROWS - MAX_ROWS_PER_JOB) {
                 break;
@@ -171,6 +172,7 @@
             this.dirty.delete(job);
             if (!job.committed) {
                 jobs.push(job);
+                callbacks.push(job.beginCommit());
                 writeJob(job, writes);
             }
         }
@@ -181,7 +183,7 @@
             writes,
             waiters,
             finals: jobs.filter(job => job.final),
-            callbacks: waiters.map(waiter => waiter.beginBatch())
+            callbacks: [...callbacks, ...waiters.map(waiter => waiter.beginBatch())]
         };
     }
 
--- a/packages/fleet/src/owner/RunTracker.ts
+++ b/packages/fleet/src/owner/RunTracker.ts
@@ -1,5 +1,6 @@
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
+import { NO_FAILURES } from "../model/JobProgress.js";
 import { JobPhase } from "../model/JobSpec.js";
 import { type ReportedEnd, type ReportedRun, RunEnd, type WorkerReport } from "../ports/WorkerClient.js";
 import type { FleetState } from "../state/FleetState.js";
@@ -21,6 +22,8 @@
 
 /** A task without progress for this long has stalled: a little more than the time of two polls. */
 const STALL_TIMEOUT_MS = 2500;
+/** A lasting task that has run for this long did not crash its worker. */
+const SETTLED_AFTER_MS = 30_000;
 /** A stop order is repeated after this time until the worker has carried it out. */
 const STOP_RETRY_MS = 700;
 
@@ -198,6 +201,10 @@
             run.percent = listed.percent;
             run.progressedAtMs = nowMs;
         }
+        if (run.task.crashedRuns.length > 0 && this.isSettled(run)) {
+            run.task.crashedRuns = NO_FAILURES;
+            this.jobChanged.fire(run.task.step.job);
+        }
         if (run.stopRequested || run.task.done || run.task.step.job.final) {
             this.stopRun(run);
         }
@@ -208,9 +215,15 @@
         }
     }
 
+    /** Whether a lasting task has run for so long that it did not crash its worker. */
+    public isSettled({ task, confirmedAtMs }: RunState): boolean {
+        return task.step.spec.lasting && confirmedAtMs !== undefined
+            && this.timer.nowMs() - confirmedAtMs > SETTLED_AFTER_MS;
+    }
+
     /** Adopts a run that a previous owner started; returns undefined when it must not run. */
     private adopt(worker: WorkerState, listed: ReportedRun): RunState | undefined {
-        const task = this.findTask(listed.task);
+        const task = this.fleet.findTask(listed.task);
         if (!task || task.done || task.run || task.step.job.final) {
             return undefined;
         }
@@ -242,7 +255,7 @@
         }
         const run = worker.runs.get(listed.task);
         const matching = run?.run === listed.run ? run : undefined;
-        const task = matching?.task ?? this.findTask(listed.task);
+        const task = matching?.task ?? this.fleet.findTask(listed.task);
         if (matching) {
             this.fleet.closeRun(matching);
         }
@@ -310,6 +323,11 @@
         }
     }
 
+    /** Commits the present state of a job. */
+    public markChanged(job: JobState): void {
+        this.jobChanged.fire(job);
+    }
+
     /** Records that a task of the job has started. */
     public markStarted(job: JobState): void {
         job.startedAtMs ??= this.timer.nowMs();
@@ -335,9 +353,4 @@
         }
         return true;
     }
-
-    private findTask(name: string): TaskState | undefined {
-        const parts = parseTaskName(name);
-        return parts && this.fleet.jobs.get(parts.jobId)?.findTask(parts.occurrence, parts.step, parts.index);
-    }
 }
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -11,6 +11,7 @@
 import type { RunState } from "../state/RunState.js";
 import type { StepState } from "../state/StepState.js";
 import { WorkerState } from "../state/WorkerState.js";
+import { CrashTracker } from "./CrashTracker.js";
 import { FillerThrottle, type SpeedLimitChange } from "./FillerThrottle.js";
 import type { RunTracker } from "./RunTracker.js";
 import { type SessionEvents, type SessionTiming, WorkerLossReason, WorkerSession } from "./WorkerSession.js";
@@ -33,6 +34,7 @@
     private readonly sessions = new Map<string, WorkerSession>();
     private readonly generations = new Map<string, number>();
     private readonly fillerThrottle: FillerThrottle;
+    private readonly crashes: CrashTracker;
     private readonly entries = new Map<string, WorkerEntry>();
     private readonly fenced = new Emitter<WorkerSession>();
     /**
@@ -58,6 +60,7 @@
         private readonly log: EventLog
     ) {
         this.fillerThrottle = new FillerThrottle(timer);
+        this.crashes = new CrashTracker(fleet, runs, timer, log);
     }
 
     /** Every worker to which a previous owner may have given tasks is fenced, or its leases have ended. */
@@ -140,6 +143,11 @@
         }
         entries.forEach(entry => this.open(entry, unknownLeaseMs, true));
         unlisted.forEach(entry => this.open(entry, unknownLeaseMs, false));
+        for (const { id, incarnation, draining, tasks } of previousWorkers) {
+            if (!draining && tasks && (this.entries.get(id)?.incarnation ?? 0) > incarnation) {
+                this.crashes.recordEarlierRestart(id, tasks);
+            }
+        }
         this.updateUnknownUsage();
     }
 
@@ -167,6 +175,7 @@
                 session.checkIfLeft();
             }
         }
+        this.crashes.applyDirectory(this.entries);
     }
 
     public dispose(): void {
@@ -191,6 +200,7 @@
             reason: WorkerLossReason.Restarted,
             runs: session.state.runs.size
         });
+        this.recordRestart(session.state);
         session.dispose();
         this.generations.set(entry.id, session.nextGeneration);
         const next = this.open(entry, 0, session.state.listed);
@@ -221,6 +231,7 @@
                     }
                     if (!state.fenced) {
                         state.fenced = true;
+                        this.crashes.recordAnswer(state);
                         this.settle(entry.id);
                         this.log.write(EVENTS.workerFenced, { worker: entry.id, runs: state.runs.size });
                         this.fenced.fire(source);
@@ -264,11 +275,26 @@
         this.fleet.workers.delete(entry.id);
         this.generations.set(entry.id, session.nextGeneration);
         this.workerClient.disconnect(entry);
+        if (reason === WorkerLossReason.Restarted) {
+            this.recordRestart(state);
+        }
+        else if (reason === WorkerLossReason.LeaseEnded) {
+            this.crashes.recordSilence(state);
+        }
         this.runs.closeAllRuns(state);
         this.settle(entry.id);
         this.timer.after(RECONNECT_DELAY_MS, () => this.reconnect(entry.id));
     }
 
+    /** Counts the restart of a worker under its runs and under those that a previous owner may have left there. */
+    private recordRestart(state: WorkerState): void {
+        this.crashes.recordRestart(state);
+        const tasks = this.unsettled.get(state.id);
+        if (tasks && !state.entry.draining) {
+            this.crashes.recordEarlierRestart(state.id, tasks);
+        }
+    }
+
     /** Marks a worker as settled: tasks that a previous owner may have left there are known or have ended. */
     private settle(id: string): void {
         if (this.unsettled.delete(id) && this.settled) {
--- a/packages/fleet/src/placement/PlacementPlanner.test.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.test.ts
@@ -1,6 +1,8 @@
 import test from "ava";
 import type { FleetState } from "../state/FleetState.js";
 import { RunPhase } from "../state/RunState.js";
+import type { TaskState } from "../state/TaskState.js";
+import type { WorkerState } from "../state/WorkerState.js";
 import { addJob, addWorker, createFleet, PLAIN_CONFIG } from "../testing/FleetFixture.js";
 import { type PlacementPlan, PlacementPlanner } from "./PlacementPlanner.js";
 import { orderSteps } from "./StepOrder.js";
@@ -157,3 +159,18 @@
     addJob(fleet, [{ taskCount: 2 }], "00000000000000e1");
     t.is(startAll(fleet, plan(fleet, planner)).length, 2);
 });
+
+test("a task under which a worker crashed starts apart from other tasks, and these keep away from it", t => {
+    const fleet = createFleet();
+    const [busy, idle] = [addWorker(fleet, "w1"), addWorker(fleet, "w2")];
+    fleet.openRun(addJob(fleet, [{}], "00000000000000a2").findTask(0, 0, 0)!, busy, 1, RunPhase.Running, 0);
+    const suspect = addJob(fleet, [{}]).findTask(0, 0, 0)!;
+    suspect.crashedRuns = [1];
+    const planner = new PlacementPlanner(fleet);
+    const workerOf = (task: TaskState): WorkerState | undefined =>
+        planner.plan(0, () => true).starts.flatMap(start => start.placements).find(each => each.task === task)?.worker;
+    t.is(workerOf(suspect), idle);
+    fleet.openRun(suspect, idle, 2, RunPhase.Running, 0);
+    const gang = addJob(fleet, [{ gang: true, taskCount: 3 }], "00000000000000a3").findTask(0, 0, 0)!;
+    t.is(workerOf(gang), busy);
+});
--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -3,6 +3,7 @@
 import type { StepState } from "../state/StepState.js";
 import type { TaskState } from "../state/TaskState.js";
 import { chargedResources, type WorkerState } from "../state/WorkerState.js";
+import { CrashIsolation } from "./CrashIsolation.js";
 import { GangReservations, WorkerUse } from "./GangReservations.js";
 import { orderSteps, type RankedStep } from "./StepOrder.js";
 import { explainWait, type WaitReason } from "./WaitReason.js";
@@ -55,6 +56,7 @@
         this.reservations.refresh(nowMs, step => this.fitsTeamLimit(step));
         const maxFreeCpuMilli = this.findMaxFreeCpu(nowMs);
         const teamUsage = new PlannedTeamUsage(this.fleet);
+        const isolation = new CrashIsolation();
         for (const ranked of orderSteps(this.fleet, nowMs)) {
             const { step } = ranked;
             if (!mayStart(step)) {
@@ -64,8 +66,8 @@
             const mayFit = filler || size.cpuMilli <= maxFreeCpuMilli;
             const candidates = mayFit ? this.findCandidates(ranked, nowMs, plannedByWorker) : [];
             const placements = step.spec.gang
-                ? this.placeGang(ranked, candidates, teamUsage)
-                : this.placeTasks(ranked, candidates, teamUsage);
+                ? this.placeGang(ranked, candidates, teamUsage, isolation)
+                : this.placeTasks(ranked, candidates, teamUsage, isolation);
             if (placements.length > 0) {
                 starts.push({ step, placements });
                 for (const { worker } of placements) {
@@ -174,7 +176,12 @@
             && (workerLabel === undefined || worker.entry.labels.includes(workerLabel));
     }
 
-    private placeTasks(ranked: RankedStep, candidates: Candidate[], teamUsage: PlannedTeamUsage): Placement[] {
+    private placeTasks(
+        ranked: RankedStep,
+        candidates: Candidate[],
+        teamUsage: PlannedTeamUsage,
+        isolation: CrashIsolation
+    ): Placement[] {
         const placements: Placement[] = [];
         const { step } = ranked;
         const { maximumPerWorker } = step.spec;
@@ -193,7 +200,7 @@
             for (const candidate of candidates) {
                 const fits = candidate.fitCount > candidate.plannedCount
                     && (maximumPerWorker === 0 || candidate.runningCount + candidate.plannedCount < maximumPerWorker);
-                const score = fits ? scoreWorker(candidate, task) : Number.NEGATIVE_INFINITY;
+                const score = fits ? scoreWorker(candidate, task, isolation) : Number.NEGATIVE_INFINITY;
                 if (score > bestScore) {
                     best = candidate;
                     bestScore = score;
@@ -204,12 +211,18 @@
             }
             best.plannedCount++;
             teamUsage.add(step, 1);
+            isolation.add(best.worker, task);
             placements.push({ task, worker: best.worker, permit: best.permit });
         }
         return placements;
     }
 
-    private placeGang(ranked: RankedStep, candidates: Candidate[], teamUsage: PlannedTeamUsage): Placement[] {
+    private placeGang(
+        ranked: RankedStep,
+        candidates: Candidate[],
+        teamUsage: PlannedTeamUsage,
+        isolation: CrashIsolation
+    ): Placement[] {
         const { step } = ranked;
         const { maximumPerWorker, sameRack } = step.spec;
         const needed = step.tasks.length;
@@ -221,9 +234,13 @@
         const preferred = candidates.filter(candidate =>
             !step.tasks.some(task => task.avoidedWorkers.has(candidate.worker.id))
         );
+        const { suspect } = step;
+        const penaltyOf = ({ worker }: Candidate): number => isolation.penalty(worker, suspect);
         const groups = sameRack ? groupByRack(preferred) : [];
         for (const group of [...groups, preferred, candidates]) {
-            const sorted = [...group].sort((left, right) => fitCountOf(right) - fitCountOf(left));
+            const sorted = [...group].sort((left, right) =>
+                penaltyOf(left) - penaltyOf(right) || fitCountOf(right) - fitCountOf(left)
+            );
             const placements: Placement[] = [];
             for (const candidate of sorted) {
                 for (let count = 0; count < fitCountOf(candidate) && placements.length < needed; count++) {
@@ -233,6 +250,7 @@
             }
             if (placements.length === needed) {
                 teamUsage.add(step, needed);
+                placements.forEach(({ worker, task }) => isolation.add(worker, task));
                 return placements;
             }
         }
@@ -276,10 +294,10 @@
  * leaves the emptier workers to large tasks. Workers on which the task failed, reserved workers and suspect workers
  * come last.
  */
-function scoreWorker(candidate: Candidate, task: TaskState): number {
+function scoreWorker(candidate: Candidate, task: TaskState, isolation: CrashIsolation): number {
     const { worker } = candidate;
     const { nearRack } = task.step.spec;
-    let score = 0;
+    let score = -isolation.penalty(worker, task.suspect);
     if (task.avoidedWorkers.has(worker.id)) {
         score -= 1000;
     }
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -56,6 +56,12 @@
         return this.teamsByName.get(name);
     }
 
+    /** Returns a task of an open occurrence by its name. */
+    public findTask(name: string): TaskState | undefined {
+        const parts = parseTaskName(name);
+        return parts && this.jobs.get(parts.jobId)?.findTask(parts.occurrence, parts.step, parts.index);
+    }
+
     /** Returns the resources of a task by its name; undefined when its job is not known. */
     public taskResources(taskName: string): ResourceAmounts | undefined {
         const parts = parseTaskName(taskName);
@@ -106,6 +112,7 @@
         const state: RunState = {
             task,
             worker,
+            suspect: task.suspect,
             run,
             phase,
             orderedAtMs: nowMs,
--- a/packages/fleet/src/state/JobState.ts
+++ b/packages/fleet/src/state/JobState.ts
@@ -20,6 +20,9 @@
     public startedAtMs: number | undefined;
     /** Runs that this owner started. */
     public runCount = 0;
+    /** Number of calls of `holdUntilCommitted`, and how many of them a commit covers. */
+    private holdCount = 0;
+    private releasedHoldCount = 0;
     /** Estimated duration of the critical path through its steps. */
     public readonly criticalPathMs: number;
 
@@ -47,6 +50,24 @@
         return Math.max(1, this.spec.schedule.occurrences);
     }
 
+    /** Whether no task may be started before the state of the job is committed. */
+    public get held(): boolean {
+        return this.holdCount > this.releasedHoldCount;
+    }
+
+    /** Starts no task of the job until its present state is committed. */
+    public holdUntilCommitted(): void {
+        this.holdCount++;
+    }
+
+    /** Makes the present state part of a commit; the returned callback marks it as committed. */
+    public beginCommit(): () => void {
+        const { holdCount } = this;
+        return () => {
+            this.releasedHoldCount = Math.max(this.releasedHoldCount, holdCount);
+        };
+    }
+
     /** Wall-clock time at which the next occurrence is due; undefined when there is none. */
     public get nextDueMs(): number | undefined {
         if (this.nextOccurrence >= this.occurrenceCount) {
@@ -139,16 +160,21 @@
 function encodeStep(step: StepState): StepProgress {
     const failures: Record<string, FailedRuns> = {};
     const checkpoints: Record<string, string> = {};
+    const crashes: Record<string, FailedRuns> = {};
     for (const task of step.tasks) {
         if (task.failures.length > 0) {
             failures[task.index] = task.failures;
         }
+        if (task.crashedRuns.length > 0 && !task.done) {
+            crashes[task.index] = task.crashedRuns;
+        }
         if (task.checkpoint !== "" && !task.done) {
             checkpoints[task.index] = task.checkpoint;
         }
     }
     const done = step.done ? "all" : step.doneCount === 0 ? "" : step.tasks.map(task => task.done ? "1" : "0").join("");
-    return { done, failures, checkpoints, gangFailures: step.gangFailures };
+    const hasCrashes = Object.keys(crashes).length > 0;
+    return { done, failures, checkpoints, gangFailures: step.gangFailures, ...(hasCrashes && { crashes }) };
 }
 
 function restoreStep(step: StepState | undefined, stored: StepProgress): void {
@@ -162,6 +188,7 @@
             step.doneCount++;
         }
         task.failures = stored.failures[task.index] ?? NO_FAILURES;
+        task.crashedRuns = stored.crashes?.[task.index] ?? NO_FAILURES;
         task.checkpoint = stored.checkpoints[task.index] ?? "";
     }
 }
--- a/packages/fleet/src/state/StepState.ts
+++ b/packages/fleet/src/state/StepState.ts
@@ -49,6 +49,11 @@
         return !this.spec.lasting && this.doneCount >= this.tasks.length;
     }
 
+    /** Whether workers have crashed under any of its tasks. */
+    public get suspect(): boolean {
+        return this.tasks.some(task => task.crashedRuns.length > 0);
+    }
+
     /** Checkpoint that all members of the gang resume from. */
     public get gangCheckpoint(): string {
         return this.tasks.find(task => task.checkpoint !== "")?.checkpoint ?? "";
--- a/packages/fleet/src/state/TaskState.ts
+++ b/packages/fleet/src/state/TaskState.ts
@@ -5,6 +5,8 @@
 /** One task of a step. */
 export class TaskState {
     public failures: FailedRuns = NO_FAILURES;
+    /** Runs under which their worker crashed. */
+    public crashedRuns: FailedRuns = NO_FAILURES;
     public checkpoint = "";
     /** Highest run number of the task so far. */
     public lastRun: number;
@@ -45,6 +47,11 @@
         return !this.isDone && this.currentRun === undefined;
     }
 
+    /** Whether workers have crashed under the task or, in a gang, under any member. */
+    public get suspect(): boolean {
+        return this.step.spec.gang ? this.step.suspect : this.crashedRuns.length > 0;
+    }
+
     private updateWaitingCount(wasWaiting: boolean): void {
         this.step.waitingCount += Number(this.waiting) - Number(wasWaiting);
     }
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -9,6 +9,8 @@
     public readonly used: ResourceSum = createResourceSum();
     /** Number of runs of filler tasks. */
     public fillerCount = 0;
+    /** Number of runs of tasks under which workers have crashed. */
+    public suspectCount = 0;
     /** Runs by task name. */
     public readonly runs = new Map<string, RunState>();
     /** The worker accepts no orders of earlier owners, and its runs are known. */
@@ -80,6 +82,7 @@
     /** Adds a run and charges its resources. */
     public addRun(run: RunState): void {
         this.runs.set(run.task.name, run);
+        this.suspectCount += run.suspect ? 1 : 0;
         this.fillerCount += run.task.step.spec.filler ? 1 : 0;
         addResources(this.used, chargedResources(run.task.step.spec));
     }
@@ -88,6 +91,7 @@
     public removeRun(run: RunState): void {
         if (this.runs.get(run.task.name) === run) {
             this.runs.delete(run.task.name);
+            this.suspectCount -= run.suspect ? 1 : 0;
             this.fillerCount -= run.task.step.spec.filler ? 1 : 0;
             addResources(this.used, chargedResources(run.task.step.spec), -1);
         }
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -49,6 +49,8 @@
 const HOST = "lab.example";
 const MAX_ATTEMPTS = 3;
 const LINK_DELAY_MS = 1;
+/** Time after which a worker is back that a task has crashed. */
+const CRASH_DOWN_MS = 2500;
 /** Duration of a fixed piece of work on a machine with lagging timers, and on any other. */
 const SLOW_WORK_MS = 5;
 const USUAL_WORK_MS = 1;
@@ -74,6 +76,8 @@
     public readonly refusingMachines = new Set<string>();
     /** Replies to the next watch requests in place of those of the owner. */
     public readonly malformedReplies: unknown[] = [];
+    /** Workers that crash come back under another id, and the directory drops the former one. */
+    public renamesCrashedWorkers = false;
     /** Number of states of jobs that owners have told entries so far. */
     public toldStateCount = 0;
     private jobCount = 0;
@@ -83,6 +87,7 @@
         this.random = createSeededRandom(size.seed);
         this.store = new MemoryRowStore(this.timer, this.random);
         this.fleet = new MemoryFleet(this.timer, this.random, this.rules);
+        this.fleet.onWorkerCrashed = id => this.restartCrashed(id);
         for (let number = 0; number < size.workers; number++) {
             this.startWorker(`w${number}`);
         }
@@ -267,6 +272,18 @@
         return machines[Math.floor(this.random.next() * machines.length)]!;
     }
 
+    private restartCrashed(id: string): void {
+        this.timer.after(CRASH_DOWN_MS, () => {
+            if (this.fleet.workers.get(id)!.alive) {
+                return;
+            }
+            if (this.renamesCrashedWorkers) {
+                this.updateDirectory(id);
+            }
+            this.startWorker(this.renamesCrashedWorkers ? `${id}r` : id);
+        });
+    }
+
     private async call(
         machine: string,
         verb: CallerVerb,
--- a/packages/proof/src/fleet/FleetHistory.test.ts
+++ b/packages/proof/src/fleet/FleetHistory.test.ts
@@ -11,3 +11,11 @@
         t.true(result.accepted > 0);
     });
 }
+
+for (const seed of [1, 2, 3]) {
+    test(`a random history with tasks that crash workers violates no rule, seed ${seed}`, async t => {
+        const result = await new FleetHistory(seed, 0.04).run();
+        t.deepEqual(result.violations, []);
+        t.true(result.failed > 0);
+    });
+}
--- a/packages/standins/src/fleet/MemoryFleet.ts
+++ b/packages/standins/src/fleet/MemoryFleet.ts
@@ -44,6 +44,9 @@
         cutLinks: new Set()
     };
 
+    /** Called when a task has crashed a worker. */
+    public onWorkerCrashed: (id: string) => void = () => undefined;
+
     constructor(
         private readonly timer: TimerService,
         private readonly random: RandomSource,
@@ -55,6 +58,7 @@
         this.workers.get(entry.id)?.kill();
         const worker = new MemoryFleetWorker(entry, this.timer, this.rules);
         worker.onEndAcknowledged = end => this.rules.recordAcknowledgement(end.task, end.run, end.end);
+        worker.onCrash = () => this.onWorkerCrashed(entry.id);
         this.workers.set(entry.id, worker);
         return worker;
     }
--- a/packages/standins/src/fleet/MemoryFleetWorker.ts
+++ b/packages/standins/src/fleet/MemoryFleetWorker.ts
@@ -30,6 +30,8 @@
 /** Longest time from now that a lease may last; later lease ends are shortened to it. */
 const MAX_LEASE_MS = 6000;
 const CHECKPOINT_INTERVAL_MS = 500;
+/** Time from the start of a task that crashes workers to the crash. */
+const CRASH_DELAY_MS = 300;
 
 /** One incarnation of a worker, in memory, with fencing tokens, a lease on its own clock and numbered ends of runs. */
 export class MemoryFleetWorker {
@@ -43,6 +45,8 @@
      * count when the lease has lapsed since the end: the owner may have started the task elsewhere by then.
      */
     public onEndAcknowledged: (end: ReportedEnd) => void = () => undefined;
+    /** Called when a task has crashed the worker. */
+    public onCrash: () => void = () => undefined;
     private readonly unacknowledgedEnds: ReportedEnd[] = [];
     /** Run of each task that ended here or was stopped before it started; starts up to it are refused. */
     private readonly lastEndedRuns = new Map<string, number>();
@@ -74,6 +78,7 @@
     /** Kills the worker and its runs; no ends are reported. */
     public kill(): void {
         this.dead = true;
+        this.rules.recordCrash([...this.running.keys()]);
         for (const run of this.running.values()) {
             this.rules.removeRun(run.task, run.run);
         }
@@ -195,6 +200,15 @@
     }
 
     private tick(): void {
+        const nowMs = this.timer.nowMs();
+        const crashes = [...this.running.values()].some(run =>
+            this.rules.crashingTasks.has(run.task) && nowMs >= run.startedMs + CRASH_DELAY_MS
+        );
+        if (crashes) {
+            this.kill();
+            this.onCrash();
+            return;
+        }
         if (this.clockMs > this.leaseEndMs) {
             this.lapsedEnd = this.nextEndNumber - 1;
         }
--- a/packages/standins/src/fleet/TaskRules.ts
+++ b/packages/standins/src/fleet/TaskRules.ts
@@ -8,6 +8,9 @@
     readonly worker: MemoryFleetWorker;
 }
 
+/** After this many crashed workers a task may be started that many times less one. */
+const MAX_CRASHES = 3;
+
 /** Jobs that the simulated workers run, and checks of the rules that hold for the runs of their tasks. */
 export class TaskRules {
     /** Violations found so far; each begins with the name of the broken rule. */
@@ -29,6 +32,11 @@
     public startCount = 0;
     /** Jobs whose tasks always fail. */
     public readonly failingJobs = new Set<string>();
+    /** Tasks that crash each worker that starts them. */
+    public readonly crashingTasks = new Set<string>();
+    /** Numbers of workers that crashed while they ran a task. */
+    public readonly crashCounts = new Map<string, number>();
+    private readonly startsAfterMaxCrashes = new Map<string, number>();
     /** Limit of each team's running tasks in millicores; teams without an entry have none. */
     public readonly cpuLimitByTeam = new Map<string, number>();
     private readonly jobs = new Map<string, JobSpec>();
@@ -76,6 +84,7 @@
         if (failed.length >= this.maxAttempts) {
             this.startsAfterMaxFailures.push({ task, run, failed: [...failed] });
         }
+        this.checkCrashes(task, run);
         this.checkDependencies(task);
         this.activeRuns.set(task, { run, worker });
         if (worker.usedResources.cpuMilli > worker.entry.capacity.cpuMilli) {
@@ -102,6 +111,13 @@
         }
     }
 
+    /** Records that a worker crashed while it ran these tasks. */
+    public recordCrash(tasks: readonly string[]): void {
+        for (const task of tasks) {
+            this.crashCounts.set(task, (this.crashCounts.get(task) ?? 0) + 1);
+        }
+    }
+
     /** Records that an owner acknowledged an end; only acknowledged failures count towards `maxAttempts`. */
     public recordAcknowledgement(task: string, run: number, end: RunEnd): void {
         if (end === RunEnd.Done) {
@@ -141,6 +157,17 @@
         return [...Array(step.taskCount).keys()].map(index => `${prefix}.${index}`);
     }
 
+    private checkCrashes(task: string, run: number): void {
+        if (!this.crashingTasks.has(task) || (this.crashCounts.get(task) ?? 0) < MAX_CRASHES) {
+            return;
+        }
+        const startCount = (this.startsAfterMaxCrashes.get(task) ?? 0) + 1;
+        this.startsAfterMaxCrashes.set(task, startCount);
+        if (startCount >= MAX_CRASHES) {
+            this.violations.push(`BUDGET: ${task} run ${run} after its crashes`);
+        }
+    }
+
     private checkDependencies(task: string): void {
         const name = parseTaskName(task);
         const job = name && this.jobs.get(name.jobId);
