No start rests on a worker's capacity that was read too long ago

Callers would see: a worker that does not refuse overload is brought over its capacity after that has shrunk, while the owner can't read the directory but can still write (or during the 5 s for which it starts tasks without the store).

Cause: capacities are adopted with each change of the directory, but nothing looked at the age of what is known; WorkerDirectory did not even tell it.

Change: WorkerDirectory tells its age. Leases and polls go on. Other ways were read and need no change: sums with negative free room count as none (countFits), in memory and accelerators as well; the plan, reservations and what is being stopped count; an entry carried over to the next incarnation is draining until the directory lists it.

--- a/packages/fleet/src/config/WorkerDirectory.ts
+++ b/packages/fleet/src/config/WorkerDirectory.ts
@@ -45,6 +45,11 @@
         return this.changed.event;
     }
 
+    /** Age of the known entries in ms. */
+    public get ageMs(): number {
+        return this.follower.ageMs;
+    }
+
     /** Starts to follow the table. */
     public start(): void {
         this.follower.start();
--- a/packages/fleet/src/model/FleetTiming.ts
+++ b/packages/fleet/src/model/FleetTiming.ts
@@ -4,6 +4,8 @@
     readonly maximumLeaseMs: number;
     /** A withdrawn API key must stop working within this time. */
     readonly keyWithdrawalMs: number;
+    /** Starts may rely on the capacity of a worker for this time after the directory was read. */
+    readonly capacityGraceMs: number;
     /** Time from the request to stop a process until it is killed. */
     readonly graceMs: number;
     /** Time for which callers can read the state of an ended job. */
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -18,6 +18,7 @@
 import { FleetState } from "../state/FleetState.js";
 import type { JobState } from "../state/JobState.js";
 import type { StepState } from "../state/StepState.js";
+import { CapacityFreshness } from "./CapacityFreshness.js";
 import { describeEndedJob } from "./describeEndedJob.js";
 import { Dispatcher } from "./Dispatcher.js";
 import { DurationMeter } from "./DurationMeter.js";
@@ -98,6 +99,7 @@
     private readonly window: StartWindow;
     private readonly intake: IntakeReader;
     private readonly workers: WorkerDirectory;
+    private readonly capacities: CapacityFreshness;
     private readonly ownershipLost = new Emitter<string>();
     private planningTimer: Disposable | undefined;
     private loaded = false;
@@ -135,6 +137,7 @@
                 {
                     staleOwner: () => this.reportLost("a worker has seen the token of a later owner"),
                     maySendOrders: () => !this.stopping && fencedStore.confirmedAgeMs < MAX_UNCONFIRMED_MS,
+                    capacityTimeLeftMs: pool => this.capacities.timeLeftMs(pool),
                     awaitCommit: waiter => this.writer.addWaiter(waiter)
                 },
                 log
@@ -177,6 +180,7 @@
         const firstRun = (fencedStore.epoch - 1) * RUNS_PER_EPOCH + 1;
         this.intake = this.disposables.add(new IntakeReader(this.fleet, store, follower, timer, log, firstRun));
         this.workers = this.disposables.add(new WorkerDirectory(store, timer, directorySchema, log));
+        this.capacities = new CapacityFreshness(this.workers, this.fleet, timing.capacityGraceMs);
         this.fleet.config = config.config;
         this.subscribe(config);
     }
@@ -380,7 +384,9 @@
         const isNew = takeover.previousStopped
             ? ({ job }: StepState) => job.acceptedVersion > takeover.version
             : ({ job }: StepState) => job.reportedHere && !awaitsFencing;
-        this.dispatcher.planAndDispatch(step => !step.job.held && (isNew(step) || registry.mayStart(step)));
+        this.dispatcher.planAndDispatch(step =>
+            !step.job.held && this.capacities.mayStart(step) && (isNew(step) || registry.mayStart(step))
+        );
     }
 
     private reportLost(reason: string): void {
--- a/packages/fleet/src/owner/WorkerRegistry.test.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.test.ts
@@ -15,6 +15,10 @@
     readonly registry: WorkerRegistry;
     /** Functions that reply to the start orders, in the order in which these were sent. */
     readonly replies: ((reply: OrderReply) => void)[];
+    /** Ends of the leases in the start orders. */
+    readonly startLeaseEnds: number[];
+    /** Time for which the known capacity of workers may be relied on. */
+    readonly capacity: { timeLeftMs: number; };
     /** Workers that do not reply to polls. */
     readonly unresponsive: Set<string>;
     /** Workers whose next poll throws an error. */
@@ -25,6 +29,8 @@
     const timer = new VirtualTimer();
     const fleet = createFleet();
     const replies: ((reply: OrderReply) => void)[] = [];
+    const startLeaseEnds: number[] = [];
+    const capacity = { timeLeftMs: Number.POSITIVE_INFINITY };
     const unresponsive = new Set<string>();
     const throwing = new Set<string>();
     const accepted: OrderReply = { outcome: OrderOutcome.Accepted };
@@ -39,7 +45,10 @@
                 ? err({ outcome: OrderOutcome.Uncertain, message: "no answer" })
                 : ok({ ...EMPTY_REPORT, incarnation: worker.incarnation, clockMs: timer.nowMs() });
         },
-        start: () => new Promise(resolve => replies.push(resolve)),
+        start: (...[, { leaseEndMs }]) => {
+            startLeaseEnds.push(leaseEndMs);
+            return new Promise(resolve => replies.push(resolve));
+        },
         stop: async () => accepted,
         limitSpeed: async () => accepted,
         disconnect: () => undefined
@@ -51,10 +60,15 @@
         workerClient,
         timer,
         { maximumLeaseMs: 6000, roundTripMs: 10, loopDelayMs: () => 0 },
-        { staleOwner: () => t.fail(), maySendOrders: () => true, awaitCommit: () => undefined },
+        {
+            staleOwner: () => t.fail(),
+            maySendOrders: () => true,
+            capacityTimeLeftMs: () => capacity.timeLeftMs,
+            awaitCommit: () => undefined
+        },
         SILENT_LOG
     );
-    return { timer, fleet, registry, replies, unresponsive, throwing };
+    return { timer, fleet, registry, replies, startLeaseEnds, capacity, unresponsive, throwing };
 }
 
 test("start orders in flight when a worker restarts are resolved if they get no reply", async t => {
@@ -182,3 +196,20 @@
     t.true(fleet.workers.get("w1")!.fenced);
     registry.dispose();
 });
+
+test("a start order that arrives after the known capacity has become too old has no lease any more", async t => {
+    const { timer, fleet, registry, startLeaseEnds, capacity } = setUp(t);
+    registry.start([PLAIN_WORKER], [], 0);
+    await timer.advance(50);
+    const worker = fleet.workers.get("w1")!;
+    const task = addJob(fleet, [{}]).findTask(0, 0, 0)!;
+    capacity.timeLeftMs = 700;
+    const run = fleet.openRun(task, worker, 1, RunPhase.Starting, timer.nowMs());
+    void registry.session(worker)!.startRun(run, "", "", undefined);
+    t.is(startLeaseEnds.length, 1);
+    t.true(startLeaseEnds[0]! <= timer.nowMs() + 700);
+    capacity.timeLeftMs = -1;
+    t.is((await registry.session(worker)!.startRun(run, "", "", undefined)).outcome, OrderOutcome.Unhealthy);
+    t.is(startLeaseEnds.length, 1);
+    registry.dispose();
+});
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -22,6 +22,8 @@
     readonly staleOwner: () => void;
     /** Returns whether the ownership was confirmed recently enough to send orders. */
     readonly maySendOrders: () => boolean;
+    /** Returns the time within which a start on a worker of a pool must happen. */
+    readonly capacityTimeLeftMs: (pool: string) => number;
     /** Requests a commit of what was reported so far. */
     readonly awaitCommit: SessionEvents["awaitCommit"];
 }
@@ -242,6 +244,7 @@
                 workerRestarted: (source, incarnation) =>
                     this.replace(source, { ...source.entry, incarnation, draining: true }),
                 staleOwner: () => this.events.staleOwner(),
+                capacityTimeLeftMs: worker => this.events.capacityTimeLeftMs(worker.entry.pool),
                 needsFrequentPolls: worker => this.fillerThrottle.needsFrequentPolls(worker),
                 maySendOrders: () => this.events.maySendOrders(),
                 awaitCommit: waiter => this.events.awaitCommit(waiter),
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -25,6 +25,8 @@
     readonly staleOwner: (session: WorkerSession) => void;
     /** Returns whether the ownership was confirmed recently enough to send orders. */
     readonly maySendOrders: () => boolean;
+    /** Time within which a start on the worker must happen, since its known capacity is not relied on for longer. */
+    readonly capacityTimeLeftMs: (worker: WorkerState) => number;
     /** Returns whether the worker must be polled often. */
     readonly needsFrequentPolls: (worker: WorkerState) => boolean;
     /** Requests a commit of what was reported so far. */
@@ -144,7 +146,9 @@
         permit: string | undefined
     ): Promise<OrderReply> {
         const token = this.token;
-        const leaseEndMs = this.clock.leaseEnd(START_LEASE_MS + this.timing.roundTripMs);
+        const maxLeaseMs = START_LEASE_MS + this.timing.roundTripMs;
+        const leaseMs = Math.min(maxLeaseMs, this.events.capacityTimeLeftMs(this.state));
+        const leaseEndMs = leaseMs > 0 ? this.clock.leaseEnd(leaseMs) : undefined;
         if (leaseEndMs === undefined || !this.events.maySendOrders()) {
             return { outcome: OrderOutcome.Unhealthy };
         }
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -179,6 +179,7 @@
                 timing: {
                     maximumLeaseMs: 6000,
                     keyWithdrawalMs: 5000,
+                    capacityGraceMs: 4000,
                     graceMs: 6000,
                     stateRetentionMs: 120_000
                 },
--- a/packages/standins/src/fleet/MemoryFleetWorker.ts
+++ b/packages/standins/src/fleet/MemoryFleetWorker.ts
@@ -32,6 +32,8 @@
 const CHECKPOINT_INTERVAL_MS = 500;
 /** Time from the start of a task that crashes workers to the crash. */
 const CRASH_DELAY_MS = 300;
+/** Time for which starts may still rely on the former capacity after it has shrunk. */
+const CAPACITY_GRACE_MS = 5000;
 
 /** One incarnation of a worker, in memory, with fencing tokens, a lease on its own clock and numbered ends of runs. */
 export class MemoryFleetWorker {
@@ -47,6 +49,8 @@
     public onEndAcknowledged: (end: ReportedEnd) => void = () => undefined;
     /** Called when a task has crashed the worker. */
     public onCrash: () => void = () => undefined;
+    /** Capacity over which no start may bring the worker. */
+    public capacity: ResourceAmounts;
     private readonly unacknowledgedEnds: ReportedEnd[] = [];
     /** Run of each task that ended here or was stopped before it started; starts up to it are refused. */
     private readonly lastEndedRuns = new Map<string, number>();
@@ -63,6 +67,7 @@
         private readonly timer: TimerService,
         private readonly rules: TaskRules
     ) {
+        this.capacity = entry.capacity;
         this.startedAtMs = timer.nowMs();
         const ticks = timer.every(TICK_INTERVAL_MS, () => this.dead ? ticks.dispose() : this.tick());
     }
@@ -177,6 +182,13 @@
         return total;
     }
 
+    /** Shrinks the capacity; the former one counts for a while. */
+    public shrink(capacity: ResourceAmounts): void {
+        this.timer.after(CAPACITY_GRACE_MS, () => {
+            this.capacity = capacity;
+        });
+    }
+
     /** Ends the task's run, if any; reports include the end until it is acknowledged. */
     public end(task: string, runEnd: RunEnd): void {
         const current = this.running.get(task);
--- a/packages/standins/src/fleet/MemoryRowStore.ts
+++ b/packages/standins/src/fleet/MemoryRowStore.ts
@@ -23,6 +23,8 @@
     readonly refusedMachines: Set<string>;
     /** Machines whose calls never get a reply. */
     readonly isolatedMachines: Set<string>;
+    /** Tables of which no read gets a reply. */
+    readonly unreadableTables: Set<string>;
     /** Fraction of the commits that take effect, if their conditions hold, but get no reply. */
     lostReplyShare: number;
     /** Fraction of the commits that get no reply and take effect seconds later, if their conditions still hold. */
@@ -41,6 +43,7 @@
         down: false,
         refusedMachines: new Set(),
         isolatedMachines: new Set(),
+        unreadableTables: new Set(),
         lostReplyShare: 0,
         lateShare: 0,
         answerMs: 4
@@ -71,7 +74,7 @@
             commit: (conditions, writes, timeoutMs) => this.commit(machine, conditions, writes, timeoutMs),
             read: (range, timeoutMs) => {
                 this.readCount++;
-                return this.answer(machine, timeoutMs, () => ok(this.readRange(range)));
+                return this.answer(machine, timeoutMs, () => ok(this.readRange(range)), range.table);
             },
             changes: (table, after, waitMs, timeoutMs) => this.changes(machine, table, after, waitMs, timeoutMs)
         };
@@ -128,20 +131,22 @@
             }
             const changes = this.history.filter(change => change.table === table && change.version > afterVersion);
             return ok({ changes, version: this.version });
-        });
+        }, table);
     }
 
     private async answer<T>(
         machine: string,
         timeoutMs: number,
-        operation: () => Result<T, StoreFailure>
+        operation: () => Result<T, StoreFailure>,
+        readTable?: string
     ): Promise<Result<T, StoreFailure>> {
         this.callCount++;
         if (this.faults.refusedMachines.has(machine)) {
             await sleep(this.timer, 1);
             return failure(StoreFailureKind.Unavailable);
         }
-        if (this.faults.down || this.faults.isolatedMachines.has(machine)) {
+        const isUnreadable = readTable !== undefined && this.faults.unreadableTables.has(readTable);
+        if (this.faults.down || this.faults.isolatedMachines.has(machine) || isUnreadable) {
             await sleep(this.timer, timeoutMs);
             return failure(StoreFailureKind.Uncertain);
         }
--- a/packages/standins/src/fleet/TaskRules.ts
+++ b/packages/standins/src/fleet/TaskRules.ts
@@ -87,7 +87,11 @@
         this.checkCrashes(task, run);
         this.checkDependencies(task);
         this.activeRuns.set(task, { run, worker });
-        if (worker.usedResources.cpuMilli > worker.entry.capacity.cpuMilli) {
+        const { usedResources: used, capacity } = worker;
+        if (
+            used.cpuMilli > capacity.cpuMilli || used.memoryMb > capacity.memoryMb
+            || used.accelerators > capacity.accelerators
+        ) {
             this.violations.push(`LIMIT: ${worker.entry.id} by ${task}`);
         }
         this.checkTeamLimit(task);
