A worker that is only silent has not crashed: its tasks are not counted for it

Callers would see: a job shown as failed whose task ran on workers that were cut off, three one after the other. Cause: the crash counter took a worker whose leases had ended, and that the directory had dropped, for crashed. The directory also drops a worker that is silent for it, and one that answered again after the third crash came too late for a job given up by then. Change: a silent worker counts as crashed only with proof that its life has ended: the directory lists a later incarnation, or another worker at its address.

--- a/packages/fleet/src/owner/CrashTracker.ts
+++ b/packages/fleet/src/owner/CrashTracker.ts
@@ -17,10 +17,10 @@
 
 /** Worker whose leases have ended without an answer: it crashed, or it is cut off. */
 interface SilentWorker {
+    readonly address: string;
     readonly incarnation: number;
     readonly runs: readonly CrashedRun[];
     readonly lostAtMs: number;
-    counted: boolean;
 }
 
 /** A job fails after this many crashes of workers under one task that has as many as any other task there. */
@@ -56,60 +56,47 @@
     }
 
     /**
-     * Records the runs of a worker whose leases have ended. It counts as crashed when the directory no longer lists it,
-     * until it answers again.
+     * Records the runs of a worker whose leases have ended. It counts as crashed once the directory lists its restart, or
+     * another worker at its address; one that is only dropped may be cut off and run on.
      */
     public recordSilence(worker: WorkerState): void {
         if (worker.entry.draining) {
             return;
         }
-        const silent: SilentWorker = {
+        this.silentWorkers.set(worker.id, {
+            address: worker.entry.address,
             incarnation: worker.entry.incarnation,
             runs: this.collectRuns(worker),
-            lostAtMs: this.timer.nowMs(),
-            counted: false
-        };
-        this.silentWorkers.set(worker.id, silent);
-        if (!worker.listed) {
-            this.countSilent(worker.id, silent);
-        }
+            lostAtMs: this.timer.nowMs()
+        });
     }
 
-    /** Takes back the crash of a worker that was silent and answers in the same incarnation. */
+    /** Forgets the silence of a worker that answers in the same incarnation. */
     public recordAnswer({ id, entry }: WorkerState): void {
-        const silent = this.silentWorkers.get(id);
-        if (silent?.incarnation !== entry.incarnation) {
-            return;
-        }
-        this.silentWorkers.delete(id);
-        for (const { task, run } of silent.runs) {
-            if (task.crashedRuns.includes(run)) {
-                task.crashedRuns = task.crashedRuns.filter(crashed => crashed !== run);
-                this.runs.markChanged(task.step.job);
-            }
+        if (this.silentWorkers.get(id)?.incarnation === entry.incarnation) {
+            this.silentWorkers.delete(id);
         }
     }
 
     /** Counts the silent workers that the current list of the directory shows to have crashed. */
     public applyDirectory(entries: ReadonlyMap<string, WorkerEntry>): void {
-        for (const [id, silent] of this.silentWorkers) {
-            const entry = entries.get(id);
-            if (!entry || entry.incarnation > silent.incarnation) {
-                this.countSilent(id, silent);
+        if (this.silentWorkers.size === 0) {
+            return;
+        }
+        const idByAddress = new Map([...entries.values()].map(({ id, address }) => [address, id]));
+        for (const [id, { address, incarnation, runs, lostAtMs }] of [...this.silentWorkers]) {
+            const hasRestarted = (entries.get(id)?.incarnation ?? 0) > incarnation;
+            const isReplaced = (idByAddress.get(address) ?? id) !== id;
+            if (hasRestarted || isReplaced) {
+                this.silentWorkers.delete(id);
+                this.count(id, runs);
             }
-            if (this.timer.nowMs() > silent.lostAtMs + SILENT_RETENTION_MS) {
+            else if (this.timer.nowMs() > lostAtMs + SILENT_RETENTION_MS) {
                 this.silentWorkers.delete(id);
             }
         }
     }
 
-    private countSilent(workerId: string, silent: SilentWorker): void {
-        if (!silent.counted) {
-            silent.counted = true;
-            this.count(workerId, silent.runs);
-        }
-    }
-
     private collectRuns(worker: WorkerState): readonly CrashedRun[] {
         return [...worker.runs.values()].filter(run => this.mayHaveCrashed(run)).map(({ task, run }) => ({
             task,
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -283,6 +283,7 @@
         }
         else if (reason === WorkerLossReason.LeaseEnded) {
             this.crashes.recordSilence(state);
+            this.crashes.applyDirectory(this.entries);
         }
         this.runs.closeAllRuns(state);
         this.settle(entry.id);
