A lasting task that outlives a crash no longer keeps other tasks away for good

Callers would see: after a failure domain was lost, each worker that took over lasting tasks was avoided by all other tasks for as long as these ran, which leaves racks of the data unused and splits the room for gangs.

Cause: whether a run counts as suspect was fixed at its start; only the crashes of its task were forgotten after 30 s.

Evidence: the test of a lasting task in CrashTracker.test.ts failed before: the worker still counted one suspect run where none is expected. The run itself is cleared now, together with the crashes.

--- a/packages/fleet/src/owner/CrashTracker.test.ts
+++ b/packages/fleet/src/owner/CrashTracker.test.ts
@@ -67,9 +67,11 @@
     t.is(task.crashedRuns.length, 1);
     const worker = addWorker(fleet, "w1");
     runAlone(fleet, task, worker);
+    t.is(worker.suspectCount, 1);
     await timer.advance(40_000);
     const running = [{ task: task.name, run: task.lastRun, checkpoint: "", percent: 100 }];
     runs.applyReport(worker, { ...EMPTY_REPORT, running }, { sentAtMs: 1, token: 1 }, 0);
+    t.is(worker.suspectCount, 0);
     crashes.recordRestart(worker);
     t.deepEqual(task.crashedRuns, []);
 });
--- a/packages/fleet/src/owner/RunTracker.ts
+++ b/packages/fleet/src/owner/RunTracker.ts
@@ -201,7 +201,8 @@
             run.percent = listed.percent;
             run.progressedAtMs = nowMs;
         }
-        if (run.task.crashedRuns.length > 0 && this.isSettled(run)) {
+        if ((run.suspect || run.task.crashedRuns.length > 0) && this.isSettled(run)) {
+            worker.clearSuspicion(run);
             run.task.crashedRuns = NO_FAILURES;
             this.jobChanged.fire(run.task.step.job);
         }
--- a/packages/fleet/src/state/RunState.ts
+++ b/packages/fleet/src/state/RunState.ts
@@ -19,8 +19,8 @@
 export interface RunState {
     readonly task: TaskState;
     worker: WorkerState;
-    /** Workers had crashed under the task when the run was started. */
-    readonly suspect: boolean;
+    /** Workers had crashed under the task when the run was started, and it has not run for long since. */
+    suspect: boolean;
     /** Number of the run: higher than those of the task's earlier runs, and the same for all members of a gang. */
     readonly run: number;
     readonly orderedAtMs: number;
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -87,6 +87,14 @@
         addResources(this.used, chargedResources(run.task.step.spec));
     }
 
+    /** Treats a run like any other again, although workers had crashed under its task. */
+    public clearSuspicion(run: RunState): void {
+        if (run.suspect) {
+            run.suspect = false;
+            this.suspectCount--;
+        }
+    }
+
     /** Removes a run and releases its resources. */
     public removeRun(run: RunState): void {
         if (this.runs.get(run.task.name) === run) {
