The ends of a worker that are not committed are listed for a successor

What callers would see: a task runs again after its end was noted, when two owners are lost one after the other. An end that was reported and not committed yet (held until the intake is read, or left for a later batch) was in neither the runs nor the progress, so that the next owner started the task elsewhere and then noted the old end. Change: tasks of reported ends are listed beside the runs until a commit covers them.

--- a/packages/fleet/src/owner/RunTracker.ts
+++ b/packages/fleet/src/owner/RunTracker.ts
@@ -55,6 +55,7 @@
         const listedTasks = new Set<string>();
         for (const end of report.ended) {
             if (end.number > afterEnd) {
+                worker.uncommittedEnds.set(end.number, end.task);
                 this.applyEnd(worker, end);
             }
         }
--- a/packages/fleet/src/owner/WorkerRegistry.test.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.test.ts
@@ -2,7 +2,7 @@
 import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
 import test, { type ExecutionContext } from "ava";
 import { err, ok } from "neverthrow";
-import { OrderOutcome, type OrderReply, type WorkerClient } from "../ports/WorkerClient.js";
+import { OrderOutcome, type OrderReply, type ReportedEnd, RunEnd, type WorkerClient } from "../ports/WorkerClient.js";
 import type { FleetState } from "../state/FleetState.js";
 import { RunPhase } from "../state/RunState.js";
 import { addJob, createFleet, EMPTY_REPORT, PLAIN_WORKER } from "../testing/FleetFixture.js";
@@ -23,6 +23,8 @@
     readonly unresponsive: Set<string>;
     /** Workers whose next poll throws an error. */
     readonly throwing: Set<string>;
+    /** Ended runs that every worker lists. */
+    readonly ended: ReportedEnd[];
 }
 
 function setUp(t: ExecutionContext): Fixture {
@@ -33,6 +35,7 @@
     const capacity = { timeLeftMs: Number.POSITIVE_INFINITY };
     const unresponsive = new Set<string>();
     const throwing = new Set<string>();
+    const ended: ReportedEnd[] = [];
     const accepted: OrderReply = { outcome: OrderOutcome.Accepted };
     const workerClient: WorkerClient = {
         poll: async (worker, { waitMs }, timeoutMs) => {
@@ -43,7 +46,7 @@
             await new Promise<void>(resolve => timer.after(isUnresponsive ? timeoutMs : waitMs + 1, resolve));
             return isUnresponsive
                 ? err({ outcome: OrderOutcome.Uncertain, message: "no answer" })
-                : ok({ ...EMPTY_REPORT, incarnation: worker.incarnation, clockMs: timer.nowMs() });
+                : ok({ ...EMPTY_REPORT, ended, incarnation: worker.incarnation, clockMs: timer.nowMs() });
         },
         start: (...[, { leaseEndMs }]) => {
             startLeaseEnds.push(leaseEndMs);
@@ -68,7 +71,7 @@
         },
         SILENT_LOG
     );
-    return { timer, fleet, registry, replies, startLeaseEnds, capacity, unresponsive, throwing };
+    return { timer, fleet, registry, replies, startLeaseEnds, capacity, unresponsive, throwing, ended };
 }
 
 test("start orders in flight when a worker restarts are resolved if they get no reply", async t => {
@@ -213,3 +216,23 @@
     t.is(startLeaseEnds.length, 1);
     registry.dispose();
 });
+
+test("a successor does not start a task whose end its predecessor held without knowing the job", async t => {
+    const task = "00000000000000a1.0.0.0";
+    const leaving = { ...PLAIN_WORKER, draining: true };
+    const first = setUp(t);
+    first.ended.push({ number: 1, task, run: 1, end: RunEnd.Done, checkpoint: "" });
+    first.registry.start([leaving], [], 6000);
+    await first.timer.advance(200);
+    t.is(first.fleet.workers.get("w1")!.heldEnds.size, 1);
+    const published = first.registry.list();
+    first.registry.dispose();
+    // The first owner has committed this list and dies; the second knows the job and does not reach the worker yet.
+    const second = setUp(t);
+    second.unresponsive.add("w1");
+    const [step] = [...addJob(second.fleet, [{}]).openSteps()];
+    second.registry.start([leaving], published, 6000);
+    await second.timer.advance(100);
+    t.false(second.registry.mayStart(step!), JSON.stringify(published));
+    second.registry.dispose();
+});
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -315,15 +315,17 @@
     }
 
     /**
-     * Returns the tasks that may run on a worker that gets no new ones; undefined if they are not known or it may get
-     * others.
+     * Returns the tasks that may run on a worker that gets no new ones, and those of which it has reported an end that is
+     * not committed; undefined if they are not known or it may get others.
      */
     private listTasks(state: WorkerState): readonly string[] | undefined {
         if (!state.fenced) {
             return this.unsettled.get(state.id);
         }
         const getsNoTasks = state.entry.draining || !state.reachable;
-        return getsNoTasks && !state.hasUncountedRuns ? [...state.runs.keys()] : undefined;
+        return getsNoTasks && !state.hasUncountedRuns
+            ? [...new Set([...state.runs.keys(), ...state.uncommittedEnds.values()])]
+            : undefined;
     }
 
     /**
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -216,6 +216,7 @@
         const candidate = Math.min(this.reportedEnd, ...[...this.state.heldEnds.keys()].map(number => number - 1));
         return () => {
             this.committedEnd = Math.max(this.committedEnd, candidate);
+            this.dropCommittedEnds();
             this.onCommitted?.();
         };
     }
@@ -236,6 +237,14 @@
         this.onCommitted?.();
     }
 
+    private dropCommittedEnds(): void {
+        for (const number of this.state.uncommittedEnds.keys()) {
+            if (number <= this.committedEnd) {
+                this.state.uncommittedEnds.delete(number);
+            }
+        }
+    }
+
     private async run(): Promise<void> {
         while (!this.disposed) {
             const startedAtMs = this.timer.nowMs();
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -21,6 +21,8 @@
     public readonly heldRuns = new Map<string, ReportedRun>();
     /** Ended runs of jobs that are not known yet, by number; they are not acknowledged. */
     public readonly heldEnds = new Map<number, ReportedEnd>();
+    /** Tasks of reported ends by number, until the ends are committed. */
+    public readonly uncommittedEnds = new Map<number, string>();
     /** The directory lists the worker. */
     public listed = true;
     /** The worker answered the last call. */
