Calls of the policy that end with an error do not stop an entry's questions

Callers would see: steps of one entry wait for the policy for good, after four of its calls ended with an unexpected error. Test failed before: PolicyQueue.test.ts, "questions go on after calls of the policy that end with an error" (the error was unhandled). Change: a loop in place of the recursion; an error is logged and answered as no answer.

--- a/packages/fleet/src/entry/OwnerWatcher.ts
+++ b/packages/fleet/src/entry/OwnerWatcher.ts
@@ -92,7 +92,7 @@
         private readonly timer: TimerService,
         private readonly options: OwnerWatcherOptions
     ) {
-        this.policyQueue = new PolicyQueue(policy, timer, options.policyTimeoutMs);
+        this.policyQueue = new PolicyQueue(policy, timer, options.policyTimeoutMs, options.log);
         this.followSubscription = states.onUnfinishedAdded(jobId => this.unfollowed.add(jobId));
     }
 
--- a/packages/fleet/src/entry/PolicyQueue.test.ts
+++ b/packages/fleet/src/entry/PolicyQueue.test.ts
@@ -1,3 +1,4 @@
+import { SILENT_LOG } from "@skylarkpath/common/log/EventLog";
 import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
 import test from "ava";
 import type { PolicyAnswer, PolicyQuestion } from "../ports/PlacementPolicy.js";
@@ -19,7 +20,7 @@
             return ANSWER;
         }
     };
-    const queue = new PolicyQueue(policy, timer, () => 5000);
+    const queue = new PolicyQueue(policy, timer, () => 5000, SILENT_LOG);
     const numbers = Array.from({ length: 16 }, (...[, number]) => number);
     const answers = Promise.all(numbers.map(number => queue.ask(questionOf(number), () => number !== 5)));
     await timer.advance(10_000);
@@ -40,7 +41,7 @@
             return ANSWER;
         }
     };
-    const queue = new PolicyQueue(policy, timer, () => 1000);
+    const queue = new PolicyQueue(policy, timer, () => 1000, SILENT_LOG);
     const answers = Promise.all(
         Array.from({ length: 60 }, (...[, number]) => queue.ask(questionOf(number), () => true))
     );
@@ -48,3 +49,21 @@
     t.is((await answers).filter(answer => answer).length, 60);
     t.is(most, 4);
 });
+
+test("questions go on after calls of the policy that end with an error", async t => {
+    const timer = new VirtualTimer();
+    let calls = 0;
+    const policy = {
+        ask: async (): Promise<PolicyAnswer> => {
+            if (++calls <= 8) {
+                throw new Error("no route");
+            }
+            return ANSWER;
+        }
+    };
+    const queue = new PolicyQueue(policy, timer, () => 1000, SILENT_LOG);
+    const answers = Promise.all(
+        Array.from({ length: 12 }, (...[, number]) => queue.ask(questionOf(number), () => true))
+    );
+    t.is((await answers).filter(answer => answer).length, 4);
+});
--- a/packages/fleet/src/entry/PolicyQueue.ts
+++ b/packages/fleet/src/entry/PolicyQueue.ts
@@ -1,3 +1,6 @@
+import { describeError } from "@skylarkpath/common/base/describeError";
+import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
+import type { EventLog } from "@skylarkpath/common/log/EventLog";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import type { PlacementPolicy, PolicyAnswer, PolicyQuestion } from "../ports/PlacementPolicy.js";
 
@@ -24,26 +27,37 @@
         private readonly policy: PlacementPolicy | undefined,
         private readonly timer: TimerService,
         /** Timeout of one call in ms. */
-        private readonly timeoutMs: () => number
+        private readonly timeoutMs: () => number,
+        private readonly log: EventLog
     ) {}
 
     /** Asks the policy once it is the question's turn; resolves to undefined without an answer. */
     public ask(question: PolicyQuestion, isWanted: () => boolean): Promise<PolicyAnswer | undefined> {
         return new Promise(resolve => {
             this.queue.push({ question, isWanted, expiresAtMs: this.timer.nowMs() + MAX_WAIT_MS, resolve });
-            void this.askNext();
+            void this.askQueued();
         });
     }
 
-    private async askNext(): Promise<void> {
-        const next = this.callCount < MAX_CALLS ? this.queue.shift() : undefined;
-        if (!next) {
+    private async askQueued(): Promise<void> {
+        if (this.callCount >= MAX_CALLS) {
             return;
         }
         this.callCount++;
-        const isStale = this.timer.nowMs() > next.expiresAtMs || !next.isWanted();
-        next.resolve(isStale ? undefined : await this.policy?.ask(next.question, this.timeoutMs()));
+        for (let next = this.queue.shift(); next; next = this.queue.shift()) {
+            const isStale = this.timer.nowMs() > next.expiresAtMs || !next.isWanted();
+            next.resolve(isStale ? undefined : await this.askPolicy(next.question));
+        }
         this.callCount--;
-        await this.askNext();
+    }
+
+    private async askPolicy(question: PolicyQuestion): Promise<PolicyAnswer | undefined> {
+        try {
+            return await this.policy?.ask(question, this.timeoutMs());
+        }
+        catch (error) {
+            this.log.write(EVENTS.processFailed, { step: question.step, reason: describeError(error) });
+            return undefined;
+        }
     }
 }
