An entry for which the policy fails at once does not get all questions

Callers would see: steps of a queue with a policy wait while one near entry is refused by the policy, though others are not. Test failed before: PermitRequester.test.ts, "an entry that fails every question at once does not get all of them" (1,000 of 1,000 questions in 10 s failed, a sound entry was not asked). Change: an entry gets no question for 300 ms after the policy has not answered one.

--- a/packages/fleet/src/owner/PermitRequester.test.ts
+++ b/packages/fleet/src/owner/PermitRequester.test.ts
@@ -190,3 +190,24 @@
     const readsPerStep = countReads(2) - countReads(1);
     t.true(readsPerStep < 200, `${readsPerStep} reads of workers for one more step`);
 });
+
+test("an entry that fails every question at once does not get all of them", async t => {
+    const { timer, requester, step } = setUp(3);
+    let failures = 0;
+    for (let passedMs = 0; passedMs < 10_000 && step.permits.byWorker.size === 0; passedMs += 10) {
+        requester.recordEntry("e1", 4);
+        requester.recordEntry("e2", 30);
+        requester.request([step], timer.nowMs());
+        const [failing, sound] = ["e1", "e2"].map(entry => requester.takeQuestions(entry));
+        await timer.advance(10);
+        for (const { number } of failing!) {
+            failures++;
+            requester.handleReply("e1", { question: number, permits: undefined, waitedMs: 1 });
+        }
+        for (const { number, workerIds } of sound!) {
+            const permits = workerIds.map(workerId => ({ workerId, permit: "p" }));
+            requester.handleReply("e2", { question: number, permits, permitMs: 1500, waitedMs: 8 });
+        }
+    }
+    t.true(step.permits.byWorker.size > 0, `${failures} questions failed, none was answered within 10 s`);
+});
--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -119,9 +119,14 @@
     /** Records the answer of the policy, or that it gave none. */
     public handleReply(entry: string, reply: PolicyReply): void {
         const nowMs = this.timer.nowMs();
-        this.channels.recordAnswer(entry, reply.question, nowMs, reply.waitedMs);
+        if (reply.permits) {
+            this.channels.recordAnswer(entry, reply.question, nowMs, reply.waitedMs);
+        }
+        else {
+            this.failedQuestions++;
+            this.channels.recordFailure(entry, reply.question, nowMs);
+        }
         this.policyTimes.record(reply.waitedMs ?? 0);
-        this.failedQuestions += reply.permits ? 0 : 1;
         const pending = this.pendingQuestions.get(reply.question);
         if (!pending) {
             this.lateAnswers++;
--- a/packages/fleet/src/owner/PolicyChannels.ts
+++ b/packages/fleet/src/owner/PolicyChannels.ts
@@ -56,6 +56,8 @@
 /** The same as a multiple of how late the answers of an entry have been. */
 const ANSWER_TIMEOUT_DELAY_FACTOR = 2;
 const MAX_ANSWER_TIMEOUT_MS = 3000;
+/** Time for which an entry gets no question after the policy has not answered one. */
+const FAILURE_PAUSE_MS = 300;
 /** An answer that is overdue by this much does not come any more. */
 const ANSWER_RETENTION_MS = 10_000;
 /** The owner's own entry counts as slower by this multiple of the event-loop delay: its exchanges wait for it as well. */
@@ -186,6 +188,15 @@
         channel.wayMs = channel.wayMs === undefined ? wayMs : average(channel.wayMs, wayMs);
     }
 
+    /** Records that the policy has not answered a question of an entry, which is given no other one for a while. */
+    public recordFailure(entry: string, number: number, nowMs: number): void {
+        this.recordAnswer(entry, number, nowMs);
+        const channel = this.channels.get(entry);
+        if (channel) {
+            channel.pausedUntilMs = nowMs + FAILURE_PAUSE_MS;
+        }
+    }
+
     private expectedDelayMs(channel: PolicyChannel, nowMs: number): number {
         dropOverdue(channel, nowMs);
         return channel.roundTripMs + Math.max(overdueMs(channel, nowMs), decayedDelayMs(channel, nowMs))
