A permit is dated by the earliest time at which the policy can have answered

Cause, pointed at by the review: a permit was dated by the arrival of its answer less the age that the entry tells, which leaves out the way to the owner; late answers, which are used since, made that a second and more. Test failed before: PermitRequester.test.ts, "a permit whose answer was on the way for long is not used beyond its validity" (2,440 ms in place of at most 1,520). Change: the answer is no older than the question and the wait that the entry tells; the way of the question is given away.

--- a/packages/fleet/src/owner/PermitRequester.test.ts
+++ b/packages/fleet/src/owner/PermitRequester.test.ts
@@ -211,3 +211,13 @@
     }
     t.true(step.permits.byWorker.size > 0, `${failures} questions failed, none was answered within 10 s`);
 });
+
+test("a permit whose answer was on the way for long is not used beyond its validity", async t => {
+    const { timer, requester, step } = setUp(3);
+    requester.request([step], timer.nowMs());
+    const [question] = requester.takeQuestions("e1");
+    await timer.advance(1000);
+    const permits = question!.workerIds.map(workerId => ({ workerId, permit: "p" }));
+    requester.handleReply("e1", { question: question!.number, permits, permitMs: 1500, ageMs: 0, waitedMs: 20 });
+    t.true(step.permits.latestExpiryMs <= 20 + 1500, `${step.permits.latestExpiryMs} ms`);
+});
--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -134,8 +134,8 @@
         }
         this.pendingQuestions.delete(reply.question);
         this.answerTimes.record(nowMs - pending.askedAtMs);
-        const { step, workers, answerDueMs } = pending;
-        const answeredAtMs = reply.ageMs === undefined ? Math.min(nowMs, answerDueMs) : nowMs - reply.ageMs;
+        const { step, workers } = pending;
+        const answeredAtMs = earliestAnswerMs(pending, reply, nowMs);
         step.permits.openQuestions.delete(reply.question);
         step.permits.answeredAtMs = nowMs;
         if (!reply.permits) {
@@ -303,6 +303,12 @@
     }
 }
 
+/** Returns the earliest time at which the policy can have answered; the time on the way may be long for an owner. */
+function earliestAnswerMs({ askedAtMs, answerDueMs }: PendingQuestion, reply: PolicyReply, nowMs: number): number {
+    const latestMs = reply.ageMs === undefined ? Math.min(nowMs, answerDueMs) : nowMs - reply.ageMs;
+    return reply.waitedMs === undefined ? latestMs : Math.min(latestMs, askedAtMs + reply.waitedMs);
+}
+
 function costOf(policy: PolicyTiming, workerCount: number): number {
     return policy.decideMs + policy.perWorkerMs * workerCount;
 }
