--- a/review/lib/executor.mjs
+++ b/review/lib/executor.mjs
@@ -9,9 +9,8 @@
 const RESTORE_MS = 600;
 
 export class Executor {
-    constructor({ id, store, service, zone, rack, record, capacity = { cpu: 16_000, memMb: 65_536, gpu: 0 } }) {
-        Object.assign(this, { id, store, service, zone, rack, record, capacity });
-        this.port = 0;
+    constructor({ id, port, store, service, zone, rack, record, capacity = { cpu: 16_000, memMb: 65_536, gpu: 0 } }) {
+        Object.assign(this, { id, port, store, service, zone, rack, record, capacity });
         this.up = false;
     }
 
@@ -40,7 +39,6 @@
             this.server.once("error", reject);
             this.server.listen(this.port, "127.0.0.1", resolve);
         });
-        this.port = this.server.address().port;
         this.up = true;
         this.leaseTimer = setInterval(() => this.checkLease(), 50);
         this.store.put("servers", this.id, {
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -11,6 +11,8 @@
 
 const ROOT = resolve(dirname(fileURLToPath(import.meta.url)), "../..");
 const LIMIT_MS = 116_000;
+const FIRST_PORT = 12_000;
+const PORT_COUNT = 20_000;
 const SERVICE = "lopu46a";
 const KEY = "6x73d3zji9n73hh2b9wu";
 export const OTHER_KEY = "3fexd9dnn2ctnfzs989a";
@@ -77,9 +79,11 @@
     async start() {
         await this.store.listen();
         this.putConfig(1, {});
+        const ports = await findFreePorts(this.executorCount + 3 * this.entryCount);
         for (let index = 0; index < this.executorCount; index++) {
             const executor = new Executor({
                 id: `i-7f3a9${String(index).padStart(3, "0")}`,
+                port: ports.pop(),
                 store: this.store,
                 service: SERVICE,
                 zone: "vantaa",
@@ -90,7 +94,7 @@
             await executor.start();
         }
         for (let index = 0; index < this.entryCount; index++) {
-            this.startEntry(`edge-vantaa-${index + 1}`, await findFreePorts(3));
+            this.startEntry(`edge-vantaa-${index + 1}`, ports.splice(-3));
         }
         await this.waitFor("the processes to be ready", 20_000, async () => {
             const states = await Promise.all(this.entries.map(entry => call(entry.readiness, "GET", "/api/ready", {})));
@@ -246,16 +250,21 @@
     });
 }
 
+/** Finds free ports below the range from which the system takes the ports of outgoing connections. */
 async function findFreePorts(count) {
-    const servers = [];
-    for (let index = 0; index < count; index++) {
-        const server = createServer();
-        await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
-        servers.push(server);
+    const ports = new Set();
+    while (ports.size < count) {
+        const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
+        const isFree = await new Promise(resolve => {
+            const server = createServer();
+            server.once("error", () => resolve(false));
+            server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+        });
+        if (isFree) {
+            ports.add(port);
+        }
     }
-    const ports = servers.map(server => server.address().port);
-    await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))));
-    return ports;
+    return [...ports];
 }
 
 function settingsText(node, frontend, readiness, peerPort, store) {
