--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -13,6 +13,8 @@
 const LIMIT_MS = 116_000;
 const FIRST_PORT = 12_000;
 const PORT_COUNT = 20_000;
+/** A process that ends is started again after this time. */
+const RESTART_MS = 500;
 const SERVICE = "lopu46a";
 const KEY = "6x73d3zji9n73hh2b9wu";
 export const OTHER_KEY = "3fexd9dnn2ctnfzs989a";
@@ -137,8 +139,14 @@
         const entry = { node, frontend, readiness, child, output: [] };
         child.stdout.on("data", data => entry.output.push(String(data)));
         child.stderr.on("data", data => entry.output.push(String(data)));
-        child.on("exit", (code, signal) => this.record("process-ended", { node, code, signal }));
-        this.entries.push(entry);
+        child.on("exit", (code, signal) => {
+            if (!this.closed) {
+                this.record("process-ended", { node, code, signal });
+                setTimeout(() => this.closed || this.startEntry(node, [frontendPort, readinessPort, peerPort]), RESTART_MS);
+            }
+        });
+        const index = this.entries.findIndex(each => each.node === node);
+        this.entries.splice(index < 0 ? this.entries.length : index, 1, entry);
         this.record("process-started", { node, frontend });
     }
 
@@ -192,6 +200,7 @@
     }
 
     close() {
+        this.closed = true;
         for (const { child, node, output } of this.entries) {
             child.kill("SIGKILL");
             if (process.env.OUTPUT) {
