--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,4 +1,4 @@
-// The store is down for 4.5 s while short tasks end; executors list 500 ends at a time.
+// The store is down for 4.2 s while short tasks end; executors list 500 ends at a time.
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { sleep } from "../lib/store.mjs";
@@ -7,7 +7,7 @@
 const JOBS = 60;
 const TASKS = 200;
 const WORK_MS = 400;
-const DOWN_MS = 4500;
+const DOWN_MS = 4200;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (system, trouble) => {
     const ids = Array.from({ length: JOBS }, (_, number) => jobId(number));
