--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -5,9 +5,11 @@
 import { jobId, runCase } from "../lib/system.mjs";
 
 const EXECUTORS = 4;
-const DOWN_MS = 4500;
+const DOWN_MS = 4200;
 const RESTART_MS = 3500;
-const HEARTBEAT_MS = 1500;
+const EXPIRY_MS = 4500;
+/** The fourth entry of the added executor; the third came just before the store was back. */
+const ADDED_BEAT_MS = 5600;
 const BLOCKING_MS = 3000;
 const WORK_MS = 10_000;
 
@@ -24,22 +26,20 @@
     await system.waitForStart(jobId(1));
     if (trouble) {
         const { owner } = system;
+        const downAtMs = system.nowMs;
         system.record("store-down", { owner: owner.node });
         system.store.setMode("busy");
         await sleep(1000);
         owner.child.kill("SIGKILL");
-        await sleep(DOWN_MS - 1000);
-        // The entries have expired meanwhile; each executor is back with its next heartbeat.
-        for (const executor of system.executors) {
-            system.store.drop("servers", executor.id);
-        }
+        await sleep(downAtMs + DOWN_MS - system.nowMs);
         system.store.setMode("up");
         system.record("store-up", {});
-        const others = system.executors.filter(executor => executor !== added);
-        for (const executor of [...others, added]) {
-            await sleep(HEARTBEAT_MS / (EXECUTORS + 1));
-            executor.register();
-        }
+        // Each executor writes its entry about every 1.5 s, from its own moment on. The others do so in time; the entry
+        // of the added one expires after 4.5 s of silence and is back with its next write.
+        await sleep(downAtMs + EXPIRY_MS - system.nowMs);
+        system.expire(added);
+        await sleep(downAtMs + ADDED_BEAT_MS - system.nowMs);
+        added.register();
     }
     await sleep(20_000);
     const overlaps = findOverlaps(system, jobId(1));
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -115,6 +115,12 @@
         return executor;
     }
 
+    /** Removes the entry of an executor that was silent for too long. */
+    expire(executor) {
+        this.store.drop("servers", executor.id);
+        this.record("entry-expired", { executor: executor.id });
+    }
+
     /** The process that the owner's row names; undefined before there is one. */
     get owner() {
         const holder = this.store.get("ownership", "owner", "fleet")?.holder;
