A task starts only on a worker that a committed row names

Cause: a task could start on a worker before a committed row named it. When the owner was lost then and the directory had dropped the worker, its successor knew nothing of it, did not wait for its leases and started the task again.

With this commit's tests on two fail: "a task on a worker that appeared just before ..." (TWICE) and "every start is on an incarnation of a worker that a committed row names" (9 starts on workers that no row named). Without the check in canStart two tests of WorkerRegistry fail.

Why it works: a successor reads the rows after it has the owner's row, so that its predecessor can't write any more; each worker with a run of the predecessor is then in the rows or has been fenced. The row is written when a worker is first listed, in parallel to its first poll, so that no start waits for the renewal of up to 400 ms; a new owner relies on the rows of its predecessor.

Cost: one commit for each new incarnation of a worker, none for a start.

--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -131,7 +131,8 @@
                     staleOwner: () => this.reportLost("a worker has seen the token of a later owner"),
                     maySendOrders: () => !this.stopping && fencedStore.confirmedAgeMs < MAX_UNCONFIRMED_MS,
                     capacityTimeLeftMs: pool => this.capacities.timeLeftMs(pool),
-                    awaitCommit: waiter => this.writer.addWaiter(waiter)
+                    awaitCommit: waiter => this.writer.addWaiter(waiter),
+                    workerAdded: () => this.writer.renewNow()
                 },
                 log
             )
--- a/packages/fleet/src/owner/ProgressWriter.ts
+++ b/packages/fleet/src/owner/ProgressWriter.ts
@@ -40,6 +40,7 @@
     private readonly finalCommitted = new Emitter<JobState>();
     private readonly superseded = new Emitter<void>();
     private wake: (() => void) | undefined;
+    private renewalRequested = false;
     private stopped = false;
     private running: Promise<void> = Promise.resolve();
 
@@ -61,6 +62,12 @@
         this.wake?.();
     }
 
+    /** Renews the owner's row, and with it the known workers, without waiting for the interval. */
+    public renewNow(): void {
+        this.renewalRequested = true;
+        this.wake?.();
+    }
+
     /**
      * Adds a waiter to the next batch that writes all changes; it is called back at once when there are none to write.
      */
@@ -115,9 +122,11 @@
                 this.notifyWaiters();
                 await this.sleepUntilWoken(renewedAtMs + RENEWAL_INTERVAL_MS - this.timer.nowMs());
             }
-            if (this.stopped || (this.dirty.size === 0 && this.timer.nowMs() < renewedAtMs + RENEWAL_INTERVAL_MS)) {
+            const isRenewalDue = this.renewalRequested || this.timer.nowMs() >= renewedAtMs + RENEWAL_INTERVAL_MS;
+            if (this.stopped || (this.dirty.size === 0 && !isRenewalDue)) {
                 continue;
             }
+            this.renewalRequested = false;
             const batch = this.takeBatch();
             const outcome = await this.fencedStore.commit(batch.writes);
             renewedAtMs = this.timer.nowMs();
@@ -147,7 +156,7 @@
 
     private sleepUntilWoken(delayMs: number): Promise<void> {
         return new Promise(resolve => {
-            if (delayMs <= 0 || this.dirty.size > 0 || this.waiters.size > 0) {
+            if (delayMs <= 0 || this.renewalRequested || this.dirty.size > 0 || this.waiters.size > 0) {
                 resolve();
                 return;
             }
--- a/packages/fleet/src/owner/WorkerRegistry.test.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.test.ts
@@ -67,7 +67,8 @@
             staleOwner: () => t.fail(),
             maySendOrders: () => true,
             capacityTimeLeftMs: () => capacity.timeLeftMs,
-            awaitCommit: () => undefined
+            awaitCommit: () => undefined,
+            workerAdded: () => undefined
         },
         SILENT_LOG
     );
@@ -133,6 +134,7 @@
     const task = addJob(fleet, [{}]).findTask(0, 0, 0)!;
     fleet.openRun(task, worker, 1, RunPhase.Uncertain, timer.nowMs()).resolvingToken = Number.MAX_SAFE_INTEGER;
     t.deepEqual(registry.list().map(({ id, tasks }) => [id, tasks]), [["w1", undefined], ["w2", []]]);
+    registry.markCommitted(registry.list());
     t.true(worker.canStart(timer.nowMs()));
     unresponsive.add("w1");
     await timer.advance(3000);
@@ -172,6 +174,40 @@
     registry.dispose();
 });
 
+// Guards against a start that a successor can't find, since the store does not name the worker or its restart.
+test("nothing starts on a worker, nor on one that has restarted, until a committed list names this incarnation", async t => {
+    const { timer, fleet, registry } = setUp(t);
+    registry.start([PLAIN_WORKER], [], 0);
+    await timer.advance(50);
+    const worker = fleet.workers.get("w1")!;
+    t.true(worker.fenced);
+    t.false(worker.canStart(timer.nowMs()));
+    const committing = registry.list();
+    t.false(worker.canStart(timer.nowMs()));
+    registry.markCommitted(committing);
+    t.true(worker.canStart(timer.nowMs()));
+    registry.update([{ ...PLAIN_WORKER, incarnation: 2 }]);
+    await timer.advance(50);
+    const restarted = fleet.workers.get("w1")!;
+    t.true(restarted !== worker && restarted.fenced);
+    registry.markCommitted(committing);
+    t.false(restarted.canStart(timer.nowMs()));
+    registry.markCommitted(registry.list());
+    t.true(restarted.canStart(timer.nowMs()));
+    registry.dispose();
+});
+
+test("a new owner starts at once on workers that the rows of its predecessor name, and on no others", async t => {
+    const { timer, fleet, registry } = setUp(t);
+    const other = { ...PLAIN_WORKER, id: "w2", address: "w2" };
+    const restarted = { ...PLAIN_WORKER, id: "w3", address: "w3", incarnation: 2 };
+    const known = { id: "w1", address: "w1", incarnation: 1, draining: false };
+    registry.start([PLAIN_WORKER, other, restarted], [known, { ...known, id: "w3", address: "w3" }], 6000);
+    await timer.advance(50);
+    t.deepEqual([...fleet.workers.values()].map(each => each.canStart(timer.nowMs())), [true, false, false]);
+    registry.dispose();
+});
+
 test("a worker that was lost while its tasks were listed starts nothing until a list without them is committed", async t => {
     const { timer, fleet, registry, unresponsive } = setUp(t);
     registry.start([PLAIN_WORKER], [], 0);
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -26,6 +26,8 @@
     readonly capacityTimeLeftMs: (pool: string) => number;
     /** Requests a commit of what was reported so far. */
     readonly awaitCommit: SessionEvents["awaitCommit"];
+    /** Requests a commit of the known workers, since nothing starts on a worker that no committed row names. */
+    readonly workerAdded: () => void;
 }
 
 /** Delay before a lost worker is contacted again. */
@@ -101,12 +103,13 @@
         });
     }
 
-    /** Allows starts again on workers whose tasks the committed list does not name. */
+    /** Allows starts on the workers in the committed list, unless it names their tasks. */
     public markCommitted(workers: readonly KnownWorker[]): void {
         for (const { id, incarnation, tasks } of workers) {
             const state = this.fleet.workers.get(id);
-            if (state && tasks === undefined && state.entry.incarnation === incarnation) {
-                state.tasksPublished = false;
+            if (state?.entry.incarnation === incarnation) {
+                state.recorded = true;
+                state.tasksPublished &&= tasks !== undefined;
             }
         }
     }
@@ -137,8 +140,8 @@
         const unlisted = previousWorkers.filter(known => !hasLeft(known) && !this.entries.has(known.id)).map(
             unlistedEntry
         );
+        const knownById = new Map(previousWorkers.map(known => [known.id, known]));
         if (unknownLeaseMs > 0) {
-            const knownById = new Map(previousWorkers.map(known => [known.id, known]));
             for (const { id, incarnation } of [...entries, ...unlisted]) {
                 const known = knownById.get(id);
                 const tasks = known?.incarnation === incarnation ? known.tasks : undefined;
@@ -150,6 +153,9 @@
         }
         entries.forEach(entry => this.open(entry, unknownLeaseMs, true));
         unlisted.forEach(entry => this.open(entry, unknownLeaseMs, false));
+        for (const { state } of this.sessions.values()) {
+            state.recorded = knownById.get(state.id)?.incarnation === state.entry.incarnation;
+        }
         for (const { id, incarnation, draining, tasks } of previousWorkers) {
             if (!draining && tasks && (this.entries.get(id)?.incarnation ?? 0) > incarnation) {
                 this.crashes.recordEarlierRestart(id, tasks);
@@ -166,6 +172,9 @@
             const session = this.sessions.get(entry.id);
             if (!session) {
                 this.open(entry, 0, true);
+                if (!this.generations.has(entry.id)) {
+                    this.events.workerAdded();
+                }
             }
             else if (entry.incarnation === session.entry.incarnation) {
                 session.state.entry = entry;
@@ -211,6 +220,7 @@
         session.dispose();
         this.generations.set(entry.id, session.nextGeneration);
         const next = this.open(entry, 0, session.state.listed);
+        this.events.workerAdded();
         this.fleet.moveRuns(session.state, next.state, next.token);
         this.updateUnknownUsage();
     }
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -27,6 +27,8 @@
     public listed = true;
     /** The worker answered the last call. */
     public reachable = true;
+    /** A committed row names this incarnation, so that a successor finds it even if the directory has dropped it. */
+    public recorded = false;
     /** The store may list the worker's tasks, and a successor relies on that list to be complete. */
     public tasksPublished = false;
     /** No task is started here before this time. */
@@ -56,8 +58,8 @@
 
     /** Whether new tasks may be started here. */
     public canStart(nowMs: number): boolean {
-        return this.fenced && !this.hasUncountedRuns && !this.tasksPublished && this.listed && this.reachable
-            && !this.entry.draining && nowMs >= this.avoidedUntilMs;
+        return this.fenced && this.recorded && !this.hasUncountedRuns && !this.tasksPublished && this.listed
+            && this.reachable && !this.entry.draining && nowMs >= this.avoidedUntilMs;
     }
 
     /** Returns how many more tasks of a size fit, beside the resources that a plan has taken. */
--- a/packages/fleet/src/testing/FleetFixture.ts
+++ b/packages/fleet/src/testing/FleetFixture.ts
@@ -61,10 +61,11 @@
     return fleet;
 }
 
-/** Adds a fenced worker of 4 processors, which tasks can be started on. */
+/** Adds a fenced and recorded worker of 4 processors, which tasks can be started on. */
 export function addWorker(fleet: FleetState, id: string, overrides: Partial<WorkerEntry> = {}): WorkerState {
     const worker = new WorkerState({ ...PLAIN_WORKER, id, address: id, ...overrides });
     worker.fenced = true;
+    worker.recorded = true;
     fleet.workers.set(id, worker);
     return worker;
 }
--- a/packages/proof/src/fleet/FleetCuts.test.ts
+++ b/packages/proof/src/fleet/FleetCuts.test.ts
@@ -1,4 +1,7 @@
 import { JobPhase } from "@skylarkpath/fleet/model/JobSpec";
+import type { KnownWorker } from "@skylarkpath/fleet/model/OwnerRow";
+import { FLEET_PARTITION, FleetTable } from "@skylarkpath/fleet/model/Tables";
+import { parseKnownWorkers } from "@skylarkpath/fleet/owner/KnownWorkerRows";
 import test from "ava";
 import { FleetDeployment } from "./FleetDeployment.js";
 
@@ -254,7 +257,8 @@
     t.deepEqual(deployment.rules.allViolations(), []);
 });
 
-test.failing("a task on a worker that appeared just before the owner lost the store, and that the directory drops, runs once", async t => {
+// Guards against starts that a successor can't find: it ran the task again while the first run went on.
+test("a task on a worker that appeared just before the owner lost the store, and that the directory drops, runs once", async t => {
     const deployment = await startDeployment(36);
     const full = { cpuMilli: 4000, memoryMb: 100, accelerators: 0 };
     const blocking = deployment.createJob([{ taskCount: 4, size: full, estimateMs: 2500 }]);
@@ -276,3 +280,57 @@
     t.deepEqual(deployment.rules.allViolations(), []);
     t.is(deployment.rules.startCount, 5);
 });
+
+function readKnownWorkers({ store }: FleetDeployment): readonly KnownWorker[] {
+    const keys = Array.from({ length: 100 }, (...[, group]) => String(group).padStart(2, "0"));
+    const rows = keys.map(key => store.get({ table: FleetTable.KnownWorkers, partition: FLEET_PARTITION, key }));
+    return parseKnownWorkers(rows.filter(row => row !== undefined));
+}
+
+// Guards against orders to a worker, or to a restarted one, before the store names it.
+test("every start is on an incarnation of a worker that a committed row names", async t => {
+    const deployment = await startDeployment(37, 6);
+    const unnamed: string[] = [];
+    const { rules } = deployment;
+    const recordStart = rules.recordStart.bind(rules);
+    rules.recordStart = (task, run, worker) => {
+        const { id, incarnation } = worker.entry;
+        const isNamed = readKnownWorkers(deployment).some(known =>
+            known.id === id && known.incarnation === incarnation
+        );
+        if (!isNamed) {
+            unnamed.push(`${id} of ${incarnation} at ${deployment.timer.nowMs()} ms`);
+        }
+        recordStart(task, run, worker);
+    };
+    // All workers are full, so that a waiting task starts on each new one at once, while nothing else is written.
+    const full = { cpuMilli: 4000, memoryMb: 100, accelerators: 0 };
+    const job = deployment.createJob([{ taskCount: 24, size: full, estimateMs: 120_000 }]);
+    await deployment.timer.advanceUntil(deployment.submit("m0", job));
+    for (let round = 0; round < 12; round++) {
+        await deployment.timer.advance(500 + deployment.random.next() * 1000);
+        deployment.startWorker(round % 4 === 0 ? `w${round % 6}` : `n${round}`);
+        if (round === 6) {
+            deployment.killProcess(deployment.ownerMachine);
+            await deployment.timer.advance(10_000);
+        }
+    }
+    await deployment.timer.advance(5000);
+    t.is(rules.startCount, 6 + 12);
+    t.deepEqual(unnamed, []);
+    t.deepEqual(rules.allViolations(), []);
+});
+
+test("a worker that appears while nothing fails is given tasks before the owner's next periodic write", async t => {
+    const deployment = await startDeployment(38, 1);
+    const full = { cpuMilli: 4000, memoryMb: 100, accelerators: 0 };
+    const job = deployment.createJob([{ taskCount: 6, size: full, estimateMs: 20_000 }]);
+    await deployment.timer.advanceUntil(deployment.submit("m0", job));
+    await deployment.timer.advance(1000);
+    for (let count = 1; count <= 5; count++) {
+        await deployment.timer.advance(700 + 60 * count);
+        deployment.startWorker(`n${count}`);
+        await deployment.timer.advance(200);
+        t.is(deployment.rules.startCount, 1 + count);
+    }
+});
