A report without room for all ends does not show that other runs are gone

Cause: a worker lists 500 ends at a time, and none can be acknowledged while nothing can be committed. RunTracker closed each run that a report listed neither as running nor as ended, also when the list of ends was full. A new owner fenced a worker after one such report.

Why it works: a report now says whether there may be further ends. Until one lists all, a missing run keeps its room, its task is not started and not shown as ended, and a new owner does not count the worker as fenced.

The stand-in lists 500 ends at a time, and TaskRules finds a start after an end that is acknowledged later.

--- a/packages/fleet/src/owner/RunTracker.test.ts
+++ b/packages/fleet/src/owner/RunTracker.test.ts
@@ -114,6 +114,31 @@
     t.true(task.waiting);
 });
 
+// Guards against starting a task again whose end did not fit into the report.
+test("a run that is missing from a report without room for all ends stays open until a report lists all of them", t => {
+    const fleet = createFleet();
+    const worker = addWorker(fleet, "w1");
+    const tasks = addJob(fleet, [{ taskCount: 3 }]).findTask(0, 0, 0)!.step.tasks;
+    const tracker = new RunTracker(fleet, new VirtualTimer());
+    tasks.slice(0, 2).forEach(task => fleet.openRun(task, worker, 1, RunPhase.Running, 100));
+    fleet.openRun(tasks[2]!, worker, 1, RunPhase.Uncertain, 100).resolvingToken = 5;
+    const ends = tasks.map(({ name }, index) => ({
+        number: index + 1,
+        task: name,
+        run: 1,
+        end: RunEnd.Done,
+        checkpoint: ""
+    }));
+    const poll = { sentAtMs: 150, token: 5 };
+    tracker.applyReport(worker, { ...EMPTY_REPORT, ended: ends.slice(0, 1), hasMoreEnds: true }, poll, 0);
+    t.deepEqual(tasks.map(task => [task.done, task.run !== undefined]), [[true, false], [false, true], [false, true]]);
+    t.is(worker.used.cpuMilli, 2000);
+    tracker.applyReport(worker, { ...EMPTY_REPORT, ended: ends.slice(1, 2) }, { sentAtMs: 200, token: 5 }, 1);
+    t.deepEqual(tasks.map(({ done }) => done), [true, true, false]);
+    t.true(tasks[2]!.waiting, "all ends are listed and its start order was voided");
+    t.is(worker.used.cpuMilli, 0);
+});
+
 test("a gang is done as soon as one member ends as done", t => {
     const fleet = createFleet();
     const job = addJob(fleet, [{ taskCount: 3, gang: true }, { after: [0] }]);
--- a/packages/fleet/src/owner/RunTracker.ts
+++ b/packages/fleet/src/owner/RunTracker.ts
@@ -60,12 +60,14 @@
             }
         }
         worker.hasUncountedRuns = false;
+        worker.hasUnlistedEnds = report.hasMoreEnds;
         worker.heldRuns.clear();
         for (const run of report.running) {
             listedTasks.add(run.task);
             this.applyRunning(worker, run);
         }
-        for (const run of [...worker.runs.values()]) {
+        // A run that is missing from a report with room for more ends was never started, or is known to have ended.
+        for (const run of report.hasMoreEnds ? [] : [...worker.runs.values()]) {
             if (!listedTasks.has(run.task.name)) {
                 this.applyMissing(run, poll);
             }
@@ -238,8 +240,8 @@
     }
 
     /**
-     * Closes a run that a report does not list, if the poll was sent after the start was confirmed, or if its token
-     * voids the start order.
+     * Closes a run that a report does not list, although it lists all ends, if the poll was sent after the start was
+     * confirmed, or if its token voids the start order.
      */
     private applyMissing(run: RunState, poll: PollContext): void {
         const isGone = run.confirmedAtMs !== undefined && poll.sentAtMs > run.confirmedAtMs;
--- a/packages/fleet/src/owner/WorkerRegistry.test.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.test.ts
@@ -25,6 +25,8 @@
     readonly throwing: Set<string>;
     /** Ended runs that every worker lists. */
     readonly ended: ReportedEnd[];
+    /** Whether workers hold further ends than these. */
+    readonly report: { hasMoreEnds: boolean; };
 }
 
 function setUp(t: ExecutionContext): Fixture {
@@ -36,6 +38,7 @@
     const unresponsive = new Set<string>();
     const throwing = new Set<string>();
     const ended: ReportedEnd[] = [];
+    const reported = { hasMoreEnds: false };
     const accepted: OrderReply = { outcome: OrderOutcome.Accepted };
     const workerClient: WorkerClient = {
         poll: async (worker, { waitMs }, timeoutMs) => {
@@ -46,7 +49,7 @@
             await new Promise<void>(resolve => timer.after(isUnresponsive ? timeoutMs : waitMs + 1, resolve));
             return isUnresponsive
                 ? err({ outcome: OrderOutcome.Uncertain, message: "no answer" })
-                : ok({ ...EMPTY_REPORT, ended, incarnation: worker.incarnation, clockMs: timer.nowMs() });
+                : ok({ ...EMPTY_REPORT, ...reported, ended, incarnation: worker.incarnation, clockMs: timer.nowMs() });
         },
         start: (...[, { leaseEndMs }]) => {
             startLeaseEnds.push(leaseEndMs);
@@ -72,7 +75,18 @@
         },
         SILENT_LOG
     );
-    return { timer, fleet, registry, replies, startLeaseEnds, capacity, unresponsive, throwing, ended };
+    return {
+        timer,
+        fleet,
+        registry,
+        replies,
+        startLeaseEnds,
+        capacity,
+        unresponsive,
+        throwing,
+        ended,
+        report: reported
+    };
 }
 
 test("start orders in flight when a worker restarts are resolved if they get no reply", async t => {
@@ -226,6 +240,21 @@
     registry.dispose();
 });
 
+// Guards against a successor that starts tasks again whose ends it has not been told yet.
+test("a new owner starts nothing that a worker may have done before, until the worker has listed all its ends", async t => {
+    const { timer, fleet, registry, report } = setUp(t);
+    report.hasMoreEnds = true;
+    const [step] = [...addJob(fleet, [{}]).openSteps()];
+    registry.start([PLAIN_WORKER], [{ id: "w1", address: "w1", incarnation: 1, draining: false }], 6000);
+    await timer.advance(1000);
+    t.false(registry.settled || registry.mayStart(step!));
+    t.false(fleet.workers.get("w1")!.canStart(timer.nowMs()));
+    report.hasMoreEnds = false;
+    await timer.advance(1000);
+    t.true(registry.settled && registry.mayStart(step!));
+    registry.dispose();
+});
+
 test("a worker whose report led to an unexpected error is polled again", async t => {
     const { timer, fleet, registry, throwing } = setUp(t);
     throwing.add("w1");
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -246,7 +246,8 @@
                     if (hadUncountedRuns !== state.hasUncountedRuns) {
                         this.updateUnknownUsage();
                     }
-                    if (!state.fenced) {
+                    // Until all ends are listed, tasks that a previous owner started here may have ended as done.
+                    if (!state.fenced && !report.hasMoreEnds) {
                         state.fenced = true;
                         this.emptied.delete(entry.id);
                         this.crashes.recordAnswer(state);
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -250,7 +250,7 @@
             const startedAtMs = this.timer.nowMs();
             const { fenced, reachable } = this.state;
             const isIdle = this.clock.known && fenced && reachable && this.reportedEnd === this.committedEnd
-                && !this.state.awaitsIntake;
+                && !this.state.awaitsIntake && !this.state.hasUnlistedEnds;
             const isFrequent = this.entry.draining || this.events.needsFrequentPolls(this.state);
             const maxWaitMs = isFrequent ? FREQUENT_POLL_WAIT_MS : POLL_WAIT_MS;
             const answered = await this.poll(isIdle ? maxWaitMs : 0);
@@ -284,7 +284,8 @@
 
     private async pollWhileUncertain(): Promise<void> {
         while (!this.disposed && [...this.state.runs.values()].some(run => run.phase === RunPhase.Uncertain)) {
-            if (!(await this.poll(0))) {
+            // Further ends are listed only once those in the last report are committed.
+            if (!(await this.poll(0)) || this.state.hasUnlistedEnds) {
                 await sleep(this.timer, RETRY_DELAY_MS);
             }
         }
--- a/packages/fleet/src/ports/WorkerClient.ts
+++ b/packages/fleet/src/ports/WorkerClient.ts
@@ -58,7 +58,13 @@
     readonly clockMs: number;
     readonly incarnation?: number;
     readonly running: readonly ReportedRun[];
+    /** Ends after the acknowledged one, by ascending number. */
     readonly ended: readonly ReportedEnd[];
+    /**
+     * The worker may hold later ends than the listed ones: a run that is neither in `running` nor in `ended` may have
+     * ended, in whichever way.
+     */
+    readonly hasMoreEnds: boolean;
 }
 
 /** Long poll for a worker's report; it renews the lease of all runs on the worker. */
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -21,6 +21,8 @@
     public readonly heldRuns = new Map<string, ReportedRun>();
     /** Ended runs of jobs that are not known yet, by number; they are not acknowledged. */
     public readonly heldEnds = new Map<number, ReportedEnd>();
+    /** The last report had no room for all ends, so that runs in `runs` may have ended in whichever way. */
+    public hasUnlistedEnds = false;
     /** Tasks of reported ends by number, until the ends are committed. */
     public readonly uncommittedEnds = new Map<number, string>();
     /** The directory lists the worker. */
--- a/packages/fleet/src/testing/FleetFixture.ts
+++ b/packages/fleet/src/testing/FleetFixture.ts
@@ -92,4 +92,4 @@
 }
 
 /** Report of a worker without runs. */
-export const EMPTY_REPORT: WorkerReport = { clockMs: 0, incarnation: 1, running: [], ended: [] };
+export const EMPTY_REPORT: WorkerReport = { clockMs: 0, incarnation: 1, running: [], ended: [], hasMoreEnds: false };
--- a/packages/standins/src/fleet/MemoryFleetWorker.ts
+++ b/packages/standins/src/fleet/MemoryFleetWorker.ts
@@ -30,6 +30,8 @@
 /** Longest time from now that a lease may last; later lease ends are shortened to it. */
 const MAX_LEASE_MS = 6000;
 const CHECKPOINT_INTERVAL_MS = 500;
+/** A report lists no more ends than this; later ones follow once these are acknowledged. */
+const MAX_ENDS_PER_REPORT = 500;
 /** Time from the start of a task that crashes workers to the crash. */
 const CRASH_DELAY_MS = 300;
 /** Time for which starts may still rely on the former capacity after it has shrunk. */
@@ -116,10 +118,16 @@
                 checkpoint,
                 percent: Math.floor(100 * progressMs / this.rules.durationMs(task))
             })),
-            ended: [...this.unacknowledgedEnds]
+            ended: this.unacknowledgedEnds.slice(0, MAX_ENDS_PER_REPORT),
+            hasMoreEnds: this.unacknowledgedEnds.length >= MAX_ENDS_PER_REPORT
         };
     }
 
+    /** Number of ends that no owner has acknowledged. */
+    public get unacknowledgedEndCount(): number {
+        return this.unacknowledgedEnds.length;
+    }
+
     public hasUnacknowledgedEnd(): boolean {
         return this.unacknowledgedEnds.length > 0;
     }
--- a/packages/standins/src/fleet/TaskRules.ts
+++ b/packages/standins/src/fleet/TaskRules.ts
@@ -22,6 +22,11 @@
     /** Failed runs of each task, acknowledged or not. */
     public readonly failedRuns = new Map<string, number[]>();
     private readonly acknowledgedFailures = new Set<string>();
+    /** Runs of each task that ended as done, acknowledged or not. */
+    private readonly doneRuns = new Map<string, number[]>();
+    private readonly acknowledgedDoneRuns = new Set<string>();
+    /** Starts after a run ended as done; a violation only if an owner acknowledged one of these ends then or later. */
+    private readonly startsAfterDone: { readonly task: string; readonly run: number; readonly done: number[]; }[] = [];
     /** Starts after `maxAttempts` failed runs; a violation only if an owner acknowledged that many of the failures. */
     private readonly startsAfterMaxFailures: {
         readonly task: string;
@@ -80,6 +85,9 @@
         if (this.acknowledgedDoneTasks.has(task)) {
             this.violations.push(`TWICE: ${task} run ${run} after its end was noted`);
         }
+        else if (this.doneRuns.has(task) && !this.step(task)?.lasting) {
+            this.startsAfterDone.push({ task, run, done: [...this.doneRuns.get(task)!] });
+        }
         const failed = this.failedRuns.get(task) ?? [];
         if (failed.length >= this.maxAttempts) {
             this.startsAfterMaxFailures.push({ task, run, failed: [...failed] });
@@ -103,6 +111,7 @@
         const members = this.gangMembers(task);
         if (end === RunEnd.Done) {
             members.forEach(member => this.doneTasks.add(member));
+            this.doneRuns.set(task, [...this.doneRuns.get(task) ?? [], run]);
         }
         if (end === RunEnd.Failed) {
             this.failedRuns.set(task, [...this.failedRuns.get(task) ?? [], run]);
@@ -126,6 +135,7 @@
     public recordAcknowledgement(task: string, run: number, end: RunEnd): void {
         if (end === RunEnd.Done) {
             this.acknowledgedDoneTasks.add(task);
+            this.acknowledgedDoneRuns.add(`${task}#${run}`);
         }
         else if (end === RunEnd.Failed) {
             this.acknowledgedFailures.add(`${task}#${run}`);
@@ -137,7 +147,14 @@
         const overBudget = this.startsAfterMaxFailures.filter(({ task, failed }) =>
             failed.filter(run => this.acknowledgedFailures.has(`${task}#${run}`)).length >= this.maxAttempts
         );
-        return [...this.violations, ...overBudget.map(({ task, run }) => `BUDGET: ${task} run ${run}`)];
+        const repeated = this.startsAfterDone.filter(({ task, done }) =>
+            done.some(run => this.acknowledgedDoneRuns.has(`${task}#${run}`))
+        );
+        return [
+            ...this.violations,
+            ...overBudget.map(({ task, run }) => `BUDGET: ${task} run ${run}`),
+            ...repeated.map(({ task, run }) => `TWICE: ${task} run ${run} after an end that was noted later`)
+        ];
     }
 
     /** Removes a run from the active ones; a run of a killed worker is removed without an end. */
