A repeating job opens a bounded number of occurrences

Cause: JobState.openDueOccurrences opened all due occurrences with all their state, and so did each successor. Nothing bounded it, nor the progress row.

The next ones open in order as these end; they may overlap, and none is dropped. This costs a commit before the first start of an occurrence, and nothing for jobs that run once.

The stand-in of the store refuses what the platform refuses for its size.

--- a/packages/fleet/src/model/JobProgress.ts
+++ b/packages/fleet/src/model/JobProgress.ts
@@ -13,11 +13,19 @@
     readonly crashes?: Readonly<Record<string, FailedRuns>>;
 }
 
+/** Stored progress of an occurrence that is not done. */
+export interface OccurrenceProgress {
+    readonly number: number;
+    /** Empty while there is none in any step. */
+    readonly steps: readonly StepProgress[];
+}
+
 /** Stored progress of a job. */
 export interface JobProgress {
+    /** All earlier occurrences are open or done. */
     readonly nextOccurrence: number;
     readonly started: boolean;
-    readonly open: readonly { readonly number: number; readonly steps: readonly StepProgress[]; }[];
+    readonly open: readonly OccurrenceProgress[];
 }
 
 /** Empty list of failed runs. */
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -26,6 +26,7 @@
 import type { FencedStore } from "./FencedStore.js";
 import { IntakeReader } from "./IntakeReader.js";
 import { readKnownWorkers } from "./KnownWorkerRows.js";
+import { OccurrenceOpener } from "./OccurrenceOpener.js";
 import { PermitRequester } from "./PermitRequester.js";
 import { PlanningLoop } from "./PlanningLoop.js";
 import { ProgressWriter } from "./ProgressWriter.js";
@@ -97,6 +98,7 @@
     private readonly capacities: CapacityFreshness;
     private readonly ownershipLost = new Emitter<string>();
     private readonly planning: PlanningLoop;
+    private readonly occurrences: OccurrenceOpener;
     private loaded = false;
     private previousWorkers: readonly KnownWorker[] = [];
     /** Last list of the directory that arrived before the jobs were loaded. */
@@ -176,6 +178,7 @@
         this.workers = this.disposables.add(new WorkerDirectory(store, timer, directorySchema, log));
         this.capacities = new CapacityFreshness(this.workers, this.fleet, timing.capacityGraceMs);
         this.planning = this.disposables.add(new PlanningLoop(timer, () => this.runPlanning()));
+        this.occurrences = new OccurrenceOpener(this.fleet, this.writer, timer, () => this.planning.schedule());
         this.fleet.config = config.config;
         this.subscribe(config);
     }
@@ -216,9 +219,7 @@
         }
         this.previousWorkers = previousWorkers;
         this.loaded = true;
-        for (const job of this.fleet.jobs.values()) {
-            job.openDueOccurrences(this.dependencies.timer.wallClockMs());
-        }
+        this.occurrences.openAllDue();
         this.watchers.markLoaded();
         if (this.earlyWorkers) {
             this.updateWorkers(this.earlyWorkers);
@@ -306,7 +307,7 @@
             this.planning.schedule();
         }));
         this.disposables.add(this.intake.onJobAdded(job => {
-            job.openDueOccurrences(this.dependencies.timer.wallClockMs());
+            this.occurrences.openDue(job);
             this.runs.applyHeldReports(job.spec.id);
             this.watchers.jobChanged(job.spec.id);
             this.planning.schedule();
@@ -360,13 +361,7 @@
         if (this.stopping || !this.ready || this.fencedStore.confirmedAgeMs >= MAX_UNCONFIRMED_MS) {
             return;
         }
-        const wallClockMs = this.dependencies.timer.wallClockMs();
-        for (const job of this.fleet.jobs.values()) {
-            const dueMs = job.nextDueMs;
-            if (dueMs !== undefined && dueMs <= wallClockMs && !job.final && job.openDueOccurrences(wallClockMs)) {
-                this.writer.markDirty(job);
-            }
-        }
+        this.occurrences.openAllDue();
         const { registry, takeover } = this;
         // A previous owner that does not know of the takeover yet may start new jobs on workers that are not fenced.
         const { awaitsFencing } = registry;
@@ -374,7 +369,8 @@
             ? ({ job }: StepState) => job.acceptedVersion > takeover.version
             : ({ job }: StepState) => job.reportedHere && !awaitsFencing;
         this.dispatcher.planAndDispatch(step =>
-            !step.job.held && this.capacities.mayStart(step) && (isNew(step) || registry.mayStart(step))
+            step.job.mayStart(step.occurrence) && this.capacities.mayStart(step)
+            && (isNew(step) || registry.mayStart(step))
         );
     }
 
--- a/packages/fleet/src/state/JobState.ts
+++ b/packages/fleet/src/state/JobState.ts
@@ -3,12 +3,20 @@
 import { StepState } from "./StepState.js";
 import type { TaskState } from "./TaskState.js";
 
+/**
+ * Limit for the steps and tasks of the open occurrences of a job that repeats, so that its progress fits into a row of
+ * the store. A larger occurrence is opened alone.
+ */
+export const MAX_OPEN_SIZE = 500;
+
 /** Job whose final state is not committed yet, with its steps and tasks. */
 export class JobState {
     public phase = JobPhase.Queued;
-    /** Steps of the open occurrences (due and not done), by number of the occurrence. */
+    /** Steps of the open occurrences (begun and not done), by number of the occurrence. */
     public readonly occurrences = new Map<number, readonly StepState[]>();
     public nextOccurrence = 0;
+    /** Occurrences up to this number are open or done in the store. */
+    private committedOccurrences = 0;
     /** The final state was committed. */
     public committed = false;
     /** The store has a progress row of the job. */
@@ -46,6 +54,11 @@
         return isFinal(this.phase);
     }
 
+    /** Whether the job runs at set times, and not just once. */
+    public get repeats(): boolean {
+        return this.spec.schedule.occurrences > 0;
+    }
+
     public get occurrenceCount(): number {
         return Math.max(1, this.spec.schedule.occurrences);
     }
@@ -62,12 +75,21 @@
 
     /** Makes the present state part of a commit; the returned callback marks it as committed. */
     public beginCommit(): () => void {
-        const { holdCount } = this;
+        const { holdCount, nextOccurrence } = this;
         return () => {
             this.releasedHoldCount = Math.max(this.releasedHoldCount, holdCount);
+            this.committedOccurrences = Math.max(this.committedOccurrences, nextOccurrence);
         };
     }
 
+    /**
+     * Whether tasks of an occurrence may be started. One of a job that repeats must be open in the store first: a
+     * successor that has not opened it would not know its runs and their ends.
+     */
+    public mayStart(occurrence: number): boolean {
+        return !this.held && (!this.repeats || occurrence < this.committedOccurrences);
+    }
+
     /** Wall-clock time at which the next occurrence is due; undefined when there is none. */
     public get nextDueMs(): number | undefined {
         if (this.nextOccurrence >= this.occurrenceCount) {
@@ -77,10 +99,18 @@
         return occurrences === 0 ? 0 : firstStartMs + this.nextOccurrence * periodMs;
     }
 
-    /** Opens the occurrences that are due; returns whether there were any. */
-    public openDueOccurrences(wallClockMs: number): boolean {
+    /**
+     * Opens the next occurrences that are due, as long as the open ones have no more than `maxOpenSize` steps and tasks;
+     * returns whether there were any. The others are opened as these end.
+     */
+    public openDueOccurrences(wallClockMs: number, maxOpenSize = MAX_OPEN_SIZE): boolean {
+        const maxCount = Math.max(1, Math.floor(Math.min(maxOpenSize, MAX_OPEN_SIZE) / this.occurrenceSize));
         let opened = false;
-        for (let dueMs = this.nextDueMs; dueMs !== undefined && dueMs <= wallClockMs; dueMs = this.nextDueMs) {
+        while (this.occurrences.size < maxCount) {
+            const dueMs = this.nextDueMs;
+            if (dueMs === undefined || dueMs > wallClockMs) {
+                break;
+            }
             this.open(this.nextOccurrence++);
             opened = true;
         }
@@ -124,7 +154,10 @@
         return {
             nextOccurrence: this.nextOccurrence,
             started: this.phase !== JobPhase.Queued,
-            open: [...this.occurrences].map(([number, steps]) => ({ number, steps: steps.map(encodeStep) }))
+            open: [...this.occurrences].map(([number, steps]) => ({
+                number,
+                steps: steps.every(isUntouched) ? [] : steps.map(encodeStep)
+            }))
         };
     }
 
@@ -132,6 +165,7 @@
     public restore(progress: JobProgress): void {
         this.occurrences.clear();
         this.nextOccurrence = progress.nextOccurrence;
+        this.committedOccurrences = progress.nextOccurrence;
         this.hasProgressRow = true;
         if (progress.started) {
             this.phase = JobPhase.Running;
@@ -143,6 +177,11 @@
         }
     }
 
+    /** Number of steps and tasks of one occurrence. */
+    private get occurrenceSize(): number {
+        return this.spec.steps.reduce((size, { taskCount }) => size + 1 + taskCount, 0);
+    }
+
     private open(number: number): void {
         this.occurrences.set(number, this.spec.steps.map((step, index) => new StepState(this, number, index, step)));
     }
@@ -157,6 +196,13 @@
     return true;
 }
 
+/** Whether there is nothing to store of a step. */
+function isUntouched(step: StepState): boolean {
+    return step.doneCount === 0 && step.gangFailures.length === 0 && step.tasks.every(task =>
+        task.failures.length === 0 && task.crashedRuns.length === 0 && task.checkpoint === ""
+    );
+}
+
 function encodeStep(step: StepState): StepProgress {
     const failures: Record<string, FailedRuns> = {};
     const checkpoints: Record<string, string> = {};
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -5,7 +5,7 @@
 import { type CallerReply, CallerVerb, ReplyKind } from "@skylarkpath/fleet/entry/EntryTypes";
 import { FleetProcess } from "@skylarkpath/fleet/FleetProcess";
 import type { FleetConfig, QueueConfig, TeamConfig } from "@skylarkpath/fleet/model/FleetConfig";
-import { JobPhase, type JobSpec, type StepSpec } from "@skylarkpath/fleet/model/JobSpec";
+import { JobPhase, type JobSchedule, type JobSpec, type StepSpec } from "@skylarkpath/fleet/model/JobSpec";
 import type { OwnerRow } from "@skylarkpath/fleet/model/OwnerRow";
 import { FLEET_PARTITION, FleetTable, OWNER_KEY } from "@skylarkpath/fleet/model/Tables";
 import { OwnerCallFailure, type OwnerClient } from "@skylarkpath/fleet/ports/OwnerClient";
@@ -16,6 +16,7 @@
 import { MemoryRowStore } from "@skylarkpath/standins/fleet/MemoryRowStore";
 import { TaskRules } from "@skylarkpath/standins/fleet/TaskRules";
 import { err, ok, type Result } from "neverthrow";
+import { chargeReplies } from "./chargeReplies.js";
 import { LaggingTimer } from "./LaggingTimer.js";
 import { ModelledProcessor } from "./ModelledProcessor.js";
 
@@ -219,14 +220,18 @@
     }
 
     /** Creates a job and registers it with the rules; fields that a step omits come from {@link SMALL_STEP}. */
-    public createJob(steps: readonly Partial<StepSpec>[], id = this.nextJobId()): JobSpec {
+    public createJob(
+        steps: readonly Partial<StepSpec>[],
+        id = this.nextJobId(),
+        schedule: JobSchedule = { firstStartMs: 0, periodMs: 0, occurrences: 0 }
+    ): JobSpec {
         const job: JobSpec = {
             id,
             queue: "jobs",
             team: "lab",
             payload: "payload",
             steps: steps.map(step => ({ ...SMALL_STEP, ...step })),
-            schedule: { firstStartMs: 0, periodMs: 0, occurrences: 0 },
+            schedule,
             acceptedWallMs: 0
         };
         this.rules.addJob(job);
@@ -382,17 +387,3 @@
         return err((error as Error).message);
     }
 }
-
-/** Wraps a client so that the processor handles each reply before the caller gets it. */
-function chargeReplies<T extends object>(client: T, processor: ModelledProcessor): T {
-    return new Proxy(client, {
-        get: (target, name) => {
-            const method = Reflect.get(target, name) as (...parameters: unknown[]) => unknown;
-            return async (...parameters: unknown[]) => {
-                const reply = await method.apply(target, parameters);
-                await processor.handleMessage();
-                return reply;
-            };
-        }
-    });
-}
--- a/packages/standins/src/fleet/MemoryRowStore.ts
+++ b/packages/standins/src/fleet/MemoryRowStore.ts
@@ -36,6 +36,10 @@
 /** A late commit is carried out after the minimum and a random part of the spread. */
 const LATE_DELAY_MS = { minimum: 1000, spread: 5000 };
 const POLL_INTERVAL_MS = 5;
+/** Limits of the platform's store; values are sent as base64. */
+const MAX_ROW_BYTES = 65_536;
+const MAX_TRANSACTION_BYTES = 1_000_000;
+const MAX_TRANSACTION_ENTRIES = 100;
 
 /** Transactional store in memory, with a change feed and simulated faults. */
 export class MemoryRowStore {
@@ -55,6 +59,7 @@
     private version = 0;
     private callCount = 0;
     private readCount = 0;
+    private refusedCount = 0;
 
     constructor(private readonly timer: TimerService, private readonly random: RandomSource) {}
 
@@ -68,6 +73,11 @@
         return this.readCount;
     }
 
+    /** Number of transactions that were refused since they or one of their rows were too large. */
+    public get oversizedTransactions(): number {
+        return this.refusedCount;
+    }
+
     /** Returns the client through which a machine calls the store. */
     public clientFor(machine: string): RowStore {
         return {
@@ -166,6 +176,15 @@
     }
 
     private transact(conditions: readonly RowCondition[], writes: readonly RowWrite[]): Result<number, StoreFailure> {
+        const sizes = writes.map(({ value = "" }) => Buffer.byteLength(value));
+        const encodedBytes = sizes.reduce((sum, bytes) => sum + Math.ceil(bytes / 3) * 4, 0);
+        if (
+            sizes.some(bytes => bytes > MAX_ROW_BYTES) || encodedBytes > MAX_TRANSACTION_BYTES
+            || conditions.length + writes.length > MAX_TRANSACTION_ENTRIES
+        ) {
+            this.refusedCount++;
+            return failure(StoreFailureKind.Invalid);
+        }
         const allHold = conditions.every(condition =>
             (this.rows.get(keyOf(condition))?.version ?? 0) === condition.version
         );
