An occurrence is ordered by the time at which it was due

Cause: the order of steps used the time at which the job was accepted for all its occurrences. A backlog therefore came before each job that was accepted later, and both became useless at about the same time, the older first. An occurrence of an old job that was on time came after everything else.

The test of StepOrder fails without it.

Why it works: a late occurrence is useless at once and comes last, one that is due now competes like a job that was accepted now.

--- a/packages/fleet/src/owner/OccurrenceOpener.ts
+++ b/packages/fleet/src/owner/OccurrenceOpener.ts
@@ -21,6 +21,7 @@
 
     /** Opens the due occurrences of all jobs. */
     public openAllDue(): void {
+        this.fleet.clockOffsetMs = this.timer.wallClockMs() - this.timer.nowMs();
         for (const job of this.fleet.jobs.values()) {
             this.openDue(job);
         }
--- a/packages/fleet/src/placement/StepOrder.test.ts
+++ b/packages/fleet/src/placement/StepOrder.test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { JobState } from "../state/JobState.js";
 import { addJob, createFleet, PLAIN_CONFIG } from "../testing/FleetFixture.js";
 import { orderSteps, Usefulness } from "./StepOrder.js";
 
@@ -33,3 +34,21 @@
     orderSteps(fleet, nowMs)[0]!.step.permits.latestExpiryMs = 0;
     t.is(orderSteps(fleet, nowMs)[0]?.usefulness, Usefulness.InTime);
 });
+
+// Guards against a job that repeats and holds back all later jobs, or comes last with each occurrence once it is old.
+test("an occurrence is ordered by the time at which it was due, not by that at which its job was accepted", t => {
+    const fleet = createFleet();
+    fleet.clockOffsetMs = 1_000_000;
+    const { spec } = addJob(fleet, [{}], FIRST);
+    addJob(fleet, [{}], SECOND);
+    Object.assign(fleet.jobs.get(SECOND)!, { acceptedAtMs: 100_000 });
+    const schedule = { firstStartMs: 1_050_000, periodMs: 49_900, occurrences: 2 };
+    const repeating = new JobState({ ...spec, schedule }, 10_000, 1, 1);
+    fleet.jobs.set(FIRST, repeating);
+    repeating.openDueOccurrences(1_100_000);
+    t.deepEqual(orderSteps(fleet, 100_500).map(({ step, usefulness, dueMs }) => [step.name, usefulness, dueMs]), [
+        [`${FIRST}.1.0`, Usefulness.InTime, 99_900 + OBJECTIVE_MS],
+        [`${SECOND}.0.0`, Usefulness.InTime, 100_000 + OBJECTIVE_MS],
+        [`${FIRST}.0.0`, Usefulness.None, 50_000 + OBJECTIVE_MS]
+    ]);
+});
--- a/packages/fleet/src/placement/StepOrder.ts
+++ b/packages/fleet/src/placement/StepOrder.ts
@@ -36,7 +36,7 @@
         }
         const queue = fleet.queue(job.spec.queue);
         if (queue) {
-            rankJob(job, queue, nowMs, fleet.policyDelayMs, ranked);
+            rankJob(job, queue, nowMs, fleet, ranked);
         }
     }
     return ranked.sort(compareSteps);
@@ -46,7 +46,7 @@
     job: JobState,
     queue: QueueConfig,
     nowMs: number,
-    policyDelayMs: number,
+    { policyDelayMs, clockOffsetMs }: FleetState,
     ranked: RankedStep[]
 ): void {
     for (const step of job.readySteps()) {
@@ -58,8 +58,13 @@
         const objectiveMs = queue.stretchFactor * job.criticalPathMs + queue.targetLatencyMs;
         const needsPermits = queue.policy !== undefined && step.permits.latestExpiryMs <= nowMs;
         const endMs = nowMs + step.spec.estimateMs + (needsPermits ? policyDelayMs : 0);
-        const usefulness = usefulnessOf(endMs - job.acceptedAtMs, objectiveMs);
-        ranked.push({ step, queue, dueMs: job.acceptedAtMs + objectiveMs, usefulness });
+        const fromMs = job.countsFromMs(step.occurrence, clockOffsetMs);
+        ranked.push({
+            step,
+            queue,
+            dueMs: fromMs + objectiveMs,
+            usefulness: usefulnessOf(endMs - fromMs, objectiveMs)
+        });
     }
 }
 
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -27,6 +27,8 @@
     public readonly workers = new Map<string, WorkerState>();
     /** Jobs whose final state was committed; a read that began before may still return their rows. */
     public readonly endedJobs = new Map<string, EndedJob>();
+    /** Wall-clock time minus the time of the timer, in ms, by which occurrences of jobs are due. */
+    public clockOffsetMs = 0;
     /** Moving average of the time from a question to the placement policy to its answer. */
     public policyDelayMs = 0;
     private currentConfig: FleetConfig | undefined;
--- a/packages/fleet/src/state/JobState.ts
+++ b/packages/fleet/src/state/JobState.ts
@@ -95,8 +95,15 @@
         if (this.nextOccurrence >= this.occurrenceCount) {
             return undefined;
         }
-        const { firstStartMs, periodMs, occurrences } = this.spec.schedule;
-        return occurrences === 0 ? 0 : firstStartMs + this.nextOccurrence * periodMs;
+        return this.repeats ? this.dueMs(this.nextOccurrence) : 0;
+    }
+
+    /**
+     * Time from which the duration of an occurrence counts: when it was due, or when the job was accepted if it does not
+     * repeat. `clockOffsetMs` is the wall-clock time minus the timer's.
+     */
+    public countsFromMs(occurrence: number, clockOffsetMs: number): number {
+        return this.repeats ? this.dueMs(occurrence) - clockOffsetMs : this.acceptedAtMs;
     }
 
     /**
@@ -177,6 +184,11 @@
         }
     }
 
+    private dueMs(occurrence: number): number {
+        const { firstStartMs, periodMs } = this.spec.schedule;
+        return firstStartMs + occurrence * periodMs;
+    }
+
     /** Number of steps and tasks of one occurrence. */
     private get occurrenceSize(): number {
         return this.spec.steps.reduce((size, { taskCount }) => size + 1 + taskCount, 0);
@@ -198,9 +210,10 @@
 
 /** Whether there is nothing to store of a step. */
 function isUntouched(step: StepState): boolean {
-    return step.doneCount === 0 && step.gangFailures.length === 0 && step.tasks.every(task =>
-        task.failures.length === 0 && task.crashedRuns.length === 0 && task.checkpoint === ""
-    );
+    return step.doneCount === 0 && step.gangFailures.length === 0
+        && step.tasks.every(task =>
+            task.failures.length === 0 && task.crashedRuns.length === 0 && task.checkpoint === ""
+        );
 }
 
 function encodeStep(step: StepState): StepProgress {
