Progress that is too large for a row is cut or split

Cause: rows and transactions of the owner were bounded in number, not in size.

Why it works: checkpoints are stored as far as a row has room for them; a task without one goes on from that in its worker's report, or starts again. What is still too large is split into further rows, written and removed in the same transaction. A transaction holds at most 450 kB of jobs and 200 kB of known workers. Rows of known workers that are cut short are not written again and again, which would leave no room for others.

--- a/packages/fleet/src/model/Tables.ts
+++ b/packages/fleet/src/model/Tables.ts
@@ -25,6 +25,17 @@
     return jobId + CANCEL_SUFFIX;
 }
 
+/** Key of a row of a job's progress; the first one has the index zero. */
+export function progressKey(jobId: string, index: number): string {
+    return index === 0 ? jobId : `${jobId}/${index}`;
+}
+
+/** Parses the key of a progress row: the id of the job, and the index of the row. */
+export function parseProgressKey(key: string): { readonly jobId: string; readonly index: number; } {
+    const [jobId = "", index = "0"] = key.split("/");
+    return { jobId, index: Number(index) };
+}
+
 /** Parses the key of an intake row: the id of the job, and whether the row records its cancellation. */
 export function parseIntakeKey(key: string): { readonly jobId: string; readonly cancel: boolean; } {
     return key.endsWith(CANCEL_SUFFIX)
--- a/packages/fleet/src/owner/IntakeReader.ts
+++ b/packages/fleet/src/owner/IntakeReader.ts
@@ -5,12 +5,12 @@
 import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
 import { type KeyRange, readTable, type TableContent } from "../config/readTable.js";
 import type { TableFollower } from "../config/TableFollower.js";
-import type { JobProgress } from "../model/JobProgress.js";
 import { parseJobSpec } from "../model/parseJobSpec.js";
-import { cancelKey, FLEET_PARTITION, FleetTable, parseIntakeKey } from "../model/Tables.js";
+import { cancelKey, FLEET_PARTITION, FleetTable, parseIntakeKey, parseProgressKey } from "../model/Tables.js";
 import type { RowChange, RowStore, StoredRow } from "../ports/RowStore.js";
 import type { FleetState } from "../state/FleetState.js";
 import { JobState } from "../state/JobState.js";
+import { decodeProgressRows } from "./ProgressRows.js";
 import { TeamRateLimiter } from "./TeamRateLimiter.js";
 
 const READ_TIMEOUT_MS = 1500;
@@ -62,8 +62,8 @@
             return false;
         }
         this.apply([...intake.rows].sort((left, right) => left.version - right.version), false);
-        for (const row of progress.rows) {
-            this.restoreProgress(row);
+        for (const [jobId, rows] of groupProgressRows(progress.rows)) {
+            this.restoreProgress(jobId, rows);
         }
         for (const job of this.fleet.jobs.values()) {
             if (job.cancelRequested) {
@@ -171,15 +171,15 @@
         }
     }
 
-    private restoreProgress(row: StoredRow): void {
+    private restoreProgress(jobId: string, rows: readonly string[]): void {
         try {
-            this.fleet.jobs.get(row.key)?.restore(JSON.parse(row.value) as JobProgress);
+            this.fleet.jobs.get(jobId)?.restore(decodeProgressRows(rows), rows.length);
         }
         catch {
             // The job is left alone: nothing tells which of its tasks have run.
-            this.fleet.jobs.delete(row.key);
-            this.unreadableJobs.add(row.key);
-            this.log.write(EVENTS.rowUnreadable, { table: row.table, key: row.key });
+            this.fleet.jobs.delete(jobId);
+            this.unreadableJobs.add(jobId);
+            this.log.write(EVENTS.rowUnreadable, { table: FleetTable.Progress, key: jobId });
         }
     }
 
@@ -195,3 +195,15 @@
         return undefined;
     }
 }
+
+/** Returns the values of the progress rows of each job, in the order of their indexes. */
+function groupProgressRows(rows: readonly StoredRow[]): ReadonlyMap<string, readonly string[]> {
+    const groups = new Map<string, string[]>();
+    for (const { key, value } of rows) {
+        const { jobId, index } = parseProgressKey(key);
+        const group = groups.get(jobId) ?? [];
+        groups.set(jobId, group);
+        group[index] = value;
+    }
+    return groups;
+}
--- a/packages/fleet/src/owner/KnownWorkerRows.test.ts
+++ b/packages/fleet/src/owner/KnownWorkerRows.test.ts
@@ -87,3 +87,15 @@
     const row = { table: "", partition: "", version: 1 };
     t.deepEqual(parseKnownWorkers([{ ...row, key: "00", value: "{" }, { ...row, key: "01", value: "{}" }]), []);
 });
+
+// Guards against rows that are cut short, never look written and leave no room for those of other workers.
+test("a row without the tasks for which it has no room is not written again while nothing changes", t => {
+    const rows = new KnownWorkerRows();
+    const tasks = Array.from({ length: 400 }, (...[, number]) => `00000000000000a1.0.0.${number}`);
+    const workers = createWorkers(378, tasks);
+    for (let transaction = 0; !rows.complete && transaction < 100; transaction++) {
+        rows.confirm(rows.prepare(workers));
+    }
+    t.true(rows.complete);
+    t.deepEqual(rows.prepare(workers).writes, []);
+});
--- a/packages/fleet/src/owner/KnownWorkerRows.ts
+++ b/packages/fleet/src/owner/KnownWorkerRows.ts
@@ -8,6 +8,8 @@
 const GROUP_COUNT = 64;
 /** Maximum number of these rows in one transaction; a new owner, which writes all of them, needs several. */
 export const MAX_GROUPS_PER_COMMIT = 16;
+/** Maximum size of these rows in one transaction, which also has those of jobs: the platform accepts 1 MB. */
+const MAX_BYTES_PER_COMMIT = 200_000;
 /** Stays below the platform's limit of 64 KiB a row. */
 const MAX_ROW_BYTES = 48 * 1024;
 const HASH_FACTOR = 31;
@@ -38,13 +40,19 @@
         const writes: RowWrite[] = [];
         const written = new Map<number, readonly KnownWorker[]>();
         const stored: KnownWorker[] = [];
+        let totalBytes = 0;
         for (const [group, members] of this.groupWorkers(workers).entries()) {
             const committed = this.committed.get(group);
             if (committed && isSameList(committed, members)) {
                 stored.push(...committed);
+                continue;
             }
-            else if (writes.length < MAX_GROUPS_PER_COMMIT) {
-                const { value, listed } = encodeGroup(members);
+            const { value, listed } = encodeGroup(members);
+            if (committed && isSameList(committed, listed)) {
+                stored.push(...committed);
+            }
+            else if (writes.length < MAX_GROUPS_PER_COMMIT && totalBytes + value.length <= MAX_BYTES_PER_COMMIT) {
+                totalBytes += value.length;
                 writes.push({ ...groupRowKey(group), value });
                 written.set(group, listed);
                 stored.push(...listed);
--- a/packages/fleet/src/owner/ProgressWriter.ts
+++ b/packages/fleet/src/owner/ProgressWriter.ts
@@ -1,11 +1,12 @@
 import type { Disposable } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { sleep, type TimerService } from "@skylarkpath/common/time/TimerService";
-import { cancelKey, FLEET_PARTITION, FleetTable } from "../model/Tables.js";
+import { cancelKey, FLEET_PARTITION, FleetTable, progressKey } from "../model/Tables.js";
 import type { RowWrite } from "../ports/RowStore.js";
 import type { JobState } from "../state/JobState.js";
 import { CommitOutcome, type FencedStore, type OwnershipRelease } from "./FencedStore.js";
 import { MAX_GROUPS_PER_COMMIT } from "./KnownWorkerRows.js";
+import { encodeProgressRows } from "./ProgressRows.js";
 
 /** Waits until the state that it has reported so far is committed. */
 export interface CommitWaiter {
@@ -27,7 +28,8 @@
  * condition and the rows of the known workers.
  */
 const MAX_ROWS = 98 - MAX_GROUPS_PER_COMMIT;
-const MAX_ROWS_PER_JOB = 4;
+/** The platform accepts 1 MB per transaction, and base64 encoding makes values a third larger. */
+const MAX_JOB_BYTES = 450_000;
 /** An idle owner renews its row at this interval: at least twice within the time after which others take over. */
 const RENEWAL_INTERVAL_MS = 400;
 /** Delay before a failed commit is retried. */
@@ -174,15 +176,20 @@
         const jobs: JobState[] = [];
         const writes: RowWrite[] = [];
         const callbacks: (() => void)[] = [];
+        let batchBytes = 0;
         for (const job of this.dirty) {
-            if (writes.length > MAX_ROWS - MAX_ROWS_PER_JOB) {
+            const jobWrites = job.committed ? [] : encodeJob(job);
+            const jobBytes = jobWrites.reduce((sum, { value = "" }) => sum + value.length, 0);
+            const isFull = writes.length + jobWrites.length > MAX_ROWS || batchBytes + jobBytes > MAX_JOB_BYTES;
+            if (writes.length > 0 && isFull) {
                 break;
             }
             this.dirty.delete(job);
             if (!job.committed) {
                 jobs.push(job);
                 callbacks.push(job.beginCommit());
-                writeJob(job, writes);
+                writes.push(...jobWrites);
+                batchBytes += jobBytes;
             }
         }
         const waiters = this.dirty.size === 0 ? [...this.waiters] : [];
@@ -205,22 +212,26 @@
     }
 }
 
-/** Adds the writes of a job: its progress, or its final state and the removal of all its other rows. */
-function writeJob(job: JobState, writes: RowWrite[]): void {
+/** Returns the writes of a job: its progress, or its final state and the removal of all its other rows. */
+function encodeJob(job: JobState): RowWrite[] {
     const key = job.spec.id;
     const place = { partition: FLEET_PARTITION, key };
+    const progress = job.final ? [] : encodeProgressRows(job.encodeProgress());
+    job.progressRowCount = Math.max(job.progressRowCount, progress.length);
+    const progressWrites = Array.from({ length: job.progressRowCount }, (...[, index]): RowWrite => ({
+        ...place,
+        table: FleetTable.Progress,
+        key: progressKey(key, index),
+        value: progress[index]
+    }));
     if (!job.final) {
-        job.hasProgressRow = true;
-        writes.push({ ...place, table: FleetTable.Progress, value: JSON.stringify(job.encodeProgress()) });
-        return;
+        return progressWrites;
     }
     const outcome = { phase: job.phase, queue: job.spec.queue, team: job.spec.team };
-    writes.push({ ...place, table: FleetTable.Outcomes, value: JSON.stringify(outcome) });
-    writes.push({ ...place, table: FleetTable.Intake });
-    if (job.hasProgressRow) {
-        writes.push({ ...place, table: FleetTable.Progress });
-    }
-    if (job.cancelRequested) {
-        writes.push({ ...place, key: cancelKey(key), table: FleetTable.Intake });
-    }
+    return [
+        { ...place, table: FleetTable.Outcomes, value: JSON.stringify(outcome) },
+        { ...place, table: FleetTable.Intake },
+        ...progressWrites,
+        ...job.cancelRequested ? [{ ...place, table: FleetTable.Intake, key: cancelKey(key) }] : []
+    ];
 }
--- a/packages/fleet/src/state/JobState.ts
+++ b/packages/fleet/src/state/JobState.ts
@@ -19,8 +19,8 @@
     private committedOccurrences = 0;
     /** The final state was committed. */
     public committed = false;
-    /** The store has a progress row of the job. */
-    public hasProgressRow = false;
+    /** Highest number of progress rows of the job that the store may have. */
+    public progressRowCount = 0;
     public cancelRequested = false;
     /** Its entry has told this owner of it, so it has told no former one. */
     public reportedHere = false;
@@ -168,12 +168,12 @@
         };
     }
 
-    /** Restores the progress that an earlier owner stored. */
-    public restore(progress: JobProgress): void {
+    /** Restores the progress that an earlier owner stored in a number of rows. */
+    public restore(progress: JobProgress, rowCount = 1): void {
         this.occurrences.clear();
         this.nextOccurrence = progress.nextOccurrence;
         this.committedOccurrences = progress.nextOccurrence;
-        this.hasProgressRow = true;
+        this.progressRowCount = rowCount;
         if (progress.started) {
             this.phase = JobPhase.Running;
         }
