A job that the store does not take is refused for good, alone

What callers would see: a job whose row is larger than the store takes got 503 with a time to come back, again and again, and so did up to 31 jobs that were handed in with it.

Cause: a transaction that the store refuses as invalid was handled like an outage, for all jobs in it.

Why it works: a row above 64 KiB is refused at once. After another refusal for size the jobs of the transaction are stored one by one, and the one that the store does not take gets 400.

--- a/packages/fleet/src/entry/IntakeWriter.ts
+++ b/packages/fleet/src/entry/IntakeWriter.ts
@@ -17,6 +17,8 @@
     AlreadyStored = "known",
     /** Nothing was written. */
     Unavailable = "unavailable",
+    /** The store does not take the job's row, so that nothing was written or ever will be. */
+    Refused = "refused",
     /** The job may have been written, or may still be. */
     Uncertain = "unsettled"
 }
@@ -35,6 +37,8 @@
     readonly arrivedAtMs: number;
     readonly resolve: (result: IntakeResult) => void;
     uncertain: boolean;
+    /** The store has refused a transaction with the job and others, one of which it does not take. */
+    alone: boolean;
     expiry: Disposable | undefined;
 }
 
@@ -42,6 +46,8 @@
 const MAX_JOBS_PER_TRANSACTION = 32;
 /** The platform accepts 1 MB per transaction, and base64 encoding makes values a third larger. */
 const MAX_BYTES_PER_TRANSACTION = 600_000;
+/** No row of the platform's store is larger; what its encoding adds may lower the limit. */
+const MAX_ROW_CHARACTERS = 65_536;
 const COMMIT_TIMEOUT_MS = 700;
 const RETRY_DELAY_MS = 40;
 /** A job that was certainly not stored is refused after this time, so that its caller can try another process. */
@@ -81,12 +87,17 @@
     public write(spec: JobSpec): Promise<IntakeResult> {
         return new Promise(resolve => {
             const bytes = JSON.stringify(spec).length;
+            if (bytes > MAX_ROW_CHARACTERS) {
+                resolve({ outcome: IntakeOutcome.Refused });
+                return;
+            }
             const job: PendingJob = {
                 spec,
                 bytes,
                 arrivedAtMs: this.timer.nowMs(),
                 resolve,
                 uncertain: false,
+                alone: false,
                 expiry: this.timer.after(QUEUE_TIMEOUT_MS, () => this.expire(job))
             };
             this.queue.push(job);
@@ -114,7 +125,9 @@
         let bytes = 0;
         while (batch.length < MAX_JOBS_PER_TRANSACTION && this.queue.length > 0) {
             const next = this.queue[0]!;
-            if (ids.has(next.spec.id) || (batch.length > 0 && bytes + next.bytes > MAX_BYTES_PER_TRANSACTION)) {
+            const isFull = batch.length > 0
+                && (bytes + next.bytes > MAX_BYTES_PER_TRANSACTION || next.alone || batch[0]!.alone);
+            if (ids.has(next.spec.id) || isFull) {
                 break;
             }
             this.queue.shift();
@@ -138,7 +151,7 @@
             writes.push({ ...place, table: FleetTable.Intake, value: JSON.stringify(spec) });
         }
         const result = await this.store.commit(conditions, writes, COMMIT_TIMEOUT_MS);
-        this.storeFailing = result.isErr() && result.error.kind !== StoreFailureKind.Conflict;
+        this.storeFailing = result.isErr() && !isVerdict(result.error.kind);
         if (result.isOk()) {
             const version = result.value;
             batch.forEach(job => job.resolve({ outcome: IntakeOutcome.Written, version }));
@@ -149,10 +162,27 @@
             this.resolveConflict(batch, rows);
             return false;
         }
+        if (kind === StoreFailureKind.Invalid) {
+            this.separate(batch);
+            return false;
+        }
         this.retry(batch, kind);
         return true;
     }
 
+    /** Finds the job whose row the store does not take, and refuses it; the others are stored one by one. */
+    private separate(batch: readonly PendingJob[]): void {
+        const [first, ...others] = batch;
+        if (others.length === 0) {
+            first!.resolve({ outcome: IntakeOutcome.Refused });
+            return;
+        }
+        batch.forEach(job => {
+            job.alone = true;
+        });
+        this.queue.unshift(...batch);
+    }
+
     private resolveConflict(batch: readonly PendingJob[], rows: readonly StoredRow[]): void {
         const rowById = new Map(rows.map(row => [row.key, row]));
         const unaffected: PendingJob[] = [];
@@ -174,7 +204,7 @@
         for (const job of batch) {
             job.uncertain ||= kind === StoreFailureKind.Uncertain;
             const limitMs = job.uncertain ? UNCERTAIN_RETRY_TIMEOUT_MS : RETRY_TIMEOUT_MS;
-            if (nowMs - job.arrivedAtMs < limitMs && kind !== StoreFailureKind.Invalid) {
+            if (nowMs - job.arrivedAtMs < limitMs) {
                 retried.push(job);
             }
             else {
@@ -193,3 +223,8 @@
         }
     }
 }
+
+/** Whether the store works and has decided about the transaction. */
+function isVerdict(kind: StoreFailureKind): boolean {
+    return kind === StoreFailureKind.Conflict || kind === StoreFailureKind.Invalid;
+}
--- a/packages/fleet/src/entry/RequestHandler.ts
+++ b/packages/fleet/src/entry/RequestHandler.ts
@@ -98,6 +98,8 @@
                 return row && this.parseRow<{ team?: string; }>(row)?.team === teamName
                     ? { kind: ReplyKind.Accepted }
                     : { kind: ReplyKind.Malformed, message: "the id belongs to a job of another team" };
+            case IntakeOutcome.Refused:
+                return { kind: ReplyKind.Malformed, message: "the job, or its id, is too long to be stored" };
             case IntakeOutcome.Unavailable:
                 return { kind: ReplyKind.NotNow, message: "the store takes nothing now", retryAfterMs: RETRY_AFTER_MS };
             case IntakeOutcome.Uncertain:
