Expected duration of a run as a function of the fleet state

Cause: the order of steps, reservations and predictions need the same expected end, and only the caller's estimate is there. Change: FleetState.expectedDurationMs, by default that estimate.

--- a/packages/fleet/src/placement/StepOrder.ts
+++ b/packages/fleet/src/placement/StepOrder.ts
@@ -46,7 +46,7 @@
     job: JobState,
     queue: QueueConfig,
     nowMs: number,
-    { policyDelayMs, clockOffsetMs }: FleetState,
+    fleet: FleetState,
     ranked: RankedStep[]
 ): void {
     for (const step of job.readySteps()) {
@@ -56,8 +56,9 @@
         }
         step.readyAtMs ??= nowMs;
         const objectiveMs = queue.stretchFactor * job.criticalPathMs + queue.targetLatencyMs;
+        const { policyDelayMs, clockOffsetMs } = fleet;
         const needsPermits = queue.policy !== undefined && step.permits.latestExpiryMs <= nowMs;
-        const endMs = nowMs + step.spec.estimateMs + (needsPermits ? policyDelayMs : 0);
+        const endMs = nowMs + fleet.expectedDurationMs(step) + (needsPermits ? policyDelayMs : 0);
         const fromMs = job.countsFromMs(step.occurrence, clockOffsetMs);
         ranked.push({
             step,
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -3,6 +3,7 @@
 import { addResources, countWithinLimit, createResourceSum, type ResourceSum } from "../model/ResourceSum.js";
 import type { JobState } from "./JobState.js";
 import { FULL_SPEED_PERCENT, RunPhase, type RunState } from "./RunState.js";
+import type { StepState } from "./StepState.js";
 import { parseTaskName } from "./TaskName.js";
 import type { TaskState } from "./TaskState.js";
 import type { WorkerState } from "./WorkerState.js";
@@ -29,6 +30,8 @@
     public readonly endedJobs = new Map<string, EndedJob>();
     /** Wall-clock time minus the time of the timer, in ms, by which occurrences of jobs are due. */
     public clockOffsetMs = 0;
+    /** Expected duration in ms of a run of a step's tasks, by default the estimate of its caller. */
+    public expectedDurationMs: (step: StepState) => number = step => step.spec.estimateMs;
     /** Moving average of the time from a question to the placement policy to its answer. */
     public policyDelayMs = 0;
     private currentConfig: FleetConfig | undefined;
