Evacuated failure domains take no new tasks, and nothing starts on an old view of them

Cause: the operators' row that evacuates a failure domain was not read, so tasks went on starting there.

Change: each process follows the rows with the configuration (EvacuatedDomains); WorkerState.canStart asks the same set, so plans, gang reservations, questions to the policy and candidates leave such workers out at once. Where the deployment bounds the time (evacuateMs), the owner plans nothing on a read that is too old, and the lease of a start order ends with the bound (EvacuationTracker, CapacityFreshness); without it nothing waits. Workers that are slow after their start are left to steps with time to spare (warmUpPenalty). A row of the store without a value counts as empty and not as removed.

--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -177,6 +177,30 @@
         EventLevel.Error,
         "A configuration cannot be decoded; the last valid one stays in force."
     ),
+    evacuationBegun: define(
+        1206,
+        "evacuation-begun",
+        EventLevel.Info,
+        "The owner starts nothing more in a failure domain; the event tells how many tasks run there."
+    ),
+    evacuationEnded: define(
+        1207,
+        "evacuation-ended",
+        EventLevel.Info,
+        "A failure domain is taken back, and the owner may start tasks there again."
+    ),
+    evacuationEmptied: define(
+        1208,
+        "evacuation-emptied",
+        EventLevel.Info,
+        "No task runs any more on the workers of an evacuated failure domain."
+    ),
+    startsWithheld: define(
+        1432,
+        "starts-withheld",
+        EventLevel.Warning,
+        "The owner starts nothing until it has read again which failure domains are evacuated."
+    ),
     ownerSuspected: define(
         1424,
         "owner-suspected",
--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -91,7 +91,7 @@
         const { store, timer, timing, log, machine, address, random } = environment;
         this.identity = `${machine}/${Math.floor(random.next() * Number.MAX_SAFE_INTEGER).toString(36)}`;
         this.configDirectory = this.disposables.add(
-            new ConfigDirectory(store, timer, environment.directorySchema, log)
+            new ConfigDirectory(store, timer, environment.directorySchema, log, timing.evacuationMs)
         );
         this.loopDelay = this.disposables.add(new EventLoopDelayMeter(timer));
         const speed = this.disposables.add(new MachineSpeedMeter(timer, environment.timeFixedWork));
@@ -166,6 +166,16 @@
         return this.configDirectory.ageMs;
     }
 
+    /** Number of failure domains that are evacuated, as far as this process knows. */
+    public get evacuatedDomainCount(): number {
+        return this.configDirectory.evacuatedDomains.size;
+    }
+
+    /** Number of tasks that still run in evacuated failure domains; zero unless this process owns the fleet. */
+    public get evacuatedRunCount(): number {
+        return this.owner?.evacuations.runCount ?? 0;
+    }
+
     /** Mean event-loop delay of this process in ms. */
     public get loopDelayMs(): number {
         return this.loopDelay.meanMs;
--- a/packages/fleet/src/config/ConfigDirectory.test.ts
+++ b/packages/fleet/src/config/ConfigDirectory.test.ts
@@ -12,6 +12,7 @@
     configKey: "config",
     workerTable: "workers",
     partition: "",
+    evacuatedDomain: key => key.startsWith("off/") ? key.slice(4) : undefined,
     decodeConfig: text => text === "broken" ? err("broken") : ok({ ...PLAIN_CONFIG, version: Number(text) }),
     decodeWorker: () => err("no worker")
 };
--- a/packages/fleet/src/config/ConfigDirectory.ts
+++ b/packages/fleet/src/config/ConfigDirectory.ts
@@ -7,31 +7,43 @@
 import type { FleetConfig } from "../model/FleetConfig.js";
 import type { DirectorySchema } from "../ports/DirectorySchema.js";
 import type { RowStore } from "../ports/RowStore.js";
+import { EvacuatedDomains } from "./EvacuatedDomains.js";
 import { type TableChanges, TableFollower } from "./TableFollower.js";
 
 /** Long-poll duration. In normal operation the known API keys are at most this old, plus one reply. */
 const LONG_POLL_MS = 900;
+const MIN_LONG_POLL_MS = 100;
+/** Share of the age that the data may have for which a long poll lasts at most. */
+const LONG_POLL_SHARE = 1 / 3;
 
-/** Current configuration with its age; only a higher version replaces it. */
+/**
+ * Current configuration and evacuated failure domains with their age; only a higher version of the configuration replaces
+ * it.
+ */
 export class ConfigDirectory implements Disposable {
     private readonly disposables = new DisposableStore();
     private readonly follower: TableFollower;
     private readonly changed: Emitter<FleetConfig>;
+    private readonly evacuationsChanged: Emitter<void>;
+    private readonly evacuations: EvacuatedDomains;
     private current: FleetConfig | undefined;
 
     constructor(
         store: RowStore,
         timer: TimerService,
         private readonly schema: DirectorySchema,
-        private readonly log: EventLog
+        private readonly log: EventLog,
+        maximumAgeMs = Number.POSITIVE_INFINITY
     ) {
         const { partition, configTable } = schema;
         this.changed = this.disposables.add(new Emitter<FleetConfig>());
+        this.evacuationsChanged = this.disposables.add(new Emitter<void>());
+        this.evacuations = new EvacuatedDomains(schema);
         this.follower = this.disposables.add(
             new TableFollower(store, timer, {
                 table: configTable,
                 partition,
-                waitMs: LONG_POLL_MS,
+                waitMs: Math.min(LONG_POLL_MS, Math.max(MIN_LONG_POLL_MS, Math.floor(maximumAgeMs * LONG_POLL_SHARE))),
                 minIntervalMs: 0,
                 onError: error => log.write(EVENTS.processFailed, { reason: describeError(error) })
             })
@@ -44,11 +56,21 @@
         return this.changed.event;
     }
 
+    /** Fires after the evacuated failure domains have changed. */
+    public get onEvacuations(): Emitter<void>["event"] {
+        return this.evacuationsChanged.event;
+    }
+
+    /** Evacuated failure domains, as of the last read; the set changes in place. */
+    public get evacuatedDomains(): ReadonlySet<string> {
+        return this.evacuations.current;
+    }
+
     public get config(): FleetConfig | undefined {
         return this.current;
     }
 
-    /** Age of the known configuration and its API keys in ms. */
+    /** Age of the known configuration, its API keys and the evacuated failure domains in ms. */
     public get ageMs(): number {
         return this.follower.ageMs;
     }
@@ -67,8 +89,11 @@
         this.disposables.dispose();
     }
 
-    private apply({ changes }: TableChanges): void {
-        for (const change of changes) {
+    private apply(tableChanges: TableChanges): void {
+        if (this.evacuations.apply(tableChanges)) {
+            this.evacuationsChanged.fire();
+        }
+        for (const change of tableChanges.changes) {
             if (change.key !== this.schema.configKey || change.value === undefined) {
                 continue;
             }
--- a/packages/fleet/src/config/WorkerDirectory.ts
+++ b/packages/fleet/src/config/WorkerDirectory.ts
@@ -13,16 +13,21 @@
 /** Limits the rate of calls, so that changes of many workers at the same time share one. */
 const MIN_POLL_INTERVAL_MS = 250;
 
+interface ReadEntry {
+    readonly rowVersion: number;
+    readonly entry: WorkerEntry;
+}
+
 /** Workers in the platform's directory table, kept up to date through its change feed. */
 export class WorkerDirectory implements Disposable {
     private readonly disposables = new DisposableStore();
     private readonly follower: TableFollower;
     private readonly changed: Emitter<readonly WorkerEntry[]>;
-    private readonly entries = new Map<string, WorkerEntry>();
+    private entries = new Map<string, ReadEntry>();
 
     constructor(
         store: RowStore,
-        timer: TimerService,
+        private readonly timer: TimerService,
         private readonly schema: DirectorySchema,
         private readonly log: EventLog
     ) {
@@ -60,13 +65,19 @@
     }
 
     private apply({ whole, changes }: TableChanges): void {
+        const previous = this.entries;
         if (whole) {
-            this.entries.clear();
+            this.entries = new Map();
         }
         for (const change of changes) {
             const entry = change.value === undefined ? undefined : this.schema.decodeWorker(change.key, change.value);
             if (entry?.isOk()) {
-                this.entries.set(change.key, entry.value);
+                const known = previous.get(change.key);
+                const isKnown = known?.rowVersion === change.version;
+                this.entries.set(
+                    change.key,
+                    isKnown ? known : { rowVersion: change.version, entry: this.stamp(entry.value) }
+                );
                 continue;
             }
             if (entry?.isErr()) {
@@ -74,6 +85,12 @@
             }
             this.entries.delete(change.key);
         }
-        this.changed.fire([...this.entries.values()]);
+        this.changed.fire([...this.entries.values()].map(({ entry }) => entry));
+    }
+
+    /** Adds until when a worker may be slow after its start. */
+    private stamp(entry: WorkerEntry): WorkerEntry {
+        const { warmUpLeftMs = 0 } = entry;
+        return warmUpLeftMs > 0 ? { ...entry, warmAtMs: this.timer.nowMs() + warmUpLeftMs } : entry;
     }
 }
--- a/packages/fleet/src/model/FleetTiming.ts
+++ b/packages/fleet/src/model/FleetTiming.ts
@@ -6,6 +6,8 @@
     readonly keyWithdrawalMs: number;
     /** Starts may rely on the capacity of a worker for this time after the directory was read. */
     readonly capacityGraceMs: number;
+    /** Nothing starts in a failure domain this long after its evacuation was stored; infinite without a bound. */
+    readonly evacuationMs: number;
     /** Time from the request to stop a process until it is killed. */
     readonly graceMs: number;
     /** Time for which callers can read the state of an ended job. */
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -23,6 +23,7 @@
 import { describeEndedJob } from "./describeEndedJob.js";
 import { Dispatcher } from "./Dispatcher.js";
 import { EntryWatchers, type WatchingEntry } from "./EntryWatchers.js";
+import { EvacuationTracker } from "./EvacuationTracker.js";
 import type { FencedStore } from "./FencedStore.js";
 import { IntakeReader } from "./IntakeReader.js";
 import { readKnownWorkers } from "./KnownWorkerRows.js";
@@ -84,7 +85,7 @@
 
 /** Owner of the fleet: makes every decision about its workers and jobs. */
 export class FleetOwner implements OwnerService, SuccessionSource, Disposable {
-    private readonly fleet = new FleetState();
+    private readonly fleet: FleetState;
     private readonly disposables = new DisposableStore();
     private readonly runs: RunTracker;
     private readonly writer: ProgressWriter;
@@ -106,6 +107,8 @@
     private ready = false;
     private stopping = false;
 
+    /** Which failure domains are evacuated, and what still runs there. */
+    public readonly evacuations: EvacuationTracker;
     /** Another process owns the fleet now. */
     public readonly onOwnershipLost = this.ownershipLost.event;
 
@@ -115,6 +118,10 @@
         private readonly takeover: Takeover
     ) {
         const { timer, store, workerClient, timing, log, config, directorySchema } = dependencies;
+        this.fleet = new FleetState(config.evacuatedDomains);
+        this.evacuations = this.disposables.add(
+            new EvacuationTracker(this.fleet, config, timer, log, fencedStore.epoch, timing.evacuationMs)
+        );
         this.runs = new RunTracker(this.fleet, timer);
         this.writer = this.disposables.add(new ProgressWriter(fencedStore, timer));
         this.registry = this.disposables.add(
@@ -176,7 +183,7 @@
         const firstRun = (fencedStore.epoch - 1) * RUNS_PER_EPOCH + 1;
         this.intake = this.disposables.add(new IntakeReader(this.fleet, store, follower, timer, log, firstRun));
         this.workers = this.disposables.add(new WorkerDirectory(store, timer, directorySchema, log));
-        this.capacities = new CapacityFreshness(this.workers, this.fleet, timing.capacityGraceMs);
+        this.capacities = new CapacityFreshness(this.workers, this.evacuations, this.fleet, timing.capacityGraceMs);
         this.planning = this.disposables.add(new PlanningLoop(timer, () => this.runPlanning()));
         this.occurrences = new OccurrenceOpener(this.fleet, this.writer, timer, () => this.planning.schedule());
         this.fleet.config = config.config;
@@ -343,6 +350,7 @@
                 log
             )
         );
+        this.evacuations.start();
         this.ready = true;
         this.dependencies.log.write(EVENTS.sliceAcquired, { epoch: this.epoch, jobs: this.fleet.jobs.size });
         this.planning.schedule();
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -226,7 +226,7 @@
     }
 
     private open(entry: WorkerEntry, unknownLeaseMs: number, listed: boolean): WorkerSession {
-        const state = new WorkerState(entry);
+        const state = new WorkerState(entry, this.fleet.evacuatedDomains);
         state.listed = listed;
         state.tasksPublished = this.listedInStore.delete(entry.id);
         const session = new WorkerSession(
--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -7,6 +7,7 @@
 import { GangReservations, WorkerUse } from "./GangReservations.js";
 import { orderSteps, type RankedStep } from "./StepOrder.js";
 import { explainWait, type WaitReason } from "./WaitReason.js";
+import { warmUpPenalty } from "./warmUpPenalty.js";
 
 /** A task to be started on a worker. */
 export interface Placement {
@@ -39,6 +40,8 @@
     readonly runningCount: number;
     /** Reserved for a less urgent gang. */
     readonly lastResort: boolean;
+    /** Reduces the score while the worker is slow after its start. */
+    readonly warmUpPenalty: number;
     plannedCount: number;
 }
 
@@ -136,7 +139,8 @@
                     fitCount,
                     runningCount,
                     plannedCount: 0,
-                    lastResort: use === WorkerUse.LastResort
+                    lastResort: use === WorkerUse.LastResort,
+                    warmUpPenalty: warmUpPenalty(this.fleet, worker, ranked, nowMs)
                 });
             }
         };
@@ -235,7 +239,8 @@
             !step.tasks.some(task => task.avoidedWorkers.has(candidate.worker.id))
         );
         const { suspect } = step;
-        const penaltyOf = ({ worker }: Candidate): number => isolation.penalty(worker, suspect);
+        const penaltyOf = (candidate: Candidate): number =>
+            isolation.penalty(candidate.worker, suspect) + candidate.warmUpPenalty;
         const groups = sameRack ? groupByRack(preferred) : [];
         for (const group of [...groups, preferred, candidates]) {
             const sorted = [...group].sort((left, right) =>
@@ -297,7 +302,7 @@
 function scoreWorker(candidate: Candidate, task: TaskState, isolation: CrashIsolation): number {
     const { worker } = candidate;
     const { nearRack } = task.step.spec;
-    let score = -isolation.penalty(worker, task.suspect);
+    let score = -isolation.penalty(worker, task.suspect) - candidate.warmUpPenalty;
     if (task.avoidedWorkers.has(worker.id)) {
         score -= 1000;
     }
--- a/packages/fleet/src/placement/WaitReason.ts
+++ b/packages/fleet/src/placement/WaitReason.ts
@@ -12,6 +12,8 @@
     TeamLimit = "team-limit",
     /** No worker of the pool, or none with the label of the step, takes new tasks. */
     NoWorker = "no-worker",
+    /** The workers that could run it, or all that its policy allows, are in evacuated failure domains. */
+    Evacuated = "evacuated",
     /** The placement policy has not been asked yet, or has not answered. */
     NoAnswer = "no-answer",
     /** The policy allows none of the workers that take new tasks. */
@@ -43,19 +45,21 @@
     if (fleet.countWithinTeamLimit(step.job.spec.team, step.spec.size) < needed) {
         return WaitReason.TeamLimit;
     }
-    const usable = [...fleet.workers.values()].filter(worker =>
-        worker.entry.pool === queue.pool && worker.canStart(nowMs)
+    const eligible = [...fleet.workers.values()].filter(worker =>
+        worker.entry.pool === queue.pool
         && (step.spec.workerLabel === undefined || worker.entry.labels.includes(step.spec.workerLabel))
     );
+    const usable = eligible.filter(worker => worker.canStart(nowMs));
     if (usable.length === 0) {
-        return WaitReason.NoWorker;
+        return eligible.some(worker => worker.evacuated) ? WaitReason.Evacuated : WaitReason.NoWorker;
     }
     const allowed = queue.policy ? usable.filter(worker => step.permits.byWorker.has(worker.id)) : usable;
     if (queue.policy && step.permits.answeredWorkers.size === 0) {
         return WaitReason.NoAnswer;
     }
     if (allowed.length === 0) {
-        return WaitReason.NotAllowed;
+        const isAllowedElsewhere = eligible.some(worker => worker.evacuated && step.permits.byWorker.has(worker.id));
+        return isAllowedElsewhere ? WaitReason.Evacuated : WaitReason.NotAllowed;
     }
     const countFits = (workers: readonly WorkerState[]): number =>
         workers.reduce((sum, worker) => sum + worker.countFits(step.spec.size, step.spec.filler), 0);
--- a/packages/fleet/src/ports/DirectorySchema.ts
+++ b/packages/fleet/src/ports/DirectorySchema.ts
@@ -8,6 +8,8 @@
     readonly configKey: string;
     readonly workerTable: string;
     readonly partition: string;
+    /** Returns the failure domain that is evacuated while the configuration's table has a row with this key, if any. */
+    readonly evacuatedDomain: (configKey: string) => string | undefined;
     readonly decodeConfig: (text: string) => Result<FleetConfig, string>;
     readonly decodeWorker: (id: string, text: string) => Result<WorkerEntry, string>;
 }
--- a/packages/fleet/src/ports/WorkerClient.ts
+++ b/packages/fleet/src/ports/WorkerClient.ts
@@ -10,6 +10,10 @@
     readonly draining: boolean;
     /** Minimum time until a draining worker leaves. */
     readonly remainingMs?: number;
+    /** Time for which the worker was still slow after its start when the entry was written. */
+    readonly warmUpLeftMs?: number;
+    /** Time of the reader's timer until which the worker may be slow, by when the entry was first read. */
+    readonly warmAtMs?: number;
     readonly capacity: ResourceAmounts;
     readonly labels: readonly string[];
     readonly rack: string;
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -43,6 +43,9 @@
     private readonly teamTotal = createResourceSum();
     private readonly usedByTeam = new Map<string, ResourceSum>();
 
+    /** The evacuated failure domains are given as a set that changes in place. */
+    constructor(public readonly evacuatedDomains: ReadonlySet<string> = new Set()) {}
+
     public get config(): FleetConfig | undefined {
         return this.currentConfig;
     }
--- a/packages/fleet/src/state/WorkerState.ts
+++ b/packages/fleet/src/state/WorkerState.ts
@@ -42,7 +42,7 @@
     /** Time at which a run here last ended as done. */
     public lastDoneAtMs: number | undefined;
 
-    constructor(public entry: WorkerEntry) {}
+    constructor(public entry: WorkerEntry, private readonly evacuatedDomains: ReadonlySet<string> = new Set()) {}
 
     public get id(): string {
         return this.entry.id;
@@ -61,7 +61,12 @@
     /** Whether new tasks may be started here. */
     public canStart(nowMs: number): boolean {
         return this.fenced && this.recorded && !this.hasUncountedRuns && !this.tasksPublished && this.listed
-            && this.reachable && !this.entry.draining && nowMs >= this.avoidedUntilMs;
+            && this.reachable && !this.entry.draining && nowMs >= this.avoidedUntilMs && !this.evacuated;
+    }
+
+    /** Whether the operators have evacuated the failure domain of the worker; its tasks run on. */
+    public get evacuated(): boolean {
+        return this.evacuatedDomains.size > 0 && this.evacuatedDomains.has(this.entry.failureDomain);
     }
 
     /** Returns how many more tasks of a size fit, beside the resources that a plan has taken. */
--- a/packages/fleet/src/testing/FleetFixture.ts
+++ b/packages/fleet/src/testing/FleetFixture.ts
@@ -54,16 +54,16 @@
     incarnation: 1
 };
 
-/** Creates a fleet with the plain configuration. */
-export function createFleet(): FleetState {
-    const fleet = new FleetState();
+/** Creates a fleet with the plain configuration and these evacuated failure domains. */
+export function createFleet(evacuatedDomains?: ReadonlySet<string>): FleetState {
+    const fleet = new FleetState(evacuatedDomains);
     fleet.config = PLAIN_CONFIG;
     return fleet;
 }
 
 /** Adds a fenced and recorded worker of 4 processors, which tasks can be started on. */
 export function addWorker(fleet: FleetState, id: string, overrides: Partial<WorkerEntry> = {}): WorkerState {
-    const worker = new WorkerState({ ...PLAIN_WORKER, id, address: id, ...overrides });
+    const worker = new WorkerState({ ...PLAIN_WORKER, id, address: id, ...overrides }, fleet.evacuatedDomains);
     worker.fenced = true;
     worker.recorded = true;
     fleet.workers.set(id, worker);
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -27,6 +27,8 @@
     readonly seed: number;
     /** Processor time that a process takes for each message on a whole processor; none if it is left out. */
     readonly messageMs?: number;
+    /** Nothing starts in a failure domain this long after its evacuation was stored; infinite if it is left out. */
+    readonly evacuationMs?: number;
     /** Speed of the machines' processors relative to a whole one. */
     readonly processorSpeed?: number;
 }
@@ -48,6 +50,7 @@
 const TEAM_KEY = "key-of-lab";
 const QUEUE_PATH_PREFIX = "/jobs/";
 const HOST = "lab.example";
+const EVACUATION = "evacuate/";
 const MAX_ATTEMPTS = 3;
 const LINK_DELAY_MS = 1;
 /** Time after which a worker is back that a task has crashed. */
@@ -139,9 +142,15 @@
         this.store.put({ table: "config", partition: "", key: "config" }, JSON.stringify(config));
     }
 
+    /** Stores that a failure domain is evacuated, or that it is taken back. */
+    public putEvacuation(domain: string, isEvacuated: boolean): void {
+        this.store.put({ table: "config", partition: "", key: EVACUATION + domain }, isEvacuated ? "" : undefined);
+    }
+
     /** Starts a new incarnation of a worker and adds it to the directory. */
-    public startWorker(id: string, address = id): void {
-        const entry: WorkerEntry = { ...PLAIN_WORKER, id, address, incarnation: this.timer.wallClockMs() + 1 };
+    public startWorker(id: string, address = id, failureDomain = PLAIN_WORKER.failureDomain): void {
+        const incarnation = this.timer.wallClockMs() + 1;
+        const entry: WorkerEntry = { ...PLAIN_WORKER, id, address, failureDomain, incarnation };
         this.fleet.start(entry);
         this.updateDirectory(entry);
     }
@@ -175,12 +184,14 @@
                     configKey: "config",
                     workerTable: "workers",
                     partition: "",
+                    evacuatedDomain: key => key.startsWith(EVACUATION) ? key.slice(EVACUATION.length) : undefined,
                     decodeConfig: text => ok(JSON.parse(text) as FleetConfig),
                     decodeWorker: (...[, text]) => decodeWorkerEntry(text)
                 },
                 timing: {
                     maximumLeaseMs: 6000,
                     keyWithdrawalMs: 5000,
+                    evacuationMs: this.size.evacuationMs ?? Number.POSITIVE_INFINITY,
                     capacityGraceMs: 4000,
                     graceMs: 6000,
                     stateRetentionMs: 120_000
--- a/packages/skylarkd/src/fleet/FleetMetrics.ts
+++ b/packages/skylarkd/src/fleet/FleetMetrics.ts
@@ -66,6 +66,16 @@
             "Age of what is known of configuration and keys",
             () => process.configAgeMs / MILLISECONDS_PER_SECOND
         );
+        this.gauge(
+            "skylarkpath_evacuated_domains",
+            "Failure domains that operators have evacuated, as far as this process knows",
+            () => process.evacuatedDomainCount
+        );
+        this.gauge(
+            "skylarkpath_evacuated_runs",
+            "Tasks that still run in evacuated failure domains, told by the owner",
+            () => process.evacuatedRunCount
+        );
         this.gauge(
             "skylarkpath_loop_delay_seconds",
             "Mean delay of what is due in this process",
