skylark place: where a job would go now, and why

Cause: operators could see why a request waits only after it was sent. Change: the owner previews a job with the order, the limits, the reservations and the verdict on each worker, without storing, starting, reserving or asking anything; PlacementPreviewer decides, the listen address for other processes serves it, the command line renders it.

--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -28,6 +28,7 @@
     WatchRequest
 } from "./ports/OwnerClient.js";
 import type { PlacementPolicy } from "./ports/PlacementPolicy.js";
+import { type PlacementPreview, PreviewFailure, type PreviewQuery } from "./ports/PlacementPreview.js";
 import type { RowStore } from "./ports/RowStore.js";
 import type { WorkerClient } from "./ports/WorkerClient.js";
 
@@ -210,6 +211,16 @@
         return this.owner?.query(query);
     }
 
+    /** Tells what would become of a job if it were submitted now; only the owner knows. */
+    public preview(query: PreviewQuery): PlacementPreview | PreviewFailure {
+        return this.owner?.preview(query) ?? PreviewFailure.NotOwner;
+    }
+
+    /** Address of the owner, as far as this process knows. */
+    public get ownerAddress(): string | undefined {
+        return this.ownerWatcher.ownerAddress;
+    }
+
     /** Releases the fleet if this process owns it, and is not ready from now on; requests are still answered. */
     public async drain(limitMs: number): Promise<void> {
         this.stopping = true;
--- a/packages/fleet/src/entry/OwnerWatcher.ts
+++ b/packages/fleet/src/entry/OwnerWatcher.ts
@@ -141,6 +141,11 @@
         return this.timer.nowMs() - this.lastStatesAtMs < MAX_COUNT_AGE_MS ? this.waitingCounts : undefined;
     }
 
+    /** Address of the owner that is watched; undefined when none is known. */
+    public get ownerAddress(): string | undefined {
+        return this.address;
+    }
+
     /** Starts to watch the owner at this address, or stops when the address is undefined. */
     public setOwnerAddress(address: string | undefined): void {
         if (address === this.address) {
--- a/packages/fleet/src/owner/Dispatcher.ts
+++ b/packages/fleet/src/owner/Dispatcher.ts
@@ -3,8 +3,10 @@
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import { JobPhase } from "../model/JobSpec.js";
 import { type Placement, PlacementPlanner } from "../placement/PlacementPlanner.js";
+import { PlacementPreviewer } from "../placement/PlacementPreviewer.js";
 import type { RankedStep } from "../placement/StepOrder.js";
 import type { WaitReason } from "../placement/WaitReason.js";
+import type { PlacementPreview, PreviewFailure, PreviewQuery } from "../ports/PlacementPreview.js";
 import { OrderOutcome } from "../ports/WorkerClient.js";
 import type { FleetState } from "../state/FleetState.js";
 import { RunPhase, type RunState } from "../state/RunState.js";
@@ -22,6 +24,7 @@
 /** Sends the start orders of each plan to the workers and applies their replies to the fleet state. */
 export class Dispatcher {
     private readonly planner: PlacementPlanner;
+    private readonly previewer: PlacementPreviewer;
 
     constructor(
         private readonly fleet: FleetState,
@@ -33,6 +36,7 @@
         private readonly log: EventLog
     ) {
         this.planner = new PlacementPlanner(fleet);
+        this.previewer = new PlacementPreviewer(fleet, (ranked, worker) => this.planner.isReserved(ranked, worker));
     }
 
     /** Plans and orders starts, and requests missing permits. */
@@ -63,6 +67,11 @@
         return this.planner.explain(ranked, this.timer.nowMs());
     }
 
+    /** Tells what would become of a job if it were submitted now. */
+    public preview(query: PreviewQuery): PlacementPreview | PreviewFailure {
+        return this.previewer.preview(query, this.timer.nowMs());
+    }
+
     private async start(placement: Placement, runNumber: number, checkpoint: string, nowMs: number): Promise<void> {
         const { task, worker, permit } = placement;
         const session = this.registry.session(worker);
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -14,6 +14,7 @@
 import { FLEET_PARTITION, FleetTable, parseIntakeKey } from "../model/Tables.js";
 import type { DirectorySchema } from "../ports/DirectorySchema.js";
 import type { EntryReport, JobAnswer, JobQuery, OwnerService, WatchReply, WatchRequest } from "../ports/OwnerClient.js";
+import { type PlacementPreview, PreviewFailure, type PreviewQuery } from "../ports/PlacementPreview.js";
 import type { RowStore } from "../ports/RowStore.js";
 import type { WorkerClient, WorkerEntry } from "../ports/WorkerClient.js";
 import { FleetState } from "../state/FleetState.js";
@@ -252,6 +253,11 @@
         return this.loaded ? this.watchers.query(entry, jobId) : undefined;
     }
 
+    /** Tells what would become of a job if it were submitted now. */
+    public preview(query: PreviewQuery): PlacementPreview | PreviewFailure {
+        return this.ready ? this.dispatcher.preview(query) : PreviewFailure.NotOwner;
+    }
+
     /** The best process to take over the ownership, if any. */
     public get successor(): WatchingEntry | undefined {
         return this.watchers.successor;
--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -90,9 +90,12 @@
 
     /** Explains why the waiting tasks of a step do not start. */
     public explain(ranked: RankedStep, nowMs: number): WaitReason {
-        const isReserved = (worker: WorkerState): boolean =>
-            this.reservations.useOf(ranked, worker) === WorkerUse.Reserved;
-        return explainWait(this.fleet, ranked.step, nowMs, isReserved);
+        return explainWait(this.fleet, ranked.step, nowMs, worker => this.isReserved(ranked, worker));
+    }
+
+    /** Returns whether a worker is reserved for a gang that goes before a step. */
+    public isReserved(ranked: RankedStep, worker: WorkerState): boolean {
+        return this.reservations.useOf(ranked, worker) === WorkerUse.Reserved;
     }
 
     /** Returns whether the team's limit allows all members of a gang to run. */
--- /dev/null
+++ b/packages/fleet/src/placement/WorkerVerdict.ts
@@ -0,0 +1,37 @@
+import type { WorkerState } from "../state/WorkerState.js";
+import type { RankedStep } from "./StepOrder.js";
+
+/** Whether a worker could take a task of a step now, or why not. */
+export enum WorkerVerdict {
+    HasRoom = "has-room",
+    OtherPool = "other-pool",
+    /** The step requires a label that the worker does not have. */
+    NoLabel = "no-label",
+    /** Nothing new is started on it: it drains, is not reached, is paused after a refusal or is not known well enough. */
+    TakesNone = "takes-none",
+    NoCapacity = "no-room",
+    Reserved = "reserved"
+}
+
+/** Returns whether a worker could take a task of a step now; permits of a policy are not considered. */
+export function judgeWorker(
+    { step, queue }: RankedStep,
+    worker: WorkerState,
+    nowMs: number,
+    isReserved: boolean
+): WorkerVerdict {
+    const { spec } = step;
+    if (worker.entry.pool !== queue.pool) {
+        return WorkerVerdict.OtherPool;
+    }
+    if (spec.workerLabel !== undefined && !worker.entry.labels.includes(spec.workerLabel)) {
+        return WorkerVerdict.NoLabel;
+    }
+    if (!worker.canStart(nowMs)) {
+        return WorkerVerdict.TakesNone;
+    }
+    if (worker.countFits(spec.size, spec.filler) < 1) {
+        return WorkerVerdict.NoCapacity;
+    }
+    return isReserved ? WorkerVerdict.Reserved : WorkerVerdict.HasRoom;
+}
--- a/packages/skylark/src/SkylarkCli.test.ts
+++ b/packages/skylark/src/SkylarkCli.test.ts
@@ -39,7 +39,12 @@
 memory = "64GiB"
 `;
 const BAD_TEXT = GOOD_TEXT.replace("share = 3", "share = -3").replace("\"64GiB\"", "\"64\"").replace("etela", "e t");
-const FILES: Readonly<Record<string, string>> = { "good.toml": GOOD_TEXT, "bad.toml": BAD_TEXT, "key.txt": `${KEY}\n` };
+const FILES: Readonly<Record<string, string>> = {
+    "good.toml": GOOD_TEXT,
+    "bad.toml": BAD_TEXT,
+    "key.txt": `${KEY}\n`,
+    "job.json": "{}"
+};
 
 /** Serves replies keyed by `METHOD PATH` on a free port until the test ends; other calls get status 404. */
 async function startServer(t: ExecutionContext, replies: Readonly<Record<string, Reply>>): Promise<Server> {
@@ -101,6 +106,46 @@
     t.true(lines.every(line => /^bad\.toml:\d+:\d+: \S/.test(line)));
 });
 
+test("place asks the owner that a process names, and prints why a step waits", async t => {
+    const path = "POST /placement-preview?queue=jobs&team=lab";
+    const step = {
+        step: 0,
+        tasks: 4,
+        after: [],
+        startsNow: 1,
+        waitReason: "no-room",
+        stepsAhead: 2,
+        tasksWithinTeamLimit: 9,
+        expectedDurationMs: 800,
+        needsPermits: false,
+        workers: [{ verdict: "has-room", workers: 1, examples: ["w7"] }]
+    };
+    const body = {
+        queue: "jobs",
+        team: "lab",
+        priority: 1,
+        objectiveMs: 900,
+        expectedDurationMs: 800,
+        waitingSteps: 3,
+        steps: [step]
+    };
+    const owner = await startServer(t, { [path]: { status: 200, body } });
+    const other = await startServer(t, {
+        [path]: { status: 421, body: { error: "not-owner", owner: owner.url.replace("http://", "") } }
+    });
+    const place = ["place", "job.json", "--queue", "jobs", "--team", "lab"];
+    const { exitCode, output } = await runOn(other, ...place);
+    t.is(exitCode, ExitCode.Ok);
+    t.regex(output, /no-room +2 /);
+    t.regex(output, /has-room +w7/);
+    t.deepEqual(JSON.parse((await runOn(other, ...place, "--json")).output), body);
+    const refusing = await startServer(t, { [path]: { status: 400, body: { error: "phases names no task" } } });
+    const refused = await runOn(refusing, ...place);
+    t.is(refused.exitCode, ExitCode.Refused);
+    t.regex(refused.errors, /phases names no task/);
+    t.is((await run([...place, "--server", UNREACHABLE])).exitCode, ExitCode.NotReachable);
+});
+
 test("config check of a valid text prints ok", async t => {
     t.deepEqual(await run(["config", "check", "good.toml"]), { exitCode: ExitCode.Ok, output: "ok\n", errors: "" });
 });
--- a/packages/skylark/src/SkylarkCli.ts
+++ b/packages/skylark/src/SkylarkCli.ts
@@ -9,6 +9,7 @@
 import { KeyListCommand } from "./commands/KeyListCommand.js";
 import { KeyWithdrawCommand } from "./commands/KeyWithdrawCommand.js";
 import { LogExplainCommand } from "./commands/LogExplainCommand.js";
+import { PlaceCommand } from "./commands/PlaceCommand.js";
 import { StatusCommand } from "./commands/StatusCommand.js";
 import { TimelineCommand } from "./commands/TimelineCommand.js";
 import { ExitCode } from "./ExitCode.js";
@@ -25,6 +26,7 @@
     StatusCommand,
     TimelineCommand,
     ExplainCommand,
+    PlaceCommand,
     LogExplainCommand
 ];
 
--- a/packages/skylark/src/client/ServerAccess.ts
+++ b/packages/skylark/src/client/ServerAccess.ts
@@ -29,7 +29,8 @@
     return operatorKey.map(key => ({ servers: servers.value, operatorKey: key }));
 }
 
-function resolveServers(context: CommandContext, options: readonly string[]): Result<readonly string[], string> {
+/** Determines the servers from the options or, where these are absent, the environment. */
+export function resolveServers(context: CommandContext, options: readonly string[]): Result<readonly string[], string> {
     const candidates = options.length > 0 ? options : (context.env[SERVER_VARIABLE] ?? "").split(",");
     const servers = candidates.map(server => server.trim().replace(/\/+$/, "")).filter(server => server !== "");
     if (servers.length === 0) {
--- a/packages/skylarkd/src/fleet/FleetServer.ts
+++ b/packages/skylarkd/src/fleet/FleetServer.ts
@@ -11,6 +11,7 @@
 import { sleep } from "@skylarkpath/common/time/TimerService";
 import type { CallerReply, CallerRequest } from "@skylarkpath/fleet/entry/EntryTypes";
 import { FleetProcess } from "@skylarkpath/fleet/FleetProcess";
+import type { PlacementPreview, PreviewFailure, PreviewQuery } from "@skylarkpath/fleet/ports/PlacementPreview";
 import {
     type CallerService,
     createCallerInterface,
@@ -21,6 +22,7 @@
 import { PlatformPolicy } from "@skylarkpath/platform/PlatformPolicy";
 import { PlatformStore } from "@skylarkpath/platform/PlatformStore";
 import { PlatformWorkers } from "@skylarkpath/platform/PlatformWorkers";
+import { mountPreview, type PreviewService } from "@skylarkpath/platform/PreviewInterface";
 import type { ProcessSettings } from "@skylarkpath/platform/WireSettings";
 import { Hono } from "hono";
 import { randomInt } from "node:crypto";
@@ -39,7 +41,7 @@
 const DEFAULT_MAX_BODY_BYTES = 262_144;
 
 /** Server on the users' platform: connects the fleet process to the platform's services and HTTP interfaces. */
-export class FleetServer implements CallerService {
+export class FleetServer implements CallerService, PreviewService {
     private readonly disposables = new DisposableStore();
     private readonly timer = new SystemTimer();
     private readonly log: EventLog;
@@ -88,6 +90,14 @@
         return reply;
     }
 
+    public get ownerAddress(): string | undefined {
+        return this.fleet.ownerAddress;
+    }
+
+    public preview(query: PreviewQuery): PlacementPreview | PreviewFailure {
+        return this.fleet.preview(query);
+    }
+
     /** Starts to listen and serve. */
     public async start(): Promise<void> {
         process.on("uncaughtException", error => this.logFailure(error));
@@ -95,6 +105,7 @@
         process.on("SIGHUP", () => this.log.write(EVENTS.settingsReloaded, {}));
         const peers = new Hono();
         mountOwnerService(peers, this.fleet);
+        mountPreview(peers, this);
         peers.get(METRICS_PATH, async context => context.text(await this.metrics.render()));
         const { callerAddress, readinessAddress, peerAddress } = this.settings;
         this.listeners.push(
