Clients of each listener are kept within a share of the machine

Cause: bodies were read whole before any limit, each chunk kept as an object of its own; all requests of a read were taken at once, and answers that nobody reads kept; connections were not counted, heads and bodies had minutes.

Change: ConnectionGuard in front of the three listeners of skylarkd fleet, with shares of limits.memoryMb and limits.maxFds.

--- a/packages/adapters/src/HttpListener.ts
+++ b/packages/adapters/src/HttpListener.ts
@@ -1,6 +1,7 @@
-import { serve, type ServerType } from "@hono/node-server";
+import { createAdaptorServer, getRequestListener, type ServerType } from "@hono/node-server";
 import type { Hono } from "hono";
 import type { AddressInfo } from "node:net";
+import type { ConnectionGuard } from "./ConnectionGuard.js";
 
 const IDLE_CHECK_INTERVAL_MS = 20;
 const CLOSE_TIMEOUT_MS = 5000;
@@ -9,16 +10,20 @@
 export class HttpListener {
     private constructor(private readonly server: ServerType, public readonly address: string) {}
 
-    /** Listens on `IP:PORT`; port 0 selects any free port. */
-    public static async listen(application: Hono, address: string): Promise<HttpListener> {
+    /** Listens on `IP:PORT`; port 0 selects any free port. Without a guard, clients are not limited. */
+    public static async listen(application: Hono, address: string, guard?: ConnectionGuard): Promise<HttpListener> {
         const separator = address.lastIndexOf(":");
         const hostname = address.slice(0, separator);
         const port = Number(address.slice(separator + 1));
+        const server = guard
+            ? guard.createServer(getRequestListener(application.fetch, { hostname }))
+            : createAdaptorServer({ fetch: application.fetch, hostname });
         return new Promise((resolve, reject) => {
-            const server = serve({ fetch: application.fetch, hostname, port }, (information: AddressInfo) => {
-                resolve(new HttpListener(server, `${information.address}:${information.port}`));
-            });
             server.on("error", reject);
+            server.listen(port, hostname, () => {
+                const { address: ip, port: listeningPort } = server.address() as AddressInfo;
+                resolve(new HttpListener(server, `${ip}:${listeningPort}`));
+            });
         });
     }
 
--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -116,6 +116,12 @@
         EventLevel.Info,
         "A request was refused; the reply says that it did not run."
     ),
+    clientsLimited: define(
+        1508,
+        "clients-limited",
+        EventLevel.Warning,
+        "Clients were refused, or their connections closed, for their use of the process; the sum of some seconds."
+    ),
     requestEnded: define(1503, "request-ended", EventLevel.Info, "The outcome of a request is final."),
     requestCancelled: define(
         1506,
--- a/packages/skylarkd/src/fleet/FleetMetrics.ts
+++ b/packages/skylarkd/src/fleet/FleetMetrics.ts
@@ -30,6 +30,12 @@
         labelNames: ["verb", "outcome"],
         registers: this.registries
     });
+    private readonly limited = new Counter({
+        name: "skylarkpath_limited_total",
+        help: "Clients that were refused, or whose connections were closed, for their use of the process",
+        labelNames: ["listener", "cause"],
+        registers: this.registries
+    });
     private readonly waits = new Histogram({
         name: "skylarkpath_job_wait_seconds",
         help: "Time from the acceptance of a job to its first start, told by the owner",
@@ -78,6 +84,11 @@
         this.requests.inc({ verb, outcome });
     }
 
+    /** Counts a client of a listener that was refused or whose connection was closed. */
+    public countLimited(listener: string, cause: string): void {
+        this.limited.inc({ listener, cause });
+    }
+
     /** Returns a log that counts each event and passes it on to the given log. */
     public instrumentLog(log: EventLog): EventLog {
         return {
--- a/packages/skylarkd/src/fleet/FleetServer.ts
+++ b/packages/skylarkd/src/fleet/FleetServer.ts
@@ -1,6 +1,8 @@
+import { ConnectionGuard } from "@skylarkpath/adapters/ConnectionGuard";
 import { createProcessorMeter } from "@skylarkpath/adapters/createProcessorMeter";
 import { HttpListener } from "@skylarkpath/adapters/HttpListener";
 import { HttpOwnerClient, mountOwnerService } from "@skylarkpath/adapters/HttpOwnerClient";
+import { deriveListenerLimits, type ListenerLimits } from "@skylarkpath/adapters/ListenerLimits";
 import { SystemTimer } from "@skylarkpath/adapters/SystemTimer";
 import { timeFixedWork } from "@skylarkpath/adapters/timeFixedWork";
 import { describeError } from "@skylarkpath/common/base/describeError";
@@ -26,6 +28,7 @@
 import { randomInt } from "node:crypto";
 import { BoundedLog } from "./BoundedLog.js";
 import { FleetMetrics } from "./FleetMetrics.js";
+import { LimitReporter } from "./LimitReporter.js";
 
 /** Metrics are served on the listen address for other processes. */
 const METRICS_PATH = "/metrics";
@@ -96,11 +99,26 @@
         const peers = new Hono();
         mountOwnerService(peers, this.fleet);
         peers.get(METRICS_PATH, async context => context.text(await this.metrics.render()));
-        const { callerAddress, readinessAddress, peerAddress } = this.settings;
+        const { callerAddress, readinessAddress, peerAddress, memoryBytes, descriptors } = this.settings;
+        const limits = deriveListenerLimits(memoryBytes, descriptors, () => this.maximumBodyBytes);
+        const reporter = this.disposables.add(new LimitReporter(this.metrics, this.log, this.timer));
+        const createGuard = (name: string, listenerLimits: ListenerLimits): ConnectionGuard => {
+            const guard = this.disposables.add(new ConnectionGuard(listenerLimits, this.timer));
+            this.disposables.add(guard.onLimited(cause => reporter.count(name, cause)));
+            return guard;
+        };
         this.listeners.push(
-            await HttpListener.listen(peers, peerAddress),
-            await HttpListener.listen(createCallerInterface(this), callerAddress),
-            await HttpListener.listen(createReadinessInterface(this), readinessAddress)
+            await HttpListener.listen(peers, peerAddress, createGuard("peers", limits.peers)),
+            await HttpListener.listen(
+                createCallerInterface(this),
+                callerAddress,
+                createGuard("callers", limits.callers)
+            ),
+            await HttpListener.listen(
+                createReadinessInterface(this),
+                readinessAddress,
+                createGuard("readiness", limits.readiness)
+            )
         );
         this.fleet.start();
     }
