--- a/packages/adapters/src/ListenerLimits.ts
+++ b/packages/adapters/src/ListenerLimits.ts
@@ -35,10 +35,10 @@
 const PEER_BODY_SHARE = 1 / 32;
 /** Part of a listener's memory that open connections may fill, so that the rest is left for requests. */
 const CONNECTION_SHARE = 1 / 2;
-/** Share of the machine's memory, and of the descriptors for sockets. Nearly half of the latter is left for own calls. */
+/** Share of the machine's memory, and of the descriptors for sockets. A third of the latter is left for own calls. */
 const SHARES = {
     callers: { memory: 3 / 16, sockets: 3 / 8 },
-    peers: { memory: 1 / 8, sockets: 1 / 8 },
+    peers: { memory: 3 / 16, sockets: 1 / 4 },
     readiness: { memory: 1 / 64, sockets: 1 / 32 }
 } as const;
 /** A lost packet is sent again after up to some seconds; a body of 256 KiB at 5 KiB/s arrives within a minute. */
