Order steps by what a delay costs where room is scarce

Cause: steps were ordered by team rate, priority, use and due time. Neither what a caller loses by waiting nor the work needed counted, so in a long overload large jobs were left out and a team with much work in few jobs held up the others.

Change: where a pool has less free than waiting steps ask for, steps of one priority go by value for the remaining work, less the more slack they have (ScarceRoomOrder, DelayCost), with precedence for sizes that are served less often (JobSizes) and less weight for teams beyond their share of the processors (TeamWorkShares). Gangs keep the order of their due times. Jobs that are of no use any more come last whatever their priority, and by turns first after ten times their objective, in a twentieth of the pool (OverdueSteps). Use is judged with the steps that follow; lasting steps stay of use. fleet-status counts standings, and request-deferred (1509) names the jobs that wait behind others. Admission by backlog and Retry-After by cause are not begun.

--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -123,6 +123,12 @@
         EventLevel.Info,
         "The cancellation of a request by its caller was stored."
     ),
+    requestDeferred: define(
+        1509,
+        "request-deferred",
+        EventLevel.Info,
+        "An accepted request waits behind others: its team uses more than its share, or it can't be of use any more."
+    ),
     lookupDispatched: define(1504, "lookup-dispatched", EventLevel.Debug, "A look-up was sent to a target."),
     answerDropped: define(
         1505,
--- a/packages/fleet/src/owner/StatusReporter.ts
+++ b/packages/fleet/src/owner/StatusReporter.ts
@@ -7,6 +7,7 @@
 import { orderSteps } from "../placement/StepOrder.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { WorkerState } from "../state/WorkerState.js";
+import { DeferralLog } from "./DeferralLog.js";
 import type { Dispatcher } from "./Dispatcher.js";
 import type { DurationMeter } from "./DurationMeter.js";
 import type { FencedStore } from "./FencedStore.js";
@@ -19,6 +20,7 @@
 /** Logs the state of the fleet at an interval, with the reasons why steps wait. */
 export class StatusReporter implements Disposable {
     private readonly interval: Disposable;
+    private readonly deferrals: DeferralLog;
     private processorTime: ProcessorTime;
 
     constructor(
@@ -34,6 +36,7 @@
         private readonly timer: TimerService,
         private readonly log: EventLog
     ) {
+        this.deferrals = new DeferralLog(log);
         this.processorTime = processorMeter();
         this.interval = timer.every(REPORT_INTERVAL_MS, () => this.report());
     }
@@ -46,10 +49,13 @@
         const nowMs = this.timer.nowMs();
         const reasons: Record<string, number> = {};
         const reasonsByQueue: Record<string, number> = {};
+        const standings: Record<string, number> = {};
         let longest: { readonly step: string; readonly waitMs: number; readonly reason: string; } | undefined;
         for (const ranked of orderSteps(this.fleet, nowMs)) {
             const { step } = ranked;
             const reason = this.dispatcher.explain(ranked);
+            standings[ranked.standing] = (standings[ranked.standing] ?? 0) + 1;
+            this.deferrals.record(ranked, reason, nowMs);
             const waitMs = Math.round(nowMs - (step.readyAtMs ?? nowMs));
             reasons[reason] = (reasons[reason] ?? 0) + 1;
             const queueReason = `${ranked.queue.name}/${reason}`;
@@ -58,6 +64,7 @@
                 longest = { step: step.name, waitMs, reason };
             }
         }
+        this.deferrals.endReport();
         const workers = [...this.fleet.workers.values()];
         const planning = this.planningDurations.read();
         const previousTime = this.processorTime;
@@ -77,6 +84,7 @@
             workersUsable: workers.filter(worker => worker.canStart(nowMs)).length,
             waiting: formatCounts(reasons),
             waitingByQueue: formatCounts(reasonsByQueue),
+            standings: formatCounts(standings),
             freeProcessors: Math.round(workers.reduce((sum, worker) => sum + freeProcessors(worker, nowMs), 0)),
             startsInFlight: this.window.inFlightCount,
             answers: questions.answers.count,
--- a/packages/fleet/src/placement/StepOrder.ts
+++ b/packages/fleet/src/placement/StepOrder.ts
@@ -1,32 +1,16 @@
 import type { QueueConfig } from "../model/FleetConfig.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { JobState } from "../state/JobState.js";
-import type { StepState } from "../state/StepState.js";
+import { measureRemaining } from "./DelayCost.js";
+import { compareSteps, LATE_FACTOR, objectiveMs, type RankedStep, Standing, Usefulness } from "./RankedStep.js";
+import { orderForScarceRoom } from "./ScarceRoomOrder.js";
 
-/** What the job of a step is still worth to its caller if the step starts as soon as it can. */
-export enum Usefulness {
-    InTime = 0,
-    Late = 1,
-    /** It ends so late that its caller no longer waits for it. */
-    None = 2
-}
-
-/** A job that takes this multiple of its objective is of no use any more. */
-const LATE_FACTOR = 3;
-
-/** A step with waiting tasks and the values by which it is ordered. */
-export interface RankedStep {
-    readonly step: StepState;
-    readonly queue: QueueConfig;
-    /** Time by which the job should be done, from the objective of its queue. */
-    readonly dueMs: number;
-    /** By the estimated duration of the step, and the time until the placement policy has answered. */
-    readonly usefulness: Usefulness;
-}
+export { type RankedStep, Usefulness } from "./RankedStep.js";
 
 /**
- * Returns the steps with tasks to start, in the order in which they are placed: jobs within their team's share first,
- * then by priority of the queue, then by what is left of their use, then by due time.
+ * Returns the steps with tasks to start, in the order in which they are placed: jobs that are still of use first, those
+ * within their team's share before others, then by priority of the queue, then by what is left of their use, then by due
+ * time. When a pool has too little room, what costs callers least waits; see `orderForScarceRoom`.
  */
 export function orderSteps(fleet: FleetState, nowMs: number): RankedStep[] {
     const ranked: RankedStep[] = [];
@@ -39,7 +23,8 @@
             rankJob(job, queue, nowMs, fleet, ranked);
         }
     }
-    return ranked.sort(compareSteps);
+    ranked.sort(compareSteps);
+    return orderForScarceRoom(fleet, nowMs, ranked) ?? ranked;
 }
 
 function rankJob(
@@ -55,30 +40,36 @@
             continue;
         }
         step.readyAtMs ??= nowMs;
-        const objectiveMs = queue.stretchFactor * job.criticalPathMs + queue.targetLatencyMs;
         const { policyDelayMs, clockOffsetMs } = fleet;
         const needsPermits = queue.policy !== undefined && step.permits.latestExpiryMs <= nowMs;
-        const endMs = nowMs + fleet.expectedDurationMs(step) + (needsPermits ? policyDelayMs : 0);
+        const remaining = measureRemaining(job.occurrences.get(step.occurrence) ?? [], fleet.expectedDurationMs);
+        const remainingMs = fleet.expectedDurationMs(step) + (remaining.pathAfterMs[step.number] ?? 0)
+            + (needsPermits ? policyDelayMs : 0);
         const fromMs = job.countsFromMs(step.occurrence, clockOffsetMs);
+        const goalMs = objectiveMs(queue, job.criticalPathMs);
+        // Each second without a lasting task costs the same, however long ago its job was accepted.
+        const usefulness = step.spec.lasting
+            ? Usefulness.InTime
+            : usefulnessOf(nowMs + remainingMs - fromMs, goalMs);
+        if (usefulness === Usefulness.None && !job.repeats) {
+            fleet.jobSizes.recordOutcome(job, false);
+        }
         ranked.push({
             step,
             queue,
-            dueMs: fromMs + objectiveMs,
-            usefulness: usefulnessOf(endMs - fromMs, objectiveMs)
+            fromMs,
+            dueMs: fromMs + goalMs,
+            remainingMs,
+            remainingWorkMs: remaining.workMs,
+            usefulness,
+            standing: usefulness === Usefulness.None ? Standing.Useless : Standing.Due
         });
     }
 }
 
-function compareSteps(left: RankedStep, right: RankedStep): number {
-    return Number(right.step.job.withinShare) - Number(left.step.job.withinShare)
-        || left.queue.priority - right.queue.priority
-        || left.usefulness - right.usefulness
-        || left.dueMs - right.dueMs;
-}
-
-function usefulnessOf(durationMs: number, objectiveMs: number): Usefulness {
-    if (durationMs <= objectiveMs) {
+function usefulnessOf(durationMs: number, goalMs: number): Usefulness {
+    if (durationMs <= goalMs) {
         return Usefulness.InTime;
     }
-    return durationMs <= objectiveMs * LATE_FACTOR ? Usefulness.Late : Usefulness.None;
+    return durationMs <= goalMs * LATE_FACTOR ? Usefulness.Late : Usefulness.None;
 }
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -1,6 +1,7 @@
 import type { FleetConfig, QueueConfig, TeamConfig } from "../model/FleetConfig.js";
-import type { JobPhase, ResourceAmounts } from "../model/JobSpec.js";
+import { JobPhase, type ResourceAmounts } from "../model/JobSpec.js";
 import { addResources, countWithinLimit, createResourceSum, type ResourceSum } from "../model/ResourceSum.js";
+import { JobSizes } from "../placement/JobSizes.js";
 import type { JobState } from "./JobState.js";
 import { FULL_SPEED_PERCENT, RunPhase, type RunState } from "./RunState.js";
 import type { StepState } from "./StepState.js";
@@ -32,6 +33,8 @@
     public clockOffsetMs = 0;
     /** Expected duration in ms of a run of a step's tasks, by default the estimate of its caller. */
     public expectedDurationMs: (step: StepState) => number = step => step.spec.estimateMs;
+    /** Work of the jobs of each queue, and how often each size is served. */
+    public readonly jobSizes = new JobSizes();
     /** Moving average of the time from a question to the placement policy to its answer. */
     public policyDelayMs = 0;
     private currentConfig: FleetConfig | undefined;
@@ -51,6 +54,7 @@
         this.currentConfig = config;
         this.queuesByName = new Map(config?.queues.map(queue => [queue.name, queue]));
         this.teamsByName = new Map(config?.teams.map(team => [team.name, team]));
+        this.jobSizes.retain(queue => this.queuesByName.has(queue));
     }
 
     /** Returns a queue of the current configuration by name. */
@@ -104,7 +108,11 @@
     }
 
     /** Records an ended job, and drops those that no read can return any more. */
-    public recordEnded({ phase, spec }: JobState, nowMs: number): void {
+    public recordEnded(job: JobState, nowMs: number): void {
+        const { phase, spec } = job;
+        if (phase === JobPhase.Completed && !job.repeats) {
+            this.jobSizes.recordOutcome(job, true);
+        }
         this.endedJobs.set(spec.id, { phase, queue: spec.queue, team: spec.team, endedAtMs: nowMs });
         for (const [id, { endedAtMs }] of this.endedJobs) {
             if (endedAtMs > nowMs - ENDED_RETENTION_MS) {
