Learnt run times and worker speeds

Cause: the planner knew no run time but the caller's estimate, and no speed of a worker.

Change: packages/fleet/src/prediction. The owner draws a line of run time over estimate, on logarithmic scales, for each queue and for its gangs, from steps that it saw in full, and learns a factor for each worker from how its runs compare with the others of their step. A task stalls by its latest run time where that is long. request-ended tells estimate and expectation of a job; 1451 and 1452 are new.

--- a/packages/common/src/log/EventCatalogue.ts
+++ b/packages/common/src/log/EventCatalogue.ts
@@ -90,6 +90,18 @@
         EventLevel.Info,
         "State of the fleet and the reasons why steps wait; written by the owner at an interval."
     ),
+    runTimesLearnt: define(
+        1451,
+        "run-times-learnt",
+        EventLevel.Info,
+        "Run times of a queue, or of its gangs: observed steps, and the expected run time divided by the estimate of the last one."
+    ),
+    workerSpeedsLearnt: define(
+        1452,
+        "worker-speeds-learnt",
+        EventLevel.Info,
+        "Number of workers whose speed was observed, and the run times on the fastest and slowest of them divided by the usual ones."
+    ),
     workerFenced: define(
         1411,
         "worker-fenced",
--- a/packages/fleet/src/owner/Dispatcher.ts
+++ b/packages/fleet/src/owner/Dispatcher.ts
@@ -71,6 +71,7 @@
         }
         const { job } = task.step;
         const run = this.fleet.openRun(task, worker, runNumber, RunPhase.Starting, nowMs);
+        run.startSeen = checkpoint === "";
         this.window.begin();
         const reply = await session.startRun(run, job.spec.payload, checkpoint, permit);
         this.window.end();
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -16,6 +16,7 @@
 import type { EntryReport, JobAnswer, JobQuery, OwnerService, WatchReply, WatchRequest } from "../ports/OwnerClient.js";
 import type { RowStore } from "../ports/RowStore.js";
 import type { WorkerClient, WorkerEntry } from "../ports/WorkerClient.js";
+import { RunPredictions } from "../prediction/RunPredictions.js";
 import { FleetState } from "../state/FleetState.js";
 import type { JobState } from "../state/JobState.js";
 import type { StepState } from "../state/StepState.js";
@@ -116,6 +117,7 @@
     ) {
         const { timer, store, workerClient, timing, log, config, directorySchema } = dependencies;
         this.runs = new RunTracker(this.fleet, timer);
+        this.disposables.add(new RunPredictions(this.fleet, this.runs.onStepObserved, timer, log));
         this.writer = this.disposables.add(new ProgressWriter(fencedStore, timer));
         this.registry = this.disposables.add(
             new WorkerRegistry(
@@ -354,7 +356,10 @@
         this.fleet.recordEnded(job, this.dependencies.timer.nowMs());
         this.permitRequester.dropQuestions(job);
         this.watchers.jobChanged(job.spec.id);
-        this.dependencies.log.write(EVENTS.requestEnded, describeEndedJob(job, this.epoch, this.dependencies.timer));
+        this.dependencies.log.write(
+            EVENTS.requestEnded,
+            describeEndedJob(job, this.fleet, this.epoch, this.dependencies.timer)
+        );
     }
 
     private runPlanning(): void {
--- a/packages/fleet/src/owner/RunTracker.test.ts
+++ b/packages/fleet/src/owner/RunTracker.test.ts
@@ -253,3 +253,23 @@
         t.true(isHeld || task.done || task.run !== undefined, "the report is dropped, so the task starts again");
     });
 }
+
+test("a task is stopped as stalled once it stands still for longer than a long task takes for a hundredth", async t => {
+    for (
+        const [estimateMs, waitMs, isStopped] of [[1000, 6000, true], [600_000, 6000, false], [
+            600_000,
+            60_000,
+            true
+        ]] as const
+    ) {
+        const timer = new VirtualTimer();
+        const fleet = createFleet();
+        const worker = addWorker(fleet, "w1");
+        const tracker = new RunTracker(fleet, timer);
+        const run = fleet.openRun(addJob(fleet, [{ estimateMs }]).findTask(0, 0, 0)!, worker, 1, RunPhase.Running, 0);
+        const running = [{ task: run.task.name, run: 1, checkpoint: "", percent: 0 }];
+        await timer.advance(waitMs);
+        tracker.applyReport(worker, { ...EMPTY_REPORT, running }, POLL, 0);
+        t.is(run.stopRequested, isStopped);
+    }
+});
--- a/packages/fleet/src/owner/RunTracker.ts
+++ b/packages/fleet/src/owner/RunTracker.ts
@@ -3,6 +3,7 @@
 import { NO_FAILURES } from "../model/JobProgress.js";
 import { JobPhase } from "../model/JobSpec.js";
 import { type ReportedEnd, type ReportedRun, RunEnd, type WorkerReport } from "../ports/WorkerClient.js";
+import { RunObserver } from "../prediction/RunObserver.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { JobState } from "../state/JobState.js";
 import { FULL_SPEED_PERCENT, RunPhase, type RunState } from "../state/RunState.js";
@@ -20,8 +21,10 @@
     readonly run: number;
 }
 
-/** A task without progress for this long has stalled: a little more than the time of two polls. */
+/** A task without progress for this long may have stalled: a little more than the time of two polls. */
 const STALL_TIMEOUT_MS = 2500;
+/** Part of the latest run time that a task takes at most for the smallest progress that workers report, with a margin. */
+const STALL_SHARE = 0.025;
 /** A lasting task that has run for this long did not crash its worker. */
 const SETTLED_AFTER_MS = 30_000;
 /** A stop order is repeated after this time until the worker has carried it out. */
@@ -35,6 +38,7 @@
     private readonly unknownJob = new Emitter<string>();
     private readonly health: WorkerHealth;
     private readonly unknownJobs: UnknownJobReports;
+    private readonly observer = new RunObserver();
 
     /** The progress or the state of a job has changed and must be committed. */
     public readonly onJobChanged = this.jobChanged.event;
@@ -44,6 +48,8 @@
     public readonly onCapacityFreed = this.capacityFreed.event;
     /** A worker reports a job that is not known; the intake must be read for it from now on. */
     public readonly onUnknownJob = this.unknownJob.event;
+    /** A step is done of which runs were seen in full. */
+    public readonly onStepObserved = this.observer.onStepObserved;
 
     constructor(private readonly fleet: FleetState, private readonly timer: TimerService) {
         this.health = new WorkerHealth(timer);
@@ -56,9 +62,10 @@
         for (const end of report.ended) {
             if (end.number > afterEnd) {
                 worker.uncommittedEnds.set(end.number, end.task);
-                this.applyEnd(worker, end);
+                this.applyEnd(worker, end, poll.sentAtMs);
             }
         }
+        this.observer.recordReport(worker, this.timer.nowMs());
         worker.hasUncountedRuns = false;
         worker.hasUnlistedEnds = report.hasMoreEnds;
         worker.heldRuns.clear();
@@ -194,6 +201,7 @@
         const nowMs = this.timer.nowMs();
         run.confirmedAtMs ??= nowMs;
         if (run.phase === RunPhase.Starting || run.phase === RunPhase.Uncertain) {
+            run.startSeen &&= run.phase === RunPhase.Starting;
             run.phase = RunPhase.Running;
         }
         if (listed.checkpoint !== "") {
@@ -212,7 +220,7 @@
         if (run.stopRequested || run.task.done || run.task.step.job.final) {
             this.stopRun(run);
         }
-        else if (!run.task.step.spec.lasting && listed.percent < 100 && nowMs - run.progressedAtMs > STALL_TIMEOUT_MS) {
+        else if (!run.task.step.spec.lasting && listed.percent < 100 && this.hasStalled(run)) {
             this.health.recordStall(worker, run.task);
             run.task.avoidedWorkers.add(worker.id);
             this.stopRun(run);
@@ -225,6 +233,11 @@
             && this.timer.nowMs() - confirmedAtMs > SETTLED_AFTER_MS;
     }
 
+    private hasStalled({ task, progressedAtMs }: RunState): boolean {
+        const timeoutMs = Math.max(STALL_TIMEOUT_MS, this.fleet.latestDurationMs(task.step) * STALL_SHARE);
+        return this.timer.nowMs() - progressedAtMs > timeoutMs;
+    }
+
     /** Adopts a run that a previous owner started; returns undefined when it must not run. */
     private adopt(worker: WorkerState, listed: ReportedRun): RunState | undefined {
         const task = this.fleet.findTask(listed.task);
@@ -252,7 +265,7 @@
         }
     }
 
-    private applyEnd(worker: WorkerState, listed: ReportedEnd): void {
+    private applyEnd(worker: WorkerState, listed: ReportedEnd, pollSentAtMs?: number): void {
         if (this.awaitsIntake(worker, listed.task)) {
             worker.heldEnds.set(listed.number, listed);
             return;
@@ -261,6 +274,9 @@
         const matching = run?.run === listed.run ? run : undefined;
         const task = matching?.task ?? this.fleet.findTask(listed.task);
         if (matching) {
+            if (listed.end === RunEnd.Done && pollSentAtMs !== undefined) {
+                this.observer.recordDone(matching, pollSentAtMs, this.timer.nowMs());
+            }
             this.fleet.closeRun(matching);
         }
         if (!task) {
@@ -283,6 +299,9 @@
         if (listed.end === RunEnd.Done) {
             this.health.recordSuccess(worker);
             step.markDone(task);
+            if (step.done) {
+                this.observer.recordStepDone(step);
+            }
             this.completeIfDone(job);
         }
         else if (listed.end === RunEnd.Failed) {
--- a/packages/fleet/src/placement/StepOrder.ts
+++ b/packages/fleet/src/placement/StepOrder.ts
@@ -20,7 +20,7 @@
     readonly queue: QueueConfig;
     /** Time by which the job should be done, from the objective of its queue. */
     readonly dueMs: number;
-    /** By the estimated duration of the step, and the time until the placement policy has answered. */
+    /** By the likely duration of the step, and the time until the placement policy has answered. */
     readonly usefulness: Usefulness;
 }
 
@@ -49,16 +49,17 @@
     fleet: FleetState,
     ranked: RankedStep[]
 ): void {
+    let objectiveMs: number | undefined;
     for (const step of job.readySteps()) {
         const isStartable = !step.spec.gang || step.waitingCount === step.tasks.length;
         if (step.waitingCount === 0 || !isStartable) {
             continue;
         }
         step.readyAtMs ??= nowMs;
-        const objectiveMs = queue.stretchFactor * job.criticalPathMs + queue.targetLatencyMs;
+        objectiveMs ??= queue.stretchFactor * fleet.expectedPathMs(job) + queue.targetLatencyMs;
         const { policyDelayMs, clockOffsetMs } = fleet;
         const needsPermits = queue.policy !== undefined && step.permits.latestExpiryMs <= nowMs;
-        const endMs = nowMs + fleet.expectedDurationMs(step) + (needsPermits ? policyDelayMs : 0);
+        const endMs = nowMs + fleet.likelyDurationMs(step) + (needsPermits ? policyDelayMs : 0);
         const fromMs = job.countsFromMs(step.occurrence, clockOffsetMs);
         ranked.push({
             step,
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -1,3 +1,4 @@
+import { criticalPath } from "../model/criticalPath.js";
 import type { FleetConfig, QueueConfig, TeamConfig } from "../model/FleetConfig.js";
 import type { JobPhase, ResourceAmounts } from "../model/JobSpec.js";
 import { addResources, countWithinLimit, createResourceSum, type ResourceSum } from "../model/ResourceSum.js";
@@ -11,9 +12,15 @@
 /** Longer than any read of the store. */
 const ENDED_RETENTION_MS = 60_000;
 
+/** Latest duration of a run divided by the estimate of its caller, where nothing was learnt. */
+const DEFAULT_LATEST_FACTOR = 3;
+
 /** Team name of requests without an API key, which open queues allow. */
 export const NO_TEAM = "";
 
+/** What the expected duration of a step depends on. */
+export type StepKind = Pick<StepState, "job" | "spec">;
+
 /** Job whose final state was committed. */
 export interface EndedJob {
     readonly phase: JobPhase;
@@ -31,7 +38,13 @@
     /** Wall-clock time minus the time of the timer, in ms, by which occurrences of jobs are due. */
     public clockOffsetMs = 0;
     /** Expected duration in ms of a run of a step's tasks, by default the estimate of its caller. */
-    public expectedDurationMs: (step: StepState) => number = step => step.spec.estimateMs;
+    public expectedDurationMs: (step: StepKind) => number = step => step.spec.estimateMs;
+    /** Duration in ms within which most runs of a step's tasks end, by default the estimate of its caller. */
+    public likelyDurationMs: (step: StepKind) => number = step => step.spec.estimateMs;
+    /** Duration in ms within which all but a few runs of a step's tasks end. */
+    public latestDurationMs: (step: StepKind) => number = step => step.spec.estimateMs * DEFAULT_LATEST_FACTOR;
+    /** Run times on a worker divided by the usual ones; above 1 on a slow worker. */
+    public runTimeFactorOf: (worker: WorkerState) => number = () => 1;
     /** Moving average of the time from a question to the placement policy to its answer. */
     public policyDelayMs = 0;
     private currentConfig: FleetConfig | undefined;
@@ -53,6 +66,11 @@
         this.teamsByName = new Map(config?.teams.map(team => [team.name, team]));
     }
 
+    /** Expected duration in ms of the critical path through the steps of a job. */
+    public expectedPathMs(job: JobState): number {
+        return criticalPath(job.spec.steps, spec => this.expectedDurationMs({ job, spec }));
+    }
+
     /** Returns a queue of the current configuration by name. */
     public queue(name: string): QueueConfig | undefined {
         return this.queuesByName.get(name);
@@ -124,6 +142,7 @@
             phase,
             orderedAtMs: nowMs,
             confirmedAtMs: phase === RunPhase.Running ? nowMs : undefined,
+            startSeen: false,
             resolvingToken: 0,
             percent: 0,
             progressedAtMs: nowMs,
@@ -149,6 +168,7 @@
             run.worker = to;
             run.phase = RunPhase.Uncertain;
             run.confirmedAtMs = undefined;
+            run.startSeen = false;
             run.resolvingToken = resolvingToken;
             to.addRun(run);
         }
--- a/packages/fleet/src/state/JobState.ts
+++ b/packages/fleet/src/state/JobState.ts
@@ -1,3 +1,4 @@
+import { criticalPath } from "../model/criticalPath.js";
 import { type FailedRuns, type JobProgress, NO_FAILURES, type StepProgress } from "../model/JobProgress.js";
 import { isFinal, JobPhase, type JobSpec } from "../model/JobSpec.js";
 import { StepState } from "./StepState.js";
@@ -43,11 +44,7 @@
         /** Its team was within its share of jobs per second when the job was accepted. */
         public readonly withinShare = true
     ) {
-        const pathsMs: number[] = [];
-        for (const step of spec.steps) {
-            pathsMs.push(step.estimateMs + Math.max(0, ...step.after.map(number => pathsMs[number] ?? 0)));
-        }
-        this.criticalPathMs = Math.max(0, ...pathsMs);
+        this.criticalPathMs = criticalPath(spec.steps, step => step.estimateMs);
     }
 
     public get final(): boolean {
