Take the choice of workers by learnt speed out again

Change: PlacementPlanner is as before this part, and SpeedPreference with its test of that choice goes. Speeds are still learnt and logged.

--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -1,5 +1,4 @@
 import { addResources, createResourceSum, type ResourceSum } from "../model/ResourceSum.js";
-import { scoreSpeed, type SpeedScore } from "../prediction/SpeedPreference.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { StepState } from "../state/StepState.js";
 import type { TaskState } from "../state/TaskState.js";
@@ -68,7 +67,7 @@
             const candidates = mayFit ? this.findCandidates(ranked, nowMs, plannedByWorker) : [];
             const placements = step.spec.gang
                 ? this.placeGang(ranked, candidates, teamUsage, isolation)
-                : this.placeTasks(ranked, candidates, teamUsage, isolation, scoreSpeed(this.fleet, ranked, nowMs));
+                : this.placeTasks(ranked, candidates, teamUsage, isolation);
             if (placements.length > 0) {
                 starts.push({ step, placements });
                 for (const { worker } of placements) {
@@ -181,8 +180,7 @@
         ranked: RankedStep,
         candidates: Candidate[],
         teamUsage: PlannedTeamUsage,
-        isolation: CrashIsolation,
-        speedScore: SpeedScore
+        isolation: CrashIsolation
     ): Placement[] {
         const placements: Placement[] = [];
         const { step } = ranked;
@@ -202,7 +200,7 @@
             for (const candidate of candidates) {
                 const fits = candidate.fitCount > candidate.plannedCount
                     && (maximumPerWorker === 0 || candidate.runningCount + candidate.plannedCount < maximumPerWorker);
-                const score = fits ? scoreWorker(candidate, task, isolation, speedScore) : Number.NEGATIVE_INFINITY;
+                const score = fits ? scoreWorker(candidate, task, isolation) : Number.NEGATIVE_INFINITY;
                 if (score > bestScore) {
                     best = candidate;
                     bestScore = score;
@@ -296,15 +294,10 @@
  * leaves the emptier workers to large tasks. Workers on which the task failed, reserved workers and suspect workers
  * come last.
  */
-function scoreWorker(
-    candidate: Candidate,
-    task: TaskState,
-    isolation: CrashIsolation,
-    speedScore: SpeedScore
-): number {
+function scoreWorker(candidate: Candidate, task: TaskState, isolation: CrashIsolation): number {
     const { worker } = candidate;
     const { nearRack } = task.step.spec;
-    let score = speedScore(worker) - isolation.penalty(worker, task.suspect);
+    let score = -isolation.penalty(worker, task.suspect);
     if (task.avoidedWorkers.has(worker.id)) {
         score -= 1000;
     }
--- a/packages/fleet/src/prediction/WorkerSpeedEstimator.test.ts
+++ b/packages/fleet/src/prediction/WorkerSpeedEstimator.test.ts
@@ -1,9 +1,13 @@
 import { createSeededRandom } from "@skylarkpath/common/random/RandomSource";
 import test from "ava";
 import { addWorker, createFleet } from "../testing/FleetFixture.js";
-import { speedClass } from "./SpeedPreference.js";
 import { MAX_RUNS_PER_WORKER, WorkerSpeedEstimator } from "./WorkerSpeedEstimator.js";
 
+/** Class of a factor, in steps of 10 %. */
+function speedClass(factor: number): number {
+    return Math.round(Math.log(factor) / 0.1);
+}
+
 // Of 100 runs, 3 take 7 times as long, and the others between 0.7 and 1.3 times the usual.
 test("after 16 runs a worker that is one third slower is told apart, 95 times of 100 in spite of the tail", t => {
     let toldApart = 0;
