--- a/packages/fleet/src/FleetProcess.ts
+++ b/packages/fleet/src/FleetProcess.ts
@@ -13,6 +13,7 @@
 import { OwnerWatcher } from "./entry/OwnerWatcher.js";
 import { RequestHandler } from "./entry/RequestHandler.js";
 import type { FleetTiming } from "./model/FleetTiming.js";
+import { DEFAULT_SCHEDULING, type SchedulingOptions } from "./model/SchedulingOptions.js";
 import { FencedStore } from "./owner/FencedStore.js";
 import { FleetOwner, MAX_UNCONFIRMED_MS } from "./owner/FleetOwner.js";
 import { OwnerElection, type WonOwnership } from "./ownership/OwnerElection.js";
@@ -44,6 +45,8 @@
     readonly ownerClient: OwnerClient;
     readonly directorySchema: DirectorySchema;
     readonly timing: FleetTiming;
+    /** Undefined for the default. */
+    readonly scheduling?: SchedulingOptions;
     readonly timer: TimerService;
     readonly random: RandomSource;
     readonly log: EventLog;
@@ -265,6 +268,7 @@
                 config: this.configDirectory,
                 directorySchema: this.environment.directorySchema,
                 timing,
+                scheduling: this.environment.scheduling ?? DEFAULT_SCHEDULING,
                 log,
                 loopDelayMs: () => this.loopDelay.meanMs,
                 processorMeter: this.environment.processorMeter,
--- a/packages/fleet/src/owner/FleetOwner.ts
+++ b/packages/fleet/src/owner/FleetOwner.ts
@@ -2,21 +2,16 @@
 import { type Disposable, DisposableStore } from "@skylarkpath/common/base/Disposable";
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import { EVENTS } from "@skylarkpath/common/log/EventCatalogue";
-import type { EventLog } from "@skylarkpath/common/log/EventLog";
-import type { ProcessorMeter } from "@skylarkpath/common/time/ProcessorMeter";
-import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import type { ConfigDirectory } from "../config/ConfigDirectory.js";
 import { TableFollower } from "../config/TableFollower.js";
 import { WorkerDirectory } from "../config/WorkerDirectory.js";
-import type { FleetTiming } from "../model/FleetTiming.js";
 import { JobPhase } from "../model/JobSpec.js";
 import type { KnownWorker, SuccessionSource } from "../model/OwnerRow.js";
 import { FLEET_PARTITION, FleetTable, parseIntakeKey } from "../model/Tables.js";
-import type { DirectorySchema } from "../ports/DirectorySchema.js";
 import type { EntryReport, JobAnswer, JobQuery, OwnerService, WatchReply, WatchRequest } from "../ports/OwnerClient.js";
 import { type PlacementPreview, PreviewFailure, type PreviewQuery } from "../ports/PlacementPreview.js";
-import type { RowStore } from "../ports/RowStore.js";
-import type { WorkerClient, WorkerEntry } from "../ports/WorkerClient.js";
+import type { WorkerEntry } from "../ports/WorkerClient.js";
+import { RunPredictions } from "../prediction/RunPredictions.js";
 import { FleetState } from "../state/FleetState.js";
 import type { JobState } from "../state/JobState.js";
 import type { StepState } from "../state/StepState.js";
@@ -29,6 +24,7 @@
 import { IntakeReader } from "./IntakeReader.js";
 import { readKnownWorkers } from "./KnownWorkerRows.js";
 import { OccurrenceOpener } from "./OccurrenceOpener.js";
+import type { OwnerDependencies } from "./OwnerDependencies.js";
 import { PermitRequester } from "./PermitRequester.js";
 import { PlanningLoop } from "./PlanningLoop.js";
 import { ProgressWriter } from "./ProgressWriter.js";
@@ -37,22 +33,6 @@
 import { StatusReporter } from "./StatusReporter.js";
 import { WorkerRegistry } from "./WorkerRegistry.js";
 
-/** Services and settings that an owner needs. */
-export interface OwnerDependencies {
-    readonly store: RowStore;
-    readonly timer: TimerService;
-    readonly workerClient: WorkerClient;
-    readonly config: ConfigDirectory;
-    readonly directorySchema: DirectorySchema;
-    readonly timing: FleetTiming;
-    readonly log: EventLog;
-    /** Event-loop delay of this process. */
-    readonly loopDelayMs: () => number;
-    readonly processorMeter: ProcessorMeter;
-    /** Longest usual round-trip time to a worker. */
-    readonly roundTripMs: number;
-}
-
 /** State in which a new owner takes over the fleet. */
 export interface Takeover {
     /** Version of the store at the takeover; zero when the fleet had no owner before. */
@@ -118,12 +98,16 @@
         private readonly fencedStore: FencedStore,
         private readonly takeover: Takeover
     ) {
-        const { timer, store, workerClient, timing, log, config, directorySchema } = dependencies;
+        const { timer, store, workerClient, timing, scheduling, log, config, directorySchema } = dependencies;
         this.fleet = new FleetState(config.evacuatedDomains);
         this.evacuations = this.disposables.add(
             new EvacuationTracker(this.fleet, config, timer, log, fencedStore.epoch, timing.evacuationMs)
         );
         this.runs = new RunTracker(this.fleet, timer);
+        this.fleet.ordersByDelayCost = scheduling.ordersByDelayCost;
+        if (scheduling.learnsRunTimes) {
+            this.disposables.add(new RunPredictions(this.fleet, this.runs.onStepObserved, timer, log));
+        }
         this.writer = this.disposables.add(new ProgressWriter(fencedStore, timer));
         this.registry = this.disposables.add(
             new WorkerRegistry(
@@ -368,7 +352,10 @@
         this.fleet.recordEnded(job, this.dependencies.timer.nowMs());
         this.permitRequester.dropQuestions(job);
         this.watchers.jobChanged(job.spec.id);
-        this.dependencies.log.write(EVENTS.requestEnded, describeEndedJob(job, this.epoch, this.dependencies.timer));
+        this.dependencies.log.write(
+            EVENTS.requestEnded,
+            describeEndedJob(job, this.fleet, this.epoch, this.dependencies.timer)
+        );
     }
 
     private runPlanning(): void {
--- a/packages/fleet/src/placement/StepOrder.ts
+++ b/packages/fleet/src/placement/StepOrder.ts
@@ -2,7 +2,15 @@
 import type { FleetState } from "../state/FleetState.js";
 import type { JobState } from "../state/JobState.js";
 import { measureRemaining } from "./DelayCost.js";
-import { compareByDueTime, compareSteps, LATE_FACTOR, objectiveMs, type RankedStep, Standing, Usefulness } from "./RankedStep.js";
+import {
+    compareByDueTime,
+    compareSteps,
+    LATE_FACTOR,
+    objectiveMs,
+    type RankedStep,
+    Standing,
+    Usefulness
+} from "./RankedStep.js";
 import { orderForScarceRoom } from "./ScarceRoomOrder.js";
 
 export { type RankedStep, Usefulness } from "./RankedStep.js";
@@ -38,21 +46,22 @@
     fleet: FleetState,
     ranked: RankedStep[]
 ): void {
+    let goalMs: number | undefined;
     for (const step of job.readySteps()) {
         const isStartable = !step.spec.gang || step.waitingCount === step.tasks.length;
         if (step.waitingCount === 0 || !isStartable) {
             continue;
         }
         step.readyAtMs ??= nowMs;
+        goalMs ??= objectiveMs(queue, fleet.expectedPathMs(job));
         const { policyDelayMs, clockOffsetMs } = fleet;
         const needsPermits = queue.policy !== undefined && step.permits.latestExpiryMs <= nowMs;
         const remaining = fleet.ordersByDelayCost
             ? measureRemaining(job.occurrences.get(step.occurrence) ?? [], fleet.expectedDurationMs)
             : undefined;
-        const remainingMs = fleet.expectedDurationMs(step) + (remaining?.pathAfterMs[step.number] ?? 0)
+        const remainingMs = fleet.likelyDurationMs(step) + (remaining?.pathAfterMs[step.number] ?? 0)
             + (needsPermits ? policyDelayMs : 0);
         const fromMs = job.countsFromMs(step.occurrence, clockOffsetMs);
-        const goalMs = objectiveMs(queue, job.criticalPathMs);
         // Each second without a lasting task costs the same, however long ago its job was accepted.
         const usefulness = remaining && step.spec.lasting
             ? Usefulness.InTime
--- a/packages/skylarkd/src/FleetCommand.ts
+++ b/packages/skylarkd/src/FleetCommand.ts
@@ -16,6 +16,12 @@
     });
 
     public settings = Option.String("--settings", { description: "Settings file of the platform (TOML)" });
+    public orderByDelayCost = Option.Boolean("--order-by-delay-cost", false, {
+        description: "When room is short, let wait what costs callers least"
+    });
+    public learnRunTimes = Option.Boolean("--learn-run-times", false, {
+        description: "Expect the run times that were seen instead of the callers' estimates"
+    });
     public check = Option.Boolean("--check", false, { description: "Check the settings and exit" });
 
     public override async execute(): Promise<number> {
@@ -38,7 +44,10 @@
             return EXIT_OK;
         }
         const { FleetServer } = await import("./fleet/FleetServer.js");
-        const server = new FleetServer(settings);
+        const server = new FleetServer(settings, {
+            ordersByDelayCost: this.orderByDelayCost,
+            learnsRunTimes: this.learnRunTimes
+        });
         await server.start();
         await server.stopOnSignal();
         return EXIT_OK;
--- a/packages/skylarkd/src/fleet/FleetServer.ts
+++ b/packages/skylarkd/src/fleet/FleetServer.ts
@@ -13,6 +13,7 @@
 import { sleep } from "@skylarkpath/common/time/TimerService";
 import type { CallerReply, CallerRequest } from "@skylarkpath/fleet/entry/EntryTypes";
 import { FleetProcess } from "@skylarkpath/fleet/FleetProcess";
+import type { SchedulingOptions } from "@skylarkpath/fleet/model/SchedulingOptions";
 import type { PlacementPreview, PreviewFailure, PreviewQuery } from "@skylarkpath/fleet/ports/PlacementPreview";
 import {
     type CallerService,
@@ -53,7 +54,7 @@
     private readonly listeners: HttpListener[] = [];
     public closing = false;
 
-    constructor(private readonly settings: ProcessSettings) {
+    constructor(private readonly settings: ProcessSettings, scheduling: SchedulingOptions) {
         this.log = this.metrics.instrumentLog(this.disposables.add(new BoundedLog(settings.machine, this.timer)));
         const storeHttp = this.disposables.add(new PlatformHttp(MAX_STORE_CONNECTIONS));
         const workerHttp = this.disposables.add(new PlatformHttp(MAX_WORKER_CONNECTIONS));
@@ -68,6 +69,7 @@
             ownerClient: this.disposables.add(new HttpOwnerClient()),
             directorySchema: PLATFORM_DIRECTORY,
             timing: settings.timing,
+            scheduling,
             timer: this.timer,
             random: createSeededRandom(randomInt(SEED_RANGE)),
             log: this.log,
