Preview: the room a step finds now, evacuated workers by name

Cause: the column said that tasks start, though steps ahead may take the room first, and workers of an evacuated failure domain looked like any that take nothing. Change: fitsNow and the verdict evacuated; a step without a place in the order is described without a made-up rank. Result: tests of placement, command line and preview pass.

--- a/packages/fleet/src/placement/GangReservations.ts
+++ b/packages/fleet/src/placement/GangReservations.ts
@@ -1,6 +1,6 @@
 import type { StepState } from "../state/StepState.js";
 import type { WorkerState } from "../state/WorkerState.js";
-import type { RankedStep } from "./StepOrder.js";
+import type { QueuedStep, RankedStep } from "./RankedStep.js";
 
 interface Reservation {
     readonly step: StepState;
@@ -75,12 +75,12 @@
     }
 
     /** Returns whether a step may use a worker. */
-    public useOf(ranked: RankedStep, worker: WorkerState): WorkerUse {
+    public useOf(queued: QueuedStep, worker: WorkerState): WorkerUse {
         const reservation = this.reservationOf(worker);
-        if (!reservation || reservation.step === ranked.step) {
+        if (!reservation || reservation.step === queued.step) {
             return WorkerUse.Free;
         }
-        return ranked.queue.priority < reservation.priority ? WorkerUse.LastResort : WorkerUse.Reserved;
+        return queued.queue.priority < reservation.priority ? WorkerUse.LastResort : WorkerUse.Reserved;
     }
 
     private reservationOf(worker: WorkerState): Reservation | undefined {
--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -5,7 +5,8 @@
 import { chargedResources, type WorkerState } from "../state/WorkerState.js";
 import { CrashIsolation } from "./CrashIsolation.js";
 import { GangReservations, WorkerUse } from "./GangReservations.js";
-import { orderSteps, type RankedStep } from "./StepOrder.js";
+import type { QueuedStep, RankedStep } from "./RankedStep.js";
+import { orderSteps } from "./StepOrder.js";
 import { explainWait, type WaitReason } from "./WaitReason.js";
 import { warmUpPenalty } from "./warmUpPenalty.js";
 
@@ -97,8 +98,8 @@
     }
 
     /** Returns whether a worker is reserved for a gang that goes before a step. */
-    public isReserved(ranked: RankedStep, worker: WorkerState): boolean {
-        return this.reservations.useOf(ranked, worker) === WorkerUse.Reserved;
+    public isReserved(queued: QueuedStep, worker: WorkerState): boolean {
+        return this.reservations.useOf(queued, worker) === WorkerUse.Reserved;
     }
 
     /** Returns whether the team's limit allows all members of a gang to run. */
--- a/packages/fleet/src/placement/PlacementPreviewer.test.ts
+++ b/packages/fleet/src/placement/PlacementPreviewer.test.ts
@@ -24,7 +24,7 @@
     ];
     const preview = previewer.preview({ queue: "jobs", team: "lab", steps }, 10) as PlacementPreview;
     const [first, second] = preview.steps;
-    t.is(first?.startsNow, 1);
+    t.is(first?.fitsNow, 1);
     t.is(first?.waitReason, WaitReason.Soon);
     t.is(second?.stepsAhead, undefined);
     t.deepEqual(first?.workers.map(({ verdict, examples }) => [verdict, ...examples]), [
@@ -36,7 +36,7 @@
     t.deepEqual([...fleet.jobs.keys()], ["00000000000000a1"]);
     t.deepEqual(planner.plan(10, () => true).starts, []);
     addJob(fleet, steps, "00000000000000a2");
-    t.is(planner.plan(20, () => true).starts[0]?.placements.length, first?.startsNow);
+    t.is(planner.plan(20, () => true).starts[0]?.placements.length, first?.fitsNow);
 });
 
 test("a gang without room for all waits, and unknown queues and teams are told", t => {
@@ -45,7 +45,7 @@
     const previewer = new PlacementPreviewer(fleet, () => false);
     const steps = [{ ...PLAIN_STEP, taskCount: 5, gang: true }];
     const preview = previewer.preview({ queue: "jobs", team: "lab", steps }, 10) as PlacementPreview;
-    t.is(preview.steps[0]?.startsNow, 0);
+    t.is(preview.steps[0]?.fitsNow, 0);
     t.is(preview.steps[0]?.waitReason, WaitReason.NoCapacity);
     t.is(previewer.preview({ queue: "other", team: "lab", steps }, 10), PreviewFailure.UnknownQueue);
     t.is(previewer.preview({ queue: "jobs", team: "", steps }, 10), PreviewFailure.UnknownTeam);
--- a/packages/fleet/src/placement/PlacementPreviewer.ts
+++ b/packages/fleet/src/placement/PlacementPreviewer.ts
@@ -10,8 +10,9 @@
 import { JobState } from "../state/JobState.js";
 import type { StepState } from "../state/StepState.js";
 import type { WorkerState } from "../state/WorkerState.js";
-import { orderSteps, type RankedStep } from "./StepOrder.js";
-import { explainWait, WaitReason } from "./WaitReason.js";
+import type { QueuedStep, RankedStep } from "./RankedStep.js";
+import { orderSteps } from "./StepOrder.js";
+import { explainWait } from "./WaitReason.js";
 import { judgeWorker, WorkerVerdict } from "./WorkerVerdict.js";
 
 /** Workers that a preview names for each verdict. */
@@ -23,7 +24,7 @@
 export class PlacementPreviewer {
     constructor(
         private readonly fleet: FleetState,
-        private readonly isReserved: (ranked: RankedStep, worker: WorkerState) => boolean
+        private readonly isReserved: (queued: QueuedStep, worker: WorkerState) => boolean
     ) {}
 
     /** Previews the placement of a job. */
@@ -37,7 +38,6 @@
         }
         const job = this.createJob(query, nowMs);
         const order = this.orderWith(job, nowMs);
-        const own = new Map(order.filter(({ step }) => step.job === job).map(ranked => [ranked.step, ranked]));
         const steps = [...job.openSteps()];
         return {
             queue: queue.name,
@@ -45,8 +45,8 @@
             priority: queue.priority,
             objectiveMs: queue.stretchFactor * job.criticalPathMs + queue.targetLatencyMs,
             expectedDurationMs: this.longestChainMs(steps),
-            waitingSteps: order.length - own.size,
-            steps: steps.map(step => this.previewStep(own.get(step) ?? { ...order[0]!, step, queue }, order, nowMs))
+            waitingSteps: order.filter(({ step }) => step.job !== job).length,
+            steps: steps.map(step => this.previewStep({ step, queue }, order, nowMs))
         };
     }
 
@@ -76,13 +76,13 @@
         }
     }
 
-    private previewStep(ranked: RankedStep, order: readonly RankedStep[], nowMs: number): StepPreview {
-        const { step, queue } = ranked;
+    private previewStep(queued: QueuedStep, order: readonly RankedStep[], nowMs: number): StepPreview {
+        const { step, queue } = queued;
         const { spec } = step;
         const verdicts = new Map<WorkerVerdict, string[]>();
         let fits = 0;
         for (const worker of this.fleet.workers.values()) {
-            const verdict = judgeWorker(ranked, worker, nowMs, this.isReserved(ranked, worker));
+            const verdict = judgeWorker(queued, worker, nowMs, this.isReserved(queued, worker));
             const workers = verdicts.get(verdict) ?? [];
             workers.push(worker.id);
             verdicts.set(verdict, workers);
@@ -91,22 +91,24 @@
                 fits += spec.maximumPerWorker > 0 ? Math.min(fitCount, spec.maximumPerWorker) : fitCount;
             }
         }
-        const place = order.indexOf(ranked);
+        // A step whose earlier steps are not done has no place yet.
+        const place = order.findIndex(ranked => ranked.step === step);
         const withinLimit = this.fleet.countWithinTeamLimit(step.job.spec.team, spec.size);
         const startable = Math.min(fits, withinLimit, spec.taskCount);
-        const startsNow = place < 0 || (spec.gang && startable < spec.taskCount) ? 0 : startable;
+        const fitsNow = place < 0 || (spec.gang && startable < spec.taskCount) ? 0 : startable;
+        const needsPermits = queue.policy !== undefined;
         return {
             step: step.number,
             tasks: spec.taskCount,
             after: spec.after,
-            startsNow: queue.policy ? 0 : startsNow,
-            waitReason: place < 0 || startsNow === spec.taskCount && !queue.policy
+            fitsNow,
+            waitReason: place < 0 || (fitsNow === spec.taskCount && !needsPermits)
                 ? undefined
-                : this.explain(ranked, startsNow === spec.taskCount, nowMs),
+                : explainWait(this.fleet, step, nowMs, worker => this.isReserved(queued, worker)),
             stepsAhead: place < 0 ? undefined : place,
             tasksWithinTeamLimit: withinLimit,
             expectedDurationMs: Math.round(this.fleet.expectedDurationMs(step)),
-            needsPermits: queue.policy !== undefined,
+            needsPermits,
             workers: [...verdicts].map(([verdict, workers]): VerdictCount => ({
                 verdict,
                 workers: workers.length,
@@ -115,12 +117,6 @@
         };
     }
 
-    private explain(ranked: RankedStep, hasRoom: boolean, nowMs: number): WaitReason {
-        return hasRoom
-            ? WaitReason.NoAnswer
-            : explainWait(this.fleet, ranked.step, nowMs, worker => this.isReserved(ranked, worker));
-    }
-
     private longestChainMs(steps: readonly StepState[]): number {
         const chainsMs: number[] = [];
         for (const step of steps) {
--- a/packages/fleet/src/placement/RankedStep.ts
+++ b/packages/fleet/src/placement/RankedStep.ts
@@ -24,10 +24,14 @@
 /** A job that takes this multiple of its objective is of no use any more. */
 export const LATE_FACTOR = 3;
 
-/** A step with waiting tasks and the values by which it is ordered. */
-export interface RankedStep {
+/** A step with the queue of its job. */
+export interface QueuedStep {
     readonly step: StepState;
     readonly queue: QueueConfig;
+}
+
+/** A step with waiting tasks and the values by which it is ordered. */
+export interface RankedStep extends QueuedStep {
     /** Time from which the duration of its job counts. */
     readonly fromMs: number;
     /** Time by which the job should be done, from the objective of its queue. */
--- a/packages/fleet/src/placement/WorkerVerdict.ts
+++ b/packages/fleet/src/placement/WorkerVerdict.ts
@@ -1,5 +1,5 @@
 import type { WorkerState } from "../state/WorkerState.js";
-import type { RankedStep } from "./StepOrder.js";
+import type { QueuedStep } from "./RankedStep.js";
 
 /** Whether a worker could take a task of a step now, or why not. */
 export enum WorkerVerdict {
@@ -7,6 +7,8 @@
     OtherPool = "other-pool",
     /** The step requires a label that the worker does not have. */
     NoLabel = "no-label",
+    /** Its failure domain is evacuated. */
+    Evacuated = "evacuated",
     /** Nothing new is started on it: it drains, is not reached, is paused after a refusal or is not known well enough. */
     TakesNone = "takes-none",
     NoCapacity = "no-room",
@@ -15,7 +17,7 @@
 
 /** Returns whether a worker could take a task of a step now; permits of a policy are not considered. */
 export function judgeWorker(
-    { step, queue }: RankedStep,
+    { step, queue }: QueuedStep,
     worker: WorkerState,
     nowMs: number,
     isReserved: boolean
@@ -27,6 +29,9 @@
     if (spec.workerLabel !== undefined && !worker.entry.labels.includes(spec.workerLabel)) {
         return WorkerVerdict.NoLabel;
     }
+    if (worker.evacuated) {
+        return WorkerVerdict.Evacuated;
+    }
     if (!worker.canStart(nowMs)) {
         return WorkerVerdict.TakesNone;
     }
--- a/packages/fleet/src/ports/PlacementPreview.ts
+++ b/packages/fleet/src/ports/PlacementPreview.ts
@@ -22,9 +22,9 @@
     readonly tasks: number;
     /** Indexes of the earlier steps that must be done first. */
     readonly after: readonly number[];
-    /** Tasks that would start with the next planning pass; a gang starts all or none. */
-    readonly startsNow: number;
-    /** Why the others would wait; undefined when there are none. */
+    /** Tasks that there is room for now, beside what runs and what is reserved; all or none for a gang. */
+    readonly fitsNow: number;
+    /** Why tasks would wait; undefined when nothing but the steps ahead can make them wait. */
     readonly waitReason?: string;
     /** Steps of other jobs that are placed before it, of those that wait now. */
     readonly stepsAhead?: number;
--- a/packages/skylark/src/SkylarkCli.test.ts
+++ b/packages/skylark/src/SkylarkCli.test.ts
@@ -112,7 +112,7 @@
         step: 0,
         tasks: 4,
         after: [],
-        startsNow: 1,
+        fitsNow: 1,
         waitReason: "no-room",
         stepsAhead: 2,
         tasksWithinTeamLimit: 9,
--- a/packages/skylark/src/client/PreviewSchema.ts
+++ b/packages/skylark/src/client/PreviewSchema.ts
@@ -4,7 +4,7 @@
     step: z.number(),
     tasks: z.number(),
     after: z.array(z.number()),
-    startsNow: z.number(),
+    fitsNow: z.number(),
     waitReason: z.string().optional(),
     stepsAhead: z.number().optional(),
     tasksWithinTeamLimit: z.number(),
--- a/packages/skylark/src/output/PreviewText.ts
+++ b/packages/skylark/src/output/PreviewText.ts
@@ -7,11 +7,11 @@
 export function renderPreview(preview: PreviewReply): string {
     const { queue, team, priority, objectiveMs, expectedDurationMs, waitingSteps, steps } = preview;
     const table = renderTable(
-        ["step", "tasks", "start now", "wait for", "ahead", "team limit", "run ms", "policy"],
+        ["step", "tasks", "fit now", "wait for", "ahead", "team limit", "run ms", "policy"],
         steps.map(step => [
             step.step,
             step.tasks,
-            step.startsNow,
+            step.fitsNow,
             describeWait(step),
             step.stepsAhead ?? "",
             step.tasksWithinTeamLimit,
