--- a/review/standins-2.mjs
+++ b/review/standins-2.mjs
@@ -411,15 +411,20 @@
         }
         this.extendLease(deadlineMs);
         this.raise(task, attempt);
-        const run = { task, attempt, worker: this.id, born: this.born, startedAtMs: this.record.nowMs };
+        const run = { task, attempt, worker: this.id, born: this.born, startedAtMs: this.record.nowMs, ms: 0 };
         this.record.write(`${this.id} starts ${task} run ${attempt}`);
         const { ms = 500, how = "done" } = JSON.parse(spec || "{}");
+        run.ms = ms;
         run.timer = setTimeout(() => this.end(run, how), ms);
         this.running.set(task, run);
         this.runs.push(run);
         return [200, { clockMs: this.clockMs, born: this.born }];
     }
 
+    progressOf(run) {
+        return Math.min(99, Math.floor((this.record.nowMs - run.startedAtMs) / run.ms * 100));
+    }
+
     async hold({ ackCursor = 0, deadlineMs, waitMs = 0 }) {
         this.extendLease(deadlineMs);
         for (const [number, task, attempt, how, , run] of this.ends) {
@@ -445,7 +450,7 @@
         return [200, {
             clockMs: this.clockMs,
             born: this.born,
-            running: [...this.running.values()].map(({ task, attempt }) => [task, attempt, "", 50, 0]),
+            running: [...this.running.values()].map(run => [run.task, run.attempt, "", this.progressOf(run), 0]),
             finished: this.ends.slice(0, 500).map(end => end.slice(0, 5))
         }];
     }
