--- a/review/standins-2.mjs
+++ b/review/standins-2.mjs
@@ -509,6 +509,7 @@
         child.on("exit", (code, signal) => {
             this.ended = this.ended || child === this.child;
             this.record.write(`${this.name} ends with code ${code}, signal ${signal}`);
+            this.onEnd?.();
         });
     }
 
@@ -525,6 +526,7 @@
     }
 
     stop() {
+        this.stopped = true;
         this.child.kill("SIGKILL");
         rmSync(this.folder, { recursive: true, force: true });
     }
