--- a/review/standins-2.mjs
+++ b/review/standins-2.mjs
@@ -456,9 +456,35 @@
     }
 }
 
+/** The service for advice: it allows all workers named, one call at a time for each caller, after the time of the config. */
+export class Advice {
+    static async start(record, { decideMs, intervalMs, validMs }) {
+        const advice = new Advice();
+        const turns = new Map();
+        advice.server = createServer(async (incoming, response) => {
+            const { phase, workers = [] } = JSON.parse(await readBody(incoming));
+            const caller = incoming.socket.remoteAddress;
+            const before = turns.get(caller) ?? Promise.resolve();
+            const turn = before.then(() => sleep(decideMs + intervalMs * workers.length));
+            turns.set(caller, turn);
+            await turn;
+            record.write(`advice on ${phase} about ${workers.length} workers`);
+            response.writeHead(200, { "content-type": "application/json" });
+            response.end(JSON.stringify({ allowed: workers.map(id => [id, `ticket-${id}`]), validMs }));
+        });
+        advice.address = await listen(advice.server);
+        return advice;
+    }
+
+    close() {
+        this.server.close();
+        this.server.closeAllConnections();
+    }
+}
+
 /** One process of the project, started with the command of the deploy file. */
 export class Entry {
-    static async start(store, record, { name, ip, zone = "north" }) {
+    static async start(store, record, { name, ip, zone = "north", advice }) {
         const entry = new Entry();
         Object.assign(entry, { name, ip, record, folder: mkdtempSync(join(tmpdir(), "review-")) });
         const [frontend, readiness, peers] = await findFreePorts(ip, 3);
@@ -471,6 +497,7 @@
             `ip = "${ip}"`,
             `zone = "${zone}"`,
             `region = "home"`,
+            ...advice === undefined ? [] : [`advice = "${advice}"`],
             `internalPorts = [${peers}, ${peers}]`,
             "[listen]",
             `frontend = "${ip}:${frontend}"`,
