Owner: jobs that no worker can run no longer keep other work from being asked about

Cause: CapacityBudget took the processors of every waiting step from one sum for the whole fleet, whether a worker could run it or not, and the planning pass ended when the sum was used up.

Change: the budget is kept for each worker, and a step draws only on workers that it could use: pool, label, size in each resource, denials of the policy, reservations, the limits of its step and team; a gang draws free room only as a whole. A step that draws nothing is passed over and does not end the pass. Workers that are too small for a task are not named in questions.

--- a/packages/fleet/src/owner/Dispatcher.ts
+++ b/packages/fleet/src/owner/Dispatcher.ts
@@ -59,7 +59,11 @@
                 void this.start(placement, run, step.spec.gang ? gangCheckpoint : task.checkpoint, nowMs);
             }
         }
-        this.permitRequester.request(plan.stepsNeedingPermits, nowMs);
+        this.permitRequester.request(
+            plan.stepsNeedingPermits,
+            nowMs,
+            (queued, worker) => this.planner.isReserved(queued, worker)
+        );
     }
 
     /** Explains why the waiting tasks of a step do not start. */
--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -2,13 +2,14 @@
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import type { PolicyTiming } from "../model/FleetConfig.js";
 import { countQuestionWorkers, MAX_WORKERS_PER_QUESTION } from "../model/questionSize.js";
+import { countCapacityFits, countFreeFits, hasRequiredLabel } from "../placement/workerFit.js";
 import type { PolicyReply, PrefetchedPermits } from "../ports/OwnerClient.js";
 import type { PolicyAnswer, PolicyQuestion } from "../ports/PlacementPolicy.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { JobState } from "../state/JobState.js";
 import type { StepState } from "../state/StepState.js";
 import type { WorkerState } from "../state/WorkerState.js";
-import { CapacityBudget } from "./CapacityBudget.js";
+import { CapacityBudget, type IsReserved } from "./CapacityBudget.js";
 import { DurationMeter, type Durations } from "./DurationMeter.js";
 import { MAX_BACKLOG_MS, type OwnEntry, PolicyChannels } from "./PolicyChannels.js";
 
@@ -62,6 +63,7 @@
     private readonly channels: PolicyChannels;
     private readonly pendingQuestions = new Map<number, PendingQuestion>();
     private nextQuestionNumber = 1;
+    private passCount = 0;
     private readonly questionAdded = new Emitter<string>();
     private readonly answerTimes = new DurationMeter();
     private readonly policyTimes = new DurationMeter();
@@ -94,23 +96,30 @@
         return this.channels.hasQuestions(entry);
     }
 
-    /** Requests permits for steps, in this order, until no channel is free or no capacity is left to use them. */
-    public request(steps: readonly StepState[], nowMs: number): void {
+    /** Requests permits for the steps that could use them, in this order, until no channel is free. */
+    public request(steps: readonly StepState[], nowMs: number, isReserved: IsReserved = () => false): void {
         this.dropExpiredQuestions(nowMs);
-        const budget = new CapacityBudget(this.fleet, nowMs);
+        const budget = new CapacityBudget(this.fleet, nowMs, isReserved, this.passCount++);
         const usableByPool = new Map<string, readonly WorkerState[]>();
+        let hasFreeChannel = this.channels.hasFree(nowMs);
         for (const step of steps) {
-            if (!this.channels.hasFree(nowMs) || !budget.consume(step)) {
+            if (!hasFreeChannel) {
                 return;
             }
             const queue = this.fleet.queue(step.job.spec.queue);
             const policy = queue?.policy;
-            if (!policy || this.isAwaitingAnswer(step, nowMs)) {
+            if (!policy) {
                 continue;
             }
             const usable = usableByPool.get(queue.pool) ?? this.listUsable(queue.pool, nowMs);
             usableByPool.set(queue.pool, usable);
-            this.ask(step, policy, this.chooseWorkers(step, usable, nowMs), nowMs);
+            if (!budget.draw({ step, queue }) && !this.isDenied(step, usable, nowMs)) {
+                continue;
+            }
+            if (!this.isAwaitingAnswer(step, nowMs)) {
+                this.ask(step, policy, this.chooseWorkers(step, usable, nowMs), nowMs);
+                hasFreeChannel = this.channels.hasFree(nowMs);
+            }
         }
     }
 
@@ -222,7 +231,7 @@
     private chooseWorkers(step: StepState, usable: readonly WorkerState[], nowMs: number): readonly WorkerState[] {
         const { spec, permits } = step;
         const waiting = step.waitingCount;
-        const countFits = (worker: WorkerState): number => worker.countFits(spec.size, spec.filler);
+        const countFits = (worker: WorkerState): number => countFreeFits(worker, step);
         const allowed = this.listAllowed(step, nowMs);
         let allowedCount = 0;
         const expiring: WorkerState[] = [];
@@ -242,14 +251,16 @@
         if (!spec.gang && allowedCount >= 1) {
             return limitWorkers(expiring, step, waiting, countFits);
         }
-        const unknown = usable.filter(worker =>
-            matchesLabel(worker, step) && permits.answeredWorkers.get(worker.id) !== worker.entry.incarnation
-        );
-        if (unknown.length === 0 && allowed.length === 0 && nowMs >= permits.answeredAtMs + DENIED_RETRY_MS) {
+        if (this.isDenied(step, usable, nowMs) && nowMs >= permits.answeredAtMs + DENIED_RETRY_MS) {
             permits.answeredWorkers.clear();
-            return limitWorkers(usable.filter(worker => matchesLabel(worker, step)), step, waiting, countFits);
         }
-        return limitWorkers(unknown, step, waiting, countFits);
+        return limitWorkers(usable.filter(worker => isUnknown(step, worker)), step, waiting, countFits);
+    }
+
+    /** Whether the policy has denied all workers that could run a step. */
+    private isDenied(step: StepState, usable: readonly WorkerState[], nowMs: number): boolean {
+        return step.permits.answeredWorkers.size > 0 && this.listAllowed(step, nowMs).length === 0
+            && !usable.some(worker => isUnknown(step, worker));
     }
 
     /** Workers that the policy has allowed for a step, also if the permit has expired, and that take new tasks. */
@@ -259,7 +270,7 @@
         for (const [id, { incarnation }] of step.permits.byWorker) {
             const worker = this.fleet.workers.get(id);
             const isCurrent = worker?.entry.incarnation === incarnation && worker.entry.pool === pool;
-            if (worker && isCurrent && matchesLabel(worker, step) && worker.canStart(nowMs)) {
+            if (worker && isCurrent && hasRequiredLabel(worker, step) && worker.canStart(nowMs)) {
                 allowed.push(worker);
             }
         }
@@ -331,8 +342,10 @@
     return policy.decideMs + policy.perWorkerMs * workerCount;
 }
 
-function matchesLabel(worker: WorkerState, { spec }: StepState): boolean {
-    return spec.workerLabel === undefined || worker.entry.labels.includes(spec.workerLabel);
+/** Whether a worker could run a step and the policy was not asked about it. */
+function isUnknown(step: StepState, worker: WorkerState): boolean {
+    return countCapacityFits(worker, step) > 0
+        && step.permits.answeredWorkers.get(worker.id) !== worker.entry.incarnation;
 }
 
 function limitWorkers(
--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -9,6 +9,7 @@
 import { orderSteps } from "./StepOrder.js";
 import { explainWait, type WaitReason } from "./WaitReason.js";
 import { warmUpPenalty } from "./warmUpPenalty.js";
+import { countRunning, hasRequiredLabel } from "./workerFit.js";
 
 /** A task to be started on a worker. */
 export interface Placement {
@@ -179,9 +180,7 @@
     }
 
     private isEligible(worker: WorkerState, { step, queue }: RankedStep): boolean {
-        const { workerLabel } = step.spec;
-        return worker.entry.pool === queue.pool
-            && (workerLabel === undefined || worker.entry.labels.includes(workerLabel));
+        return worker.entry.pool === queue.pool && hasRequiredLabel(worker, step);
     }
 
     private placeTasks(
@@ -287,17 +286,6 @@
     }
 }
 
-function countRunning(worker: WorkerState, step: StepState): number {
-    if (step.spec.maximumPerWorker === 0) {
-        return 0;
-    }
-    let count = 0;
-    for (const run of worker.runs.values()) {
-        count += run.task.step === step ? 1 : 0;
-    }
-    return count;
-}
-
 /**
  * Scores a worker for a task. Workers in the rack of the data come first, then the fullest ones (best fit), which
  * leaves the emptier workers to large tasks. Workers on which the task failed, reserved workers and suspect workers
--- a/packages/fleet/src/placement/WaitReason.ts
+++ b/packages/fleet/src/placement/WaitReason.ts
@@ -1,6 +1,7 @@
 import type { FleetState } from "../state/FleetState.js";
 import type { StepState } from "../state/StepState.js";
 import type { WorkerState } from "../state/WorkerState.js";
+import { hasRequiredLabel } from "./workerFit.js";
 
 /** Why the waiting tasks of a step do not start. */
 export enum WaitReason {
@@ -46,8 +47,7 @@
         return WaitReason.TeamLimit;
     }
     const eligible = [...fleet.workers.values()].filter(worker =>
-        worker.entry.pool === queue.pool
-        && (step.spec.workerLabel === undefined || worker.entry.labels.includes(step.spec.workerLabel))
+        worker.entry.pool === queue.pool && hasRequiredLabel(worker, step)
     );
     const usable = eligible.filter(worker => worker.canStart(nowMs));
     if (usable.length === 0) {
--- a/packages/fleet/src/placement/WorkerVerdict.ts
+++ b/packages/fleet/src/placement/WorkerVerdict.ts
@@ -1,5 +1,6 @@
 import type { WorkerState } from "../state/WorkerState.js";
 import type { QueuedStep } from "./RankedStep.js";
+import { hasRequiredLabel } from "./workerFit.js";
 
 /** Whether a worker could take a task of a step now, or why not. */
 export enum WorkerVerdict {
@@ -26,7 +27,7 @@
     if (worker.entry.pool !== queue.pool) {
         return WorkerVerdict.OtherPool;
     }
-    if (spec.workerLabel !== undefined && !worker.entry.labels.includes(spec.workerLabel)) {
+    if (!hasRequiredLabel(worker, step)) {
         return WorkerVerdict.NoLabel;
     }
     if (worker.evacuated) {
--- a/packages/proof/src/fleet/FleetDeployment.ts
+++ b/packages/proof/src/fleet/FleetDeployment.ts
@@ -4,12 +4,12 @@
 import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
 import { type CallerReply, CallerVerb, ReplyKind } from "@skylarkpath/fleet/entry/EntryTypes";
 import { FleetProcess } from "@skylarkpath/fleet/FleetProcess";
-import type { FleetConfig, QueueConfig, TeamConfig } from "@skylarkpath/fleet/model/FleetConfig";
+import type { FleetConfig } from "@skylarkpath/fleet/model/FleetConfig";
 import { JobPhase, type JobSchedule, type JobSpec, type StepSpec } from "@skylarkpath/fleet/model/JobSpec";
 import type { OwnerRow } from "@skylarkpath/fleet/model/OwnerRow";
 import { FLEET_PARTITION, FleetTable, OWNER_KEY } from "@skylarkpath/fleet/model/Tables";
 import { OwnerCallFailure, type OwnerClient } from "@skylarkpath/fleet/ports/OwnerClient";
-import type { PlacementPolicy } from "@skylarkpath/fleet/ports/PlacementPolicy";
+import type { PlacementPolicy, PolicyAnswer, PolicyQuestion } from "@skylarkpath/fleet/ports/PlacementPolicy";
 import type { WorkerEntry } from "@skylarkpath/fleet/ports/WorkerClient";
 import { PLAIN_STEP, PLAIN_WORKER } from "@skylarkpath/fleet/testing/FleetFixture";
 import { MemoryFleet } from "@skylarkpath/standins/fleet/MemoryFleet";
@@ -17,6 +17,7 @@
 import { TaskRules } from "@skylarkpath/standins/fleet/TaskRules";
 import { err, ok, type Result } from "neverthrow";
 import { chargeReplies } from "./chargeReplies.js";
+import { type ConfigChange, createConfig, HOST, MAX_ATTEMPTS, QUEUE_PATH_PREFIX, TEAM_KEY } from "./fleetConfig.js";
 import { LaggingTimer } from "./LaggingTimer.js";
 import { ModelledProcessor } from "./ModelledProcessor.js";
 
@@ -47,11 +48,7 @@
     alive: boolean;
 }
 
-const TEAM_KEY = "key-of-lab";
-const QUEUE_PATH_PREFIX = "/jobs/";
-const HOST = "lab.example";
 const EVACUATION = "evacuate/";
-const MAX_ATTEMPTS = 3;
 const LINK_DELAY_MS = 1;
 /** Time after which a worker is back that a task has crashed. */
 const CRASH_DOWN_MS = 2500;
@@ -85,6 +82,10 @@
     public renamesCrashedWorkers = false;
     /** Number of states of jobs that owners have told entries so far. */
     public toldStateCount = 0;
+    /** Questions that the placement policy has been asked so far. */
+    public readonly questions: PolicyQuestion[] = [];
+    /** Answer of the placement policy; undefined if it gives none. */
+    public answerQuestion: (question: PolicyQuestion) => PolicyAnswer | undefined = allowAll;
     private jobCount = 0;
     private configVersion = 0;
 
@@ -114,31 +115,8 @@
     }
 
     /** Stores the next version of the configuration, with these changes to the defaults. */
-    public putConfig(change: { readonly queue?: Partial<QueueConfig>; readonly team?: Partial<TeamConfig>; }): void {
-        const config: FleetConfig = {
-            version: ++this.configVersion,
-            queues: [{
-                name: "jobs",
-                host: HOST,
-                pathPrefix: QUEUE_PATH_PREFIX,
-                pool: "pool",
-                priority: 1,
-                maximumAttempts: MAX_ATTEMPTS,
-                stretchFactor: 2,
-                targetLatencyMs: 1000,
-                open: false,
-                ...change.queue
-            }],
-            pools: [{ name: "pool", refusesOverload: false, standby: false }],
-            teams: [{
-                name: "lab",
-                keys: [TEAM_KEY],
-                share: 100,
-                limit: { cpuMilli: 0, memoryMb: 0, accelerators: 0 },
-                ...change.team
-            }],
-            maximumBodyBytes: 100_000
-        };
+    public putConfig(change: ConfigChange): void {
+        const config = createConfig(++this.configVersion, change);
         this.store.put({ table: "config", partition: "", key: "config" }, JSON.stringify(config));
     }
 
@@ -148,9 +126,14 @@
     }
 
     /** Starts a new incarnation of a worker and adds it to the directory. */
-    public startWorker(id: string, address = id, failureDomain = PLAIN_WORKER.failureDomain): void {
+    public startWorker(
+        id: string,
+        address = id,
+        failureDomain = PLAIN_WORKER.failureDomain,
+        labels = PLAIN_WORKER.labels
+    ): void {
         const incarnation = this.timer.wallClockMs() + 1;
-        const entry: WorkerEntry = { ...PLAIN_WORKER, id, address, failureDomain, incarnation };
+        const entry: WorkerEntry = { ...PLAIN_WORKER, id, address, failureDomain, labels, incarnation };
         this.fleet.start(entry);
         this.updateDirectory(entry);
     }
@@ -318,7 +301,7 @@
         return running.process.handle({
             verb,
             host: HOST,
-            path: QUEUE_PATH_PREFIX + jobId,
+            path: job ? `/${job.queue}/${jobId}` : QUEUE_PATH_PREFIX + jobId,
             key,
             parseJob: job && (() => ({ payload: job.payload, steps: job.steps, schedule: job.schedule }))
         });
@@ -375,11 +358,9 @@
     private createPolicy(): PlacementPolicy {
         return {
             ask: async question => {
+                this.questions.push(question);
                 await sleep(this.timer, 50);
-                return {
-                    permits: question.workerIds.map(workerId => ({ workerId, permit: "permit" })),
-                    permitMs: 1500
-                };
+                return this.answerQuestion(question);
             }
         };
     }
@@ -389,6 +370,11 @@
     }
 }
 
+/** Answer of a policy that allows every worker. */
+export function allowAll({ workerIds }: PolicyQuestion): PolicyAnswer {
+    return { permits: workerIds.map(workerId => ({ workerId, permit: "permit" })), permitMs: 1500 };
+}
+
 function decodeWorkerEntry(text: string): Result<WorkerEntry, string> {
     try {
         const entry = JSON.parse(text) as WorkerEntry | undefined;
