Owner: questions that bring nothing are spaced, and come after other work

Callers would see accepted work that never starts while more urgent jobs wait for a policy that allows them no worker, gives no answer about them, or answers when its permits have expired.

Cause: such a step asked again at once, or after 1.5 s, at its place in the order and without an end, and an entry was paused for 0.3 s by each question without an answer even if it answered others meanwhile.

--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -1,6 +1,7 @@
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import type { PolicyTiming } from "../model/FleetConfig.js";
+import type { QueuedStep } from "../placement/RankedStep.js";
 import type { PolicyReply, PrefetchedPermits } from "../ports/OwnerClient.js";
 import type { PolicyAnswer, PolicyQuestion } from "../ports/PlacementPolicy.js";
 import type { FleetState } from "../state/FleetState.js";
@@ -9,6 +10,7 @@
 import type { WorkerState } from "../state/WorkerState.js";
 import { CapacityBudget, type IsReserved } from "./CapacityBudget.js";
 import { DurationMeter, type Durations } from "./DurationMeter.js";
+import { FruitlessQuestions } from "./FruitlessQuestions.js";
 import { MAX_BACKLOG_MS, type OwnEntry, PolicyChannels } from "./PolicyChannels.js";
 import { QuestionWorkers } from "./QuestionWorkers.js";
 
@@ -48,6 +50,10 @@
 const MAX_ANSWER_AGE_MS = 10_000;
 /** Age that an answer may have on arrival: one-way latency between regions, and the batching of messages. */
 const ANSWER_DELAY_MARGIN_MS = 60;
+/** Steps for which earlier questions brought nothing have at most this share of the channels. */
+const MAX_FRUITLESS_CHANNEL_SHARE = 0.5;
+/** Permits with less time left than this on arrival are of no use. */
+const MIN_PERMIT_MS = 60;
 /** Weight of an answer in the moving average of the time until answers: of the last 30 or so. */
 const DELAY_WEIGHT = 0.05;
 
@@ -62,6 +68,7 @@
     private readonly policyTimes = new DurationMeter();
     private lateAnswers = 0;
     private failedQuestions = 0;
+    private readonly fruitless = new FruitlessQuestions();
 
     /** A question waits for the entry with this name. */
     public readonly onQuestion = this.questionAdded.event;
@@ -89,11 +96,15 @@
         return this.channels.hasQuestions(entry);
     }
 
-    /** Requests permits for the steps that could use them, in this order, until no channel is free. */
+    /**
+     * Requests permits for the steps that could use them, in this order, until no channel is free. Steps for which earlier
+     * questions brought nothing come after the others, and have a part of the channels.
+     */
     public request(steps: readonly StepState[], nowMs: number, isReserved: IsReserved = () => false): void {
         this.dropExpiredQuestions(nowMs);
         const budget = new CapacityBudget(this.fleet, nowMs, isReserved, this.passCount++);
         const workers = new QuestionWorkers(this.fleet, nowMs);
+        const fruitless: QueuedStep[] = [];
         let hasFreeChannel = this.channels.hasFree(nowMs);
         for (const step of steps) {
             if (!hasFreeChannel) {
@@ -104,14 +115,61 @@
                 continue;
             }
             const queued = { step, queue };
-            if (!budget.draw(queued) && !workers.isDenied(queued)) {
-                continue;
+            if (this.fruitless.isFruitless(step)) {
+                fruitless.push(queued);
             }
-            if (!this.isAwaitingAnswer(step, nowMs)) {
-                this.ask(step, queue.policy, workers.choose(queued), nowMs);
+            else if (budget.draw(queued)) {
+                this.askIfNeeded(queued, queue.policy, workers, nowMs);
                 hasFreeChannel = this.channels.hasFree(nowMs);
             }
+            else if (workers.isDenied(queued)) {
+                this.fruitless.recordDenied(step);
+            }
         }
+        this.requestAgain(fruitless, budget, workers, nowMs);
+    }
+
+    private requestAgain(
+        steps: readonly QueuedStep[],
+        budget: CapacityBudget,
+        workers: QuestionWorkers,
+        nowMs: number
+    ): void {
+        const openCount =
+            [...this.pendingQuestions.values()].filter(({ step }) => this.fruitless.isFruitless(step)).length;
+        const { active } = this.channels.count(nowMs);
+        let left = Math.max(1, Math.floor(active * MAX_FRUITLESS_CHANNEL_SHARE)) - openCount;
+        for (const queued of steps) {
+            if (left <= 0 || !this.channels.hasFree(nowMs)) {
+                return;
+            }
+            const { permits } = queued.step;
+            const isDenied = permits.deniedCount > 0 && workers.isDenied(queued);
+            if (isDenied) {
+                this.fruitless.recordDenied(queued.step);
+            }
+            if (nowMs < permits.retryAtMs && (isDenied || permits.unansweredCount > 0)) {
+                continue;
+            }
+            if (isDenied) {
+                permits.answeredWorkers.clear();
+            }
+            if (budget.draw(queued)) {
+                left -= this.askIfNeeded(queued, queued.queue.policy!, workers, nowMs);
+            }
+        }
+    }
+
+    /** Asks about a step unless an answer is expected; returns the number of questions. */
+    private askIfNeeded(queued: QueuedStep, policy: PolicyTiming, workers: QuestionWorkers, nowMs: number): number {
+        const { step } = queued;
+        const { openQuestions } = step.permits;
+        if (this.isAwaitingAnswer(step, nowMs)) {
+            return 0;
+        }
+        const previousCount = openQuestions.size;
+        this.ask(step, policy, workers.choose(queued), nowMs);
+        return openQuestions.size - previousCount;
     }
 
     /** Records the answer of the policy, or that it gave none. */
@@ -140,6 +198,14 @@
         if (reply.permits) {
             this.applyAnswer(step, workers, { permits: reply.permits, permitMs: reply.permitMs }, answeredAtMs);
         }
+        const isOfUse = reply.permits
+            && (reply.permits.length === 0 || step.permits.latestExpiryMs > nowMs + MIN_PERMIT_MS);
+        if (isOfUse) {
+            this.fruitless.recordAnswer(step, nowMs);
+        }
+        else {
+            this.fruitless.recordUnanswered(step, nowMs);
+        }
     }
 
     /** Records the permits for which an entry has asked before it reported the job. */
@@ -149,6 +215,7 @@
             const nowMs = this.timer.nowMs();
             const workers = workerIds.flatMap(id => this.fleet.workers.get(id) ?? []);
             step.permits.answeredAtMs = nowMs;
+            this.fruitless.recordAnswer(step, nowMs);
             this.applyAnswer(step, workers, answer, nowMs - ageMs - this.channels.wayMs(entry));
         }
     }
@@ -172,6 +239,9 @@
             if (permit && isNewer) {
                 step.permits.byWorker.set(worker.id, { permit: permit.permit, incarnation, expiresAtMs });
                 step.permits.latestExpiryMs = Math.max(step.permits.latestExpiryMs, expiresAtMs);
+                if (expiresAtMs > this.timer.nowMs() + MIN_PERMIT_MS) {
+                    this.fruitless.recordPermit(step);
+                }
             }
         }
     }
@@ -256,6 +326,7 @@
             }
             this.pendingQuestions.delete(number);
             step.permits.openQuestions.delete(number);
+            this.fruitless.recordUnanswered(step, nowMs);
         }
     }
 
--- a/packages/fleet/src/owner/PolicyChannels.ts
+++ b/packages/fleet/src/owner/PolicyChannels.ts
@@ -28,6 +28,8 @@
     wayMs: number | undefined;
     /** It gets no questions until then, or until it answers one, since an answer was given up. */
     pausedUntilMs: number;
+    /** The policy has answered a question since the last one that it did not answer. */
+    hasAnswered: boolean;
 }
 
 /** Entry of the owner's own process. */
@@ -99,7 +101,8 @@
             delayMs: 0,
             delayMeasuredAtMs: nowMs,
             wayMs: undefined,
-            pausedUntilMs: nowMs
+            pausedUntilMs: nowMs,
+            hasAnswered: false
         });
     }
 
@@ -184,6 +187,7 @@
         channel.openQuestions.delete(number);
         channel.overdueQuestions.delete(number);
         channel.pausedUntilMs = nowMs;
+        channel.hasAnswered = true;
         if (channel.openQuestions.size === 0) {
             channel.busyUntilMs = Math.min(channel.busyUntilMs, nowMs);
         }
@@ -194,12 +198,17 @@
         channel.wayMs = channel.wayMs === undefined ? wayMs : average(channel.wayMs, wayMs);
     }
 
-    /** Records that the policy has not answered a question of an entry, which is given no other one for a while. */
+    /**
+     * Records that the policy has not answered a question of an entry, which is given no other one for a while. An entry
+     * that has answered since the previous failure goes on: the question may be the cause.
+     */
     public recordFailure(entry: string, number: number, nowMs: number): void {
-        this.recordAnswer(entry, number, nowMs);
         const channel = this.channels.get(entry);
         if (channel) {
-            channel.pausedUntilMs = nowMs + FAILURE_PAUSE_MS;
+            const { pausedUntilMs, hasAnswered } = channel;
+            this.recordAnswer(entry, number, nowMs);
+            channel.pausedUntilMs = hasAnswered ? pausedUntilMs : nowMs + FAILURE_PAUSE_MS;
+            channel.hasAnswered = false;
         }
     }
 
--- a/packages/fleet/src/owner/QuestionWorkers.ts
+++ b/packages/fleet/src/owner/QuestionWorkers.ts
@@ -7,8 +7,6 @@
 
 /** Permits of a gang are renewed when this share of its members fits on the workers that were allowed. */
 const MIN_GANG_FREE_SHARE = 0.6;
-/** The policy is asked again after this time about a step for which it allowed no worker. */
-const DENIED_RETRY_MS = 1500;
 /** A permit with less time left than this is renewed. */
 const RENEWAL_MARGIN_MS = 150;
 
@@ -44,9 +42,6 @@
         if (!spec.gang && allowedCount >= 1) {
             return limitWorkers(expiring, step);
         }
-        if (this.isDenied({ step, queue }) && this.nowMs >= permits.answeredAtMs + DENIED_RETRY_MS) {
-            permits.answeredWorkers.clear();
-        }
         return limitWorkers(this.listUsable(queue.pool).filter(worker => isUnknown(step, worker)), step);
     }
 
--- a/packages/fleet/src/state/StepState.ts
+++ b/packages/fleet/src/state/StepState.ts
@@ -15,6 +15,14 @@
     answeredAtMs: number;
     /** Time at which the last permit expires. */
     latestExpiryMs: number;
+    /** Questions in a row without an answer that was of use. */
+    unansweredCount: number;
+    /** Time at which the last of them was given up, or its answer came too late. */
+    unansweredAtMs: number;
+    /** Times in a row that the policy has denied all workers. */
+    deniedCount: number;
+    /** Time before which the policy is not asked again after it gave no answer, or denied all workers. */
+    retryAtMs: number;
 }
 
 /** One step of one occurrence of a job. */
@@ -32,7 +40,11 @@
         answeredWorkers: new Map(),
         openQuestions: new Set(),
         answeredAtMs: 0,
-        latestExpiryMs: 0
+        latestExpiryMs: 0,
+        unansweredCount: 0,
+        unansweredAtMs: 0,
+        deniedCount: 0,
+        retryAtMs: 0
     };
 
     constructor(
--- a/packages/proof/src/fleet/WaitingWork.test.ts
+++ b/packages/proof/src/fleet/WaitingWork.test.ts
@@ -12,7 +12,9 @@
     readonly pool?: string;
     readonly team?: ConfigChange["otherTeam"];
     /** Answer of the policy to questions about these jobs. */
-    readonly answer?: (question: PolicyQuestion) => PolicyAnswer;
+    readonly answer?: (question: PolicyQuestion) => PolicyAnswer | undefined;
+    /** Time until other work is asked about; unanswered questions pause their entries, until the cause is clear. */
+    readonly settleMs?: number;
     /** Prepares the fleet before any job. */
     readonly prepare?: (deployment: FleetDeployment) => void;
     /** Changes the fleet once the jobs wait. */
@@ -92,9 +94,16 @@
         step: { ...WIDE, ...LASTING, size: SMALL },
         team: OTHER_TEAM
     },
+    "the team's limit lets two of their tasks run at a time": { step: { ...WIDE, size: SMALL }, team: OTHER_TEAM },
     "a gang is beyond the team's limit": {
         step: { gang: true, taskCount: 12, size: SMALL },
         team: OTHER_TEAM
+    },
+    "the policy allows no worker": { step: WIDE, answer: () => ({ permits: [] }) },
+    "the policy gives no answer": { step: WIDE, answer: () => undefined, settleMs: 10_000 },
+    "permits have expired when they arrive": {
+        step: WIDE,
+        answer: question => ({ ...allowAll(question), permitMs: 50 })
     }
 };
 
@@ -130,15 +139,18 @@
             waitingIds.add(job.id);
             await submit(deployment, job, waiting.team?.keys?.[0]);
         }
-        await timer.advance(5000);
+        const runOtherJobs = async (): Promise<void> => {
+            for (let count = 0; count < OTHER_JOBS; count++) {
+                const other = deployment.createJob([SMALL_STEP, { ...SMALL_STEP, after: [0] }]);
+                await submit(deployment, other);
+                t.is(await deployment.waitUntilFinal(other, OTHER_JOB_MS), JobPhase.Completed);
+            }
+        };
+        await timer.advance(waiting.settleMs ?? 0);
+        await runOtherJobs();
         waiting.change?.(deployment);
-        await timer.advance(5000);
         const [fromMs, fromQuestion] = [timer.nowMs(), questions.length];
-        for (let count = 0; count < OTHER_JOBS; count++) {
-            const other = deployment.createJob([SMALL_STEP, { ...SMALL_STEP, after: [0] }]);
-            await submit(deployment, other);
-            t.is(await deployment.waitUntilFinal(other, OTHER_JOB_MS), JobPhase.Completed);
-        }
+        await runOtherJobs();
         const askedCount = questions.slice(fromQuestion).filter(isAboutWaiting).length;
         const perSecond = askedCount * 1000 / (timer.nowMs() - fromMs);
         t.true(perSecond <= MAX_QUESTIONS_PER_SECOND, `${perSecond} questions a second about jobs that wait`);
