Owner: a team at its limit gets permits for what it is expected to free

Change: the steps of a team share one allowance, which includes half of what the team uses, as for workers.

--- a/packages/fleet/src/owner/CapacityBudget.ts
+++ b/packages/fleet/src/owner/CapacityBudget.ts
@@ -1,4 +1,4 @@
-import { addResources, type ResourceSum } from "../model/ResourceSum.js";
+import { addResources, createResourceSum, type ResourceSum } from "../model/ResourceSum.js";
 import type { QueuedStep } from "../placement/RankedStep.js";
 import { countCapacityFits, countFreeFits } from "../placement/workerFit.js";
 import type { FleetState } from "../state/FleetState.js";
@@ -16,7 +16,7 @@
     turnoverCpuMilli: number;
 }
 
-/** Part of a worker's capacity that is expected to become free while permits are valid. */
+/** Part of a worker's capacity, and of what a team uses, that is expected to become free while permits are valid. */
 const TURNOVER_SHARE = 0.5;
 
 /**
@@ -26,6 +26,8 @@
  */
 export class CapacityBudget {
     private readonly rooms = new Map<string, WorkerRoom[]>();
+    /** What teams have drawn, less what is expected to become free. */
+    private readonly drawnByTeam = new Map<string, ResourceSum>();
 
     /** `rotation` chooses the workers that steps draw from first, so that no worker always counts as taken. */
     constructor(
@@ -55,10 +57,14 @@
     public draw(queued: QueuedStep): boolean {
         const { step, queue } = queued;
         const { gang, size } = step.spec;
-        const allowance = this.fleet.countWithinTeamLimit(step.job.spec.team, size);
+        const { team } = step.job.spec;
+        const drawnByTeam = this.drawnBy(team);
+        const allowance = this.fleet.countWithinTeamLimit(team, size, drawnByTeam);
         const wanted = gang && allowance < step.waitingCount ? 0 : Math.min(step.waitingCount, allowance);
         const rooms = this.roomsOf(queue.pool);
-        return (gang ? this.drawForGang(queued, rooms, wanted) : this.drawForTasks(queued, rooms, wanted)) > 0;
+        const drawn = gang ? this.drawForGang(queued, rooms, wanted) : this.drawForTasks(queued, rooms, wanted);
+        addResources(drawnByTeam, size, drawn);
+        return drawn > 0;
     }
 
     private drawForTasks(queued: QueuedStep, rooms: readonly WorkerRoom[], wanted: number): number {
@@ -134,4 +140,14 @@
         this.rooms.set(pool, rooms);
         return rooms;
     }
+
+    private drawnBy(team: string): ResourceSum {
+        let drawn = this.drawnByTeam.get(team);
+        if (!drawn) {
+            drawn = createResourceSum();
+            addResources(drawn, this.fleet.usedBy(team), -TURNOVER_SHARE);
+            this.drawnByTeam.set(team, drawn);
+        }
+        return drawn;
+    }
 }
