Owner: a gang is asked about workers until all of its members could fit

Callers would see a gang that waits for ever on a fleet of more than 100 workers, though the policy allows enough of them.

Cause: a question names 100 workers at most, and once 60% of the members fit on allowed workers the gang's permits were only renewed, also if the allowed workers can't hold all members when they are empty.

Change: permits are renewed only if all members fit on the allowed workers once these are empty; until then further workers are asked about.

--- a/packages/fleet/src/owner/PermitRequester.test.ts
+++ b/packages/fleet/src/owner/PermitRequester.test.ts
@@ -86,6 +86,26 @@
     t.is(other!.permits.byWorker.size, 80);
 });
 
+// Guards against a gang that has permits for most of its members, and waits for ever for the others.
+test("a gang that has too few workers is asked about others, though most of its members fit", t => {
+    const { fleet, timer, requester } = setUp(200);
+    const [gang] = [...addJob(fleet, [{ taskCount: 60, gang: true }], "00000000000000b1").readySteps()];
+    const allowTenth = (): readonly string[] => {
+        requester.request([gang!], timer.nowMs());
+        return requester.takeQuestions("e1").flatMap(({ number, workerIds }) => {
+            const permits = workerIds.filter((...[, index]) => index % 10 === 0).map(id => ({
+                workerId: id,
+                permit: "p"
+            }));
+            requester.handleReply("e1", { question: number, permits, permitMs: 1500 });
+            return workerIds;
+        });
+    };
+    const asked = [...allowTenth(), ...allowTenth()];
+    t.is(new Set(asked).size, 200);
+    t.is(gang!.permits.byWorker.size, 20);
+});
+
 test("long questions are not split while most entries are asking: they leave the others to more steps", t => {
     const { fleet, timer, requester } = setUp(80);
     const policy = { decideMs: 300, perWorkerMs: 5, permitMs: 1500 };
--- a/packages/fleet/src/owner/QuestionWorkers.ts
+++ b/packages/fleet/src/owner/QuestionWorkers.ts
@@ -18,23 +18,26 @@
 
     /**
      * Chooses the workers to ask about: those not asked about yet, until enough tasks fit on workers that were allowed;
-     * from then on, those whose permits have to be renewed.
+     * from then on, those whose permits have to be renewed. The members of a gang must all fit on allowed workers once
+     * these are empty.
      */
     public choose({ step, queue }: QueuedStep): readonly WorkerState[] {
         const { spec, permits } = step;
         const waiting = step.waitingCount;
         const allowed = this.listAllowed(step, queue.pool);
         let allowedCount = 0;
+        let capacityCount = 0;
         const expiring: WorkerState[] = [];
         for (const worker of allowed) {
             const fitCount = countFreeFits(worker, step);
             allowedCount += fitCount;
+            capacityCount += countCapacityFits(worker, step);
             const expiresAtMs = permits.byWorker.get(worker.id)?.expiresAtMs ?? 0;
             if (expiresAtMs < this.nowMs + RENEWAL_MARGIN_MS && (spec.gang || fitCount > 0)) {
                 expiring.push(worker);
             }
         }
-        if (spec.gang && allowedCount >= waiting * MIN_GANG_FREE_SHARE) {
+        if (spec.gang && allowedCount >= waiting * MIN_GANG_FREE_SHARE && capacityCount >= waiting) {
             // Members start together, so their permits are renewed together, and before there is capacity for all of
             // them.
             return expiring.length > 0 ? limitWorkers(allowed, step) : [];
