Order by delay cost: jobs that no worker can run take no room from overdue ones

Cause: waiting tasks counted as demand for the room of a pool, and took the part of it that is kept for overdue jobs, whether a worker could run them or not; an overdue job that could run waited a second for each of them.

Change: steps for which no worker has the label and the capacity are no demand, and take no part of the room for overdue jobs.

Measured: the test added to ScarceRoomOrder.test.ts fails before the change and passes now, with the other 35 of packages/fleet/src/placement.

--- a/packages/fleet/src/placement/OverdueSteps.ts
+++ b/packages/fleet/src/placement/OverdueSteps.ts
@@ -33,7 +33,7 @@
         const overdue = [...waiting.slice(first), ...waiting.slice(0, first)];
         return overdue.filter(({ step, queue }) => {
             const room = this.pools.get(queue.pool);
-            if (!room) {
+            if (!room?.canRun(step)) {
                 return false;
             }
             const taken = this.takenShare.get(room) ?? 0;
--- a/packages/fleet/src/placement/PoolRoom.ts
+++ b/packages/fleet/src/placement/PoolRoom.ts
@@ -1,9 +1,9 @@
-import type { ResourceAmounts } from "../model/JobSpec.js";
 import { addResources, createResourceSum, type ResourceSum } from "../model/ResourceSum.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { StepState } from "../state/StepState.js";
-import { chargedResources } from "../state/WorkerState.js";
+import { chargedResources, type WorkerState } from "../state/WorkerState.js";
 import { countProcessors } from "./DelayCost.js";
+import { countCapacityFits } from "./workerFit.js";
 
 /** Work that takes room of a pool. */
 export interface RoomDemand {
@@ -17,13 +17,21 @@
 export class PoolRoom {
     private readonly capacity: ResourceSum = createResourceSum();
     private readonly free: ResourceSum = createResourceSum();
+    private readonly workers: WorkerState[] = [];
     private waitingShareMs = 0;
 
-    /** Adds the capacity of a worker that takes new tasks, and what is in use there. */
-    public addWorker(capacity: ResourceAmounts, used: ResourceSum): void {
+    /** Adds a worker that takes new tasks, with what is in use there. */
+    public addWorker(worker: WorkerState): void {
+        const { capacity } = worker.entry;
+        this.workers.push(worker);
         addResources(this.capacity, capacity);
         addResources(this.free, capacity);
-        addResources(this.free, used, -1);
+        addResources(this.free, worker.used, -1);
+    }
+
+    /** Returns whether a worker has the label and the capacity that tasks of a step need. */
+    public canRun(step: StepState): boolean {
+        return this.workers.some(worker => countCapacityFits(worker, step) > 0);
     }
 
     /** Processors of the pool, with its accelerators. */
@@ -67,9 +75,9 @@
     const pools = new Map<string, PoolRoom>();
     for (const worker of fleet.workers.values()) {
         if (worker.canStart(nowMs)) {
-            const { pool, capacity } = worker.entry;
+            const { pool } = worker.entry;
             const room = pools.get(pool) ?? new PoolRoom();
-            room.addWorker(capacity, worker.used);
+            room.addWorker(worker);
             pools.set(pool, room);
         }
     }
--- a/packages/fleet/src/placement/ScarceRoomOrder.test.ts
+++ b/packages/fleet/src/placement/ScarceRoomOrder.test.ts
@@ -216,6 +216,21 @@
     t.is(next?.step.job, useless[1], "they take turns, since the first one may not be able to start");
 });
 
+// Guards against jobs that no worker can run and that take the room for overdue jobs, and make room count as scarce.
+test("a job that no worker can run takes no room from overdue jobs", t => {
+    const fleet = createFleet();
+    fleet.ordersByDelayCost = true;
+    addWorker(fleet, "w1");
+    ["1", "2", "3"].forEach(digit => addJob(fleet, [{ taskCount: 8, workerLabel: "none" }], `00000000000000a${digit}`));
+    const overdue = addJob(fleet, [{}], "00000000000000a4");
+    const nowMs = 40_000;
+    const standingOf = (): Standing | undefined =>
+        orderSteps(fleet, nowMs).find(({ step }) => step.job === overdue)?.standing;
+    t.is(standingOf(), Standing.Useless, "there is room for it");
+    Object.assign(addJob(fleet, [{ taskCount: 8 }], "00000000000000b1"), { acceptedAtMs: nowMs });
+    t.is(standingOf(), Standing.Overdue);
+});
+
 test("gangs keep the order of their due times when room is scarce, while other steps go by cost", t => {
     const fleet = createFleet();
     fleet.ordersByDelayCost = true;
--- a/packages/fleet/src/placement/ScarceRoomOrder.ts
+++ b/packages/fleet/src/placement/ScarceRoomOrder.ts
@@ -10,7 +10,7 @@
 interface CompetingStep {
     readonly ranked: RankedStep;
     readonly room: PoolRoom;
-    /** Number of its tasks that the limit of its team lets start. */
+    /** Number of its tasks that the limit of its team lets start; zero if no worker can run them. */
     readonly taskCount: number;
     readonly demand: RoomDemand;
 }
@@ -95,7 +95,7 @@
     if (!room) {
         return undefined;
     }
-    const allowed = fleet.countWithinTeamLimit(step.job.spec.team, step.spec.size);
+    const allowed = room.canRun(step) ? fleet.countWithinTeamLimit(step.job.spec.team, step.spec.size) : 0;
     const taskCount = step.spec.gang && allowed < step.waitingCount ? 0 : Math.min(allowed, step.waitingCount);
     const share = room.shareOf(step, taskCount);
     return { ranked, room, taskCount, demand: { share, shareMs: share * fleet.expectedDurationMs(step) } };
