Owner: parts of one question without an answer count as one

Cause: since steps without an answer are put off, the parts of one long question, which fail or are given up together, counted as several questions in a row, and a question that was lost counted after a later one had been answered. The step was then not asked about for up to some seconds.

Change: a question counts only if it was asked after the last answer and the last failure about its step. The limit below which a permit is of no use is the planner's.

--- a/packages/fleet/src/owner/FruitlessQuestions.ts
+++ b/packages/fleet/src/owner/FruitlessQuestions.ts
@@ -28,6 +28,7 @@
     public recordAnswer({ permits }: StepState, nowMs: number): void {
         this.answeredAtMs = nowMs;
         permits.unansweredCount = 0;
+        permits.settledAtMs = nowMs;
     }
 
     /** Records a permit that a step can use. */
@@ -37,11 +38,17 @@
         permits.retryAtMs = 0;
     }
 
-    /** Records that an answer about a step is missing, or came when its permits had expired. */
-    public recordUnanswered({ permits }: StepState, nowMs: number): void {
-        const answersOthers = permits.unansweredCount > 0 && this.answeredAtMs >= permits.unansweredAtMs;
+    /**
+     * Records that an answer about a step is missing, or came when its permits had expired. Parts of one question count
+     * once, and not at all if another one has been answered since.
+     */
+    public recordUnanswered({ permits }: StepState, askedAtMs: number, nowMs: number): void {
+        if (askedAtMs <= permits.settledAtMs) {
+            return;
+        }
+        const answersOthers = permits.unansweredCount > 0 && this.answeredAtMs >= permits.settledAtMs;
         permits.unansweredCount++;
-        permits.unansweredAtMs = nowMs;
+        permits.settledAtMs = nowMs;
         const maximumMs = answersOthers ? MAX_UNANSWERED_RETRY_MS : MAX_OUTAGE_RETRY_MS;
         permits.retryAtMs = nowMs + backOff(UNANSWERED_RETRY_MS, permits.unansweredCount, maximumMs);
     }
--- a/packages/fleet/src/owner/PermitRequester.test.ts
+++ b/packages/fleet/src/owner/PermitRequester.test.ts
@@ -86,6 +86,24 @@
     t.is(other!.permits.byWorker.size, 80);
 });
 
+// Guards against a step that is put off for seconds, since the parts of one question counted as several in a row.
+test("parts of a question that are not answered count as one, and the step is asked about again at once", t => {
+    const { fleet, timer, requester } = setUp(80);
+    const policy = { decideMs: 300, perWorkerMs: 5, permitMs: 1500 };
+    fleet.config = { ...PLAIN_CONFIG, queues: [{ ...PLAIN_CONFIG.queues[0]!, policy }] };
+    const entries = Array.from({ length: 30 }, (...[, number]) => `f${number}`);
+    entries.forEach(entry => requester.recordEntry(entry));
+    const [gang] = [...addJob(fleet, [{ taskCount: 20, gang: true }], "00000000000000b1").readySteps()];
+    const countAsked = (): number => {
+        requester.request([gang!], timer.nowMs());
+        const asked = entries.flatMap(entry => requester.takeQuestions(entry).map(({ number }) => ({ entry, number })));
+        asked.forEach(({ entry, number }) => requester.handleReply(entry, { question: number, permits: undefined }));
+        return asked.length;
+    };
+    t.is(countAsked(), 4);
+    t.is(countAsked(), 4);
+});
+
 // Guards against a gang that has permits for most of its members, and waits for ever for the others.
 test("a gang that has too few workers is asked about others, though most of its members fit", t => {
     const { fleet, timer, requester } = setUp(200);
--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -1,6 +1,7 @@
 import { Emitter } from "@skylarkpath/common/base/Emitter";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import type { PolicyTiming } from "../model/FleetConfig.js";
+import { PERMIT_MARGIN_MS } from "../placement/PlacementPlanner.js";
 import type { QueuedStep } from "../placement/RankedStep.js";
 import type { PolicyReply, PrefetchedPermits } from "../ports/OwnerClient.js";
 import type { PolicyAnswer, PolicyQuestion } from "../ports/PlacementPolicy.js";
@@ -52,8 +53,6 @@
 const ANSWER_DELAY_MARGIN_MS = 60;
 /** Steps for which earlier questions brought nothing have at most this share of the channels. */
 const MAX_FRUITLESS_CHANNEL_SHARE = 0.5;
-/** Permits with less time left than this on arrival are of no use. */
-const MIN_PERMIT_MS = 60;
 /** Weight of an answer in the moving average of the time until answers: of the last 30 or so. */
 const DELAY_WEIGHT = 0.05;
 
@@ -119,7 +118,7 @@
                 fruitless.push(queued);
             }
             else if (budget.draw(queued)) {
-                this.askIfNeeded(queued, queue.policy, workers, nowMs);
+                this.askIfNeeded(queued, workers, nowMs);
                 hasFreeChannel = this.channels.hasFree(nowMs);
             }
             else if (workers.isDenied(queued)) {
@@ -129,6 +128,7 @@
         this.requestAgain(fruitless, budget, workers, nowMs);
     }
 
+    /** Requests permits for steps for which earlier questions brought nothing, as far as their time has come. */
     private requestAgain(
         steps: readonly QueuedStep[],
         budget: CapacityBudget,
@@ -155,16 +155,16 @@
                 permits.answeredWorkers.clear();
             }
             if (budget.draw(queued)) {
-                left -= this.askIfNeeded(queued, queued.queue.policy!, workers, nowMs);
+                left -= this.askIfNeeded(queued, workers, nowMs);
             }
         }
     }
 
     /** Asks about a step unless an answer is expected; returns the number of questions. */
-    private askIfNeeded(queued: QueuedStep, policy: PolicyTiming, workers: QuestionWorkers, nowMs: number): number {
-        const { step } = queued;
+    private askIfNeeded(queued: QueuedStep, workers: QuestionWorkers, nowMs: number): number {
+        const { step, queue: { policy } } = queued;
         const { openQuestions } = step.permits;
-        if (this.isAwaitingAnswer(step, nowMs)) {
+        if (!policy || this.isAwaitingAnswer(step, nowMs)) {
             return 0;
         }
         const previousCount = openQuestions.size;
@@ -199,12 +199,12 @@
             this.applyAnswer(step, workers, { permits: reply.permits, permitMs: reply.permitMs }, answeredAtMs);
         }
         const isOfUse = reply.permits
-            && (reply.permits.length === 0 || step.permits.latestExpiryMs > nowMs + MIN_PERMIT_MS);
+            && (reply.permits.length === 0 || step.permits.latestExpiryMs > nowMs + PERMIT_MARGIN_MS);
         if (isOfUse) {
             this.fruitless.recordAnswer(step, nowMs);
         }
         else {
-            this.fruitless.recordUnanswered(step, nowMs);
+            this.fruitless.recordUnanswered(step, pending.askedAtMs, nowMs);
         }
     }
 
@@ -239,7 +239,7 @@
             if (permit && isNewer) {
                 step.permits.byWorker.set(worker.id, { permit: permit.permit, incarnation, expiresAtMs });
                 step.permits.latestExpiryMs = Math.max(step.permits.latestExpiryMs, expiresAtMs);
-                if (expiresAtMs > this.timer.nowMs() + MIN_PERMIT_MS) {
+                if (expiresAtMs > this.timer.nowMs() + PERMIT_MARGIN_MS) {
                     this.fruitless.recordPermit(step);
                 }
             }
@@ -326,7 +326,7 @@
             }
             this.pendingQuestions.delete(number);
             step.permits.openQuestions.delete(number);
-            this.fruitless.recordUnanswered(step, nowMs);
+            this.fruitless.recordUnanswered(step, askedAtMs, nowMs);
         }
     }
 
--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -32,7 +32,7 @@
 }
 
 /** Permits with less time left than this may expire before the start order arrives, and are not used. */
-const PERMIT_MARGIN_MS = 60;
+export const PERMIT_MARGIN_MS = 60;
 
 interface Candidate {
     readonly worker: WorkerState;
--- a/packages/fleet/src/state/StepState.ts
+++ b/packages/fleet/src/state/StepState.ts
@@ -17,8 +17,8 @@
     latestExpiryMs: number;
     /** Questions in a row without an answer that was of use. */
     unansweredCount: number;
-    /** Time at which the last of them was given up, or its answer came too late. */
-    unansweredAtMs: number;
+    /** Time of the last answer, or at which the last question was given up. */
+    settledAtMs: number;
     /** Times in a row that the policy has denied all workers. */
     deniedCount: number;
     /** Time before which the policy is not asked again after it gave no answer, or denied all workers. */
@@ -42,7 +42,7 @@
         answeredAtMs: 0,
         latestExpiryMs: 0,
         unansweredCount: 0,
-        unansweredAtMs: 0,
+        settledAtMs: Number.NEGATIVE_INFINITY,
         deniedCount: 0,
         retryAtMs: 0
     };
