Tests: reservations and starts that are held back, among the reasons to wait

The table of reasons in WaitingWork.test.ts lacked workers that are reserved for a gang, and nothing showed that steps that may not start yet (a commit, a takeover, an old list of workers) are left out of the requests for permits.

--- a/packages/fleet/src/placement/PlacementPlanner.test.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.test.ts
@@ -32,6 +32,18 @@
     t.is(startAll(fleet, plan(fleet)).length, 0);
 });
 
+// Guards against questions about steps whose job waits for a commit, a takeover or a fresh list of workers.
+test("a step that may not start yet needs no permits, and those behind it do", t => {
+    const fleet = createFleet();
+    const policy = { decideMs: 10, perWorkerMs: 1, permitMs: 1500 };
+    fleet.config = { ...PLAIN_CONFIG, queues: [{ ...PLAIN_CONFIG.queues[0]!, policy }] };
+    addWorker(fleet, "w1");
+    const held = addJob(fleet, [{ taskCount: 8 }]);
+    const other = addJob(fleet, [{}], URGENT_ID);
+    const { stepsNeedingPermits } = new PlacementPlanner(fleet).plan(10, step => step.job !== held);
+    t.deepEqual(stepsNeedingPermits.map(({ job }) => job), [other]);
+});
+
 test("a gang starts as a whole or not at all", t => {
     const fleet = createFleet();
     addWorker(fleet, "w1");
--- a/packages/proof/src/fleet/WaitingWork.test.ts
+++ b/packages/proof/src/fleet/WaitingWork.test.ts
@@ -90,6 +90,10 @@
         earlier: { ...LASTING, taskCount: 34, size: SMALL },
         step: { gang: true, taskCount: 9, size: SMALL }
     },
+    "workers are reserved for a gang until long tasks end there": {
+        earlier: { taskCount: WORKERS, size: { ...SMALL, cpuMilli: 3000 }, estimateMs: 60_000 },
+        step: { gang: true, taskCount: 24, size: SMALL }
+    },
     "the team's limit is reached": {
         step: { ...WIDE, ...LASTING, size: SMALL },
         team: OTHER_TEAM
