--- a/review/standins-3.mjs
+++ b/review/standins-3.mjs
@@ -183,7 +183,8 @@
         const query = url.searchParams;
         const text = request.method === "POST" ? await readBody(request) : "";
         const fault = this.fault({ machine, url, request });
-        if (fault) {
+        const isLost = fault === "lost";
+        if (fault && !isLost) {
             await fault(response);
             return;
         }
@@ -217,6 +218,11 @@
                     this.lastWriter = machine;
                 }
                 this.onCommit({ puts, remove, machine });
+                if (isLost) {
+                    // Done, but not answered; the connection delivers nothing further.
+                    setTimeout(() => response.destroy(), 3000);
+                    return;
+                }
                 answer(response, 200, { ver, nowMs });
             }
         }
@@ -274,7 +280,7 @@
 const HEARTBEAT_MS = 1500;
 let lives = 0;
 
-/** An executor. What a task takes, in ms, stands in its `spec` as {"ms":N}. */
+/** An executor. What a task takes, in ms, stands in its `spec` as {"ms":N}; with "fails" it can never be done. */
 export class Executor {
     constructor(store, record, { name, service, zone, labels = ["a", "r1"], capacity, onStart = () => undefined, onEnd = () => undefined }) {
         Object.assign(this, { store, record, name, service, zone, labels, capacity, onStart, onEnd });
@@ -362,7 +368,7 @@
                 this.end(run, "stopped");
             }
             else if (nowMs >= run.startedMs + run.durationMs) {
-                this.end(run, "done");
+                this.end(run, run.fails ? "failed" : "done");
             }
         }
     }
@@ -415,6 +421,7 @@
                         run: body.attempt,
                         startedMs: performance.now(),
                         durationMs: JSON.parse(body.spec || "{}").ms ?? 1000,
+                        fails: JSON.parse(body.spec || "{}").fails === true,
                         stopAtMs: undefined
                     };
                     this.running.set(body.task, run);
