Split what a previous owner may have left on workers off the registry

UnsettledWorkers holds the workers whose tasks are not known yet, which steps they hold back, and what they may use of the teams' limits.

--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -5,7 +5,6 @@
 import type { EventLog } from "@skylarkpath/common/log/EventLog";
 import type { TimerService } from "@skylarkpath/common/time/TimerService";
 import type { KnownWorker, WorkerListSource } from "../model/OwnerRow.js";
-import { addResources, createResourceSum } from "../model/ResourceSum.js";
 import type { WorkerClient, WorkerEntry } from "../ports/WorkerClient.js";
 import type { FleetState } from "../state/FleetState.js";
 import type { RunState } from "../state/RunState.js";
@@ -14,6 +13,7 @@
 import { CrashTracker } from "./CrashTracker.js";
 import { FillerThrottle, type SpeedLimitChange } from "./FillerThrottle.js";
 import type { RunTracker } from "./RunTracker.js";
+import { UnsettledWorkers } from "./UnsettledWorkers.js";
 import { type SessionEvents, type SessionTiming, WorkerLossReason, WorkerSession } from "./WorkerSession.js";
 
 /** Callbacks of the registry. */
@@ -41,11 +41,7 @@
     private readonly crashes: CrashTracker;
     private readonly entries = new Map<string, WorkerEntry>();
     private readonly fenced = new Emitter<WorkerSession>();
-    /**
-     * Workers on which a previous owner may have left tasks, until they are fenced or their leases have ended; with the
-     * tasks, if known.
-     */
-    private readonly unsettled = new Map<string, readonly string[] | undefined>();
+    private readonly unsettled: UnsettledWorkers;
     /** Incarnations of workers on which all leases have ended, and which this owner has not fenced since. */
     private readonly emptied = new Map<string, number>();
     /** Workers without a session whose tasks the store may still list. */
@@ -69,23 +65,19 @@
     ) {
         this.fillerThrottle = new FillerThrottle(timer);
         this.crashes = new CrashTracker(fleet, runs, timer, log);
+        this.unsettled = new UnsettledWorkers(fleet);
     }
 
     /** Every worker to which a previous owner may have given tasks is fenced, or its leases have ended. */
     public get settled(): boolean {
-        return this.unsettled.size === 0;
+        return this.unsettled.settled;
     }
 
     /**
      * Returns whether a step may start: no unsettled worker can still run a task of it that a previous owner started.
      */
     public mayStart(step: StepState): boolean {
-        for (const tasks of this.unsettled.values()) {
-            if (tasks === undefined || tasks.some(name => name.startsWith(`${step.name}.`))) {
-                return false;
-            }
-        }
-        return true;
+        return this.unsettled.mayStart(step);
     }
 
     /** Whether a worker that has not failed to answer is not fenced yet, so that it still accepts orders of others. */
@@ -145,7 +137,7 @@
             for (const { id, incarnation } of [...entries, ...unlisted]) {
                 const known = knownById.get(id);
                 const tasks = known?.incarnation === incarnation ? known.tasks : undefined;
-                this.unsettled.set(id, tasks);
+                this.unsettled.add(id, tasks);
                 if (tasks) {
                     this.listedInStore.add(id);
                 }
@@ -318,7 +310,7 @@
     /** Counts the restart of a worker under its runs and under those that a previous owner may have left there. */
     private recordRestart(state: WorkerState): void {
         this.crashes.recordRestart(state);
-        const tasks = this.unsettled.get(state.id);
+        const tasks = this.unsettled.tasksOn(state.id);
         if (tasks && !state.entry.draining) {
             this.crashes.recordEarlierRestart(state.id, tasks);
         }
@@ -326,7 +318,7 @@
 
     /** Marks a worker as settled: tasks that a previous owner may have left there are known or have ended. */
     private settle(id: string): void {
-        if (this.unsettled.delete(id) && this.settled) {
+        if (this.unsettled.settle(id) && this.settled) {
             this.runs.stopPartialGangs();
         }
         this.updateUnknownUsage();
@@ -345,7 +337,7 @@
      */
     private listTasks(state: WorkerState): readonly string[] | undefined {
         if (!state.fenced) {
-            return this.emptied.get(state.id) === state.entry.incarnation ? [] : this.unsettled.get(state.id);
+            return this.emptied.get(state.id) === state.entry.incarnation ? [] : this.unsettled.tasksOn(state.id);
         }
         const getsNoTasks = state.entry.draining || !state.reachable;
         return getsNoTasks && !state.hasUncountedRuns
@@ -353,24 +345,9 @@
             : undefined;
     }
 
-    /**
-     * Recomputes the usage by tasks that the fleet state does not count as runs yet; it counts against the limit of
-     * every team. It covers the tasks that the previous owner listed for unsettled workers, or the whole capacity of a
-     * worker whose runs or their sizes are unknown.
-     */
+    /** Charges every team the tasks that the fleet state does not count as runs yet. */
     private updateUnknownUsage(): void {
-        const unknown = createResourceSum();
-        for (const { state } of this.sessions.values()) {
-            const tasks = this.unsettled.get(state.id);
-            const sizes = tasks?.map(name => this.fleet.taskResources(name));
-            if (sizes && !state.hasUncountedRuns && sizes.every(size => size !== undefined)) {
-                sizes.forEach(size => addResources(unknown, size));
-            }
-            else if (this.unsettled.has(state.id) || state.hasUncountedRuns) {
-                addResources(unknown, state.entry.capacity);
-            }
-        }
-        Object.assign(this.fleet.unknown, unknown);
+        Object.assign(this.fleet.unknown, this.unsettled.sumUsage(this.fleet.workers.values()));
     }
 }
 
