A restarted worker keeps the leases that orders to its former incarnation may have given it

Cause: orders name the id of a worker, not its incarnation. A worker that is back under its id carries out an order that was meant for its former incarnation, and holds a lease of up to 6 s for it. WorkerRegistry.replace handed the runs over to the session with the next incarnation and counted on no lease there, so that a cut of 0.65 s and two calls ended them for the owner. The same held for the leases of a previous owner, and, up to 1.5 s, for a restart that nothing had shown.

Change: WorkerClock keeps a second bound, for the leases that a later incarnation may hold from the same orders, and the next session goes on from both. Runs that a worker has listed can't be on a later incarnation and wait only for the leases of the one that listed them. A restart that the directory lists closes the connections to the former incarnation.

Why it works: the owner gives a run up only when every lease that one of its orders may have given has ended, or when a report shows it.

--- a/packages/fleet/src/owner/RunTracker.ts
+++ b/packages/fleet/src/owner/RunTracker.ts
@@ -113,11 +113,12 @@
     public closeAllRuns(worker: WorkerState): void {
         worker.heldRuns.clear();
         worker.heldEnds.clear();
-        for (const run of [...worker.runs.values()]) {
-            this.fleet.closeRun(run);
-            this.stopGang(run);
-        }
-        this.capacityFreed.fire();
+        this.closeRuns([...worker.runs.values()]);
+    }
+
+    /** Closes the runs of a lost worker that it has reported, so that they are on no later incarnation of it. */
+    public closeReportedRuns(worker: WorkerState): void {
+        this.closeRuns([...worker.runs.values()].filter(run => run.reported));
     }
 
     /** Fails the jobs that have used up their attempts under the current configuration. */
@@ -186,6 +187,14 @@
         }
     }
 
+    private closeRuns(runs: readonly RunState[]): void {
+        for (const run of runs) {
+            this.fleet.closeRun(run);
+            this.stopGang(run);
+        }
+        this.capacityFreed.fire();
+    }
+
     private applyRunning(worker: WorkerState, listed: ReportedRun): void {
         if (this.awaitsIntake(worker, listed.task)) {
             worker.hasUncountedRuns = true;
@@ -199,6 +208,7 @@
             return;
         }
         const nowMs = this.timer.nowMs();
+        run.reported = true;
         run.confirmedAtMs ??= nowMs;
         if (run.phase === RunPhase.Starting || run.phase === RunPhase.Uncertain) {
             run.startSeen &&= run.phase === RunPhase.Starting;
--- a/packages/fleet/src/owner/WorkerClock.ts
+++ b/packages/fleet/src/owner/WorkerClock.ts
@@ -11,8 +11,13 @@
     private updatedAtMs: number | undefined;
     /** Time on this process's clock until which a lease may last. */
     private leaseUntilMs = 0;
+    /**
+     * The same if an order has reached a later incarnation of the worker: its clock starts anew, so that the end of the
+     * lease in the order does not limit the lease.
+     */
+    private laterLeaseUntilMs = 0;
 
-    constructor(private readonly timer: TimerService) {}
+    constructor(private readonly timer: TimerService, private readonly maximumLeaseMs: number) {}
 
     /** The worker has reported its clock. */
     public get known(): boolean {
@@ -28,23 +33,52 @@
         this.updatedAtMs = this.timer.nowMs();
     }
 
-    /** Grants a lease; returns its end on the worker's clock, or undefined while that clock is unknown. */
-    public leaseEnd(durationMs: number): number | undefined {
+    /**
+     * Grants a lease with an order that arrives within `deliveryMs` or never; returns its end on the worker's clock, or
+     * undefined while that clock is unknown.
+     */
+    public leaseEnd(durationMs: number, deliveryMs: number): number | undefined {
         if (this.updatedAtMs === undefined) {
             return undefined;
         }
         const nowMs = this.timer.nowMs();
         this.leaseUntilMs = Math.max(this.leaseUntilMs, nowMs + durationMs);
+        this.laterLeaseUntilMs = Math.max(this.laterLeaseUntilMs, nowMs + deliveryMs + this.maximumLeaseMs);
         return Math.floor(this.clockMs + nowMs - this.updatedAtMs + durationMs);
     }
 
     /** Takes account of a lease that a previous owner may have granted, which may last for this much longer. */
     public assumeLease(durationMs: number): void {
         this.leaseUntilMs = Math.max(this.leaseUntilMs, this.timer.nowMs() + durationMs);
+        this.laterLeaseUntilMs = Math.max(this.laterLeaseUntilMs, this.leaseUntilMs);
     }
 
     /** Returns whether every lease has ended, even if the worker's clock is slow by this factor. */
     public leasesEnded(rateMargin: number): boolean {
-        return this.leaseUntilMs - this.timer.nowMs() + MAX_LEASE_MS * (rateMargin - 1) + LEASE_MARGIN_MS < 0;
+        return this.hasPassed(this.leaseUntilMs, rateMargin);
+    }
+
+    /** Returns whether every lease has ended that a later incarnation may hold from orders meant for this one. */
+    public laterLeasesEnded(rateMargin: number): boolean {
+        return this.hasPassed(this.laterLeaseUntilMs, rateMargin);
+    }
+
+    /** Returns the clock of the next incarnation: not known yet, while the leases of all orders so far may last. */
+    public nextIncarnation(): WorkerClock {
+        const next = new WorkerClock(this.timer, this.maximumLeaseMs);
+        next.leaseUntilMs = this.leaseUntilMs;
+        next.laterLeaseUntilMs = this.laterLeaseUntilMs;
+        return next;
+    }
+
+    /** Returns the clock of an incarnation that has not been seen, after all leases of this one have ended. */
+    public unseenIncarnation(): WorkerClock {
+        const next = this.nextIncarnation();
+        next.leaseUntilMs = this.laterLeaseUntilMs;
+        return next;
+    }
+
+    private hasPassed(leaseUntilMs: number, rateMargin: number): boolean {
+        return leaseUntilMs - this.timer.nowMs() + MAX_LEASE_MS * (rateMargin - 1) + LEASE_MARGIN_MS < 0;
     }
 }
--- a/packages/fleet/src/owner/WorkerRegistry.test.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.test.ts
@@ -1,96 +1,11 @@
-import { SILENT_LOG } from "@skylarkpath/common/log/EventLog";
-import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
-import test, { type ExecutionContext } from "ava";
-import { err, ok } from "neverthrow";
-import { OrderOutcome, type OrderReply, type ReportedEnd, RunEnd, type WorkerClient } from "../ports/WorkerClient.js";
-import type { FleetState } from "../state/FleetState.js";
+import test from "ava";
+import { OrderOutcome, RunEnd } from "../ports/WorkerClient.js";
 import { RunPhase } from "../state/RunState.js";
-import { addJob, createFleet, EMPTY_REPORT, PLAIN_WORKER } from "../testing/FleetFixture.js";
-import { RunTracker } from "./RunTracker.js";
-import { WorkerRegistry } from "./WorkerRegistry.js";
-
-interface Fixture {
-    readonly timer: VirtualTimer;
-    readonly fleet: FleetState;
-    readonly registry: WorkerRegistry;
-    /** Functions that reply to the start orders, in the order in which these were sent. */
-    readonly replies: ((reply: OrderReply) => void)[];
-    /** Ends of the leases in the start orders. */
-    readonly startLeaseEnds: number[];
-    /** Time for which the known capacity of workers may be relied on. */
-    readonly capacity: { timeLeftMs: number; };
-    /** Workers that do not reply to polls. */
-    readonly unresponsive: Set<string>;
-    /** Workers whose next poll throws an error. */
-    readonly throwing: Set<string>;
-    /** Ended runs that every worker lists. */
-    readonly ended: ReportedEnd[];
-    /** Whether workers hold further ends than these. */
-    readonly report: { hasMoreEnds: boolean; };
-}
-
-function setUp(t: ExecutionContext): Fixture {
-    const timer = new VirtualTimer();
-    const fleet = createFleet();
-    const replies: ((reply: OrderReply) => void)[] = [];
-    const startLeaseEnds: number[] = [];
-    const capacity = { timeLeftMs: Number.POSITIVE_INFINITY };
-    const unresponsive = new Set<string>();
-    const throwing = new Set<string>();
-    const ended: ReportedEnd[] = [];
-    const reported = { hasMoreEnds: false };
-    const accepted: OrderReply = { outcome: OrderOutcome.Accepted };
-    const workerClient: WorkerClient = {
-        poll: async (worker, { waitMs }, timeoutMs) => {
-            if (throwing.delete(worker.id)) {
-                throw new Error("unexpected");
-            }
-            const isUnresponsive = unresponsive.has(worker.id);
-            await new Promise<void>(resolve => timer.after(isUnresponsive ? timeoutMs : waitMs + 1, resolve));
-            return isUnresponsive
-                ? err({ outcome: OrderOutcome.Uncertain, message: "no answer" })
-                : ok({ ...EMPTY_REPORT, ...reported, ended, incarnation: worker.incarnation, clockMs: timer.nowMs() });
-        },
-        start: (...[, { leaseEndMs }]) => {
-            startLeaseEnds.push(leaseEndMs);
-            return new Promise(resolve => replies.push(resolve));
-        },
-        stop: async () => accepted,
-        limitSpeed: async () => accepted,
-        disconnect: () => undefined
-    };
-    const registry = new WorkerRegistry(
-        1,
-        fleet,
-        new RunTracker(fleet, timer),
-        workerClient,
-        timer,
-        { maximumLeaseMs: 6000, roundTripMs: 10, loopDelayMs: () => 0 },
-        {
-            staleOwner: () => t.fail(),
-            maySendOrders: () => true,
-            capacityTimeLeftMs: () => capacity.timeLeftMs,
-            awaitCommit: () => undefined,
-            workerAdded: () => undefined
-        },
-        SILENT_LOG
-    );
-    return {
-        timer,
-        fleet,
-        registry,
-        replies,
-        startLeaseEnds,
-        capacity,
-        unresponsive,
-        throwing,
-        ended,
-        report: reported
-    };
-}
+import { addJob, PLAIN_WORKER } from "../testing/FleetFixture.js";
+import { createRegistry } from "../testing/RegistryFixture.js";
 
 test("start orders in flight when a worker restarts are resolved if they get no reply", async t => {
-    const { timer, fleet, registry, replies } = setUp(t);
+    const { timer, fleet, registry, replies } = createRegistry(t);
     registry.start([PLAIN_WORKER], [], 0);
     await timer.advance(50);
     const worker = fleet.workers.get("w1")!;
@@ -112,7 +27,7 @@
 });
 
 test("a new owner holds back the listed tasks of a draining worker, or all tasks if none are listed", async t => {
-    const { timer, fleet, registry, unresponsive } = setUp(t);
+    const { timer, fleet, registry, unresponsive } = createRegistry(t);
     const [blocked, free] = ["00000000000000a1", "00000000000000b1"].map(id =>
         [...addJob(fleet, [{}], id).openSteps()][0]!
     );
@@ -132,7 +47,7 @@
     await timer.advance(8000);
     t.true(registry.mayStart(blocked!));
     registry.dispose();
-    const other = setUp(t);
+    const other = createRegistry(t);
     other.unresponsive.add("w1");
     other.registry.start([leaving], [{ id: "w1", address: "w1", incarnation: 1, draining: true }], 6000);
     await other.timer.advance(2000);
@@ -141,7 +56,7 @@
 });
 
 test("the tasks of an unreachable worker are listed, and nothing starts there until a row without them is committed", async t => {
-    const { timer, fleet, registry, unresponsive } = setUp(t);
+    const { timer, fleet, registry, unresponsive } = createRegistry(t);
     registry.start([PLAIN_WORKER, { ...PLAIN_WORKER, id: "w2", address: "w2", draining: true }], [], 0);
     await timer.advance(50);
     const worker = fleet.workers.get("w1")!;
@@ -166,7 +81,7 @@
 });
 
 test("an owner passes on the tasks that its predecessor listed for a worker that it has not reached", async t => {
-    const { timer, registry, unresponsive } = setUp(t);
+    const { timer, registry, unresponsive } = createRegistry(t);
     unresponsive.add("w1");
     const tasks = ["00000000000000a1.0.0.0"];
     registry.start([PLAIN_WORKER], [{ id: "w1", address: "w1", incarnation: 1, draining: false, tasks }], 6000);
@@ -176,7 +91,7 @@
 });
 
 test("nothing starts on a worker whose tasks the previous owner listed, until a list without them is committed", async t => {
-    const { timer, fleet, registry } = setUp(t);
+    const { timer, fleet, registry } = createRegistry(t);
     const tasks = ["00000000000000a1.0.0.0"];
     registry.start([PLAIN_WORKER], [{ id: "w1", address: "w1", incarnation: 1, draining: false, tasks }], 6000);
     await timer.advance(50);
@@ -190,7 +105,7 @@
 
 // Guards against a start that a successor can't find, since the store does not name the worker or its restart.
 test("nothing starts on a worker, nor on one that has restarted, until a committed list names this incarnation", async t => {
-    const { timer, fleet, registry } = setUp(t);
+    const { timer, fleet, registry } = createRegistry(t);
     registry.start([PLAIN_WORKER], [], 0);
     await timer.advance(50);
     const worker = fleet.workers.get("w1")!;
@@ -212,7 +127,7 @@
 });
 
 test("a new owner starts at once on workers that the rows of its predecessor name, and on no others", async t => {
-    const { timer, fleet, registry } = setUp(t);
+    const { timer, fleet, registry } = createRegistry(t);
     const other = { ...PLAIN_WORKER, id: "w2", address: "w2" };
     const restarted = { ...PLAIN_WORKER, id: "w3", address: "w3", incarnation: 2 };
     const known = { id: "w1", address: "w1", incarnation: 1, draining: false };
@@ -223,7 +138,7 @@
 });
 
 test("a worker that was lost while its tasks were listed starts nothing until a list without them is committed", async t => {
-    const { timer, fleet, registry, unresponsive } = setUp(t);
+    const { timer, fleet, registry, unresponsive } = createRegistry(t);
     registry.start([PLAIN_WORKER], [], 0);
     await timer.advance(50);
     unresponsive.add("w1");
@@ -242,7 +157,7 @@
 
 // Guards against a successor that starts tasks again whose ends it has not been told yet.
 test("a new owner starts nothing that a worker may have done before, until the worker has listed all its ends", async t => {
-    const { timer, fleet, registry, report } = setUp(t);
+    const { timer, fleet, registry, report } = createRegistry(t);
     report.hasMoreEnds = true;
     const [step] = [...addJob(fleet, [{}]).openSteps()];
     registry.start([PLAIN_WORKER], [{ id: "w1", address: "w1", incarnation: 1, draining: false }], 6000);
@@ -256,7 +171,7 @@
 });
 
 test("a worker whose report led to an unexpected error is polled again", async t => {
-    const { timer, fleet, registry, throwing } = setUp(t);
+    const { timer, fleet, registry, throwing } = createRegistry(t);
     throwing.add("w1");
     registry.start([PLAIN_WORKER], [], 0);
     await timer.advance(1000);
@@ -266,7 +181,7 @@
 });
 
 test("a start order that arrives after the known capacity has become too old has no lease any more", async t => {
-    const { timer, fleet, registry, startLeaseEnds, capacity } = setUp(t);
+    const { timer, fleet, registry, startLeaseEnds, capacity } = createRegistry(t);
     registry.start([PLAIN_WORKER], [], 0);
     await timer.advance(50);
     const worker = fleet.workers.get("w1")!;
@@ -285,7 +200,7 @@
 test("a successor does not start a task whose end its predecessor held without knowing the job", async t => {
     const task = "00000000000000a1.0.0.0";
     const leaving = { ...PLAIN_WORKER, draining: true };
-    const first = setUp(t);
+    const first = createRegistry(t);
     first.ended.push({ number: 1, task, run: 1, end: RunEnd.Done, checkpoint: "" });
     first.registry.start([leaving], [], 6000);
     await first.timer.advance(200);
@@ -293,7 +208,7 @@
     const published = first.registry.list();
     first.registry.dispose();
     // The first owner has committed this list and dies; the second knows the job and does not reach the worker yet.
-    const second = setUp(t);
+    const second = createRegistry(t);
     second.unresponsive.add("w1");
     const [step] = [...addJob(second.fleet, [{}]).openSteps()];
     second.registry.start([leaving], published, 6000);
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -14,6 +14,7 @@
 import { FillerThrottle, type SpeedLimitChange } from "./FillerThrottle.js";
 import type { RunTracker } from "./RunTracker.js";
 import { UnsettledWorkers } from "./UnsettledWorkers.js";
+import { WorkerClock } from "./WorkerClock.js";
 import { type SessionEvents, type SessionTiming, WorkerLossReason, WorkerSession } from "./WorkerSession.js";
 
 /** Callbacks of the registry. */
@@ -143,8 +144,8 @@
                 }
             }
         }
-        entries.forEach(entry => this.open(entry, unknownLeaseMs, true));
-        unlisted.forEach(entry => this.open(entry, unknownLeaseMs, false));
+        entries.forEach(entry => this.open(entry, this.createClock(unknownLeaseMs), true));
+        unlisted.forEach(entry => this.open(entry, this.createClock(unknownLeaseMs), false));
         for (const { state } of this.sessions.values()) {
             state.recorded = knownById.get(state.id)?.incarnation === state.entry.incarnation;
         }
@@ -163,7 +164,7 @@
             this.entries.set(entry.id, entry);
             const session = this.sessions.get(entry.id);
             if (!session) {
-                this.open(entry, 0, true);
+                this.open(entry, this.createClock(0), true);
                 if (!this.generations.has(entry.id)) {
                     this.events.workerAdded();
                 }
@@ -173,6 +174,8 @@
                 session.state.listed = true;
             }
             else if (entry.incarnation > session.entry.incarnation) {
+                // The open connections lead to the former incarnation, and may stay silent.
+                this.workerClient.disconnect(session.entry);
                 this.replace(session, entry);
             }
         }
@@ -211,18 +214,26 @@
         this.recordRestart(session.state);
         session.dispose();
         this.generations.set(entry.id, session.nextGeneration);
-        const next = this.open(entry, 0, session.state.listed);
+        const next = this.open(entry, session.clock.nextIncarnation(), session.state.listed);
         this.events.workerAdded();
         this.fleet.moveRuns(session.state, next.state, next.token);
         this.updateUnknownUsage();
     }
 
-    private open(entry: WorkerEntry, unknownLeaseMs: number, listed: boolean): WorkerSession {
+    /** Returns the clock of a worker on which leases of a previous owner may last for the given time from now on. */
+    private createClock(unknownLeaseMs: number): WorkerClock {
+        const clock = new WorkerClock(this.timer, this.timing.maximumLeaseMs);
+        clock.assumeLease(unknownLeaseMs);
+        return clock;
+    }
+
+    private open(entry: WorkerEntry, clock: WorkerClock, listed: boolean): WorkerSession {
         const state = new WorkerState(entry, this.fleet.evacuatedDomains);
         state.listed = listed;
         state.tasksPublished = this.listedInStore.delete(entry.id);
         const session = new WorkerSession(
             state,
+            clock,
             this.epoch,
             this.generations.get(entry.id) ?? 0,
             this.workerClient,
@@ -263,7 +274,7 @@
         );
         this.sessions.set(entry.id, session);
         this.fleet.workers.set(entry.id, state);
-        session.start(unknownLeaseMs);
+        session.start();
         return session;
     }
 
@@ -291,15 +302,30 @@
             this.recordRestart(state);
         }
         else if (reason === WorkerLossReason.LeaseEnded) {
-            this.recordEmptied(entry);
             this.crashes.recordSilence(state);
             this.crashes.applyDirectory(this.entries);
+            if (session.mayRunOnLaterIncarnation) {
+                this.awaitUnseenIncarnation(session);
+                return;
+            }
+            this.recordEmptied(entry);
         }
         this.runs.closeAllRuns(state);
         this.settle(entry.id);
         this.timer.after(RECONNECT_DELAY_MS, () => this.reconnect(entry.id));
     }
 
+    /**
+     * Closes the runs of a lost worker that it has reported. The others may be on an incarnation that has not been seen;
+     * they stay open until it reports or its leases end.
+     */
+    private awaitUnseenIncarnation({ state, entry, clock }: WorkerSession): void {
+        this.runs.closeReportedRuns(state);
+        const next = this.open(entry, clock.unseenIncarnation(), state.listed);
+        this.fleet.moveRuns(state, next.state, next.token);
+        this.updateUnknownUsage();
+    }
+
     /** Records that nothing runs on a worker, once a previous owner can't have started anything there any more. */
     private recordEmptied({ id, incarnation }: WorkerEntry): void {
         if (this.timer.nowMs() >= this.previousLeasesEndMs) {
@@ -327,7 +353,7 @@
     private reconnect(id: string): void {
         const entry = this.entries.get(id);
         if (entry && !this.sessions.has(id) && !this.disposed) {
-            this.open(entry, 0, true);
+            this.open(entry, this.createClock(0), true);
         }
     }
 
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -11,7 +11,7 @@
 import { RunPhase, type RunState } from "../state/RunState.js";
 import type { WorkerState } from "../state/WorkerState.js";
 import type { CommitWaiter } from "./ProgressWriter.js";
-import { WorkerClock } from "./WorkerClock.js";
+import type { WorkerClock } from "./WorkerClock.js";
 
 /** Callbacks of a session. */
 export interface SessionEvents {
@@ -94,7 +94,6 @@
 
 /** Communication of the owner with one incarnation of a worker: polls for reports, renewals of leases, and orders. */
 export class WorkerSession implements CommitWaiter, Disposable {
-    public readonly clock: WorkerClock;
     /** Highest number of an ended run that the worker has reported. */
     public reportedEnd = 0;
     /** Ended runs up to this number are committed, so that the worker may forget them. */
@@ -107,6 +106,7 @@
 
     constructor(
         public readonly state: WorkerState,
+        public readonly clock: WorkerClock,
         private readonly epoch: number,
         firstGeneration: number,
         private readonly workerClient: WorkerClient,
@@ -115,7 +115,6 @@
         private readonly events: SessionEvents
     ) {
         this.generation = firstGeneration;
-        this.clock = new WorkerClock(timer);
     }
 
     public get entry(): WorkerEntry {
@@ -132,9 +131,14 @@
         return this.generation + 1;
     }
 
-    /** Starts to poll. Unknown leases may last for the given time from now on. */
-    public start(unknownLeaseMs: number): void {
-        this.clock.assumeLease(unknownLeaseMs);
+    /** Whether runs may be on a later incarnation, which may have received their start orders. */
+    public get mayRunOnLaterIncarnation(): boolean {
+        return !this.clock.laterLeasesEnded(CLOCK_RATE_MARGIN)
+            && [...this.state.runs.values()].some(run => !run.reported);
+    }
+
+    /** Starts to poll. */
+    public start(): void {
         void this.run();
     }
 
@@ -148,7 +152,8 @@
         const token = this.token;
         const maxLeaseMs = START_LEASE_MS + this.timing.roundTripMs;
         const leaseMs = Math.min(maxLeaseMs, this.events.capacityTimeLeftMs(this.state));
-        const leaseEndMs = leaseMs > 0 ? this.clock.leaseEnd(leaseMs) : undefined;
+        const timeoutMs = REPLY_TIMEOUT_MS + this.timing.roundTripMs;
+        const leaseEndMs = leaseMs > 0 ? this.clock.leaseEnd(leaseMs, timeoutMs) : undefined;
         if (leaseEndMs === undefined || !this.events.maySendOrders()) {
             return { outcome: OrderOutcome.Unhealthy };
         }
@@ -163,7 +168,7 @@
                 checkpoint: checkpoint === "" ? undefined : checkpoint,
                 permit
             },
-            REPLY_TIMEOUT_MS + this.timing.roundTripMs
+            timeoutMs
         );
         this.handleReply(reply, token);
         return reply;
@@ -299,11 +304,12 @@
         const mayExtend = this.state.reachable && this.events.maySendOrders();
         const { maximumLeaseMs } = this.timing;
         const leaseMs = this.entry.draining ? Math.min(DRAINING_LEASE_MS, maximumLeaseMs) : maximumLeaseMs;
-        const leaseEndMs = mayExtend ? this.clock.leaseEnd(leaseMs) : undefined;
+        const timeoutMs = waitMs + REPLY_TIMEOUT_MS + this.timing.roundTripMs;
+        const leaseEndMs = mayExtend ? this.clock.leaseEnd(leaseMs, timeoutMs) : undefined;
         const result = await this.workerClient.poll(
             this.entry,
             { token, acknowledgedEnd: this.committedEnd, leaseEndMs, waitMs },
-            waitMs + REPLY_TIMEOUT_MS + this.timing.roundTripMs
+            timeoutMs
         );
         if (this.disposed) {
             return false;
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -149,6 +149,7 @@
             phase,
             orderedAtMs: nowMs,
             confirmedAtMs: phase === RunPhase.Running ? nowMs : undefined,
+            reported: false,
             startSeen: false,
             resolvingToken: 0,
             percent: 0,
