A session that has ended draws no conclusions from refusals

Cause: the next incarnation of a worker refuses an order of the former session as stale, since the same owner has sent it a later token. WorkerSession.handleFailure took a refusal without a clock for one of a later owner, and the owner would give the fleet up.

Change: failures of calls of a session that has ended are ignored. Test: WorkerRestarts, the order refused by the next incarnation; it fails before (the owner reports itself superseded). Another test shows that a new id at the address ends the runs at once, as before.

--- a/packages/fleet/src/owner/WorkerRestarts.test.ts
+++ b/packages/fleet/src/owner/WorkerRestarts.test.ts
@@ -91,3 +91,27 @@
     t.true(registry.settled && registry.mayStart(step!));
     registry.dispose();
 });
+
+test("an order that the next incarnation refuses, since this owner has sent it a later token, is no sign of another owner", async t => {
+    const { timer, fleet, registry, replies } = createRegistry(t);
+    registry.start([PLAIN_WORKER], [], 0);
+    await timer.advance(50);
+    const worker = fleet.workers.get("w1")!;
+    const run = fleet.openRun(addJob(fleet, [{}]).findTask(0, 0, 0)!, worker, 1, RunPhase.Starting, timer.nowMs());
+    const reply = registry.session(worker)!.startRun(run, "", "", undefined);
+    registry.update([{ ...PLAIN_WORKER, incarnation: 2 }]);
+    replies.forEach(each => each({ outcome: OrderOutcome.StaleToken }));
+    t.is((await reply).outcome, OrderOutcome.StaleToken);
+    registry.dispose();
+});
+
+test("another worker at the address ends the runs there at once", async t => {
+    const { timer, fleet, registry } = createRegistry(t, { pollFailure: OrderOutcome.WrongIncarnation });
+    registry.start([PLAIN_WORKER], [], 6000);
+    const task = addJob(fleet, [{}]).findTask(0, 0, 0)!;
+    fleet.openRun(task, fleet.workers.get("w1")!, 1, RunPhase.Running, timer.nowMs());
+    await timer.advance(50);
+    t.is(task.run, undefined);
+    t.true(registry.settled);
+    registry.dispose();
+});
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -347,6 +347,10 @@
     }
 
     private handleFailure(outcome: OrderOutcome, token: number): void {
+        // The next incarnation refuses the orders of this session, since its own has sent it a later token.
+        if (this.disposed) {
+            return;
+        }
         if (outcome === OrderOutcome.StaleToken) {
             if (token === this.token) {
                 this.events.staleOwner(this);
--- a/packages/fleet/src/testing/RegistryFixture.ts
+++ b/packages/fleet/src/testing/RegistryFixture.ts
@@ -42,8 +42,11 @@
     readonly disconnected: string[];
 }
 
-/** Creates a registry without workers; the test fails if it takes its owner for superseded. */
-export function createRegistry(t: ExecutionContext): RegistryFixture {
+/** Creates a registry without workers; the test fails if it takes its owner for superseded. Polls may all fail. */
+export function createRegistry(
+    t: ExecutionContext,
+    { pollFailure }: { readonly pollFailure?: OrderOutcome; } = {}
+): RegistryFixture {
     const timer = new VirtualTimer();
     const fleet = createFleet();
     const replies: ((reply: OrderReply) => void)[] = [];
@@ -63,6 +66,9 @@
                 throw new Error("unexpected");
             }
             await sleep(timer, waitMs + 1);
+            if (pollFailure) {
+                return err({ outcome: pollFailure, message: pollFailure });
+            }
             if (unresponsive.has(worker.id)) {
                 await sleep(timer, timeoutMs - waitMs - 1);
                 return err({ outcome: OrderOutcome.Uncertain, message: "no answer" });
