Runs that move to the next incarnation of a worker keep no stop, speed limit or progress of the former one

Callers would see a cancelled task stopped 0.7 s late, a run stopped as stalled that has just begun, or a filler at full speed beside a serving task; none was seen.

Cause: FleetState.moveRuns handed over the time of the last stop order, the confirmed speed limit and the time of the last progress.

Change: they are dropped, and progress is timed from the first report that lists a run.

--- a/packages/fleet/src/owner/RunTracker.test.ts
+++ b/packages/fleet/src/owner/RunTracker.test.ts
@@ -273,3 +273,23 @@
         t.is(run.stopRequested, isStopped);
     }
 });
+
+// Guards against runs that are left alone, or stopped as stalled, by what the former incarnation of their worker did.
+test("a run that the next incarnation of its worker lists is stopped, timed and slowed down there anew", async t => {
+    const [fleet, timer] = [createFleet(), new VirtualTimer()];
+    const tracker = new RunTracker(fleet, timer);
+    const stopped: string[] = [];
+    tracker.onStopRequested(({ task }) => stopped.push(task));
+    const former = addWorker(fleet, "w1");
+    const [cancelled, idle] = addJob(fleet, [{ taskCount: 2, filler: true }]).findTask(0, 0, 0)!.step.tasks.map(task =>
+        fleet.openRun(task, former, 1, RunPhase.Running, timer.nowMs())
+    );
+    await timer.advance(3000);
+    tracker.stopRun(cancelled);
+    const next = addWorker(fleet, "w1", { incarnation: 2 });
+    fleet.moveRuns(former, next, 2);
+    t.false(idle!.speedLimitKnown);
+    const running = [cancelled, idle].map(run => ({ task: run!.task.name, run: 1, checkpoint: "", percent: 0 }));
+    tracker.applyReport(next, { ...EMPTY_REPORT, running }, { sentAtMs: timer.nowMs(), token: 2 }, 0);
+    t.deepEqual(stopped, [cancelled!.task.name, cancelled!.task.name]);
+});
--- a/packages/fleet/src/owner/RunTracker.ts
+++ b/packages/fleet/src/owner/RunTracker.ts
@@ -213,6 +213,7 @@
         if (run.phase === RunPhase.Starting || run.phase === RunPhase.Uncertain) {
             run.startSeen &&= run.phase === RunPhase.Starting;
             run.phase = RunPhase.Running;
+            run.progressedAtMs = nowMs;
         }
         if (listed.checkpoint !== "") {
             run.task.checkpoint = listed.checkpoint;
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -169,7 +169,10 @@
         return state;
     }
 
-    /** Moves runs to a worker's next incarnation as uncertain; a report under a later token shows which exist. */
+    /**
+     * Moves runs to a worker's next incarnation as uncertain; a report under a later token shows which exist. Stops and
+     * speed limits were ordered from the former one.
+     */
     public moveRuns(from: WorkerState, to: WorkerState, resolvingToken: number): void {
         for (const run of [...from.runs.values()]) {
             from.removeRun(run);
@@ -178,6 +181,8 @@
             run.confirmedAtMs = undefined;
             run.startSeen = false;
             run.resolvingToken = resolvingToken;
+            run.stopSentAtMs = undefined;
+            run.speedLimitKnown = false;
             to.addRun(run);
         }
     }
