A gang's reservation holds only as long as the gang could start there

Cause: GangReservations.refresh dropped reservations for a list of reasons. Whether the gang is placed at all (its queue, a cancel, a job that waits for a commit), and whether it may still use the reserved workers and fits there, was asked only when the reservation was made.

Change: each planning pass asks anew, with the functions that decide about the start: the gang is among the steps that may start, its team's limit allows it, each reserved worker may be used by it, and it would fit there once all tasks that end by themselves have ended.

Why it works: what keeps a gang from being placed ends its reservation in the same pass, before other steps are placed.

--- a/packages/fleet/src/placement/GangReservations.ts
+++ b/packages/fleet/src/placement/GangReservations.ts
@@ -3,8 +3,7 @@
 import type { QueuedStep, RankedStep } from "./RankedStep.js";
 
 interface Reservation {
-    readonly step: StepState;
-    readonly priority: number;
+    readonly ranked: RankedStep;
     readonly workers: ReadonlySet<WorkerState>;
 }
 
@@ -23,16 +22,28 @@
 
 /**
  * Reserves workers for waiting gangs until they start. Steps of more urgent queues may use a reserved worker as a last
- * resort, other steps not at all.
+ * resort, other steps not at all. A reservation lasts only as long as the gang would fit on its workers, by the present
+ * rules, once all tasks there that end by themselves have ended.
  */
 export class GangReservations {
     private readonly reservations = new Map<StepState, Reservation>();
 
-    /** Drops reservations whose gang no longer waits or may not start, or with a worker that takes no new tasks. */
-    public refresh(nowMs: number, mayStart: (step: StepState) => boolean): void {
+    /**
+     * Drops the reservations that no longer hold. `findStartable` finds a step if it may start now, `canUse` tells
+     * whether a step may use a worker as soon as there is room.
+     */
+    public refresh(
+        findStartable: (step: StepState) => RankedStep | undefined,
+        canUse: (ranked: RankedStep, worker: WorkerState) => boolean
+    ): void {
         for (const [step, { workers }] of this.reservations) {
-            const isWaiting = !step.done && !step.job.final && step.waitingCount === step.tasks.length;
-            if (!isWaiting || !mayStart(step) || [...workers].some(worker => !worker.canStart(nowMs))) {
+            const ranked = findStartable(step);
+            const holds = ranked && [...workers].every(worker => canUse(ranked, worker))
+                && sum([...workers].map(worker => countEventualFits(ranked, worker))) >= step.tasks.length;
+            if (holds) {
+                this.reservations.set(step, { ranked, workers });
+            }
+            else {
                 this.reservations.delete(step);
             }
         }
@@ -51,12 +62,11 @@
         if (!this.mayReserve(ranked.step)) {
             return;
         }
-        const { size, filler, maximumPerWorker } = ranked.step.spec;
-        const maxPerWorker = maximumPerWorker > 0 ? maximumPerWorker : Number.MAX_SAFE_INTEGER;
+        const { size, filler } = ranked.step.spec;
         const fits = eligible.filter(worker => this.reservationOf(worker) === undefined).map(worker => ({
             worker,
-            fitsNow: Math.min(maxPerWorker, worker.countFits(size, filler)),
-            fitsEventually: Math.min(maxPerWorker, worker.countEventualFits(size))
+            fitsNow: Math.min(maximumPerWorker(ranked), worker.countFits(size, filler)),
+            fitsEventually: countEventualFits(ranked, worker)
         }));
         fits.sort((left, right) => right.fitsNow - left.fitsNow || right.fitsEventually - left.fitsEventually);
         const needed = ranked.step.tasks.length;
@@ -70,17 +80,18 @@
             fitsReserved += fitsEventually;
         }
         if (fitsReserved >= needed) {
-            this.reservations.set(ranked.step, { step: ranked.step, priority: ranked.queue.priority, workers });
+            this.reservations.set(ranked.step, { ranked, workers });
         }
     }
 
     /** Returns whether a step may use a worker. */
     public useOf(queued: QueuedStep, worker: WorkerState): WorkerUse {
         const reservation = this.reservationOf(worker);
-        if (!reservation || reservation.step === queued.step) {
+        if (!reservation || reservation.ranked.step === queued.step) {
             return WorkerUse.Free;
         }
-        return queued.queue.priority < reservation.priority ? WorkerUse.LastResort : WorkerUse.Reserved;
+        const isMoreUrgent = queued.queue.priority < reservation.ranked.queue.priority;
+        return isMoreUrgent ? WorkerUse.LastResort : WorkerUse.Reserved;
     }
 
     private reservationOf(worker: WorkerState): Reservation | undefined {
@@ -92,3 +103,16 @@
         return undefined;
     }
 }
+
+function maximumPerWorker({ step: { spec } }: RankedStep): number {
+    return spec.maximumPerWorker > 0 ? spec.maximumPerWorker : Number.MAX_SAFE_INTEGER;
+}
+
+/** Returns how many members of a gang fit on a worker once all tasks that end by themselves have ended there. */
+function countEventualFits(ranked: RankedStep, worker: WorkerState): number {
+    return Math.min(maximumPerWorker(ranked), worker.countEventualFits(ranked.step.spec.size));
+}
+
+function sum(values: readonly number[]): number {
+    return values.reduce((total, value) => total + value, 0);
+}
--- a/packages/fleet/src/placement/PlacementPlanner.ts
+++ b/packages/fleet/src/placement/PlacementPlanner.ts
@@ -58,15 +58,16 @@
         const starts: StepPlacement[] = [];
         const stepsNeedingPermits: StepState[] = [];
         const plannedByWorker = new Map<WorkerState, ResourceSum>();
-        this.reservations.refresh(nowMs, step => this.fitsTeamLimit(step));
+        const startable = orderSteps(this.fleet, nowMs).filter(({ step }) => mayStart(step));
+        this.reservations.refresh(
+            gang => startable.find(({ step }) => step === gang && this.fitsTeamLimit(step)),
+            (ranked, worker) => this.canUse(ranked, worker, nowMs)
+        );
         const maxFreeCpuMilli = this.findMaxFreeCpu(nowMs);
         const teamUsage = new PlannedTeamUsage(this.fleet);
         const isolation = new CrashIsolation();
-        for (const ranked of orderSteps(this.fleet, nowMs)) {
+        for (const ranked of startable) {
             const { step } = ranked;
-            if (!mayStart(step)) {
-                continue;
-            }
             const { size, filler } = step.spec;
             const mayFit = filler || size.cpuMilli <= maxFreeCpuMilli;
             const candidates = mayFit ? this.findCandidates(ranked, nowMs, plannedByWorker) : [];
@@ -86,7 +87,10 @@
                     stepsNeedingPermits.push(step);
                 }
                 if (step.spec.gang && this.reservations.mayReserve(step) && this.fitsTeamLimit(step)) {
-                    this.reservations.reserve(ranked, this.findEligibleWorkers(ranked, nowMs));
+                    const eligible = [...this.fleet.workers.values()].filter(worker =>
+                        this.canUse(ranked, worker, nowMs)
+                    );
+                    this.reservations.reserve(ranked, eligible);
                 }
             }
         }
@@ -170,13 +174,12 @@
         return candidates;
     }
 
-    /** Workers that may run the step, even if they are full or their permit has expired. */
-    private findEligibleWorkers(ranked: RankedStep, nowMs: number): readonly WorkerState[] {
+    /** Whether a worker may run a step, even if it is full or the permit has expired. */
+    private canUse(ranked: RankedStep, worker: WorkerState, nowMs: number): boolean {
         const { step, queue } = ranked;
-        return [...this.fleet.workers.values()].filter(worker =>
-            this.isEligible(worker, ranked) && worker.canStart(nowMs)
-            && (!queue.policy || step.permits.byWorker.get(worker.id)?.incarnation === worker.entry.incarnation)
-        );
+        return this.fleet.workers.get(worker.id) === worker && this.isEligible(worker, ranked)
+            && worker.canStart(nowMs)
+            && (!queue.policy || step.permits.byWorker.get(worker.id)?.incarnation === worker.entry.incarnation);
     }
 
     private isEligible(worker: WorkerState, { step, queue }: RankedStep): boolean {
--- a/packages/proof/src/fleet/WaitingWork.test.ts
+++ b/packages/proof/src/fleet/WaitingWork.test.ts
@@ -161,3 +161,25 @@
         t.deepEqual(deployment.rules.violations, []);
     });
 }
+
+// Guards against workers that stay reserved for a gang whose queue is gone.
+test("jobs start when the queue of a gang for which all workers are reserved is removed, and the gang when it is back", async t => {
+    const deployment = new FleetDeployment({ processes: 2, workers: 2, seed: 44 });
+    const gangs = { name: "gangs", pathPrefix: "/gangs/" };
+    deployment.putConfig({ otherQueue: gangs });
+    await deployment.timer.advance(3000);
+    await submit(deployment, deployment.createJob([{ taskCount: 2, size: PROCESSORS, estimateMs: 4000 }]));
+    const gang = { ...deployment.createJob([{ gang: true, taskCount: 8, size: SMALL }]), queue: "gangs" };
+    await submit(deployment, gang);
+    await deployment.timer.advance(500);
+    const other = deployment.createJob([SMALL_STEP]);
+    await submit(deployment, other);
+    await deployment.timer.advance(1000);
+    t.is((await deployment.timer.advanceUntil(deployment.state("m0", other))).phase, JobPhase.Queued);
+    deployment.putConfig({});
+    t.is(await deployment.waitUntilFinal(other, OTHER_JOB_MS), JobPhase.Completed);
+    deployment.putConfig({ otherQueue: gangs });
+    await deployment.timer.advance(8000);
+    t.true(deployment.rules.doneTasks.has(`${gang.id}.0.0.7`));
+    t.deepEqual(deployment.rules.allViolations(), []);
+});
