A later answer of the placement policy ends permits that it does not confirm

Callers would see jobs wait for workers reserved for a gang that the policy no longer allows there; none was seen, and the users' platform does not change its answers.

Cause: applyAnswer kept permits that a later answer leaves out, and a reservation stands on workers with expired permits.

Change: an answer without a worker ends the permit there, unless that is from a later answer.

--- a/packages/fleet/src/owner/PermitRequester.test.ts
+++ b/packages/fleet/src/owner/PermitRequester.test.ts
@@ -259,3 +259,23 @@
     requester.handleReply("e1", { question: question!.number, permits, permitMs: 1500, ageMs: 0, waitedMs: 20 });
     t.true(step.permits.latestExpiryMs <= 20 + 1500, `${step.permits.latestExpiryMs} ms`);
 });
+
+// Guards against workers that stay reserved for a gang which the policy no longer allows there.
+test("a later answer without a worker ends its permit, an earlier one does not", async t => {
+    const { timer, requester, step } = setUp(1);
+    const answer = (allowed: boolean, ageMs = 0): void =>
+        requester.applyPrefetched("e1", {
+            jobId: step.job.spec.id,
+            workerIds: ["w0"],
+            ageMs,
+            permits: allowed ? [{ workerId: "w0", permit: "p" }] : [],
+            permitMs: 1500
+        });
+    await timer.advance(1000);
+    answer(true);
+    answer(false, 500);
+    t.true(step.permits.byWorker.has("w0"));
+    await timer.advance(10);
+    answer(false);
+    t.false(step.permits.byWorker.has("w0"));
+});
--- a/packages/fleet/src/owner/PermitRequester.ts
+++ b/packages/fleet/src/owner/PermitRequester.ts
@@ -236,7 +236,10 @@
             const expiresAtMs = answeredAtMs + permitMs;
             const known = step.permits.byWorker.get(worker.id);
             const isNewer = known?.incarnation !== incarnation || known.expiresAtMs < expiresAtMs;
-            if (permit && isNewer) {
+            if (!permit && isNewer) {
+                step.permits.byWorker.delete(worker.id);
+            }
+            else if (permit && isNewer) {
                 step.permits.byWorker.set(worker.id, { permit: permit.permit, incarnation, expiresAtMs });
                 step.permits.latestExpiryMs = Math.max(step.permits.latestExpiryMs, expiresAtMs);
                 if (expiresAtMs > this.timer.nowMs() + PERMIT_MARGIN_MS) {
