A run that a later incarnation of its worker has confirmed counts no crash of the former one

Cause: a worker that has restarted unnoticed confirms a start, and the restart, once noticed, was counted as a crash under that run.

Change: the clock in the reply to an order tells which incarnation has replied. Runs confirmed by a later one count no crash; runs confirmed by this one are known to be there, as if listed.

Tests: WorkerRestarts, a crash does not count under a run; it fails before.

--- a/packages/fleet/src/owner/CrashTracker.ts
+++ b/packages/fleet/src/owner/CrashTracker.ts
@@ -106,7 +106,7 @@
 
     /** Whether a run may have crashed its worker: it may have been there, and not for long without a crash. */
     private mayHaveCrashed(run: RunState): boolean {
-        return run.phase !== RunPhase.Starting && !this.runs.isSettled(run);
+        return run.phase !== RunPhase.Starting && !run.startedLater && !this.runs.isSettled(run);
     }
 
     private count(workerId: string, runs: readonly CrashedRun[]): void {
--- a/packages/fleet/src/owner/WorkerClock.ts
+++ b/packages/fleet/src/owner/WorkerClock.ts
@@ -4,6 +4,17 @@
 const LEASE_MARGIN_MS = 250;
 /** Longest lease; the drift of a worker's clock is allowed for over this time. */
 const MAX_LEASE_MS = 20_000;
+/** Drift of a worker's clock beyond the one that leases allow for. */
+const MAX_DRIFT = 0.03;
+/** The clock of a later incarnation can be told from one that has run for longer than a call may take. */
+const MIN_KNOWN_CLOCK_MS = 2000;
+
+/** Incarnation of a worker from which a reply came, by the clock in it. */
+export enum ReplyOrigin {
+    This = "this",
+    Later = "later",
+    Unknown = "unknown"
+}
 
 /** Estimate of a worker's own monotonic clock, and the end of the leases that it may hold. */
 export class WorkerClock {
@@ -11,6 +22,8 @@
     private updatedAtMs: number | undefined;
     /** Time on this process's clock until which a lease may last. */
     private leaseUntilMs = 0;
+    /** A reply since the last report came from a clock that has gone back. */
+    private hasGoneBack = false;
     /**
      * The same if an order has reached a later incarnation of the worker: its clock starts anew, so that the end of the
      * lease in the order does not limit the lease.
@@ -25,12 +38,29 @@
     }
 
     /**
-     * Records the worker's clock from a reply. A reply out of order makes the estimate too low, which only shortens
+     * Records the worker's clock from a report. A reply out of order makes the estimate too low, which only shortens
      * leases.
      */
     public update(clockMs: number): void {
         this.clockMs = clockMs;
         this.updatedAtMs = this.timer.nowMs();
+        this.hasGoneBack = false;
+    }
+
+    /**
+     * Records the worker's clock from the reply to an order, which does not name the incarnation; returns what the clock
+     * tells of it, since that of a later incarnation starts anew.
+     */
+    public updateFromOrder(clockMs: number, sentAtMs: number): ReplyOrigin {
+        const knownMs = this.updatedAtMs === undefined ? 0 : this.clockMs;
+        const elapsedMs = sentAtMs - (this.updatedAtMs ?? sentAtMs);
+        const hasGoneBack = this.hasGoneBack || clockMs < knownMs + elapsedMs - Math.abs(elapsedMs) * MAX_DRIFT;
+        this.update(clockMs);
+        this.hasGoneBack = hasGoneBack;
+        if (hasGoneBack) {
+            return ReplyOrigin.Later;
+        }
+        return knownMs >= MIN_KNOWN_CLOCK_MS ? ReplyOrigin.This : ReplyOrigin.Unknown;
     }
 
     /**
--- a/packages/fleet/src/owner/WorkerRestarts.test.ts
+++ b/packages/fleet/src/owner/WorkerRestarts.test.ts
@@ -23,7 +23,7 @@
             const fixture = createRegistry(t);
             const { timer, fleet, registry, replies, unresponsive } = fixture;
             registry.start([PLAIN_WORKER], [], 0);
-            await timer.advance(900);
+            await timer.advance(2900);
             unresponsive.add("w1");
             const tasks = addJob(fleet, [{ taskCount: 2 }]).findTask(0, 0, 0)!.step.tasks;
             const sentAtMs = timer.nowMs();
@@ -66,7 +66,7 @@
     registry.start([PLAIN_WORKER], [], 0);
     const [reported, ordered] = addJob(fleet, [{ taskCount: 2 }]).findTask(0, 0, 0)!.step.tasks;
     running.push({ task: reported!.name, run: 1, checkpoint: "", percent: 1 });
-    await timer.advance(900);
+    await timer.advance(2900);
     unresponsive.add("w1");
     const worker = fleet.workers.get("w1")!;
     const run = fleet.openRun(ordered!, worker, 1, RunPhase.Starting, timer.nowMs());
@@ -115,3 +115,22 @@
     t.true(registry.settled);
     registry.dispose();
 });
+
+// Guards against jobs that are given up for crashes of workers on which their tasks never were.
+test("a crash does not count under a run whose start a later incarnation has confirmed, by its clock", async t => {
+    for (const [reply, crashes] of [[4000, 1], [3, 0]] as const) {
+        const { timer, fleet, registry, replies } = createRegistry(t);
+        registry.start([PLAIN_WORKER], [], 0);
+        await timer.advance(3500);
+        const worker = fleet.workers.get("w1")!;
+        const task = addJob(fleet, [{}]).findTask(0, 0, 0)!;
+        const run = fleet.openRun(task, worker, 1, RunPhase.Starting, timer.nowMs());
+        const started = registry.session(worker)!.startRun(run, "", "", undefined);
+        replies[0]!({ outcome: OrderOutcome.Accepted, clockMs: reply });
+        await started;
+        run.phase = RunPhase.Running;
+        registry.update([{ ...PLAIN_WORKER, incarnation: 2 }]);
+        t.is(task.crashedRuns.length, crashes);
+        registry.dispose();
+    }
+});
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -12,7 +12,7 @@
 import type { WorkerState } from "../state/WorkerState.js";
 import { EndAcknowledgement } from "./EndAcknowledgement.js";
 import type { CommitWaiter } from "./ProgressWriter.js";
-import type { WorkerClock } from "./WorkerClock.js";
+import { ReplyOrigin, type WorkerClock } from "./WorkerClock.js";
 
 /** Callbacks of a session. */
 export interface SessionEvents {
@@ -153,6 +153,7 @@
         permit: string | undefined
     ): Promise<OrderReply> {
         const token = this.token;
+        const sentAtMs = this.timer.nowMs();
         const maxLeaseMs = START_LEASE_MS + this.timing.roundTripMs;
         const leaseMs = Math.min(maxLeaseMs, this.events.capacityTimeLeftMs(this.state));
         const timeoutMs = REPLY_TIMEOUT_MS + this.timing.roundTripMs;
@@ -173,7 +174,11 @@
             },
             timeoutMs
         );
-        this.handleReply(reply, token);
+        const origin = this.handleReply(reply, token, sentAtMs);
+        if (reply.outcome === OrderOutcome.Accepted) {
+            run.reported ||= origin === ReplyOrigin.This;
+            run.startedLater = origin === ReplyOrigin.Later;
+        }
         return reply;
     }
 
@@ -183,14 +188,10 @@
             return;
         }
         const token = this.token;
-        const reply = await this.workerClient.stop(
-            this.entry,
-            task,
-            run,
-            token,
-            REPLY_TIMEOUT_MS + this.timing.roundTripMs
-        );
-        this.handleReply(reply, token);
+        const sentAtMs = this.timer.nowMs();
+        const timeoutMs = REPLY_TIMEOUT_MS + this.timing.roundTripMs;
+        const reply = await this.workerClient.stop(this.entry, task, run, token, timeoutMs);
+        this.handleReply(reply, token, sentAtMs);
     }
 
     /** Orders the speed limit of a run, in percent of its full speed; returns whether the worker has accepted it. */
@@ -199,9 +200,10 @@
             return false;
         }
         const token = this.token;
+        const sentAtMs = this.timer.nowMs();
         const timeoutMs = REPLY_TIMEOUT_MS + this.timing.roundTripMs;
         const reply = await this.workerClient.limitSpeed(this.entry, task, run, percent, token, timeoutMs);
-        this.handleReply(reply, token);
+        this.handleReply(reply, token, sentAtMs);
         return reply.outcome === OrderOutcome.Accepted;
     }
 
@@ -339,9 +341,10 @@
         return true;
     }
 
-    private handleReply(reply: OrderReply, token: number): void {
+    private handleReply(reply: OrderReply, token: number, sentAtMs: number): ReplyOrigin {
+        let origin = ReplyOrigin.Unknown;
         if (reply.clockMs !== undefined) {
-            this.clock.update(reply.clockMs);
+            origin = this.clock.updateFromOrder(reply.clockMs, sentAtMs);
         }
         else if (reply.outcome !== OrderOutcome.Accepted) {
             this.handleFailure(reply.outcome, token);
@@ -349,6 +352,7 @@
         if (reply.outcome === OrderOutcome.StaleToken && token === this.token && !this.disposed) {
             this.events.staleOwner(this);
         }
+        return origin;
     }
 
     private handleFailure(outcome: OrderOutcome, token: number): void {
--- a/packages/fleet/src/state/FleetState.ts
+++ b/packages/fleet/src/state/FleetState.ts
@@ -150,6 +150,7 @@
             orderedAtMs: nowMs,
             confirmedAtMs: phase === RunPhase.Running ? nowMs : undefined,
             reported: false,
+            startedLater: false,
             startSeen: false,
             resolvingToken: 0,
             percent: 0,
@@ -180,6 +181,7 @@
             run.phase = RunPhase.Uncertain;
             run.confirmedAtMs = undefined;
             run.startSeen = false;
+            run.startedLater = false;
             run.resolvingToken = resolvingToken;
             run.stopSentAtMs = undefined;
             run.speedLimitKnown = false;
--- a/packages/fleet/src/state/RunState.ts
+++ b/packages/fleet/src/state/RunState.ts
@@ -27,8 +27,10 @@
     phase: RunPhase;
     /** Time at which the run was known to exist; it is gone when a report that was requested later omits it. */
     confirmedAtMs: number | undefined;
-    /** The worker has listed the run: its start order was not received by a later incarnation of the worker. */
+    /** The worker has listed the run, or confirmed its start: no later incarnation of the worker has got the order. */
     reported: boolean;
+    /** A later incarnation of the worker than the known one has confirmed the start. */
+    startedLater: boolean;
     /** This owner ordered the start from the beginning, not from a checkpoint, and saw when the run began. */
     startSeen: boolean;
     /** Lowest token of a report that shows whether an uncertain run exists. */
