One crash is counted once by all owners in a row

Cause: recordEarlierRestart counted a crash under the tasks that an earlier owner had listed, by the last run number of the epoch before its own, so that three owners in a row counted one crash three times.

Change: the incarnation that has ended stands for the run. Tests: CrashTracker, a crash under a task that an earlier owner listed; it fails before.

--- a/packages/fleet/src/owner/CrashTracker.test.ts
+++ b/packages/fleet/src/owner/CrashTracker.test.ts
@@ -1,6 +1,7 @@
 import { SILENT_LOG } from "@skylarkpath/common/log/EventLog";
 import { VirtualTimer } from "@skylarkpath/common/time/VirtualTimer";
 import test from "ava";
+import type { JobProgress } from "../model/JobProgress.js";
 import { JobPhase } from "../model/JobSpec.js";
 import type { FleetState } from "../state/FleetState.js";
 import { RunPhase } from "../state/RunState.js";
@@ -118,3 +119,18 @@
     markCommitted();
     t.false(job.held);
 });
+
+// Guards against jobs that are given up after one crash, which each of several owners in a row counted anew.
+test("a crash under a task that an earlier owner listed counts once, whatever the number of owners since", t => {
+    const progress = [...Array(3).keys()].reduce<JobProgress | undefined>((stored, number) => {
+        const { fleet, crashes } = setUp();
+        const job = addJob(fleet, [{}], undefined, (number + 2) * 100_000 + 1);
+        if (stored) {
+            job.restore(stored);
+        }
+        crashes.recordEarlierRestart("w1", 1700, [job.findTask(0, 0, 0)!.name]);
+        t.is(job.phase, JobPhase.Queued);
+        return job.encodeProgress();
+    }, undefined);
+    t.is(progress!.open[0]!.steps[0]!.crashes![0]!.length, 1);
+});
--- a/packages/fleet/src/owner/CrashTracker.ts
+++ b/packages/fleet/src/owner/CrashTracker.ts
@@ -49,10 +49,13 @@
         }
     }
 
-    /** Counts the restart of a worker under the tasks that a previous owner listed there. */
-    public recordEarlierRestart(workerId: string, taskNames: readonly string[]): void {
+    /**
+     * Counts the restart of a worker under the tasks that a previous owner listed on its former incarnation. That stands for
+     * the numbers of their runs, which are not known, so that each owner in a row counts the same crash.
+     */
+    public recordEarlierRestart(workerId: string, formerIncarnation: number, taskNames: readonly string[]): void {
         const tasks = taskNames.map(name => this.fleet.findTask(name)).filter(task => task?.waiting);
-        this.count(workerId, tasks.map(task => ({ task: task!, run: task!.lastRun })));
+        this.count(workerId, tasks.map(task => ({ task: task!, run: formerIncarnation })));
     }
 
     /**
--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -151,7 +151,7 @@
         }
         for (const { id, incarnation, draining, tasks } of previousWorkers) {
             if (!draining && tasks && (this.entries.get(id)?.incarnation ?? 0) > incarnation) {
-                this.crashes.recordEarlierRestart(id, tasks);
+                this.crashes.recordEarlierRestart(id, incarnation, tasks);
             }
         }
         this.updateUnknownUsage();
@@ -338,7 +338,7 @@
         this.crashes.recordRestart(state);
         const tasks = this.unsettled.tasksOn(state.id);
         if (tasks && !state.entry.draining) {
-            this.crashes.recordEarlierRestart(state.id, tasks);
+            this.crashes.recordEarlierRestart(state.id, state.entry.incarnation, tasks);
         }
     }
 
--- a/packages/fleet/src/testing/FleetFixture.ts
+++ b/packages/fleet/src/testing/FleetFixture.ts
@@ -71,7 +71,12 @@
 }
 
 /** Adds a job whose first occurrence is open. */
-export function addJob(fleet: FleetState, steps: readonly Partial<StepSpec>[], id = "00000000000000a1"): JobState {
+export function addJob(
+    fleet: FleetState,
+    steps: readonly Partial<StepSpec>[],
+    id = "00000000000000a1",
+    firstRun = 1
+): JobState {
     const job = new JobState(
         {
             id,
@@ -84,7 +89,7 @@
         },
         0,
         1,
-        1
+        firstRun
     );
     job.openDueOccurrences(1);
     fleet.jobs.set(id, job);
