The reports of a worker decide about its incarnation, not the directory

Cause: the directory alone replaced sessions, and only by later incarnations; reports that named another one were dropped, and as they were answers the leases were not looked at.

Change: a report of another incarnation, earlier or later, replaces the session; what it contradicts is not followed again.

Tests: WorkerRestarts, the worker's own report decides, for an earlier and a later entry; both fail before.

--- a/packages/fleet/src/owner/WorkerRegistry.ts
+++ b/packages/fleet/src/owner/WorkerRegistry.ts
@@ -12,6 +12,7 @@
 import { WorkerState } from "../state/WorkerState.js";
 import { CrashTracker } from "./CrashTracker.js";
 import { FillerThrottle, type SpeedLimitChange } from "./FillerThrottle.js";
+import { findUnlisted } from "./findUnlisted.js";
 import type { RunTracker } from "./RunTracker.js";
 import { UnsettledWorkers } from "./UnsettledWorkers.js";
 import { WorkerClock } from "./WorkerClock.js";
@@ -47,6 +48,8 @@
     private readonly emptied = new Map<string, number>();
     /** Workers without a session whose tasks the store may still list. */
     private readonly listedInStore = new Set<string>();
+    /** Incarnations in the directory that the reports of the worker itself contradict. */
+    private readonly contradicted = new Map<string, number>();
     /** Time from which on no lease of a previous owner is left that this owner does not know of. */
     private previousLeasesEndMs = 0;
     private disposed = false;
@@ -130,9 +133,7 @@
         for (const entry of entries) {
             this.entries.set(entry.id, entry);
         }
-        const unlisted = previousWorkers.filter(known => !hasLeft(known) && !this.entries.has(known.id)).map(
-            unlistedEntry
-        );
+        const unlisted = findUnlisted(previousWorkers, this.entries);
         const knownById = new Map(previousWorkers.map(known => [known.id, known]));
         if (unknownLeaseMs > 0) {
             for (const { id, incarnation } of [...entries, ...unlisted]) {
@@ -173,7 +174,10 @@
                 session.state.entry = entry;
                 session.state.listed = true;
             }
-            else if (entry.incarnation > session.entry.incarnation) {
+            else if (
+                entry.incarnation > session.entry.incarnation
+                && entry.incarnation !== this.contradicted.get(entry.id)
+            ) {
                 // The open connections lead to the former incarnation, and may stay silent.
                 this.workerClient.disconnect(session.entry);
                 this.replace(session, entry);
@@ -203,7 +207,7 @@
      * previous one.
      */
     private replace(session: WorkerSession, entry: WorkerEntry): void {
-        if (this.sessions.get(entry.id) !== session || session.entry.incarnation >= entry.incarnation) {
+        if (this.sessions.get(entry.id) !== session) {
             return;
         }
         this.log.write(EVENTS.workerLost, {
@@ -220,6 +224,21 @@
         this.updateUnknownUsage();
     }
 
+    /**
+     * Replaces the session with a worker that reports another incarnation. That may be an earlier one: the entry in the
+     * directory was of another writer, or the worker's time of day was set back.
+     */
+    private followReport(session: WorkerSession, incarnation: number): void {
+        const { entry } = session;
+        if (incarnation < entry.incarnation) {
+            this.contradicted.set(entry.id, entry.incarnation);
+        }
+        const listed = this.entries.get(entry.id);
+        // Marked as draining, so that nothing is started on it before the directory lists its capacity.
+        const unlisted = { ...entry, incarnation, draining: true };
+        this.replace(session, listed?.incarnation === incarnation ? listed : unlisted);
+    }
+
     /** Returns the clock of a worker on which leases of a previous owner may last for the given time from now on. */
     private createClock(unknownLeaseMs: number): WorkerClock {
         const clock = new WorkerClock(this.timer, this.timing.maximumLeaseMs);
@@ -260,9 +279,7 @@
                     }
                 },
                 workerLost: (source, reason) => this.handleWorkerLost(source, reason),
-                // Marked as draining, so that nothing is started on it before the directory lists its capacity.
-                workerRestarted: (source, incarnation) =>
-                    this.replace(source, { ...source.entry, incarnation, draining: true }),
+                workerRestarted: (source, incarnation) => this.followReport(source, incarnation),
                 staleOwner: () => this.events.staleOwner(),
                 capacityTimeLeftMs: worker => this.events.capacityTimeLeftMs(worker.entry.pool),
                 needsFrequentPolls: worker => this.fillerThrottle.needsFrequentPolls(worker),
@@ -376,21 +393,3 @@
         Object.assign(this.fleet.unknown, this.unsettled.sumUsage(this.fleet.workers.values()));
     }
 }
-
-/** Returns whether a worker that the directory does not list was draining without a task, so that nothing runs there. */
-function hasLeft({ draining, tasks }: KnownWorker): boolean {
-    return draining && tasks?.length === 0;
-}
-
-/** Creates an entry for a worker that the directory does not list; it is draining, so nothing is started there. */
-function unlistedEntry(known: KnownWorker): WorkerEntry {
-    return {
-        ...known,
-        pool: "",
-        failureDomain: "",
-        draining: true,
-        capacity: { cpuMilli: 0, memoryMb: 0, accelerators: 0 },
-        labels: [],
-        rack: ""
-    };
-}
--- a/packages/fleet/src/owner/WorkerRestarts.test.ts
+++ b/packages/fleet/src/owner/WorkerRestarts.test.ts
@@ -7,8 +7,10 @@
 /** How an owner learns that a worker has restarted, and the further restarts that it learns of. */
 const SIGNS: Readonly<Record<string, (fixture: RegistryFixture) => Promise<void>>> = {
     "the directory": async ({ registry }) => registry.update([{ ...PLAIN_WORKER, incarnation: 2 }]),
-    "a report, and then the directory of another restart": async ({ registry, incarnations, timer, unresponsive }) => {
+    "a report, and then the directory of another restart": async fixture => {
+        const { registry, incarnations, timer, unresponsive, report } = fixture;
         unresponsive.delete("w1");
+        report.isLast = true;
         incarnations.set("w1", 2);
         await timer.advance(1800);
         registry.update([{ ...PLAIN_WORKER, incarnation: 3 }]);
@@ -134,3 +136,25 @@
         registry.dispose();
     }
 });
+
+// Guards against a directory that names a restart which did not happen, and against a clock that was set back between two.
+for (const listed of [5, 1]) {
+    test(`the worker's own report decides about its incarnation; the directory lists ${listed} in place of 3`, async t => {
+        const { timer, fleet, registry, incarnations, running } = createRegistry(t);
+        registry.start([{ ...PLAIN_WORKER, incarnation: 3 }], [], 0);
+        const task = addJob(fleet, [{}]).findTask(0, 0, 0)!;
+        running.push({ task: task.name, run: 1, checkpoint: "", percent: 1 });
+        await timer.advance(50);
+        incarnations.set("w1", listed === 5 ? 3 : 1);
+        registry.update([{ ...PLAIN_WORKER, incarnation: listed, pool: listed === 5 ? "unknown" : "pool" }]);
+        await timer.advance(2500);
+        t.is(task.run?.phase, RunPhase.Running);
+        t.is(fleet.workers.get("w1")!.entry.incarnation, listed === 5 ? 3 : 1);
+        registry.update([{ ...PLAIN_WORKER, incarnation: listed === 5 ? 3 : 1 }]);
+        registry.markCommitted(registry.list());
+        t.true(fleet.workers.get("w1")!.canStart(timer.nowMs()));
+        registry.update([{ ...PLAIN_WORKER, incarnation: 5 }]);
+        t.is(fleet.workers.get("w1")!.fenced, listed === 5);
+        registry.dispose();
+    });
+}
--- a/packages/fleet/src/testing/RegistryFixture.ts
+++ b/packages/fleet/src/testing/RegistryFixture.ts
@@ -34,9 +34,9 @@
     readonly ended: ReportedEnd[];
     /** Runs that every worker lists. */
     readonly running: ReportedRun[];
-    /** Whether workers hold further ends than these. */
-    readonly report: { hasMoreEnds: boolean; };
-    /** Incarnations that workers report before they fall silent, where it is not the one that is asked. */
+    /** Whether workers hold further ends than these, and whether they fall silent after the next report. */
+    readonly report: { hasMoreEnds: boolean; isLast: boolean; };
+    /** Incarnations that workers report, where it is not the one that is asked. */
     readonly incarnations: Map<string, number>;
     /** Workers to which connections were closed. */
     readonly disconnected: string[];
@@ -56,7 +56,7 @@
     const throwing = new Set<string>();
     const ended: ReportedEnd[] = [];
     const running: ReportedRun[] = [];
-    const reported = { hasMoreEnds: false };
+    const reported = { hasMoreEnds: false, isLast: false };
     const incarnations = new Map<string, number>();
     const disconnected: string[] = [];
     const accepted: OrderReply = { outcome: OrderOutcome.Accepted };
@@ -74,7 +74,7 @@
                 return err({ outcome: OrderOutcome.Uncertain, message: "no answer" });
             }
             const restarted = incarnations.get(worker.id);
-            if (restarted !== undefined) {
+            if (reported.isLast) {
                 unresponsive.add(worker.id);
             }
             return ok({
