What a reply tells of a run's incarnation holds for the session that got it, until a report

A reply that arrived after its run had moved on to the next incarnation marked the run as started on a later one than that, and a report that listed the run did not take the mark back, so that a crash under it would not have counted.

Change: the mark is set for runs of the session only, and a report clears it.

--- a/packages/fleet/src/owner/RunTracker.ts
+++ b/packages/fleet/src/owner/RunTracker.ts
@@ -209,6 +209,7 @@
         }
         const nowMs = this.timer.nowMs();
         run.reported = true;
+        run.startedLater = false;
         run.confirmedAtMs ??= nowMs;
         if (run.phase === RunPhase.Starting || run.phase === RunPhase.Uncertain) {
             run.startSeen &&= run.phase === RunPhase.Starting;
--- a/packages/fleet/src/owner/WorkerClock.ts
+++ b/packages/fleet/src/owner/WorkerClock.ts
@@ -4,9 +4,9 @@
 const LEASE_MARGIN_MS = 250;
 /** Longest lease; the drift of a worker's clock is allowed for over this time. */
 const MAX_LEASE_MS = 20_000;
-/** Drift of a worker's clock beyond the one that leases allow for. */
+/** Share of the time between two replies by which a worker's clock may be slow or fast, with a margin. */
 const MAX_DRIFT = 0.03;
-/** The clock of a later incarnation can be told from one that has run for longer than a call may take. */
+/** A reply tells a later incarnation from this one if this one has run for longer than a call and a restart take. */
 const MIN_KNOWN_CLOCK_MS = 2000;
 
 /** Incarnation of a worker from which a reply came, by the clock in it. */
@@ -22,13 +22,13 @@
     private updatedAtMs: number | undefined;
     /** Time on this process's clock until which a lease may last. */
     private leaseUntilMs = 0;
-    /** A reply since the last report came from a clock that has gone back. */
-    private hasGoneBack = false;
     /**
      * The same if an order has reached a later incarnation of the worker: its clock starts anew, so that the end of the
      * lease in the order does not limit the lease.
      */
     private laterLeaseUntilMs = 0;
+    /** A reply since the last report came from a clock that has gone back. */
+    private hasGoneBack = false;
 
     constructor(private readonly timer: TimerService, private readonly maximumLeaseMs: number) {}
 
--- a/packages/fleet/src/owner/WorkerRestarts.test.ts
+++ b/packages/fleet/src/owner/WorkerRestarts.test.ts
@@ -120,8 +120,8 @@
 
 // Guards against jobs that are given up for crashes of workers on which their tasks never were.
 test("a crash does not count under a run whose start a later incarnation has confirmed, by its clock", async t => {
-    for (const [reply, crashes] of [[4000, 1], [3, 0]] as const) {
-        const { timer, fleet, registry, replies } = createRegistry(t);
+    for (const [reply, isListed, crashes] of [[4000, false, 1], [3, false, 0], [3, true, 1]] as const) {
+        const { timer, fleet, registry, replies, running } = createRegistry(t);
         registry.start([PLAIN_WORKER], [], 0);
         await timer.advance(3500);
         const worker = fleet.workers.get("w1")!;
@@ -131,6 +131,10 @@
         replies[0]!({ outcome: OrderOutcome.Accepted, clockMs: reply });
         await started;
         run.phase = RunPhase.Running;
+        if (isListed) {
+            running.push({ task: task.name, run: 1, checkpoint: "", percent: 1 });
+            await timer.advance(1100);
+        }
         registry.update([{ ...PLAIN_WORKER, incarnation: 2 }]);
         t.is(task.crashedRuns.length, crashes);
         registry.dispose();
--- a/packages/fleet/src/owner/WorkerSession.ts
+++ b/packages/fleet/src/owner/WorkerSession.ts
@@ -175,7 +175,7 @@
             timeoutMs
         );
         const origin = this.handleReply(reply, token, sentAtMs);
-        if (reply.outcome === OrderOutcome.Accepted) {
+        if (reply.outcome === OrderOutcome.Accepted && run.worker === this.state) {
             run.reported ||= origin === ReplyOrigin.This;
             run.startedLater = origin === ReplyOrigin.Later;
         }
