An overdue call is given up only after the sockets have been read once more

Cause: the event loop runs timers before it reads sockets, so after a stall the timeout of a call fires first, and a reply that is already in the socket is given up. Traced beside 16 busy processes: the poll for the configuration was given up 2247 ms after it was sent, to a store that answers after 900.

An overdue call now looks at its reply once more after the sockets were read. "a reply that arrives in time while the process is stalled is read, whole or in parts" failed before in 4 of 4 runs and passes.

--- a/packages/adapters/src/HttpExchange.test.ts
+++ b/packages/adapters/src/HttpExchange.test.ts
@@ -24,6 +24,14 @@
     return { server, pool };
 }
 
+/** Keeps the event loop busy. */
+function stall(durationMs: number): void {
+    const endMs = performance.now() + durationMs;
+    while (performance.now() < endMs) {
+        // Busy.
+    }
+}
+
 test("an exchange returns the status, the headers and the whole body", async t => {
     const { pool } = await startServer(t, (request, response) => {
         request.resume();
@@ -35,6 +43,24 @@
     t.deepEqual([reply.status, reply.headers["x-kind"], reply.body], [201, "parts", "one two"]);
 });
 
+// A process that was stalled gave up replies that it had only not read yet.
+test.serial("a reply that arrives in time while the process is stalled is read, whole or in parts", async t => {
+    const { pool } = await startServer(t, (request, response) => {
+        if (request.url === "/whole") {
+            response.end("done");
+            stall(LIMITS.timeoutMs + 100);
+            return;
+        }
+        response.write("one ");
+        setTimeout(() => {
+            response.end("two");
+            stall(LIMITS.maximumPauseMs + 100);
+        }, 50);
+    });
+    t.is((await exchange(pool, { method: "GET", path: "/whole" }, LIMITS)).body, "done");
+    t.is((await exchange(pool, { method: "GET", path: "/parts" }, LIMITS)).body, "one two");
+});
+
 test("a request that is still queued when its time is over is never sent", async t => {
     const paths: (string | undefined)[] = [];
     const { pool } = await startServer(t, (request, response) => {
--- a/packages/adapters/src/HttpExchange.ts
+++ b/packages/adapters/src/HttpExchange.ts
@@ -60,6 +60,7 @@
     private readonly parts: Buffer[] = [];
     private dueMs: number;
     private timeout: NodeJS.Timeout;
+    private lastRead: NodeJS.Immediate | undefined;
     private controller: Dispatcher.DispatchController | undefined;
     private failure: Error | undefined;
     private status = 0;
@@ -93,7 +94,7 @@
     }
 
     public onResponseEnd(): void {
-        clearTimeout(this.timeout);
+        this.clearTimers();
         const body = this.parts.length === 1 ? this.parts[0]! : Buffer.concat(this.parts);
         this.resolve({ status: this.status, headers: this.headers, body: body.toString() });
     }
@@ -104,20 +105,41 @@
 
     /** Ends the exchange without a reply. */
     public fail(error: Error): void {
-        clearTimeout(this.timeout);
+        this.clearTimers();
         this.failure ??= error;
         this.reject(this.failure);
     }
 
     /** Parts of the reply move the time at which the exchange is overdue, so that they need no timers of their own. */
     private checkTimeout(): void {
-        const leftMs = this.dueMs - performance.now();
-        if (leftMs > 0) {
-            this.timeout = setTimeout(() => this.checkTimeout(), Math.ceil(leftMs));
+        if (this.waitUntilDue()) {
+            return;
+        }
+        // Timers run before sockets are read: after a stall the reply may already be there.
+        this.lastRead = setImmediate(() => this.giveUpIfOverdue());
+    }
+
+    private giveUpIfOverdue(): void {
+        if (this.waitUntilDue()) {
             return;
         }
         const error = new ExchangeTimeoutError("no complete reply in time");
         this.fail(error);
         this.controller?.abort(error);
     }
+
+    /** Sets the timer again and returns true if the exchange is not overdue yet. */
+    private waitUntilDue(): boolean {
+        const leftMs = this.dueMs - performance.now();
+        if (leftMs <= 0) {
+            return false;
+        }
+        this.timeout = setTimeout(() => this.checkTimeout(), Math.ceil(leftMs));
+        return true;
+    }
+
+    private clearTimers(): void {
+        clearTimeout(this.timeout);
+        clearImmediate(this.lastRead);
+    }
 }
