Data older than after a call in time is confirmed without waiting for a change

A process that had missed one reply of the store was not ready for up to 0.9 s more: the next call asked the store to wait for a change again, while the data was already 2.3 s old and may be 2.5 s old, "two reads and a retry". After a stall the same happens with a reply that is only late.

TableFollower now asks for an answer at once when the data is older than a long poll and its reply may take. Two tests, one for a lost and one for a late reply, failed before and pass.

--- a/packages/fleet/src/config/TableFollower.test.ts
+++ b/packages/fleet/src/config/TableFollower.test.ts
@@ -6,6 +6,8 @@
 
 const OPTIONS = { table: "t", partition: "p", waitMs: 100, minIntervalMs: 50, onError: () => undefined };
 
+const CALL_DURATION_MS = 4;
+
 function row(key: string, version: number): Required<RowChange> {
     return { table: "t", partition: "p", key, value: key, version };
 }
@@ -16,6 +18,9 @@
     public version = 0;
     public failure: StoreFailure | undefined;
     public snapshotReads = 0;
+    /** Time for which each call for changes asked the store to wait. */
+    public readonly waitsMs: number[] = [];
+    public durationMs = CALL_DURATION_MS;
 
     constructor(private readonly timer: VirtualTimer) {}
 
@@ -24,13 +29,14 @@
     }
 
     public async read(): ReturnType<RowStore["read"]> {
-        await new Promise<void>(resolve => this.timer.after(4, resolve));
+        await new Promise<void>(resolve => this.timer.after(CALL_DURATION_MS, resolve));
         this.snapshotReads++;
         return this.failure ? err(this.failure) : ok({ rows: [...this.rows], hasMore: false, version: this.version });
     }
 
-    public async changes(...[, after]: Parameters<RowStore["changes"]>): ReturnType<RowStore["changes"]> {
-        await new Promise<void>(resolve => this.timer.after(4, resolve));
+    public async changes(...[, after, waitMs]: Parameters<RowStore["changes"]>): ReturnType<RowStore["changes"]> {
+        this.waitsMs.push(waitMs);
+        await new Promise<void>(resolve => this.timer.after(this.durationMs, resolve));
         const changes = this.rows.filter(each => each.version > after);
         return this.failure ? err(this.failure) : ok({ changes, version: this.version });
     }
@@ -101,6 +107,24 @@
     follower.dispose();
 });
 
+// A long poll after a lost or late reply left the data older than two reads and a retry, and the process not ready.
+for (const [what, failure] of [["lost", StoreFailureKind.Uncertain], ["late", undefined]] as const) {
+    test(`after a ${what} reply the next call does not wait for a change`, async t => {
+        const { timer, store, follower } = startFollower();
+        follower.start(0);
+        await timer.advance(60);
+        store.waitsMs.length = 0;
+        store.durationMs = 610;
+        store.failure = failure && { kind: failure, message: "no reply", rows: [] };
+        await timer.advance(640);
+        store.durationMs = CALL_DURATION_MS;
+        store.failure = undefined;
+        await timer.advance(300);
+        t.deepEqual(store.waitsMs.slice(0, 3), [OPTIONS.waitMs, 0, OPTIONS.waitMs]);
+        follower.dispose();
+    });
+}
+
 test("a jump of the time of day makes the knowledge stale until it is read again", async t => {
     const { timer, store, follower } = startFollower();
     follower.start(5);
--- a/packages/fleet/src/config/TableFollower.ts
+++ b/packages/fleet/src/config/TableFollower.ts
@@ -9,7 +9,7 @@
 export interface TableFollowerOptions {
     readonly table: string;
     readonly partition: string;
-    /** Time for which the store holds a call open while there is no change. */
+    /** Time for which the store holds a call open while there is no change, unless the data is older than it should be. */
     readonly waitMs: number;
     /** Minimum time between the starts of two calls. */
     readonly minIntervalMs: number;
@@ -136,7 +136,10 @@
     private async readChanges(version: number): Promise<boolean> {
         const { table, waitMs } = this.options;
         const sentAt = this.freshness.readClocks();
-        const result = await this.store.changes(table, version, waitMs, waitMs + REPLY_TIMEOUT_MS);
+        // Known data that is older than after a call in time is confirmed at once.
+        const { ageMs } = this;
+        const pollMs = Number.isFinite(ageMs) && ageMs > waitMs + REPLY_TIMEOUT_MS ? 0 : waitMs;
+        const result = await this.store.changes(table, version, pollMs, waitMs + REPLY_TIMEOUT_MS);
         if (this.stopped) {
             return false;
         }
