A queued request whose time is over is not sent after a stall either

With the reply looked at once more, a call could be sent after its time: a connection became free in a stall, and the request that waited for it was sent before its exchange was given up. Leases are computed from the latest time at which their orders can be sent, so such an order might start a task that its owner counts as not started.

An exchange that is overdue is not sent.

--- a/packages/adapters/src/HttpExchange.test.ts
+++ b/packages/adapters/src/HttpExchange.test.ts
@@ -76,6 +76,22 @@
     t.deepEqual(paths, ["/first"]);
 });
 
+// A lease is computed from the latest time at which its order can be sent.
+test.serial("a request that becomes overdue in a stall of the process is never sent", async t => {
+    const paths: (string | undefined)[] = [];
+    const { pool } = await startServer(t, (request, response) => {
+        paths.push(request.url);
+        setTimeout(() => response.end(), 50);
+    });
+    const first = exchange(pool, { method: "GET", path: "/first" }, LIMITS).then(() => stall(LIMITS.timeoutMs + 100));
+    await t.throwsAsync(exchange(pool, { method: "GET", path: "/queued" }, LIMITS), {
+        instanceOf: ExchangeTimeoutError
+    });
+    await first;
+    await delay(100);
+    t.deepEqual(paths, ["/first"]);
+});
+
 test("the connection of an overdue reply is closed", async t => {
     let closed = 0;
     const { pool } = await startServer(t, request => request.socket.on("close", () => closed++));
--- a/packages/adapters/src/HttpExchange.ts
+++ b/packages/adapters/src/HttpExchange.ts
@@ -77,8 +77,8 @@
 
     public onRequestStart(controller: Dispatcher.DispatchController): void {
         this.controller = controller;
-        if (this.failure) {
-            controller.abort(this.failure);
+        if (this.failure || performance.now() >= this.dueMs) {
+            controller.abort(this.failure ?? new ExchangeTimeoutError("not sent in time"));
         }
     }
 
